--- /dev/null
+++ b/cmake/gentianramp_dependencies.cmake
@@ -0,0 +1,16 @@
+# Outside libraries, all from Debian packages (packages.txt).
+find_package(Threads REQUIRED)
+find_package(Boost 1.74 REQUIRED COMPONENTS program_options)
+find_package(glog REQUIRED)
+find_package(yaml-cpp REQUIRED)
+find_package(Protobuf REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(prometheus-cpp CONFIG REQUIRED COMPONENTS core)
+find_package(OpenSSL REQUIRED)
+
+foreach(plain zmq criterion urcu-memb xxhash)
+    string(REPLACE "-" "_" target ${plain})
+    find_library(GENTIANRAMP_${target}_LIBRARY NAMES ${plain} REQUIRED)
+    add_library(gentianramp_${target} INTERFACE)
+    target_link_libraries(gentianramp_${target} INTERFACE ${GENTIANRAMP_${target}_LIBRARY})
+endforeach()
--- /dev/null
+++ b/cmake/gentianramp_library.cmake
@@ -0,0 +1,30 @@
+# gentianramp_library(NAME SOURCES ... DEPENDS ... TESTS ... TEST_DEPENDS ...)
+#
+# Adds the library gentianramp::NAME and, when TESTS are given, one Criterion program
+# gentianramp_NAME_test that ctest runs.
+function(gentianramp_library name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;TESTS;TEST_DEPENDS" ${ARGN})
+    set(target gentianramp_${name})
+    add_library(${target} STATIC ${ARG_SOURCES})
+    add_library(gentianramp::${name} ALIAS ${target})
+    target_link_libraries(${target} PUBLIC gentianramp_options ${ARG_DEPENDS} Threads::Threads)
+    if(ARG_TESTS AND NOT GENTIANRAMP_SANITIZE STREQUAL "thread")
+        add_executable(${target}_test ${ARG_TESTS})
+        target_link_libraries(${target}_test PRIVATE ${target} ${ARG_TEST_DEPENDS}
+            gentianramp_criterion)
+        add_test(NAME ${name} COMMAND ${target}_test --jobs 2 --timeout 120)
+    endif()
+endfunction()
+
+# gentianramp_program(NAME SOURCES ... DEPENDS ...)
+#
+# Adds the executable gentianramp-NAME.
+function(gentianramp_program name)
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+    string(REPLACE "_" "-" file ${name})
+    set(target gentianramp_${name}_program)
+    add_executable(${target} ${ARG_SOURCES})
+    set_target_properties(${target} PROPERTIES OUTPUT_NAME gentianramp-${file}
+        RUNTIME_OUTPUT_DIRECTORY "${PROJECT_BINARY_DIR}/bin")
+    target_link_libraries(${target} PRIVATE gentianramp_options ${ARG_DEPENDS})
+endfunction()
