--- /dev/null
+++ b/include/gentianramp/config/declared_configuration.hpp
@@ -0,0 +1,116 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <gentianramp/core/clock.hpp>
+#include <gentianramp/core/ids.hpp>
+#include <string>
+#include <vector>
+
+namespace gentianramp {
+
+/// What a model engine works on.
+enum class EngineRole {
+    Mixed, ///< Prefill and decode.
+    Prefill,
+    Decode,
+};
+
+/// Kind of a service.
+enum class ServiceKind {
+    Model, ///< Served by engines through the OpenAI-style paths.
+    Plain, ///< Requests are passed on by path to plain workers.
+};
+
+/// One class of precedence; a smaller level goes first.
+struct PriorityClass
+{
+    std::string name;
+    std::uint32_t level = 0;
+    /// Share of a backend server's slots (0 to 1) that lower classes leave free for this class.
+    double reservedShare = 0;
+    bool operator==(const PriorityClass &) const = default;
+};
+
+/// A version of a model with the adapters that go with it.
+struct ModelDeclaration
+{
+    ModelId id;
+    std::string version;
+    std::vector<std::string> adapters;
+    std::uint64_t weightBytes = 0; ///< Size of the weights in the weight store.
+    bool operator==(const ModelDeclaration &) const = default;
+};
+
+/// A service that callers address by model name or by path.
+struct ServiceDeclaration
+{
+    ServiceId id;
+    ServiceKind kind = ServiceKind::Model;
+    ModelId model;          ///< For ServiceKind::Model.
+    std::string pathPrefix; ///< For ServiceKind::Plain, with a leading slash.
+    std::string priorityClass;
+    bool idempotent = true;                      ///< False: each request runs at most once.
+    Duration timeout = std::chrono::seconds(60); ///< Whole answer, unless the caller asks for less.
+    Duration firstTokenTarget = std::chrono::milliseconds(1800);
+    Duration tokenTarget = std::chrono::milliseconds(47); ///< Between two tokens.
+    std::uint32_t queueLimit = 256;        ///< Waiting requests for each entry instance.
+    std::uint32_t retryBudgetPercent = 10; ///< Retries per 100 first attempts.
+    bool operator==(const ServiceDeclaration &) const = default;
+};
+
+/// A firm whose callers use the system.
+struct CustomerDeclaration
+{
+    CustomerId id;
+    std::vector<std::string> keySha256; ///< SHA-256 of each valid bearer key, lower-case hex.
+    double requestsPerSecond = 0;       ///< Over all instances; 0 means no limit.
+    double tokensPerSecond = 0;      ///< Prompt and output tokens over all instances; 0: no limit.
+    std::vector<ServiceId> services; ///< Services the customer may use; empty means all.
+    bool operator==(const CustomerDeclaration &) const = default;
+};
+
+/// A backend server of a site.
+struct BackendDeclaration
+{
+    BackendId id;
+    DataCentreId site;
+    ServiceId service;
+    std::string host;
+    std::uint16_t port = 0;
+    EngineRole role = EngineRole::Mixed; ///< Role at first start.
+    bool checksFencing = false;
+    std::uint32_t slots = 16; ///< Requests worked on at once.
+    double prefillTokensPerSecond = 8000;
+    double decodeTokensPerSecond = 1000; ///< Over all streams of the engine.
+    bool drained = false;                ///< Operators took it out of service.
+    bool operator==(const BackendDeclaration &) const = default;
+};
+
+/// Settings of the role planner.
+struct PlannerSettings
+{
+    double roleChangeWeight = 1; ///< Answers that one role change must at least bring.
+    Duration horizon = std::chrono::seconds(30);
+    Duration minimumDwell = std::chrono::seconds(20);
+    std::uint32_t maxChangesAtOnce = 1;                ///< In one data centre.
+    Duration roleChangeTime = std::chrono::seconds(4); ///< Time an engine is unavailable.
+    bool operator==(const PlannerSettings &) const = default;
+};
+
+/// The whole configuration that operators declare: base file merged with every site's overlay.
+struct DeclaredConfiguration
+{
+    std::vector<DataCentreId> sites;
+    std::vector<PriorityClass> priorityClasses;
+    std::vector<ModelDeclaration> models;
+    std::vector<ServiceDeclaration> services;
+    std::vector<CustomerDeclaration> customers;
+    std::vector<BackendDeclaration> backends;
+    PlannerSettings planner;
+    double weightStoreBytesPerSecond = 1e9;                  ///< Shared by all data centres.
+    Duration idempotencyLifetime = std::chrono::minutes(10); ///< How long keys are remembered.
+    bool operator==(const DeclaredConfiguration &) const = default;
+};
+
+} // namespace gentianramp
