--- /dev/null
+++ b/include/gentianramp/routing/demand.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <gentianramp/core/clock.hpp>
+#include <gentianramp/core/ids.hpp>
+#include <vector>
+
+namespace gentianramp {
+
+/// Demand for one service at one priority as one entry instance saw it.
+struct ServiceDemand
+{
+    ServiceId service;
+    std::uint32_t priority = 0;
+    std::uint64_t requests = 0;
+    std::uint64_t promptTokens = 0;        ///< With expected cache hits subtracted.
+    std::uint64_t cachedTokens = 0;        ///< Expected cache hits.
+    std::uint64_t outputTokens = 0;        ///< Estimated at arrival.
+    std::uint64_t refused = 0;             ///< Refused for want of capacity.
+    std::uint64_t waitingPromptTokens = 0; ///< In the queue at the end of the span.
+    std::uint64_t waitingOutputTokens = 0;
+    std::uint64_t outstandingPromptTokens = 0; ///< Dispatched, not prefilled yet.
+    std::uint64_t outstandingOutputTokens = 0; ///< Dispatched, not emitted yet.
+    bool operator==(const ServiceDemand &) const = default;
+};
+
+/// Demand at one entry instance over a span of time.
+struct DemandSample
+{
+    InstanceId instance;
+    Duration span{};
+    std::vector<ServiceDemand> services;
+    bool operator==(const DemandSample &) const = default;
+};
+
+} // namespace gentianramp
