Add the mesh: encrypted datagrams between processes over ZeroMQ

Cause: ZeroMQ queues for absent peers and delivers after a partition what has grown stale. Change: immediate, linger 0, heartbeats and small high-water marks; incarnation, sequence and time to live on every message, its age reckoned from the smallest transit seen; nothing is taken from senders without a baseline right after this process stood still; CURVE keys with an own ZAP handler, operators limited to operator requests; strangers refused, counted and logged; fault file. Before: no wire. Conclusion: the other libraries can send.

--- a/include/gentianramp/wire/mesh.hpp
+++ b/include/gentianramp/wire/mesh.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <filesystem>
 #include <functional>
 #include <gentianramp/core/clock.hpp>
 #include <gentianramp/core/error.hpp>
@@ -72,6 +73,9 @@
     std::vector<MeshPeer> peers;
     /// Public keys that may send PayloadKind::Operator and nothing else.
     std::vector<std::string> operatorKeys;
+    /// Fault injection: names of instances, one a line, whose traffic is dropped while the file
+    /// lists them. Read ten times a second; an empty path switches it off.
+    std::filesystem::path faultFile;
     MetricsRegistry *metrics = nullptr;
     TimelineWriter *timeline = nullptr;
 };
@@ -94,7 +98,7 @@
     void reply(const std::string &route, PayloadKind kind, std::string payload, Duration ttl);
     /// Replaces the known peers and operators; connections to unchanged peers stay.
     void setPeers(std::vector<MeshPeer> peers, std::vector<std::string> operatorKeys);
-    /// Fault injection for tests and the promises run: drops all traffic with these peers.
+    /// Fault injection: drops all traffic with these peers.
     void setBlocked(std::vector<InstanceId> peers);
 
 private:
--- /dev/null
+++ b/src/gentianramp/wire/mesh.cpp
@@ -0,0 +1,460 @@
+#include "message_filter.hpp"
+#include "peer_authenticator.hpp"
+
+#include <array>
+#include <atomic>
+#include <deque>
+#include <fstream>
+#include <gentianramp/core/log.hpp>
+#include <gentianramp/wire/mesh.hpp>
+#include <mutex>
+#include <set>
+#include <sys/eventfd.h>
+#include <thread>
+#include <unistd.h>
+#include <zmq.hpp>
+#include <zmq_addon.hpp>
+
+#include "gentianramp/wire/generated/envelope.pb.h"
+
+namespace gentianramp {
+
+namespace {
+
+constexpr int HighWaterMark = 512; // messages for each connection
+constexpr int HeartbeatIntervalMs = 500;
+constexpr int HeartbeatTimeoutMs = 2000;
+constexpr int HandshakeTimeoutMs = 2000;
+constexpr int ReconnectFirstMs = 50;
+constexpr int ReconnectLongestMs = 500;
+constexpr std::int64_t MaxMessageBytes = 8 * 1024 * 1024;
+constexpr std::size_t MaxQueuedMessages = 4096;
+constexpr std::chrono::milliseconds PollInterval(100);
+constexpr Duration PauseThreshold = std::chrono::milliseconds(500);
+constexpr std::uint64_t TimelineSampling = 16; // one message in so many stands on the time line
+
+/// A message on its way out, to a peer or to the connection of a received message.
+struct OutgoingMessage
+{
+    InstanceId to;
+    std::string route;
+    proto::Envelope envelope;
+};
+
+std::string messageId(const proto::Envelope &envelope)
+{
+    return envelope.sender() + '/' + std::to_string(envelope.incarnation()) + '/'
+        + std::to_string(envelope.sequence());
+}
+
+std::set<InstanceId> readFaultFile(const std::filesystem::path &file)
+{
+    std::set<InstanceId> blocked;
+    std::ifstream in(file);
+    for (std::string line; std::getline(in, line);) {
+        if (!line.empty())
+            blocked.insert(InstanceId(line));
+    }
+    return blocked;
+}
+
+void setCommonOptions(zmq::socket_t &socket)
+{
+    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::sndhwm, HighWaterMark);
+    socket.set(zmq::sockopt::rcvhwm, HighWaterMark);
+    socket.set(zmq::sockopt::heartbeat_ivl, HeartbeatIntervalMs);
+    socket.set(zmq::sockopt::heartbeat_timeout, HeartbeatTimeoutMs);
+    socket.set(zmq::sockopt::heartbeat_ttl, HeartbeatTimeoutMs);
+    socket.set(zmq::sockopt::handshake_ivl, HandshakeTimeoutMs);
+    socket.set(zmq::sockopt::maxmsgsize, MaxMessageBytes);
+}
+
+} // namespace
+
+struct Mesh::State
+{
+    State(MeshOptions chosen, MessageHook hook)
+        : options(std::move(chosen))
+        , onMessage(std::move(hook))
+        , context(1)
+        , authenticator(context)
+        , router(context, zmq::socket_type::router)
+        , wakeFd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+    {
+        bind();
+        installPeers(options.peers, options.operatorKeys);
+    }
+
+    ~State() { close(wakeFd); }
+
+    void bind()
+    {
+        if (options.endpoint.empty())
+            return;
+        setCommonOptions(router);
+        router.set(zmq::sockopt::router_mandatory, true);
+        router.set(zmq::sockopt::curve_server, true);
+        router.set(zmq::sockopt::curve_secretkey, options.keys.secretKey);
+        router.set(zmq::sockopt::zap_domain, "gentianramp");
+        router.bind(options.endpoint);
+    }
+
+    void installPeers(std::vector<MeshPeer> peers, const std::vector<std::string> &operators)
+    {
+        authenticator.setKeys(peers, operators);
+        std::unordered_map<InstanceId, MeshPeer> wanted;
+        for (MeshPeer &peer : peers) {
+            const InstanceId instance = peer.instance;
+            wanted.emplace(instance, std::move(peer));
+        }
+        std::erase_if(dealers, [&](const auto &entry) {
+            const auto next = wanted.find(entry.first);
+            return next == wanted.end() || next->second != knownPeers.at(entry.first);
+        });
+        knownPeers = std::move(wanted);
+    }
+
+    zmq::socket_t *dealerOf(const InstanceId &instance)
+    {
+        const auto existing = dealers.find(instance);
+        if (existing != dealers.end())
+            return &existing->second;
+        const auto peer = knownPeers.find(instance);
+        if (peer == knownPeers.end() || peer->second.endpoint.empty())
+            return nullptr;
+        zmq::socket_t dealer(context, zmq::socket_type::dealer);
+        setCommonOptions(dealer);
+        dealer.set(zmq::sockopt::immediate, true);
+        dealer.set(zmq::sockopt::reconnect_ivl, ReconnectFirstMs);
+        dealer.set(zmq::sockopt::reconnect_ivl_max, ReconnectLongestMs);
+        dealer.set(zmq::sockopt::curve_serverkey, peer->second.publicKey);
+        dealer.set(zmq::sockopt::curve_publickey, options.keys.publicKey);
+        dealer.set(zmq::sockopt::curve_secretkey, options.keys.secretKey);
+        dealer.connect(peer->second.endpoint);
+        return &dealers.emplace(instance, std::move(dealer)).first->second;
+    }
+
+    void run()
+    {
+        TimePoint lastRound = RuntimeClock::now();
+        while (!stopping.load(std::memory_order_acquire)) {
+            waitForEvents();
+            const TimePoint now = RuntimeClock::now();
+            if (now - lastRound > PauseThreshold) {
+                directFilter.receiverPaused(now);
+                replyFilter.receiverPaused(now);
+            }
+            lastRound = now;
+            refreshFaults(now);
+            runCommands();
+            countRefused(authenticator.answerPending());
+            sendQueued();
+            receiveAll();
+        }
+    }
+
+    void waitForEvents()
+    {
+        std::vector<zmq::pollitem_t> items;
+        items.reserve(dealers.size() + 3);
+        items.push_back({nullptr, wakeFd, ZMQ_POLLIN, 0});
+        items.push_back({authenticator.socket().handle(), 0, ZMQ_POLLIN, 0});
+        if (!options.endpoint.empty())
+            items.push_back({router.handle(), 0, ZMQ_POLLIN, 0});
+        for (auto &[instance, dealer] : dealers)
+            items.push_back({dealer.handle(), 0, ZMQ_POLLIN, 0});
+        zmq::poll(items, PollInterval);
+        std::uint64_t ignored = 0;
+        while (read(wakeFd, &ignored, sizeof ignored) > 0) {
+        }
+    }
+
+    void refreshFaults(TimePoint now)
+    {
+        if (options.faultFile.empty() || now - lastFaultRead < PollInterval)
+            return;
+        lastFaultRead = now;
+        fileBlocked = readFaultFile(options.faultFile);
+    }
+
+    void runCommands()
+    {
+        std::deque<std::function<void()>> batch;
+        {
+            const std::lock_guard lock(mutex);
+            batch.swap(commands);
+        }
+        for (const auto &command : batch)
+            command();
+    }
+
+    void sendQueued()
+    {
+        std::deque<OutgoingMessage> batch;
+        {
+            const std::lock_guard lock(mutex);
+            batch.swap(outgoing);
+        }
+        for (OutgoingMessage &message : batch)
+            sendNow(message);
+    }
+
+    void sendNow(OutgoingMessage &message)
+    {
+        if (isBlocked(message.to))
+            return drop(DropReason::Blocked, message.to);
+        proto::Envelope &envelope = message.envelope;
+        envelope.set_sequence(++lastSequence);
+        envelope.set_sent_monotonic_ns(RuntimeClock::now().time_since_epoch().count());
+        const std::string bytes = envelope.SerializeAsString();
+        const bool sent = message.route.empty() ? sendToPeer(message.to, bytes)
+                                                : sendToRoute(message.route, bytes);
+        if (!sent)
+            return drop(DropReason::NotConnected, message.to);
+        countTraffic("sent", bytes.size());
+        recordSample(EventKind::MessageSent, envelope, message.to);
+    }
+
+    bool sendToPeer(const InstanceId &to, const std::string &bytes)
+    {
+        zmq::socket_t *dealer = dealerOf(to);
+        return dealer && dealer->send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value();
+    }
+
+    bool sendToRoute(const std::string &route, const std::string &bytes)
+    {
+        try {
+            if (!router.send(zmq::buffer(route),
+                             zmq::send_flags::dontwait | zmq::send_flags::sndmore))
+                return false;
+            return router.send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value();
+        } catch (const zmq::error_t &) {
+            return false; // The connection that the route named is gone.
+        }
+    }
+
+    void receiveAll()
+    {
+        if (!options.endpoint.empty())
+            receiveFromRouter();
+        for (auto &[instance, dealer] : dealers)
+            receiveFromDealer(instance, dealer);
+    }
+
+    void receiveFromRouter()
+    {
+        for (;;) {
+            std::vector<zmq::message_t> frames;
+            if (!zmq::recv_multipart(router, std::back_inserter(frames), zmq::recv_flags::dontwait))
+                return;
+            if (frames.size() != 2) {
+                drop(DropReason::Malformed, {});
+                continue;
+            }
+            const KeyOwner *owner = authenticator.owner(userId(frames[1]));
+            if (!owner) {
+                drop(DropReason::NotPermitted, {});
+                continue;
+            }
+            receive(frames[1], *owner, frames[0].to_string());
+        }
+    }
+
+    void receiveFromDealer(const InstanceId &instance, zmq::socket_t &dealer)
+    {
+        for (;;) {
+            std::vector<zmq::message_t> frames;
+            if (!zmq::recv_multipart(dealer, std::back_inserter(frames), zmq::recv_flags::dontwait))
+                return;
+            if (frames.size() == 1)
+                receive(frames[0], KeyOwner{instance, false}, {});
+            else
+                drop(DropReason::Malformed, instance);
+        }
+    }
+
+    void receive(const zmq::message_t &frame, const KeyOwner &owner, std::string route)
+    {
+        proto::Envelope envelope;
+        if (!envelope.ParseFromArray(frame.data(), static_cast<int>(frame.size())))
+            return drop(DropReason::Malformed, owner.instance);
+        const InstanceId sender(envelope.sender());
+        if (const auto reason = refusal(envelope, owner, sender, route.empty()))
+            return drop(*reason, sender);
+        countTraffic("received", frame.size());
+        recordSample(EventKind::MessageReceived, envelope, sender);
+        onMessage({sender, Incarnation(envelope.incarnation()),
+                   static_cast<PayloadKind>(envelope.kind()),
+                   std::move(*envelope.mutable_payload()), std::move(route)});
+    }
+
+    std::optional<DropReason> refusal(const proto::Envelope &envelope, const KeyOwner &owner,
+                                      const InstanceId &sender, bool isReply)
+    {
+        if (owner.isOperator) {
+            const bool permitted = envelope.kind() == proto::PAYLOAD_OPERATOR;
+            return permitted ? std::nullopt : std::optional(DropReason::NotPermitted);
+        }
+        if (sender != owner.instance)
+            return DropReason::ForgedSender;
+        if (isBlocked(sender))
+            return DropReason::Blocked;
+        const MessageStamp stamp{sender, Incarnation(envelope.incarnation()), envelope.sequence(),
+                                 envelope.sent_monotonic_ns(),
+                                 std::chrono::milliseconds(envelope.ttl_ms())};
+        return (isReply ? replyFilter : directFilter).check(stamp, RuntimeClock::now());
+    }
+
+    static std::string userId(const zmq::message_t &frame)
+    {
+        const char *text = zmq_msg_gets(frame.handle(), "User-Id");
+        return text ? text : "";
+    }
+
+    bool isBlocked(const InstanceId &peer) const
+    {
+        return blocked.contains(peer) || fileBlocked.contains(peer);
+    }
+
+    void drop(DropReason reason, const InstanceId &peer)
+    {
+        if (options.metrics)
+            options.metrics
+                ->counter("gentianramp_mesh_dropped_total", "Messages not handed on",
+                          {{"reason", std::string(toString(reason))}})
+                .add();
+        if (reason == DropReason::ForgedSender || reason == DropReason::NotPermitted)
+            logWarning("message_refused", {{"reason", toString(reason)}, {"peer", peer.value()}});
+    }
+
+    void countRefused(std::uint64_t strangers)
+    {
+        if (strangers > 0 && options.metrics)
+            options.metrics
+                ->counter("gentianramp_mesh_strangers_total", "Handshakes under unknown keys")
+                .add(strangers);
+    }
+
+    void countTraffic(const std::string &direction, std::size_t bytes)
+    {
+        if (!options.metrics)
+            return;
+        const MetricLabels labels{{"direction", direction}};
+        options.metrics->counter("gentianramp_mesh_messages_total", "Messages", labels).add();
+        options.metrics->counter("gentianramp_mesh_bytes_total", "Bytes of messages", labels)
+            .add(bytes);
+    }
+
+    void recordSample(EventKind kind, const proto::Envelope &envelope, const InstanceId &peer)
+    {
+        if (!options.timeline || envelope.sequence() % TimelineSampling != 1)
+            return;
+        options.timeline->record({.kind = kind,
+                                  .request = messageId(envelope),
+                                  .peer = peer.value(),
+                                  .detail = proto::PayloadKind_Name(envelope.kind())});
+    }
+
+    void wake() const
+    {
+        const std::uint64_t one = 1;
+        [[maybe_unused]] const ssize_t written = write(wakeFd, &one, sizeof one);
+    }
+
+    void enqueue(OutgoingMessage message)
+    {
+        {
+            const std::lock_guard lock(mutex);
+            if (outgoing.size() >= MaxQueuedMessages)
+                return drop(DropReason::QueueFull, message.to);
+            outgoing.push_back(std::move(message));
+        }
+        wake();
+    }
+
+    void enqueueCommand(std::function<void()> command)
+    {
+        {
+            const std::lock_guard lock(mutex);
+            commands.push_back(std::move(command));
+        }
+        wake();
+    }
+
+    OutgoingMessage makeMessage(PayloadKind kind, std::string payload, Duration ttl) const
+    {
+        OutgoingMessage message;
+        message.envelope.set_sender(options.instance.value());
+        message.envelope.set_incarnation(options.incarnation.value());
+        message.envelope.set_ttl_ms(static_cast<std::uint32_t>(toMilliseconds(ttl)));
+        message.envelope.set_kind(static_cast<proto::PayloadKind>(kind));
+        message.envelope.set_payload(std::move(payload));
+        return message;
+    }
+
+    const MeshOptions options;
+    const MessageHook onMessage;
+    std::atomic<bool> stopping{false};
+
+    // Used by the mesh's thread only.
+    zmq::context_t context;
+    PeerAuthenticator authenticator;
+    zmq::socket_t router;
+    std::unordered_map<InstanceId, MeshPeer> knownPeers;
+    std::unordered_map<InstanceId, zmq::socket_t> dealers;
+    MessageFilter directFilter;
+    MessageFilter replyFilter;
+    std::set<InstanceId> blocked;
+    std::set<InstanceId> fileBlocked;
+    TimePoint lastFaultRead;
+    std::uint64_t lastSequence = 0;
+
+    const int wakeFd;
+    std::mutex mutex;
+    std::deque<OutgoingMessage> outgoing;
+    std::deque<std::function<void()>> commands;
+    std::thread thread;
+};
+
+Mesh::Mesh(MeshOptions options, MessageHook onMessage)
+    : m_state(std::make_unique<State>(std::move(options), std::move(onMessage)))
+{
+    m_state->thread = std::thread([state = m_state.get()] { state->run(); });
+}
+
+Mesh::~Mesh()
+{
+    m_state->stopping.store(true, std::memory_order_release);
+    m_state->wake();
+    m_state->thread.join();
+}
+
+void Mesh::send(const InstanceId &to, PayloadKind kind, std::string payload, Duration ttl)
+{
+    OutgoingMessage message = m_state->makeMessage(kind, std::move(payload), ttl);
+    message.to = to;
+    m_state->enqueue(std::move(message));
+}
+
+void Mesh::reply(const std::string &route, PayloadKind kind, std::string payload, Duration ttl)
+{
+    OutgoingMessage message = m_state->makeMessage(kind, std::move(payload), ttl);
+    message.route = route;
+    m_state->enqueue(std::move(message));
+}
+
+void Mesh::setPeers(std::vector<MeshPeer> peers, std::vector<std::string> operatorKeys)
+{
+    m_state->enqueueCommand([state = m_state.get(), peers = std::move(peers),
+                             keys = std::move(operatorKeys)] { state->installPeers(peers, keys); });
+}
+
+void Mesh::setBlocked(std::vector<InstanceId> peers)
+{
+    m_state->enqueueCommand([state = m_state.get(), peers = std::move(peers)] {
+        state->blocked = std::set<InstanceId>(peers.begin(), peers.end());
+    });
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/wire/mesh_test.cpp
@@ -0,0 +1,198 @@
+#include <atomic>
+#include <condition_variable>
+#include <gentianramp/wire/mesh.hpp>
+#include <mutex>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+#include <netinet/in.h>
+
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration Ttl = 5s;
+constexpr auto LongestWait = 20s;
+
+std::string freeEndpoint()
+{
+    const int handle = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    bind(handle, reinterpret_cast<sockaddr *>(&address), size);
+    getsockname(handle, reinterpret_cast<sockaddr *>(&address), &size);
+    close(handle);
+    return "tcp://127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+/// Collects what a mesh receives.
+class Inbox
+{
+public:
+    MessageHook hook()
+    {
+        return [this](ReceivedMessage message) {
+            const std::lock_guard lock(m_mutex);
+            m_messages.push_back(std::move(message));
+            m_changed.notify_all();
+        };
+    }
+
+    bool waitFor(std::size_t count)
+    {
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_for(lock, LongestWait, [&] { return m_messages.size() >= count; });
+    }
+
+    ReceivedMessage message(std::size_t index)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_messages.at(index);
+    }
+
+    std::size_t size()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_messages.size();
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::vector<ReceivedMessage> m_messages;
+};
+
+struct Node
+{
+    std::string name;
+    std::string endpoint = freeEndpoint();
+    CurveKeyPair keys = makeCurveKeyPair();
+    Inbox inbox;
+    MetricsRegistry metrics;
+
+    MeshPeer peer() const { return {InstanceId(name), endpoint, keys.publicKey}; }
+
+    MeshOptions options(std::vector<MeshPeer> peers)
+    {
+        return {.instance = InstanceId(name),
+                .incarnation = Incarnation(1),
+                .endpoint = endpoint,
+                .keys = keys,
+                .peers = std::move(peers),
+                .metrics = &metrics};
+    }
+};
+
+/// Sends until @p inbox holds something: nothing is queued while the connection is being made.
+bool sendUntilReceived(Mesh &from, const InstanceId &to, Inbox &inbox, std::size_t count)
+{
+    for (int round = 0; round < 200 && inbox.size() < count; ++round) {
+        from.send(to, PayloadKind::Notice, "hello", Ttl);
+        std::this_thread::yield();
+        usleep(20000);
+    }
+    return inbox.size() >= count;
+}
+
+bool hasMetric(const MetricsRegistry &metrics, const std::string &line)
+{
+    return metrics.prometheusText().find(line) != std::string::npos;
+}
+
+bool metricReached(const MetricsRegistry &metrics, const std::string &line)
+{
+    for (int round = 0; round < 500; ++round) {
+        if (hasMetric(metrics, line))
+            return true;
+        usleep(10000);
+    }
+    return false;
+}
+
+} // namespace
+
+Test(Mesh, DeliversBetweenKnownPeersAndAnswers)
+{
+    Node a{"a"};
+    Node b{"b"};
+    Mesh meshA(a.options({b.peer()}), a.inbox.hook());
+    Mesh meshB(b.options({a.peer()}), b.inbox.hook());
+    cr_assert(sendUntilReceived(meshA, InstanceId("b"), b.inbox, 1));
+    const ReceivedMessage received = b.inbox.message(0);
+    cr_assert(received.sender == InstanceId("a"));
+    cr_assert(received.payload == "hello");
+    meshB.reply(received.replyRoute, PayloadKind::Notice, "answer", Ttl);
+    cr_assert(a.inbox.waitFor(1));
+    cr_assert(a.inbox.message(0).payload == "answer");
+}
+
+Test(Mesh, RefusesStrangers)
+{
+    Node a{"a"};
+    Node stranger{"a"};
+    Node b{"b"};
+    Mesh meshB(b.options({a.peer()}), b.inbox.hook());
+    Mesh meshStranger(stranger.options({b.peer()}), stranger.inbox.hook());
+    for (int round = 0; round < 5; ++round)
+        meshStranger.send(InstanceId("b"), PayloadKind::Notice, "x", Ttl);
+    cr_assert(metricReached(b.metrics, "gentianramp_mesh_strangers_total"));
+    cr_assert_eq(b.inbox.size(), 0U);
+}
+
+Test(Mesh, OperatorsMaySendOperatorRequestsOnly)
+{
+    Node b{"b"};
+    Node person{"operator-1"};
+    person.endpoint.clear();
+    MeshOptions options = b.options({});
+    options.operatorKeys = {person.keys.publicKey};
+    Mesh meshB(std::move(options), b.inbox.hook());
+    Mesh meshOperator(person.options({b.peer()}), person.inbox.hook());
+    for (int round = 0; round < 500 && !hasMetric(b.metrics, "not_permitted"); ++round) {
+        meshOperator.send(InstanceId("b"), PayloadKind::Notice, "notice", Ttl);
+        usleep(10000);
+    }
+    cr_assert_eq(b.inbox.size(), 0U);
+    meshOperator.send(InstanceId("b"), PayloadKind::Operator, "status", Ttl);
+    cr_assert(b.inbox.waitFor(1));
+    cr_assert(b.inbox.message(0).kind == PayloadKind::Operator);
+}
+
+Test(Mesh, NothingIsQueuedForAnAbsentPeer)
+{
+    Node a{"a"};
+    Node b{"b"};
+    Mesh meshA(a.options({b.peer()}), a.inbox.hook());
+    for (int round = 0; round < 100; ++round)
+        meshA.send(InstanceId("b"), PayloadKind::Notice, "stale", Ttl);
+    cr_assert(metricReached(a.metrics, "reason=\"not_connected\"} 100"));
+    Mesh meshB(b.options({a.peer()}), b.inbox.hook());
+    cr_assert(sendUntilReceived(meshA, InstanceId("b"), b.inbox, 1));
+    cr_assert(b.inbox.message(0).payload == "hello");
+}
+
+Test(Mesh, BlockedPeersExchangeNothing)
+{
+    Node a{"a"};
+    Node b{"b"};
+    Mesh meshA(a.options({b.peer()}), a.inbox.hook());
+    Mesh meshB(b.options({a.peer()}), b.inbox.hook());
+    cr_assert(sendUntilReceived(meshA, InstanceId("b"), b.inbox, 1));
+    meshB.setBlocked({InstanceId("a")});
+    for (int round = 0; round < 500 && !hasMetric(b.metrics, "reason=\"blocked\""); ++round) {
+        meshA.send(InstanceId("b"), PayloadKind::Notice, "hello", Ttl);
+        usleep(10000);
+    }
+    const std::size_t before = b.inbox.size();
+    meshA.send(InstanceId("b"), PayloadKind::Notice, "blocked", Ttl);
+    cr_assert(metricReached(b.metrics, "reason=\"blocked\"} 2"));
+    cr_assert_eq(b.inbox.size(), before);
+    meshB.setBlocked({});
+    cr_assert(sendUntilReceived(meshA, InstanceId("b"), b.inbox, before + 1));
+}
