--- /dev/null
+++ b/include/gentianramp/idempotency/key_service.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <gentianramp/core/clock.hpp>
+#include <gentianramp/core/ids.hpp>
+#include <gentianramp/idempotency/claim.hpp>
+#include <gentianramp/membership/placement.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gentianramp {
+
+/// Options of a KeyService.
+struct KeyServiceOptions
+{
+    InstanceId self;
+    Incarnation incarnation;               ///< Larger than in any earlier life of the instance.
+    std::vector<PlacedInstance> instances; ///< All entry instances, this one too.
+    /// Instances before the last change; groups of both lists are needed for one key lifetime.
+    std::vector<PlacedInstance> previousInstances;
+    std::vector<DataCentreId> sites; ///< Data centres that own keys.
+    Duration lifetime = std::chrono::minutes(10);
+    Duration dispatchWindow = std::chrono::seconds(5); ///< From the grant's request to first byte.
+    Duration roundTimeout = std::chrono::milliseconds(150); ///< One exchange with the replicas.
+    Duration pollInterval = std::chrono::milliseconds(200); ///< While another attempt runs.
+    Duration settleTimeout = std::chrono::seconds(60);      ///< Longest retry of an outcome.
+    std::size_t maxKeys = 200'000;                          ///< Keys kept by this replica.
+    std::size_t maxAnswerBytes = 64 * 1024;                 ///< Largest answer kept for repeats.
+    std::size_t maxStoredBytes = 64 * 1024 * 1024;          ///< All answers kept by this replica.
+    std::int64_t startWallMs = 0; ///< Wall clock at the start of the process.
+    /// Largest difference between the wall clocks of callers and instances.
+    Duration clockSkew = std::chrono::seconds(5);
+    /// The operator states that no key was ever claimed, as at the first start of a deployment.
+    /// Otherwise a started replica has to learn from the others before it takes part.
+    bool startsEmpty = false;
+    std::uint64_t seed = 1; ///< For the jitter of retries.
+};
+
+/// Hands @p payload to the mesh as PayloadKind::KeyClaim; must not call the service.
+using KeySendHook = std::function<void(const InstanceId &to, std::string payload)>;
+
+/// Receives the result of a claim, perhaps before claim() returns; must not call the service.
+using ClaimCallback = std::function<void(ClaimResult)>;
+
+/// Time to live that messages of the service should be sent with.
+constexpr Duration KeyMessageTtl = std::chrono::seconds(2);
+
+/// Counters of a KeyService.
+struct KeyServiceStatistics
+{
+    std::size_t keys = 0;        ///< Keys that this replica keeps.
+    std::size_t storedBytes = 0; ///< Bytes of answers that this replica keeps.
+    std::size_t openClaims = 0;
+    std::size_t openSettlements = 0;
+    std::uint64_t droppedAnswers = 0;  ///< Answers not kept because of the bound on bytes.
+    std::uint64_t malformed = 0;       ///< Messages that could not be read.
+    std::uint64_t overloadedKeys = 0;  ///< Keys refused because the replica was full.
+    std::uint64_t lostSettlements = 0; ///< Outcomes that never reached a majority.
+    bool learning = false; ///< This replica has not yet learned from all other instances.
+};
+
+/// At most one dispatch for each idempotency key over all instances.
+///
+/// One per entry instance: keeps this instance's replica of the keys and runs the claims of the
+/// requests that came in here. Not thread-safe; the owner calls it under one strand or mutex.
+class KeyService
+{
+public:
+    KeyService(KeyServiceOptions options, KeySendHook send, TimePoint now);
+    ~KeyService();
+    KeyService(const KeyService &) = delete;
+    KeyService &operator=(const KeyService &) = delete;
+
+    /// Takes a message of another instance's service.
+    void onMessage(const InstanceId &sender, std::string_view payload, TimePoint now);
+    /// Call every 20 ms or so; drives timeouts, polls and the forgetting of old keys.
+    void tick(TimePoint now);
+    /// Starts a claim; @p callback is called exactly once, at the deadline at the latest.
+    void claim(ClaimRequest request, TimePoint now, ClaimCallback callback);
+    /// Tells the replicas how a granted attempt ended. Call exactly once for each ticket.
+    void settle(const ClaimTicket &ticket, ClaimOutcome outcome, TimePoint now);
+    /// Replaces the instances; the list in force until now stays needed for one key lifetime.
+    void setInstances(std::vector<PlacedInstance> instances, TimePoint now);
+
+    KeyServiceStatistics statistics() const;
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace gentianramp
