Add the model of an engine that batches continuously

Cause: fakes and the comparison of policies need one model of prefill, decode, prefix cache, KV import, lagging reports, late cache events and role changes. Before: none.

--- /dev/null
+++ b/src/gentianramp/engine/prefix_cache.cpp
@@ -0,0 +1,82 @@
+#include "prefix_cache.hpp"
+
+namespace gentianramp {
+
+namespace {
+
+constexpr std::size_t MaxLoggedEvents = 4096;
+
+} // namespace
+
+PrefixCache::PrefixCache(PrefixCacheOptions options)
+    : m_options(options)
+    , m_random(options.seed)
+{ }
+
+std::uint32_t PrefixCache::match(const std::vector<PromptPrefix> &prefixes)
+{
+    std::uint32_t longest = 0;
+    for (const PromptPrefix &prefix : prefixes) {
+        const auto found = m_index.find(prefix.hash);
+        if (found == m_index.end())
+            continue;
+        longest = std::max(longest, std::min(prefix.tokens, found->second->tokens));
+        m_byUse.splice(m_byUse.begin(), m_byUse, found->second);
+    }
+    return longest;
+}
+
+void PrefixCache::store(const std::vector<PromptPrefix> &prefixes, TimePoint now)
+{
+    for (const PromptPrefix &prefix : prefixes) {
+        if (m_index.contains(prefix.hash) || prefix.tokens > m_options.capacityTokens)
+            continue;
+        m_byUse.push_front(prefix);
+        m_index[prefix.hash] = m_byUse.begin();
+        m_tokens += prefix.tokens;
+        publish(true, prefix, now);
+    }
+    while (m_tokens > m_options.capacityTokens)
+        evictOldest(now);
+}
+
+void PrefixCache::clear(TimePoint now)
+{
+    while (!m_byUse.empty())
+        evictOldest(now);
+}
+
+CacheEvents PrefixCache::events(std::uint64_t after, TimePoint now) const
+{
+    CacheEvents result;
+    // A reader that is ahead of this log speaks of an earlier life of the engine.
+    result.restarted = after > m_lastSequence;
+    const std::uint64_t from = result.restarted ? 0 : after;
+    for (const Record &record : m_log) {
+        if (record.event.sequence > from && record.publishedAt <= now)
+            result.events.push_back(record.event);
+    }
+    return result;
+}
+
+void PrefixCache::evictOldest(TimePoint now)
+{
+    const PromptPrefix oldest = m_byUse.back();
+    m_byUse.pop_back();
+    m_index.erase(oldest.hash);
+    m_tokens -= oldest.tokens;
+    publish(false, oldest, now);
+}
+
+void PrefixCache::publish(bool stored, const PromptPrefix &prefix, TimePoint now)
+{
+    ++m_lastSequence;
+    if (std::uniform_real_distribution<double>(0, 1)(m_random) < m_options.eventLoss)
+        return;
+    m_log.push_back(
+        {{m_lastSequence, stored, prefix.hash, prefix.tokens}, now + m_options.eventLag});
+    if (m_log.size() > MaxLoggedEvents)
+        m_log.pop_front();
+}
+
+} // namespace gentianramp
--- a/src/gentianramp/wire/mesh_test.cpp
+++ b/src/gentianramp/wire/mesh_test.cpp
@@ -25,7 +25,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof address;
-    bind(handle, reinterpret_cast<sockaddr *>(&address), size);
+    cr_assert_eq(bind(handle, reinterpret_cast<sockaddr *>(&address), size), 0);
     getsockname(handle, reinterpret_cast<sockaddr *>(&address), &size);
     close(handle);
     return "tcp://127.0.0.1:" + std::to_string(ntohs(address.sin_port));
