Add the HTTP library over Boost.Beast

Callers, backend servers and the platform speak HTTP/1.1. The server bounds headers, bodies, connections and every wait, tells a handler when the caller has gone, and cuts streams that were not ended. The client keeps a pool for each thread, bounds silence on every read, and tells a request of which no byte left from one that may have been processed.

--- /dev/null
+++ b/src/gentianramp/http/client_exchange.cpp
@@ -0,0 +1,194 @@
+#include "client_exchange.hpp"
+
+#include "socket_options.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+
+namespace gentianramp {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+ClientExchange::ClientExchange(HttpCall call, const HttpClientOptions &options,
+                               std::shared_ptr<ConnectionPool> pool)
+    : m_call(std::move(call))
+    , m_pool(std::move(pool))
+{
+    m_parser.header_limit(options.maxHeaderBytes);
+    m_parser.body_limit(m_call.maxBodyBytes);
+    m_parser.eager(true);
+}
+
+ClientExchange::~ClientExchange()
+{
+    if (m_watchdog)
+        m_watchdog->stop();
+}
+
+asio::awaitable<std::error_code> ClientExchange::open()
+{
+    const auto self = shared_from_this();
+    std::error_code error = co_await connect();
+    if (!error)
+        error = co_await writeRequest();
+    if (!error)
+        error = co_await readHead();
+    co_return error;
+}
+
+asio::awaitable<std::error_code> ClientExchange::connect()
+{
+    if (m_cancelled)
+        co_return make_error_code(Error::ConnectionRefused);
+    const asio::any_io_executor executor = co_await asio::this_coro::executor;
+    if (!m_call.freshConnection)
+        m_socket = m_pool->take(executor, m_call.address);
+    const bool pooled = m_socket.has_value();
+    if (!pooled)
+        m_socket.emplace(executor);
+    m_watchdog = std::make_shared<Watchdog>(executor, *m_socket);
+    if (pooled)
+        co_return std::error_code();
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(m_call.address.host, error);
+    if (error)
+        co_return make_error_code(Error::ConnectionRefused);
+    const tcp::endpoint endpoint(address, m_call.address.port);
+    m_watchdog->expireAfter(m_call.connectTimeout);
+    co_await m_socket->async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
+    m_watchdog->pause();
+    if (error || m_cancelled || m_watchdog->expired())
+        co_return make_error_code(Error::ConnectionRefused);
+    tuneSocket(*m_socket, m_call.silenceTimeout);
+    co_return std::error_code();
+}
+
+asio::awaitable<std::error_code> ClientExchange::writeRequest()
+{
+    const std::string text = requestText();
+    boost::system::error_code error;
+    m_watchdog->expireAfter(m_call.silenceTimeout);
+    m_bytesWritten = true;
+    const std::size_t written = co_await asio::async_write(
+        *m_socket, asio::buffer(text), asio::redirect_error(asio::use_awaitable, error));
+    if (!error)
+        co_return std::error_code();
+    m_bytesWritten = written > 0;
+    co_return m_bytesWritten ? failure(error) : make_error_code(Error::ConnectionRefused);
+}
+
+asio::awaitable<std::error_code> ClientExchange::readHead()
+{
+    boost::system::error_code error;
+    m_watchdog->expireAfter(m_call.headTimeout);
+    if (m_call.request.method == "HEAD")
+        m_parser.skip(true);
+    co_await http::async_read_header(*m_socket, m_buffer, m_parser,
+                                     asio::redirect_error(asio::use_awaitable, error));
+    m_watchdog->pause();
+    if (error)
+        co_return failure(error);
+    m_status = m_parser.get().result_int();
+    for (const auto &field : m_parser.get())
+        m_headers.add(std::string(field.name_string()), std::string(field.value()));
+    if (m_parser.is_done())
+        finish();
+    co_return std::error_code();
+}
+
+asio::awaitable<Result<std::string_view>> ClientExchange::readPiece()
+{
+    const auto self = shared_from_this();
+    m_piece.resize(PieceBytes);
+    while (!m_complete) {
+        if (m_cancelled || !m_socket || !m_socket->is_open())
+            co_return Result<std::string_view>(failure(asio::error::operation_aborted));
+        auto &body = m_parser.get().body();
+        body.data = m_piece.data();
+        body.size = m_piece.size();
+        boost::system::error_code error;
+        m_watchdog->expireAfter(m_call.silenceTimeout);
+        co_await http::async_read_some(*m_socket, m_buffer, m_parser,
+                                       asio::redirect_error(asio::use_awaitable, error));
+        m_watchdog->pause();
+        if (error && error != http::error::need_buffer)
+            co_return Result<std::string_view>(failure(error));
+        const std::size_t got = m_piece.size() - body.size;
+        if (m_parser.is_done())
+            finish();
+        if (got > 0)
+            co_return Result<std::string_view>(std::string_view(m_piece.data(), got));
+    }
+    co_return Result<std::string_view>(std::string_view());
+}
+
+asio::awaitable<Result<std::string>> ClientExchange::readAll()
+{
+    std::string body;
+    while (true) {
+        const Result<std::string_view> piece = co_await readPiece();
+        if (!piece)
+            co_return Result<std::string>(piece.error(), piece.message());
+        if (piece->empty())
+            co_return Result<std::string>(std::move(body));
+        body += *piece;
+    }
+}
+
+void ClientExchange::cancel()
+{
+    m_cancelled = true;
+    boost::system::error_code ignored;
+    if (m_socket)
+        m_socket->close(ignored);
+}
+
+std::string ClientExchange::requestText() const
+{
+    const HttpRequest &request = m_call.request;
+    std::string text;
+    text.reserve(512 + request.body.size());
+    text += request.method + " " + request.target + " HTTP/1.1\r\nHost: " + m_call.address.host
+        + ":" + std::to_string(m_call.address.port) + "\r\n";
+    for (const HttpHeader &field : request.headers.fields())
+        text += field.name + ": " + field.value + "\r\n";
+    if (!request.body.empty() || request.method != "GET")
+        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    text += "\r\n";
+    text += request.body;
+    return text;
+}
+
+std::error_code ClientExchange::failure(const boost::system::error_code &error)
+{
+    const bool timedOut = m_watchdog && m_watchdog->expired();
+    boost::system::error_code ignored;
+    if (m_socket)
+        m_socket->close(ignored);
+    if (m_cancelled)
+        return make_error_code(Error::Cancelled);
+    if (timedOut)
+        return make_error_code(Error::TimedOut);
+    if (error == http::error::body_limit || error == http::error::header_limit)
+        return make_error_code(Error::TooLarge);
+    const bool parsing = error.category() == make_error_code(http::error::bad_target).category();
+    const bool cut = error == http::error::end_of_stream || error == http::error::partial_message;
+    return make_error_code(parsing && !cut ? Error::Malformed : Error::ConnectionLost);
+}
+
+void ClientExchange::finish()
+{
+    m_complete = true;
+    m_watchdog->stop();
+    const bool reusable = m_parser.get().keep_alive() && m_buffer.size() == 0;
+    if (reusable && m_socket->is_open())
+        m_pool->put(m_call.address, std::move(*m_socket));
+    m_socket.reset();
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/http/client_exchange.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "connection_pool.hpp"
+#include "watchdog.hpp"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <gentianramp/http/client.hpp>
+#include <optional>
+
+namespace gentianramp {
+
+/// One request over one connection of the client.
+class ClientExchange : public HttpExchange, public std::enable_shared_from_this<ClientExchange>
+{
+public:
+    ClientExchange(HttpCall call, const HttpClientOptions &options,
+                   std::shared_ptr<ConnectionPool> pool);
+    ~ClientExchange() override;
+
+    boost::asio::awaitable<std::error_code> open() override;
+    unsigned status() const override { return m_status; }
+    const HttpHeaders &headers() const override { return m_headers; }
+    boost::asio::awaitable<Result<std::string_view>> readPiece() override;
+    boost::asio::awaitable<Result<std::string>> readAll() override;
+    bool complete() const override { return m_complete; }
+    void cancel() override;
+    bool bytesWritten() const override { return m_bytesWritten; }
+
+private:
+    static constexpr std::size_t PieceBytes = 8192;
+    using Parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+    boost::asio::awaitable<std::error_code> connect();
+    boost::asio::awaitable<std::error_code> writeRequest();
+    boost::asio::awaitable<std::error_code> readHead();
+    std::string requestText() const;
+    std::error_code failure(const boost::system::error_code &error);
+    void finish();
+
+    HttpCall m_call;
+    std::shared_ptr<ConnectionPool> m_pool;
+    std::optional<boost::asio::ip::tcp::socket> m_socket;
+    std::shared_ptr<Watchdog> m_watchdog;
+    boost::beast::flat_buffer m_buffer;
+    Parser m_parser;
+    std::string m_piece;
+    unsigned m_status = 0;
+    HttpHeaders m_headers;
+    bool m_cancelled = false;
+    bool m_bytesWritten = false;
+    bool m_complete = false;
+};
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/http/server.cpp
@@ -0,0 +1,130 @@
+#include "server_session.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <gentianramp/core/log.hpp>
+
+namespace gentianramp {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(50);
+
+asio::awaitable<void> runSession(std::shared_ptr<ServerSession> session)
+{
+    co_await session->run();
+}
+
+} // namespace
+
+struct HttpServer::State : std::enable_shared_from_this<HttpServer::State>
+{
+    State(const asio::any_io_executor &executor, HttpServerOptions options, HttpHandler handler)
+        : executor(asio::make_strand(executor))
+        , acceptor(this->executor)
+        , shared(std::make_shared<SessionShared>(std::move(options), std::move(handler)))
+    {
+        if (!shared->options.connectionExecutor) {
+            shared->options.connectionExecutor
+                = [executor]() -> asio::any_io_executor { return asio::make_strand(executor); };
+        }
+    }
+
+    asio::awaitable<void> acceptLoop()
+    {
+        const auto self = shared_from_this();
+        while (!shared->stopped) {
+            const asio::any_io_executor connectionExecutor = shared->options.connectionExecutor();
+            tcp::socket socket(connectionExecutor);
+            boost::system::error_code error;
+            co_await acceptor.async_accept(socket,
+                                           asio::redirect_error(asio::use_awaitable, error));
+            if (error == asio::error::operation_aborted || shared->stopped)
+                co_return;
+            if (error) {
+                logWarning("accept_failed", {{"error", error.message()}});
+                co_await sleepFor(AcceptRetryDelay);
+                continue;
+            }
+            auto session
+                = std::make_shared<ServerSession>(connectionExecutor, std::move(socket), shared);
+            shared->add(session);
+            asio::co_spawn(connectionExecutor, runSession(std::move(session)), asio::detached);
+        }
+    }
+
+    asio::any_io_executor executor;
+    tcp::acceptor acceptor;
+    std::shared_ptr<SessionShared> shared;
+};
+
+HttpServer::HttpServer(const asio::any_io_executor &executor, HttpServerOptions options,
+                       HttpHandler handler)
+    : m_state(std::make_shared<State>(executor, std::move(options), std::move(handler)))
+{ }
+
+HttpServer::~HttpServer()
+{
+    stop();
+}
+
+Result<std::uint16_t> HttpServer::start()
+{
+    const HttpServerOptions &options = m_state->shared->options;
+    tcp::acceptor &acceptor = m_state->acceptor;
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(options.host, error);
+    if (error)
+        return {Error::InvalidArgument, "not an IP number: " + options.host};
+    const tcp::endpoint endpoint(address, options.port);
+    acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(endpoint, error);
+    if (!error)
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return {Error::Unavailable,
+                "cannot listen on " + options.host + ":" + std::to_string(options.port) + ": "
+                    + error.message()};
+    const std::uint16_t port = acceptor.local_endpoint().port();
+    asio::co_spawn(m_state->executor, m_state->acceptLoop(), asio::detached);
+    return port;
+}
+
+void HttpServer::closeAfterAnswers()
+{
+    m_state->shared->closing = true;
+}
+
+void HttpServer::stop()
+{
+    if (m_state->shared->stopped.exchange(true))
+        return;
+    asio::post(m_state->executor, [state = m_state] {
+        boost::system::error_code ignored;
+        state->acceptor.close(ignored);
+    });
+    m_state->shared->closeAll();
+}
+
+std::size_t HttpServer::connections() const
+{
+    return m_state->shared->count();
+}
+
+std::size_t HttpServer::activeRequests() const
+{
+    return m_state->shared->activeRequests;
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/http/server_session.cpp
@@ -0,0 +1,387 @@
+#include "server_session.hpp"
+
+#include "socket_options.hpp"
+
+#include <array>
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <gentianramp/core/log.hpp>
+#include <vector>
+
+namespace gentianramp {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t ReadBytes = 8192;
+constexpr unsigned HttpVersion10 = 10;
+constexpr Duration LingerTimeout = std::chrono::milliseconds(500);
+constexpr std::size_t MaxLingerBytes = 1024 * 1024;
+
+struct Refusal
+{
+    unsigned status = 400;
+    std::string message;
+};
+
+/// Answer to a request that could not be read; empty status when the connection is just over.
+Refusal refusalFor(const boost::system::error_code &error, bool timedOut)
+{
+    if (timedOut)
+        return {408, "the request took too long"};
+    if (error == http::error::header_limit || error == http::error::buffer_overflow)
+        return {431, "the header is too large"};
+    if (error == http::error::body_limit)
+        return {413, "the body is too large"};
+    if (error.category() == make_error_code(http::error::bad_target).category()
+        && error != http::error::end_of_stream && error != http::error::partial_message)
+        return {400, "malformed request: " + error.message()};
+    return {0, {}};
+}
+
+HttpRequest toRequest(http::request<http::string_body> &&message)
+{
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto &field : message)
+        request.headers.add(std::string(field.name_string()), std::string(field.value()));
+    request.body = std::move(message.body());
+    return request;
+}
+
+void appendNumber(std::string &out, std::size_t value)
+{
+    out += std::to_string(value);
+}
+
+std::string headText(const HttpResponse &response, bool keepAlive)
+{
+    std::string text = "HTTP/1.1 ";
+    text.reserve(512);
+    appendNumber(text, response.status);
+    text += ' ';
+    const beast::string_view reason = http::obsolete_reason(http::int_to_status(response.status));
+    text.append(reason.data(), reason.size());
+    text += "\r\n";
+    for (const HttpHeader &field : response.headers.fields()) {
+        text += field.name;
+        text += ": ";
+        text += field.value;
+        text += "\r\n";
+    }
+    if (!keepAlive)
+        text += "Connection: close\r\n";
+    return text;
+}
+
+/// Removes what the server itself writes, and bytes that would break the head apart.
+void cleanHead(HttpResponse &response)
+{
+    HttpHeaders kept;
+    for (const HttpHeader &field : response.headers.fields()) {
+        const bool broken = (field.name + field.value).find_first_of("\r\n") != std::string::npos;
+        const bool own = sameHeaderName(field.name, "Content-Length")
+            || sameHeaderName(field.name, "Transfer-Encoding")
+            || sameHeaderName(field.name, "Connection");
+        if (!broken && !own)
+            kept.add(field.name, field.value);
+    }
+    response.headers = std::move(kept);
+}
+
+std::string chunkSize(std::size_t size)
+{
+    std::array<char, 20> text{};
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), size, 16).ptr;
+    return std::string(text.data(), end) + "\r\n";
+}
+
+} // namespace
+
+void SessionShared::add(const std::shared_ptr<ServerSession> &session)
+{
+    const std::lock_guard lock(m_mutex);
+    m_sessions.emplace(session.get(), session);
+}
+
+void SessionShared::remove(const ServerSession *session)
+{
+    const std::lock_guard lock(m_mutex);
+    m_sessions.erase(session);
+}
+
+void SessionShared::closeAll()
+{
+    std::vector<std::shared_ptr<ServerSession>> sessions;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &[pointer, weak] : m_sessions) {
+            if (auto session = weak.lock())
+                sessions.push_back(std::move(session));
+        }
+    }
+    for (std::shared_ptr<ServerSession> &session : sessions)
+        ServerSession::close(std::move(session));
+}
+
+std::size_t SessionShared::count() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_sessions.size();
+}
+
+ServerSession::ServerSession(asio::any_io_executor executor, tcp::socket socket,
+                             std::shared_ptr<SessionShared> shared)
+    : m_executor(std::move(executor))
+    , m_socket(std::move(socket))
+    , m_shared(std::move(shared))
+    , m_watchdog(std::make_shared<Watchdog>(m_executor, m_socket))
+{
+    tuneSocket(m_socket, m_shared->options.writeTimeout);
+}
+
+ServerSession::~ServerSession()
+{
+    m_watchdog->stop();
+    m_shared->remove(this);
+}
+
+void ServerSession::close(std::shared_ptr<ServerSession> session)
+{
+    const asio::any_io_executor executor = session->m_executor;
+    asio::post(executor, [session = std::move(session)] {
+        session->closeSocket();
+        session->markGone();
+    });
+}
+
+void ServerSession::closeSocket()
+{
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+}
+
+asio::awaitable<void> ServerSession::run()
+{
+    const auto self = shared_from_this();
+    if (m_shared->count() > m_shared->options.maxConnections) {
+        co_await refuse(503, "too many connections");
+        co_return;
+    }
+    while (m_keepAlive && m_socket.is_open()) {
+        HttpRequest request;
+        const bool whole = co_await readRequest(request);
+        if (!whole)
+            break;
+        const bool answered = co_await handle(std::move(request));
+        if (!answered)
+            break;
+    }
+    m_watchdog->stop();
+    if (m_socket.is_open()) {
+        boost::system::error_code ignored;
+        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+    closeSocket();
+}
+
+asio::awaitable<bool> ServerSession::readRequest(HttpRequest &request)
+{
+    const HttpServerOptions &options = m_shared->options;
+    boost::system::error_code error;
+    m_keepAlive = true;
+    m_headOnly = false;
+    if (m_buffer.size() == 0) {
+        m_watchdog->expireAfter(options.idleTimeout);
+        const std::size_t got = co_await m_socket.async_read_some(
+            m_buffer.prepare(ReadBytes), asio::redirect_error(asio::use_awaitable, error));
+        m_buffer.commit(got);
+        if (error)
+            co_return false;
+    }
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(options.maxHeaderBytes);
+    parser.body_limit(options.maxBodyBytes);
+    m_watchdog->expireAfter(options.headerTimeout);
+    co_await http::async_read_header(m_socket, m_buffer, parser,
+                                     asio::redirect_error(asio::use_awaitable, error));
+    if (!error && !parser.is_done()) {
+        m_watchdog->expireAfter(options.bodyTimeout);
+        if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
+            co_await writeText("HTTP/1.1 100 Continue\r\n\r\n");
+        m_watchdog->expireAfter(options.bodyTimeout);
+        co_await http::async_read(m_socket, m_buffer, parser,
+                                  asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (error) {
+        Refusal refusal = refusalFor(error, m_watchdog->expired());
+        if (refusal.status != 0)
+            co_await refuse(refusal.status, std::move(refusal.message));
+        co_return false;
+    }
+    m_watchdog->pause();
+    m_keepAlive = parser.get().keep_alive() && !m_shared->closing;
+    m_plainStream = parser.get().version() == HttpVersion10;
+    m_headOnly = parser.get().method() == http::verb::head;
+    request = toRequest(parser.release());
+    co_return true;
+}
+
+asio::awaitable<void> ServerSession::refuse(unsigned status, std::string message)
+{
+    if (!m_socket.is_open())
+        co_return;
+    m_keepAlive = false;
+    m_started = false;
+    HttpResponse response;
+    response.status = status;
+    response.headers = m_shared->options.refusalHeaders;
+    response.headers.set("Content-Type", "text/plain");
+    response.body = std::move(message) + "\n";
+    co_await send(std::move(response));
+    // Unread bytes would make the close reset the connection before the caller reads the answer.
+    boost::system::error_code error;
+    m_socket.shutdown(tcp::socket::shutdown_send, error);
+    m_watchdog->expireAfter(LingerTimeout);
+    std::size_t drained = 0;
+    while (!error && drained < MaxLingerBytes) {
+        m_buffer.consume(m_buffer.size());
+        drained += co_await m_socket.async_read_some(
+            m_buffer.prepare(ReadBytes), asio::redirect_error(asio::use_awaitable, error));
+    }
+}
+
+asio::awaitable<bool> ServerSession::handle(HttpRequest request)
+{
+    m_started = false;
+    m_finished = false;
+    watchCaller();
+    m_shared->activeRequests.fetch_add(1);
+    try {
+        co_await m_shared->handler(std::move(request), *this);
+    } catch (const std::exception &exception) {
+        logError("handler_failed", {{"error", exception.what()}});
+    }
+    m_shared->activeRequests.fetch_sub(1);
+    m_callerGoneHook = nullptr;
+    boost::system::error_code ignored;
+    if (m_socket.is_open())
+        m_socket.cancel(ignored);
+    co_return m_finished && !m_callerGone;
+}
+
+void ServerSession::watchCaller()
+{
+    auto handler = [weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto self = weak.lock();
+        if (self && !error && peerClosed(self->m_socket))
+            self->markGone();
+    };
+    m_socket.async_wait(tcp::socket::wait_read, asio::bind_executor(m_executor, handler));
+}
+
+void ServerSession::markGone()
+{
+    if (m_callerGone)
+        return;
+    m_callerGone = true;
+    const auto hook = std::move(m_callerGoneHook);
+    m_callerGoneHook = nullptr;
+    if (hook)
+        hook();
+}
+
+void ServerSession::setCallerGoneHook(std::function<void()> hook)
+{
+    m_callerGoneHook = std::move(hook);
+}
+
+void ServerSession::beginAnswer()
+{
+    m_started = true;
+    if (m_shared->closing)
+        m_keepAlive = false;
+}
+
+asio::awaitable<std::error_code> ServerSession::send(HttpResponse response)
+{
+    if (m_started)
+        co_return make_error_code(Error::InvalidArgument);
+    beginAnswer();
+    cleanHead(response);
+    std::string text = headText(response, m_keepAlive);
+    text += "Content-Length: ";
+    appendNumber(text, response.body.size());
+    text += "\r\n\r\n";
+    if (!m_headOnly)
+        text += response.body;
+    const std::error_code error = co_await writeText(text);
+    m_finished = !error;
+    co_return error;
+}
+
+asio::awaitable<std::error_code> ServerSession::startStream(HttpResponse head)
+{
+    if (m_started)
+        co_return make_error_code(Error::InvalidArgument);
+    if (m_plainStream)
+        m_keepAlive = false;
+    beginAnswer();
+    cleanHead(head);
+    std::string text = headText(head, m_keepAlive);
+    text += m_plainStream ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n";
+    co_return co_await writeText(text);
+}
+
+asio::awaitable<std::error_code> ServerSession::writePiece(std::string_view piece)
+{
+    if (!m_started || m_finished)
+        co_return make_error_code(Error::InvalidArgument);
+    if (piece.empty() || m_headOnly)
+        co_return std::error_code();
+    if (m_plainStream)
+        co_return co_await writeText(piece);
+    std::string text = chunkSize(piece.size());
+    text += piece;
+    text += "\r\n";
+    co_return co_await writeText(text);
+}
+
+asio::awaitable<std::error_code> ServerSession::finishStream()
+{
+    if (!m_started || m_finished)
+        co_return make_error_code(Error::InvalidArgument);
+    std::error_code error;
+    if (!m_plainStream && !m_headOnly)
+        error = co_await writeText("0\r\n\r\n");
+    m_finished = !error;
+    co_return error;
+}
+
+asio::awaitable<std::error_code> ServerSession::writeText(std::string_view text)
+{
+    boost::system::error_code error;
+    if (m_callerGone)
+        co_return make_error_code(Error::ConnectionLost);
+    m_watchdog->expireAfter(m_shared->options.writeTimeout);
+    co_await asio::async_write(m_socket, asio::buffer(text.data(), text.size()),
+                               asio::redirect_error(asio::use_awaitable, error));
+    m_watchdog->pause();
+    if (!error)
+        co_return std::error_code();
+    const bool silent = m_watchdog->expired();
+    markGone();
+    co_return make_error_code(silent ? Error::TimedOut : Error::ConnectionLost);
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/http/server_session.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "watchdog.hpp"
+
+#include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <gentianramp/http/server.hpp>
+#include <mutex>
+#include <unordered_map>
+
+namespace gentianramp {
+
+class ServerSession;
+
+/// What the sessions of one server share.
+struct SessionShared
+{
+    SessionShared(HttpServerOptions options, HttpHandler handler)
+        : options(std::move(options))
+        , handler(std::move(handler))
+    { }
+
+    void add(const std::shared_ptr<ServerSession> &session);
+    void remove(const ServerSession *session);
+    void closeAll();
+    std::size_t count() const;
+
+    HttpServerOptions options;
+    HttpHandler handler;
+    std::atomic<bool> closing{false};
+    std::atomic<bool> stopped{false};
+    std::atomic<std::size_t> activeRequests{0};
+
+private:
+    mutable std::mutex m_mutex;
+    std::unordered_map<const ServerSession *, std::weak_ptr<ServerSession>> m_sessions;
+};
+
+/// One caller's connection: reads requests one after another and answers them.
+class ServerSession : public ResponseWriter, public std::enable_shared_from_this<ServerSession>
+{
+public:
+    ServerSession(boost::asio::any_io_executor executor, boost::asio::ip::tcp::socket socket,
+                  std::shared_ptr<SessionShared> shared);
+    ~ServerSession() override;
+
+    boost::asio::awaitable<void> run();
+    /// Closes the connection of @p session; called from any thread. The last reference goes on the
+    /// session's executor.
+    static void close(std::shared_ptr<ServerSession> session);
+
+    boost::asio::awaitable<std::error_code> send(HttpResponse response) override;
+    boost::asio::awaitable<std::error_code> startStream(HttpResponse head) override;
+    boost::asio::awaitable<std::error_code> writePiece(std::string_view piece) override;
+    boost::asio::awaitable<std::error_code> finishStream() override;
+    bool started() const override { return m_started; }
+    bool callerGone() const override { return m_callerGone; }
+    void setCallerGoneHook(std::function<void()> hook) override;
+    void closeAfterwards() override { m_keepAlive = false; }
+
+private:
+    boost::asio::awaitable<bool> readRequest(HttpRequest &request);
+    boost::asio::awaitable<void> refuse(unsigned status, std::string message);
+    boost::asio::awaitable<bool> handle(HttpRequest request);
+    boost::asio::awaitable<std::error_code> writeText(std::string_view text);
+    void watchCaller();
+    void markGone();
+    void beginAnswer();
+    void closeSocket();
+
+    boost::asio::any_io_executor m_executor;
+    boost::asio::ip::tcp::socket m_socket;
+    std::shared_ptr<SessionShared> m_shared;
+    std::shared_ptr<Watchdog> m_watchdog;
+    boost::beast::flat_buffer m_buffer;
+    std::function<void()> m_callerGoneHook;
+    bool m_keepAlive = true;
+    bool m_headOnly = false;
+    bool m_plainStream = false; ///< The caller speaks HTTP/1.0: no chunks, the end is the close.
+    bool m_started = false;
+    bool m_finished = false;
+    bool m_callerGone = false;
+};
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/http/server_test.cpp
@@ -0,0 +1,106 @@
+#include "http_test_support.hpp"
+
+#include <random>
+
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Seed = 20261203;
+
+HttpServerOptions smallLimits()
+{
+    HttpServerOptions options;
+    options.maxHeaderBytes = 1024;
+    options.maxBodyBytes = 64;
+    options.headerTimeout = 60ms;
+    options.bodyTimeout = 60ms;
+    options.idleTimeout = 60ms;
+    options.refusalHeaders.add("Gentianramp-Verdict", "NotRun");
+    return options;
+}
+
+std::string answerTo(std::string bytes)
+{
+    TestServer test(smallLimits());
+    return exchangeRaw(test.context, test.port, std::move(bytes));
+}
+
+} // namespace
+
+Test(HttpServer, AnswersPipelinedRequestsInOrder)
+{
+    const std::string answer = answerTo("POST /a HTTP/1.1\r\nContent-Length: 5\r\n\r\nfirst"
+                                        "GET /stream HTTP/1.1\r\nConnection: close\r\n\r\n");
+    cr_assert(answer.find("first") < answer.find("4\r\none \r\n3\r\ntwo\r\n0\r\n\r\n"));
+}
+
+Test(HttpServer, KeepsHeaderValuesInOneLine)
+{
+    const std::string answer = answerTo("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    cr_assert(answer.starts_with("HTTP/1.1 200 OK\r\n"));
+    cr_assert(answer.find("Injected") == std::string::npos);
+}
+
+Test(HttpServer, RefusesBadInputWithAClearStatus)
+{
+    cr_assert(answerTo("GET / HTTP/9.9\r\n\r\n").starts_with("HTTP/1.1 400"));
+    cr_assert(answerTo("\x01\x02\x03 garbage\r\n\r\n").starts_with("HTTP/1.1 400"));
+    cr_assert(
+        answerTo("GET / HTTP/1.1\r\nA: " + std::string(2000, 'x')).starts_with("HTTP/1.1 431"));
+    const std::string tooLarge = answerTo("POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n");
+    cr_assert(tooLarge.starts_with("HTTP/1.1 413"));
+    cr_assert(tooLarge.find("Gentianramp-Verdict: NotRun") != std::string::npos);
+}
+
+Test(HttpServer, ClosesSlowAndSilentCallers)
+{
+    cr_assert(answerTo("").empty());
+    cr_assert(answerTo("GET / HTTP/1.1\r\nHalf: ").find("200") == std::string::npos);
+    const std::string slowBody = answerTo("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf");
+    cr_assert(slowBody.find("200") == std::string::npos);
+}
+
+Test(HttpServer, CutsAStreamThatWasNotFinished)
+{
+    const std::string answer = answerTo("GET /cut HTTP/1.1\r\n\r\n");
+    cr_assert(answer.ends_with("4\r\nhalf\r\n"));
+}
+
+Test(HttpServer, SaysCloseWhenItEnds)
+{
+    TestServer test;
+    test.server.closeAfterAnswers();
+    const std::string answer = exchangeRaw(test.context, test.port, "GET / HTTP/1.1\r\n\r\n");
+    cr_assert(answer.find("Connection: close") != std::string::npos);
+}
+
+Test(HttpServer, RefusesConnectionsBeyondTheLimit)
+{
+    HttpServerOptions options = smallLimits();
+    options.maxConnections = 0;
+    TestServer test(options);
+    const std::string answer = exchangeRaw(test.context, test.port, "GET / HTTP/1.1\r\n\r\n");
+    cr_assert(answer.starts_with("HTTP/1.1 503"));
+}
+
+Test(HttpServer, SurvivesRandomBytes)
+{
+    std::mt19937_64 random(Seed);
+    const std::string_view alphabet("GET POST/HTTP/1.1\r\n\r\nContent-Length: 0123\0\xff;,", 45);
+    std::uniform_int_distribution<std::size_t> pick(0, alphabet.size() - 1);
+    TestServer test(smallLimits());
+    for (int run = 0; run < 60; ++run) {
+        std::string bytes(std::uniform_int_distribution<std::size_t>(1, 300)(random), ' ');
+        for (char &character : bytes)
+            character = alphabet[pick(random)];
+        const std::string answer = exchangeRaw(test.context, test.port, "GET / HTTP" + bytes);
+        cr_assert(answer.empty() || answer.starts_with("HTTP/1.1 "), "%s", answer.c_str());
+    }
+    const std::string answer
+        = exchangeRaw(test.context, test.port, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+    cr_assert(answer.starts_with("HTTP/1.1 200"));
+}
--- /dev/null
+++ b/src/gentianramp/http/watchdog.cpp
@@ -0,0 +1,58 @@
+#include "watchdog.hpp"
+
+#include <boost/asio/bind_executor.hpp>
+
+namespace gentianramp {
+
+Watchdog::Watchdog(boost::asio::any_io_executor executor, boost::asio::ip::tcp::socket &socket)
+    : m_executor(std::move(executor))
+    , m_socket(&socket)
+    , m_timer(m_executor)
+{ }
+
+void Watchdog::expireAfter(Duration delay)
+{
+    m_deadline = RuntimeClock::now() + delay;
+    if (m_deadline < m_armedFor)
+        arm();
+}
+
+void Watchdog::pause() noexcept
+{
+    m_deadline = TimePoint::max();
+}
+
+void Watchdog::stop()
+{
+    m_socket = nullptr;
+    m_deadline = TimePoint::max();
+    m_armedFor = TimePoint::max();
+    m_timer.cancel();
+}
+
+void Watchdog::arm()
+{
+    m_armedFor = m_deadline;
+    m_timer.expires_at(m_deadline);
+    auto handler = [self = shared_from_this()](const boost::system::error_code &error) {
+        if (!error)
+            self->wake();
+    };
+    m_timer.async_wait(boost::asio::bind_executor(m_executor, std::move(handler)));
+}
+
+void Watchdog::wake()
+{
+    m_armedFor = TimePoint::max();
+    if (!m_socket || m_deadline == TimePoint::max())
+        return;
+    if (RuntimeClock::now() < m_deadline) {
+        arm();
+        return;
+    }
+    m_expired = true;
+    boost::system::error_code ignored;
+    m_socket->close(ignored);
+}
+
+} // namespace gentianramp
