Read node settings and the declared configuration from YAML

Cause: daemons and operators need settings that are validated whole. Change: field tables read, range-check and show each section; references, duplicates and sums are checked over the merged base file and overlays; every error carries file, line, key and what was expected. Public keys are read from files beside the settings, so that settings need no rewriting. The configuration gains paths of plain services that may be repeated and versions for one site.

--- a/include/gentianramp/config/declared_configuration.hpp
+++ b/include/gentianramp/config/declared_configuration.hpp
@@ -5,6 +5,7 @@
 #include <gentianramp/core/clock.hpp>
 #include <gentianramp/core/ids.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace gentianramp {
@@ -50,7 +51,9 @@
     ModelId model;          ///< For ServiceKind::Model.
     std::string pathPrefix; ///< For ServiceKind::Plain, with a leading slash.
     std::string priorityClass;
-    bool idempotent = true;                      ///< False: each request runs at most once.
+    bool idempotent = true; ///< False: each request runs at most once.
+    /// For ServiceKind::Plain with idempotent false: paths below pathPrefix that may be repeated.
+    std::vector<std::string> idempotentPaths;
     Duration timeout = std::chrono::seconds(60); ///< Whole answer, unless the caller asks for less.
     Duration firstTokenTarget = std::chrono::milliseconds(1800);
     Duration tokenTarget = std::chrono::milliseconds(47); ///< Between two tokens.
@@ -59,6 +62,9 @@
     bool operator==(const ServiceDeclaration &) const = default;
 };
 
+/// True when requests of @p service to @p path (without query) may run more than once.
+bool isIdempotent(const ServiceDeclaration &service, std::string_view path);
+
 /// A firm whose callers use the system.
 struct CustomerDeclaration
 {
@@ -87,6 +93,16 @@
     bool operator==(const BackendDeclaration &) const = default;
 };
 
+/// Version of a model that one site serves in place of the version in the base file.
+struct SiteModelDeclaration
+{
+    DataCentreId site;
+    ModelId model;
+    std::string version;
+    std::vector<std::string> adapters;
+    bool operator==(const SiteModelDeclaration &) const = default;
+};
+
 /// Settings of the role planner.
 struct PlannerSettings
 {
@@ -107,10 +123,15 @@
     std::vector<ServiceDeclaration> services;
     std::vector<CustomerDeclaration> customers;
     std::vector<BackendDeclaration> backends;
+    std::vector<SiteModelDeclaration> siteModels;
     PlannerSettings planner;
     double weightStoreBytesPerSecond = 1e9;                  ///< Shared by all data centres.
     Duration idempotencyLifetime = std::chrono::minutes(10); ///< How long keys are remembered.
     bool operator==(const DeclaredConfiguration &) const = default;
 };
 
+/// The model as @p site serves it; an empty id when the model is not declared.
+ModelDeclaration modelAtSite(const DeclaredConfiguration &configuration, const DataCentreId &site,
+                             const ModelId &model);
+
 } // namespace gentianramp
--- /dev/null
+++ b/include/gentianramp/config/key_files.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <filesystem>
+#include <gentianramp/core/error.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gentianramp {
+
+/// Content of a key pair file; both parts are 40 characters of Z85.
+struct KeyPairFile
+{
+    std::string publicKey;
+    std::string secretKey;
+    bool operator==(const KeyPairFile &) const = default;
+};
+
+/// True for 40 characters of Z85.
+bool isCurveKey(std::string_view text);
+
+/// Reads a file with one public key. Errors: StorageFailed, Malformed.
+Result<std::string> readPublicKeyFile(const std::filesystem::path &file);
+
+/// Reads a file with public keys, one a line; blank lines and lines from '#' are skipped.
+/// Errors: StorageFailed, Malformed.
+Result<std::vector<std::string>> readPublicKeysFile(const std::filesystem::path &file);
+
+/// Reads a file with a public and a secret key on two lines. The file must not be accessible to
+/// others than its owner. Errors: StorageFailed, Malformed, Unauthorised.
+Result<KeyPairFile> readKeyPairFile(const std::filesystem::path &file);
+
+/// Writes @p keys to "<folder>/<name>.key", readable by the owner only, and the public key to
+/// "<folder>/<name>.pub". Existing files are kept. Errors: InvalidArgument, StorageFailed.
+Result<std::filesystem::path> writeKeyFiles(const std::filesystem::path &folder,
+                                            const std::string &name, const KeyPairFile &keys);
+
+} // namespace gentianramp
--- a/include/gentianramp/config/node_settings.hpp
+++ b/include/gentianramp/config/node_settings.hpp
@@ -41,7 +41,8 @@
     bool voter = false;
     std::filesystem::path timelineFile; ///< Empty: no time line.
     std::uint64_t timelineMaxBytes = 16 * 1024 * 1024;
-    std::filesystem::path configurationFile; ///< Declared configuration to start from.
+    std::filesystem::path configurationFile;         ///< Base file to start from before any apply.
+    std::vector<std::filesystem::path> overlayFiles; ///< Overlays that go with it.
     std::string platformListUrl; ///< The platform's list of live and leaving instances, or empty.
     unsigned threads = 2;        ///< Threads that work on requests.
     std::uint32_t maxConnections = 4096; ///< Callers' connections.
--- /dev/null
+++ b/include/gentianramp/config/operator_settings.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <filesystem>
+#include <gentianramp/config/node_settings.hpp>
+#include <gentianramp/core/clock.hpp>
+#include <string>
+#include <vector>
+
+namespace gentianramp {
+
+/// Settings of an operator's client.
+struct OperatorSettings
+{
+    std::string name;                                   ///< Appears in the history of changes.
+    std::filesystem::path secretKeyFile;                ///< CURVE key pair of the operator.
+    Duration answerTimeout = std::chrono::seconds(2);   ///< Wait for one control process.
+    Duration commandTimeout = std::chrono::seconds(20); ///< Over all control processes.
+    std::vector<PeerSettings> controls;                 ///< Control processes to talk to.
+    bool operator==(const OperatorSettings &) const = default;
+};
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/config/key_files.cpp
@@ -0,0 +1,117 @@
+#include <gentianramp/config/key_files.hpp>
+
+#include <algorithm>
+#include <fcntl.h>
+#include <fstream>
+#include <iterator>
+#include <unistd.h>
+
+namespace gentianramp {
+
+namespace {
+
+constexpr std::size_t KeyLength = 40;
+constexpr std::size_t LargestKeyFileBytes = 64 * 1024;
+constexpr std::string_view Z85Alphabet
+    = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ.-:+=^!/*?&<>()[]{}@%$#";
+constexpr mode_t SecretMode = 0600;
+constexpr mode_t PublicMode = 0644;
+constexpr auto OtherUsers = std::filesystem::perms::group_all | std::filesystem::perms::others_all;
+
+Result<std::vector<std::string>> readLines(const std::filesystem::path &file)
+{
+    std::error_code failure;
+    const auto size = std::filesystem::file_size(file, failure);
+    if (failure)
+        return {Error::StorageFailed, "cannot read " + file.string() + ": " + failure.message()};
+    if (size > LargestKeyFileBytes)
+        return {Error::Malformed, file.string() + ": too large for a key file"};
+    std::ifstream in(file);
+    std::vector<std::string> lines;
+    for (std::string line; std::getline(in, line);) {
+        // Keys themselves may contain '#', so only a line that is no key can be a comment.
+        if (!line.empty() && (isCurveKey(line) || line.front() != '#'))
+            lines.push_back(line);
+    }
+    return lines;
+}
+
+Result<std::vector<std::string>> readKeys(const std::filesystem::path &file)
+{
+    auto lines = readLines(file);
+    if (!lines)
+        return lines;
+    if (std::all_of(lines->begin(), lines->end(), isCurveKey))
+        return lines;
+    return {Error::Malformed, file.string() + ": expected keys of 40 characters of Z85"};
+}
+
+/// Writes a new file; never replaces one.
+bool writeNewFile(const std::filesystem::path &file, const std::string &text, mode_t mode)
+{
+    const int handle = ::open(file.c_str(), O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, mode);
+    if (handle < 0)
+        return false;
+    const bool written = ::write(handle, text.data(), text.size())
+        == static_cast<ssize_t>(text.size());
+    const bool synced = ::fsync(handle) == 0;
+    return ::close(handle) == 0 && written && synced;
+}
+
+} // namespace
+
+bool isCurveKey(std::string_view text)
+{
+    return text.size() == KeyLength && text.find_first_not_of(Z85Alphabet) == text.npos;
+}
+
+Result<std::string> readPublicKeyFile(const std::filesystem::path &file)
+{
+    auto keys = readKeys(file);
+    if (!keys)
+        return {keys.error(), keys.message()};
+    if (keys->size() != 1)
+        return {Error::Malformed, file.string() + ": expected one public key"};
+    return keys->front();
+}
+
+Result<std::vector<std::string>> readPublicKeysFile(const std::filesystem::path &file)
+{
+    return readKeys(file);
+}
+
+Result<KeyPairFile> readKeyPairFile(const std::filesystem::path &file)
+{
+    auto keys = readKeys(file);
+    if (!keys)
+        return {keys.error(), keys.message()};
+    if (keys->size() != 2)
+        return {Error::Malformed, file.string() + ": expected a public and a secret key"};
+    std::error_code failure;
+    const auto permissions = std::filesystem::status(file, failure).permissions();
+    if (failure || (permissions & OtherUsers) != std::filesystem::perms::none)
+        return {Error::Unauthorised,
+                file.string() + ": expected mode 0600, the file is accessible to others"};
+    return KeyPairFile{(*keys)[0], (*keys)[1]};
+}
+
+Result<std::filesystem::path> writeKeyFiles(const std::filesystem::path &folder,
+                                            const std::string &name, const KeyPairFile &keys)
+{
+    if (name.empty() || name.find('/') != std::string::npos)
+        return {Error::InvalidArgument, "'" + name + "' is no name for a key file"};
+    std::error_code failure;
+    std::filesystem::create_directories(folder, failure);
+    if (failure)
+        return {Error::StorageFailed,
+                "cannot make " + folder.string() + ": " + failure.message()};
+    const std::filesystem::path secretFile = folder / (name + ".key");
+    const std::filesystem::path publicFile = folder / (name + ".pub");
+    if (!writeNewFile(secretFile, keys.publicKey + "\n" + keys.secretKey + "\n", SecretMode))
+        return {Error::StorageFailed, "cannot write " + secretFile.string() + ", does it exist?"};
+    if (!writeNewFile(publicFile, keys.publicKey + "\n", PublicMode))
+        return {Error::StorageFailed, "cannot write " + publicFile.string() + ", does it exist?"};
+    return secretFile;
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/config/node_settings_file.cpp
@@ -0,0 +1,172 @@
+#include "peer_fields.hpp"
+#include "yaml_file.hpp"
+
+#include <gentianramp/config/key_files.hpp>
+#include <gentianramp/config/settings_file.hpp>
+
+namespace gentianramp {
+
+namespace {
+
+constexpr unsigned MostThreads = 256;
+constexpr std::uint32_t MostConnections = 1'000'000;
+constexpr std::uint32_t LongestDrainSeconds = 24 * 3600;
+constexpr std::uint64_t SmallestTimelineBytes = 64 * 1024;
+constexpr std::uint64_t LargestTimelineBytes = 1ULL << 40;
+constexpr std::size_t MostVoters = 7;
+
+/// Content of the settings file of one process.
+struct NodeFile : NodeSettings
+{
+    std::filesystem::path keyFolder;
+    std::filesystem::path peersFile;
+    std::vector<Located<PeerEntry>> peerEntries;
+};
+
+const FieldTable<NodeFile> &nodeFields()
+{
+    using Node = NodeSettings;
+    static const FieldTable<NodeFile> table{
+        fieldOf<NodeFile>("instance", &Node::instance, Need::Required,
+                          RangeCheck<InstanceId>(nameCheck<InstanceId>)),
+        fieldOf<NodeFile>("data_centre", &Node::dataCentre, Need::Required,
+                          RangeCheck<DataCentreId>(nameCheck<DataCentreId>)),
+        fieldOf<NodeFile>("kind", &Node::kind, Need::Required),
+        fieldOf<NodeFile>("http_host", &Node::httpHost),
+        fieldOf<NodeFile>("http_port", &Node::httpPort, Need::Required),
+        fieldOf<NodeFile>("endpoint", &Node::endpoint, Need::Required,
+                          RangeCheck<std::string>(endpointCheck)),
+        field("key_folder", &NodeFile::keyFolder),
+        fieldOf<NodeFile>("secret_key_file", &Node::secretKeyFile),
+        fieldOf<NodeFile>("operator_keys_file", &Node::operatorKeysFile),
+        fieldOf<NodeFile>("data_folder", &Node::dataFolder),
+        fieldOf<NodeFile>("voter", &Node::voter),
+        fieldOf<NodeFile>("timeline_file", &Node::timelineFile),
+        fieldOf<NodeFile>("timeline_max_bytes", &Node::timelineMaxBytes, Need::Optional,
+                          between(SmallestTimelineBytes, LargestTimelineBytes)),
+        fieldOf<NodeFile>("configuration_file", &Node::configurationFile),
+        fieldOf<NodeFile>("overlay_files", &Node::overlayFiles),
+        fieldOf<NodeFile>("platform_list_url", &Node::platformListUrl),
+        fieldOf<NodeFile>("threads", &Node::threads, Need::Optional, between(1U, MostThreads)),
+        fieldOf<NodeFile>("max_connections", &Node::maxConnections, Need::Optional,
+                          between(1U, MostConnections)),
+        fieldOf<NodeFile>("drain_seconds", &Node::drainSeconds, Need::Optional,
+                          between(0U, LongestDrainSeconds)),
+        field("peers_file", &NodeFile::peersFile),
+        listField("peers", &NodeFile::peerEntries, peerFields()),
+    };
+    return table;
+}
+
+void resolvePaths(const std::filesystem::path &file, NodeFile &node)
+{
+    node.keyFolder = besideFile(file, node.keyFolder);
+    node.secretKeyFile = besideFile(file, node.secretKeyFile);
+    node.operatorKeysFile = besideFile(file, node.operatorKeysFile);
+    node.dataFolder = besideFile(file, node.dataFolder);
+    node.timelineFile = besideFile(file, node.timelineFile);
+    node.configurationFile = besideFile(file, node.configurationFile);
+    node.peersFile = besideFile(file, node.peersFile);
+    for (std::filesystem::path &overlay : node.overlayFiles)
+        overlay = besideFile(file, overlay);
+    if (node.secretKeyFile.empty() && !node.keyFolder.empty())
+        node.secretKeyFile = node.keyFolder / (node.instance.value() + ".key");
+}
+
+/// A list of processes may name the process itself; then both have to agree.
+void checkOwnEntry(const Located<NodeFile> &node, const Located<PeerEntry> &entry,
+                   SettingsErrors &errors)
+{
+    const auto require = [&](const std::string &key, const std::string &here,
+                             const std::string &there) {
+        if (here != there)
+            errors.push_back(node.problem(key, "expected '" + there + "' as in "
+                                              + entry.file.string() + ":"
+                                              + std::to_string(entry.line) + ", found '" + here
+                                              + "'"));
+    };
+    const NodeFile &own = node.value;
+    require("data_centre", own.dataCentre.value(), entry.value.dataCentre.value());
+    require("kind", ValueCodec<ProcessKind>::show(own.kind),
+            ValueCodec<ProcessKind>::show(entry.value.kind));
+    require("endpoint", own.endpoint, entry.value.endpoint);
+    require("voter", ValueCodec<bool>::show(own.voter), ValueCodec<bool>::show(entry.value.voter));
+}
+
+void checkVoters(const Located<NodeFile> &node, SettingsErrors &errors)
+{
+    const NodeFile &own = node.value;
+    if (own.voter && own.kind != ProcessKind::Control)
+        errors.push_back(node.problem("voter", "expected true only on control processes"));
+    if (own.voter && own.dataFolder.empty())
+        errors.push_back(node.problem("data_folder", "key is missing, expected a folder on a disk "
+                                                     "because voter is true"));
+    std::size_t voters = own.voter ? 1 : 0;
+    for (const PeerSettings &peer : own.peers)
+        voters += peer.voter && peer.kind == ProcessKind::Control ? 1 : 0;
+    if (voters != 0 && (voters % 2 == 0 || voters > MostVoters))
+        errors.push_back(node.problem("voter", "expected 1, 3, 5 or 7 voters over all processes, "
+                                               "found "
+                                          + std::to_string(voters)));
+}
+
+void checkOwnFiles(const Located<NodeFile> &node, KeyFiles keyFiles, SettingsErrors &errors)
+{
+    const NodeFile &own = node.value;
+    if (own.secretKeyFile.empty()) {
+        errors.push_back(node.problem("secret_key_file",
+                                      "key is missing, expected secret_key_file or key_folder"));
+        return;
+    }
+    if (!own.overlayFiles.empty() && own.configurationFile.empty())
+        errors.push_back(
+            node.problem("overlay_files", "expected only together with configuration_file"));
+    if (keyFiles == KeyFiles::Skip)
+        return;
+    if (const auto pair = readKeyPairFile(own.secretKeyFile); !pair)
+        errors.push_back(node.problem("secret_key_file", pair.message()));
+    if (own.operatorKeysFile.empty())
+        return;
+    if (const auto keys = readPublicKeysFile(own.operatorKeysFile); !keys)
+        errors.push_back(node.problem("operator_keys_file", keys.message()));
+}
+
+void takePeers(Located<NodeFile> &node, KeyFiles keyFiles, SettingsErrors &errors)
+{
+    std::vector<Located<PeerEntry>> entries;
+    if (!node.value.peersFile.empty())
+        entries = readPeersFile(node.value.peersFile, errors);
+    for (const Located<PeerEntry> &entry : node.value.peerEntries)
+        entries.push_back(entry);
+    std::vector<Located<PeerEntry>> others;
+    for (const Located<PeerEntry> &entry : entries) {
+        if (entry.value.instance == node.value.instance)
+            checkOwnEntry(node, entry, errors);
+        else
+            others.push_back(entry);
+    }
+    node.value.peers = resolvePeers(others, node.value.keyFolder, keyFiles, errors);
+}
+
+} // namespace
+
+Validated<NodeSettings> loadNodeSettings(const std::filesystem::path &file, KeyFiles keyFiles)
+{
+    SettingsErrors errors;
+    const ReadContext context{file, &errors};
+    Located<NodeFile> node;
+    readYamlFile(context, [&](const YAML::Node &root) {
+        node = readMapping(root, nodeFields(), "", context);
+    });
+    if (!errors.empty())
+        return errors;
+    resolvePaths(file, node.value);
+    takePeers(node, keyFiles, errors);
+    checkVoters(node, errors);
+    checkOwnFiles(node, keyFiles, errors);
+    if (!errors.empty())
+        return errors;
+    return static_cast<const NodeSettings &>(node.value);
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/config/planner_fields.cpp
@@ -0,0 +1,43 @@
+#include "sections.hpp"
+
+namespace gentianramp {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double HighestWeight = 1e9;
+constexpr double HighestStoreRate = 1e15;
+constexpr std::uint32_t MostChangesAtOnce = 64;
+
+} // namespace
+
+const FieldTable<PlannerSettings> &plannerFields()
+{
+    using Planner = PlannerSettings;
+    static const FieldTable<Planner> table{
+        field("role_change_weight", &Planner::roleChangeWeight, Need::Optional,
+              between(0.0, HighestWeight)),
+        field("horizon", &Planner::horizon, Need::Optional, between<Duration>(1s, 1h)),
+        field("minimum_dwell", &Planner::minimumDwell, Need::Optional, between<Duration>(0s, 1h)),
+        field("max_changes_at_once", &Planner::maxChangesAtOnce, Need::Optional,
+              between(0U, MostChangesAtOnce)),
+        field("role_change_time", &Planner::roleChangeTime, Need::Optional,
+              between<Duration>(0s, 1h)),
+    };
+    return table;
+}
+
+const FieldTable<GeneralSettings> &generalFields()
+{
+    using General = GeneralSettings;
+    static const FieldTable<General> table{
+        field("weight_store_bytes_per_second", &General::weightStoreBytesPerSecond, Need::Optional,
+              between(1.0, HighestStoreRate)),
+        field("idempotency_lifetime", &General::idempotencyLifetime, Need::Optional,
+              between<Duration>(1s, 24h)),
+    };
+    return table;
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/config/service_fields.cpp
@@ -0,0 +1,36 @@
+#include "sections.hpp"
+
+namespace gentianramp {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t LongestQueue = 100'000;
+constexpr std::uint32_t HighestRetryPercent = 100;
+
+} // namespace
+
+const FieldTable<ServiceDeclaration> &serviceFields()
+{
+    using Service = ServiceDeclaration;
+    static const FieldTable<Service> table{
+        field("id", &Service::id, Need::Required, RangeCheck<ServiceId>(nameCheck<ServiceId>)),
+        field("kind", &Service::kind, Need::Required),
+        field("model", &Service::model),
+        field("path_prefix", &Service::pathPrefix),
+        field("priority_class", &Service::priorityClass, Need::Required),
+        field("idempotent", &Service::idempotent, Need::Required),
+        field("idempotent_paths", &Service::idempotentPaths),
+        field("timeout", &Service::timeout, Need::Optional, between<Duration>(1ms, 1h)),
+        field("first_token_target", &Service::firstTokenTarget, Need::Optional,
+              between<Duration>(1ms, 1h)),
+        field("token_target", &Service::tokenTarget, Need::Optional, between<Duration>(1ms, 1min)),
+        field("queue_limit", &Service::queueLimit, Need::Optional, between(1U, LongestQueue)),
+        field("retry_budget_percent", &Service::retryBudgetPercent, Need::Optional,
+              between(0U, HighestRetryPercent)),
+    };
+    return table;
+}
+
+} // namespace gentianramp
