Add admission and choice of backend servers

Cause: the entry pipeline needs one place that says where a request goes, or why not. Tried first and dropped: asking random peers for limit shares with loans that cannot be renewed; a lender that had lent refused the next ask, and one busy instance of nine stayed below half of the limit. With one renewable loan for each pair it gets more than half.

--- a/include/gentianramp/routing/fleet_view.hpp
+++ b/include/gentianramp/routing/fleet_view.hpp
@@ -54,7 +54,8 @@
     BackendPhase phase = BackendPhase::Serving;
     std::uint32_t slots = 16;
     double prefillTokensPerSecond = 8000;
-    double decodeTokensPerSecond = 1000;
+    double decodeTokensPerSecond = 1000; ///< Over all streams.
+    double streamTokensPerSecond = 50;   ///< Most that one stream gets.
     bool operator==(const BackendView &) const = default;
 };
 
--- a/include/gentianramp/routing/router.hpp
+++ b/include/gentianramp/routing/router.hpp
@@ -9,6 +9,7 @@
 #include <gentianramp/routing/cache_events.hpp>
 #include <gentianramp/routing/demand.hpp>
 #include <gentianramp/routing/fleet_view.hpp>
+#include <gentianramp/routing/limit_shares.hpp>
 #include <gentianramp/routing/request_shape.hpp>
 #include <memory>
 #include <string>
@@ -44,13 +45,6 @@
 /// on the thread of that call and with no lock held.
 using DecisionHook = std::function<void(Decision)>;
 
-/// Message to another entry instance about customers' limits.
-struct LimitMessage
-{
-    InstanceId to;
-    std::string payload; ///< For PayloadKind::Limit.
-};
-
 /// Admission and choice of backend servers of one entry instance.
 ///
 /// All functions may be called from any thread. Choosing reads snapshots by read-copy-update and
@@ -67,9 +61,10 @@
     void configure(const DeclaredConfiguration &configuration, TimePoint now);
     /// Replaces the backend servers of one data centre.
     void publishFleet(const FleetView &fleet, TimePoint now);
-    /// Marks one backend server out of order of the fleet table, for example as leaving.
-    /// Holds until a fleet table is published.
+    /// Overrides the phase of one backend server for 5 s, for example as leaving, since fleet
+    /// tables lag.
     void markPhase(const BackendId &backend, BackendPhase phase, TimePoint now);
+    /// Takes a backend server's load report. It also ends the pause of a circuit breaker.
     void applyLoad(const BackendId &backend, const LoadReport &report, TimePoint now);
     void applyCacheEvents(const BackendId &backend, const CacheEvents &events, TimePoint now);
 
@@ -81,8 +76,8 @@
     /// Refuses all waiting and new requests; what was dispatched goes on.
     void shutDown(TimePoint now);
 
-    /// The first byte of the request is about to be sent.
-    void started(const DispatchHandle &handle, TimePoint now);
+    /// The first token came, or the prefill of a pair is done. A dispatched request counts as
+    /// outstanding from its decision on.
     void firstToken(const DispatchHandle &handle, TimePoint now);
     /// @p emitted counts the tokens since the start of the answer.
     void progress(const DispatchHandle &handle, std::uint32_t emitted, TimePoint now);
--- /dev/null
+++ b/src/gentianramp/routing/backend_choice.hpp
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <cstdint>
+#include <gentianramp/core/clock.hpp>
+#include <gentianramp/routing/fleet_view.hpp>
+#include <gentianramp/routing/request_shape.hpp>
+#include <memory>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "gentianramp/routing/backend_load.hpp"
+#include "gentianramp/routing/output_estimate.hpp"
+
+namespace gentianramp {
+
+/// A backend server of a service with the work outstanding there.
+struct Candidate
+{
+    BackendView view;
+    std::shared_ptr<BackendLoad> load;
+    bool local = true; ///< In the data centre of this instance.
+};
+
+/// Source of random numbers of a choice: a counter-based generator, free of locks.
+class ChoiceRandom
+{
+public:
+    explicit ChoiceRandom(std::uint64_t seed)
+        : m_state(seed)
+    { }
+    std::uint64_t next() noexcept;
+    /// Uniform below @p bound.
+    std::size_t below(std::size_t bound) noexcept;
+
+private:
+    std::uint64_t m_state;
+};
+
+/// Options of a choice.
+struct ChoiceOptions
+{
+    std::uint32_t choices = 2; ///< Candidates compared besides cache holders.
+    double reservedShare = 0;  ///< Share of the slots kept free for more urgent classes.
+};
+
+/// A request with what is expected of it.
+struct ChoiceRequest
+{
+    const RequestShape &shape;
+    OutputLength output;
+    std::span<const CacheHolder> holders;
+};
+
+enum class ChoiceOutcome {
+    Chosen,
+    Busy,        ///< Backend servers could take it once they have less to do.
+    NoBackend,   ///< None that fits is in service.
+    UnknownModel ///< None has the model, version or adapter.
+};
+
+/// Chosen backend servers, as positions among the candidates.
+struct Choice
+{
+    ChoiceOutcome outcome = ChoiceOutcome::NoBackend;
+    std::size_t backend = 0;
+    std::optional<std::size_t> prefillBackend;
+    std::uint32_t cachedTokens = 0;
+    Duration timeToFirstToken{};
+    Duration timeToFinish{};
+};
+
+/// Picks the backend server, or the pair for prefill and decode, where the answer is expected
+/// soonest at the least cost to other work.
+Choice chooseBackends(std::span<const Candidate> candidates, const ChoiceRequest &request,
+                      const ChoiceOptions &options, TimePoint now, ChoiceRandom &random);
+
+/// Shortest time to the whole answer on an idle backend server; zero when there is none.
+Duration idleTimeToFinish(std::span<const Candidate> candidates, const ChoiceRequest &request);
+
+/// Engine time that a request takes, in seconds, on a backend server like @p view.
+double engineSeconds(const BackendView &view, double promptTokens, double outputTokens);
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/routing/backend_load.cpp
@@ -0,0 +1,103 @@
+#include "gentianramp/routing/backend_load.hpp"
+
+#include <algorithm>
+#include <gentianramp/core/invariant.hpp>
+
+namespace gentianramp {
+namespace {
+
+constexpr Duration ReportTrusted = std::chrono::seconds(2);
+constexpr Duration ReportForgotten = std::chrono::seconds(8);
+
+/// Weight of a report of that age: 1 while it is trusted, then falling to 0.
+double weightAt(Duration age)
+{
+    const double past = static_cast<double>((age - ReportTrusted).count());
+    const double span = static_cast<double>((ReportForgotten - ReportTrusted).count());
+    return std::clamp(1 - past / span, 0.0, 1.0);
+}
+
+double nonNegative(const std::atomic<std::int64_t> &value)
+{
+    return std::max(0.0, static_cast<double>(value.load(std::memory_order_relaxed)));
+}
+
+} // namespace
+
+BackendLoad::BackendLoad(BackendNumber number)
+    : m_number(number)
+{ }
+
+void BackendLoad::add(std::int64_t requests, std::int64_t promptTokens,
+                      std::int64_t outputTokens) noexcept
+{
+    m_requests.fetch_add(requests, std::memory_order_relaxed);
+    m_promptTokens.fetch_add(promptTokens, std::memory_order_relaxed);
+    m_outputTokens.fetch_add(outputTokens, std::memory_order_relaxed);
+}
+
+WorkAmount BackendLoad::own() const noexcept
+{
+    return {nonNegative(m_requests), nonNegative(m_promptTokens), nonNegative(m_outputTokens)};
+}
+
+WorkAmount BackendLoad::estimate(TimePoint now) const noexcept
+{
+    WorkAmount work = own();
+    const TimePoint reportedAt{Duration(m_reportedAt.load(std::memory_order_relaxed))};
+    const double weight = weightAt(now - reportedAt);
+    work.requests += weight * m_othersRequests.load(std::memory_order_relaxed);
+    work.promptTokens += weight * m_othersPromptTokens.load(std::memory_order_relaxed);
+    work.outputTokens += weight * m_othersOutputTokens.load(std::memory_order_relaxed);
+    return work;
+}
+
+void BackendLoad::sample(TimePoint now)
+{
+    checkInvariant(m_requests >= 0 && m_promptTokens >= 0 && m_outputTokens >= 0,
+                   "outstanding_not_negative");
+    const std::lock_guard lock(m_samplesMutex);
+    m_samples[m_nextSample] = {now, own()};
+    m_nextSample = (m_nextSample + 1) % Samples;
+}
+
+WorkAmount BackendLoad::ownAt(TimePoint at) const
+{
+    const Sample *best = nullptr;
+    for (const Sample &sample : m_samples) {
+        if (sample.at <= at && (best == nullptr || sample.at > best->at))
+            best = &sample;
+    }
+    return best == nullptr ? WorkAmount{} : best->own;
+}
+
+void BackendLoad::applyReport(const LoadReport &report, TimePoint now)
+{
+    const std::lock_guard lock(m_samplesMutex);
+    const TimePoint previous{Duration(m_reportedAt.load(std::memory_order_relaxed))};
+    const TimePoint takenAt = std::min(report.takenAt, now);
+    if (takenAt < previous)
+        return;
+    // A fresh report shows that the backend server answers again; a service whose requests must
+    // not be repeated has no other probe.
+    if (m_breaker.mayAllow(true, takenAt))
+        m_breaker.succeeded();
+    const WorkAmount mine = ownAt(takenAt);
+    const double requests = static_cast<double>(report.running) + report.queued;
+    m_othersRequests.store(std::max(0.0, requests - mine.requests), std::memory_order_relaxed);
+    m_othersPromptTokens.store(
+        std::max(0.0, static_cast<double>(report.promptTokens) - mine.promptTokens),
+        std::memory_order_relaxed);
+    m_othersOutputTokens.store(
+        std::max(0.0, static_cast<double>(report.outputTokens) - mine.outputTokens),
+        std::memory_order_relaxed);
+    m_reportedAt.store(takenAt.time_since_epoch().count(), std::memory_order_relaxed);
+}
+
+bool BackendLoad::noteCacheEvent(std::uint64_t sequence, bool restarted) noexcept
+{
+    const std::uint64_t last = m_cacheSequence.exchange(sequence, std::memory_order_relaxed);
+    return !restarted && last != 0 && sequence > last + 1;
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/routing/limit_shares_test.cpp
@@ -0,0 +1,218 @@
+#include <deque>
+#include <gentianramp/routing/limit_shares.hpp>
+#include <random>
+#include <rapidcheck.h>
+
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+
+namespace {
+
+constexpr Duration Step = std::chrono::milliseconds(100);
+const CustomerId Firm("firm");
+
+struct InFlight
+{
+    InstanceId sender;
+    LimitMessage message;
+    TimePoint arrival{};
+};
+
+/// Some instances, a lossy network between them, and a clock that is stepped by hand.
+class Fleet
+{
+public:
+    Fleet(std::size_t count, double requestsPerSecond, std::uint64_t seed)
+        : m_random(seed)
+        , m_limit{Firm, requestsPerSecond, 0}
+    {
+        for (std::size_t i = 0; i < count; ++i)
+            m_names.emplace_back("entry-" + std::to_string(i));
+        for (std::size_t i = 0; i < count; ++i)
+            m_instances.push_back(start(i));
+        m_cutOff.resize(count, false);
+    }
+
+    TimePoint now() const { return m_now; }
+    std::size_t size() const { return m_names.size(); }
+    void cutOff(std::size_t instance, bool value) { m_cutOff[instance] = value; }
+    void restart(std::size_t instance) { m_instances[instance] = start(instance); }
+    bool take(std::size_t instance) { return m_instances[instance]->take(Firm, 0, m_now).granted; }
+
+    double sumOfShares() const
+    {
+        double sum = 0;
+        for (const auto &instance : m_instances)
+            sum += instance->usableShare(Firm, m_now);
+        return sum;
+    }
+    double share(std::size_t instance) const
+    {
+        return m_instances[instance]->usableShare(Firm, m_now);
+    }
+
+    void step(double loss, int longestDelay)
+    {
+        m_now += Step;
+        deliver(loss, longestDelay);
+        for (std::size_t i = 0; i < size(); ++i) {
+            if ((m_now.time_since_epoch() / Step + static_cast<long>(i)) % 10 == 0)
+                post(i, m_instances[i]->exchange(m_now), loss, longestDelay);
+        }
+    }
+
+private:
+    std::unique_ptr<LimitShares> start(std::size_t instance)
+    {
+        auto shares = std::make_unique<LimitShares>(
+            LimitSharesOptions{m_names[instance], m_names, m_random()}, m_now);
+        shares->configure({m_limit}, m_now);
+        return shares;
+    }
+
+    std::size_t indexOf(const InstanceId &name) const
+    {
+        return static_cast<std::size_t>(std::find(m_names.begin(), m_names.end(), name)
+                                        - m_names.begin());
+    }
+
+    void post(std::size_t sender, const std::vector<LimitMessage> &messages, double loss,
+              int longestDelay)
+    {
+        std::uniform_real_distribution<double> chance(0, 1);
+        for (const LimitMessage &message : messages) {
+            const bool dropped = m_cutOff[sender] || m_cutOff[indexOf(message.to)];
+            if (dropped || chance(m_random) < loss)
+                continue;
+            m_inFlight.push_back(
+                {m_names[sender], message,
+                 m_now + Step * (m_random() % static_cast<unsigned>(longestDelay))});
+        }
+    }
+
+    void deliver(double loss, int longestDelay)
+    {
+        std::deque<InFlight> waiting;
+        std::swap(waiting, m_inFlight);
+        for (const InFlight &flight : waiting) {
+            if (flight.arrival > m_now) {
+                m_inFlight.push_back(flight);
+                continue;
+            }
+            const std::size_t to = indexOf(flight.message.to);
+            const auto answer
+                = m_instances[to]->handle(flight.sender, flight.message.payload, m_now);
+            if (answer)
+                post(to, {*answer}, loss, longestDelay);
+        }
+    }
+
+    std::mt19937_64 m_random;
+    CustomerLimit m_limit;
+    std::vector<InstanceId> m_names;
+    std::vector<std::unique_ptr<LimitShares>> m_instances;
+    std::vector<bool> m_cutOff;
+    std::deque<InFlight> m_inFlight;
+    TimePoint m_now{std::chrono::seconds(100)};
+};
+
+bool randomisedRunHolds(std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    const std::size_t count = 2 + random() % 8;
+    const double rate = 5 + static_cast<double>(random() % 50);
+    Fleet fleet(count, rate, random());
+    const TimePoint begin = fleet.now();
+    double admitted = 0;
+    for (int i = 0; i < 600; ++i) {
+        if (random() % 50 == 0)
+            fleet.cutOff(random() % count, random() % 2 == 0);
+        if (random() % 100 == 0)
+            fleet.restart(random() % count);
+        const std::size_t hot = (static_cast<std::size_t>(i) / 100) % count;
+        for (int call = 0; call < 8; ++call)
+            admitted += fleet.take(call < 6 ? hot : random() % count) ? 1 : 0;
+        fleet.step(0.3, 12);
+        if (fleet.sumOfShares() > 1 + 1e-9)
+            return false;
+        const double elapsed = std::chrono::duration<double>(fleet.now() - begin).count();
+        if (admitted > rate * (elapsed + 1) + static_cast<double>(count))
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+Test(LimitShares, SharesNeverAddUpToMoreThanTheLimitWhateverIsLost)
+{
+    const bool held = rc::check("limit holds over all instances",
+                                [](std::uint64_t seed) { RC_ASSERT(randomisedRunHolds(seed)); });
+    cr_assert(held);
+}
+
+Test(LimitShares, BusyInstanceBorrowsMostOfTheLimit)
+{
+    Fleet fleet(9, 90, 7);
+    for (int i = 0; i < 200; ++i) {
+        for (int call = 0; call < 9; ++call)
+            fleet.take(0);
+        fleet.step(0, 1);
+    }
+    cr_assert_gt(fleet.share(0), 0.5);
+}
+
+Test(LimitShares, InstanceThatIsCutOffFallsBackToItsOwnShare)
+{
+    Fleet fleet(4, 40, 7);
+    for (int i = 0; i < 100; ++i) {
+        for (int call = 0; call < 4; ++call)
+            fleet.take(0);
+        fleet.step(0, 1);
+    }
+    fleet.cutOff(0, true);
+    for (int i = 0; i < 50; ++i) {
+        fleet.take(0);
+        fleet.step(0, 1);
+    }
+    cr_assert_float_eq(fleet.share(0), 0.25, 1e-9);
+    cr_assert(fleet.take(0));
+}
+
+Test(LimitShares, UnlimitedCustomerIsAlwaysGranted)
+{
+    LimitShares shares({InstanceId("a"), {InstanceId("a")}}, TimePoint{});
+    shares.configure({{Firm, 0, 0}}, TimePoint{});
+    cr_assert(shares.take(Firm, 1e9, TimePoint{}).granted);
+    cr_assert(shares.take(CustomerId("other"), 1e9, TimePoint{}).granted);
+}
+
+Test(LimitShares, TokensAreBoundAndRefundedBySettling)
+{
+    const TimePoint begin{std::chrono::seconds(10)};
+    LimitShares shares({InstanceId("a"), {InstanceId("a")}}, TimePoint{});
+    shares.configure({{Firm, 0, 100}}, TimePoint{});
+    cr_assert(shares.take(Firm, 300, begin).granted);
+    const LimitAnswer refused = shares.take(Firm, 1, begin);
+    cr_assert_not(refused.granted);
+    cr_assert_geq(refused.retryAfter.count(),
+                  std::chrono::nanoseconds(std::chrono::seconds(1)).count());
+    shares.settle(Firm, -290);
+    cr_assert(shares.take(Firm, 1, begin).granted);
+}
+
+Test(LimitShares, MalformedMessagesChangeNothing)
+{
+    LimitShares shares({InstanceId("a"), {InstanceId("a"), InstanceId("b")}}, TimePoint{});
+    shares.configure({{Firm, 10, 0}}, TimePoint{});
+    const TimePoint now{std::chrono::seconds(30)};
+    std::mt19937_64 random(3);
+    for (int i = 0; i < 2000; ++i) {
+        std::string bytes(random() % 40, '\0');
+        for (char &byte : bytes)
+            byte = static_cast<char>(random());
+        shares.handle(InstanceId("b"), bytes, now);
+        cr_assert_leq(shares.usableShare(Firm, now), 0.5);
+    }
+}
--- /dev/null
+++ b/src/gentianramp/routing/router_state.cpp
@@ -0,0 +1,428 @@
+#include "gentianramp/routing/router_state.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace gentianramp {
+namespace {
+
+constexpr std::size_t TriedPerPoll = 8; ///< Waiting requests tried before the rest has to wait.
+constexpr Duration ShortRetryAfter = std::chrono::milliseconds(500);
+constexpr Duration LongRetryAfter = std::chrono::seconds(5);
+
+bool forCapacity(RefusalReason reason)
+{
+    return reason == RefusalReason::QueueFull || reason == RefusalReason::DeadlineUnreachable
+        || reason == RefusalReason::NoBackend;
+}
+
+Duration fromSeconds(double value)
+{
+    return Duration(static_cast<Duration::rep>(value * 1e9));
+}
+
+/// Engine time of an answer of expected length on the service's first backend server.
+double expectedEngineSeconds(const ServiceTable &table, const RequestShape &shape,
+                             std::uint32_t cached, const OutputLength &output)
+{
+    if (table.candidates.empty())
+        return 0;
+    return engineSeconds(table.candidates.front().view, shape.promptTokens - cached, output.mean);
+}
+
+std::uint32_t bestCached(const std::vector<CacheHolder> &holders, const RequestShape &shape)
+{
+    std::uint32_t tokens = 0;
+    for (const CacheHolder &holder : holders)
+        tokens = std::max(tokens, holder.tokens);
+    return std::min(tokens, shape.promptTokens);
+}
+
+std::uint64_t nonNegative(const std::atomic<std::int64_t> &value)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, value.load()));
+}
+
+/// Demand of one service by priority since the last call; empty classes are left out.
+std::vector<ServiceDemand> takeServiceDemand(const ServiceId &id, ServiceState &service)
+{
+    std::vector<ServiceDemand> demands(ServiceState::Priorities);
+    for (std::uint32_t priority = 0; priority < ServiceState::Priorities; ++priority) {
+        DemandCounters &counters = service.demand(priority);
+        demands[priority]
+            = {.service = id,
+               .priority = priority,
+               .requests = counters.requests.exchange(0),
+               .promptTokens = counters.promptTokens.exchange(0),
+               .cachedTokens = counters.cachedTokens.exchange(0),
+               .outputTokens = counters.outputTokens.exchange(0),
+               .refused = counters.refused.exchange(0),
+               .outstandingPromptTokens = nonNegative(counters.outstandingPromptTokens),
+               .outstandingOutputTokens = nonNegative(counters.outstandingOutputTokens)};
+    }
+    {
+        const std::lock_guard lock(service.queueMutex);
+        service.queue.forEach([&demands](const WaitingRequest &request) {
+            ServiceDemand &demand = demands[std::min<std::size_t>(request.shape.priority,
+                                                                  ServiceState::Priorities - 1)];
+            demand.waitingPromptTokens += request.shape.promptTokens;
+            demand.waitingOutputTokens += static_cast<std::uint64_t>(request.output.mean);
+        });
+    }
+    std::erase_if(demands, [](const ServiceDemand &demand) {
+        return demand == ServiceDemand{.service = demand.service, .priority = demand.priority};
+    });
+    return demands;
+}
+
+BackendAddress addressOf(const BackendView &view)
+{
+    return {view.id, view.host, view.port};
+}
+
+} // namespace
+
+void deliver(std::vector<Delivery> deliveries)
+{
+    for (Delivery &delivery : deliveries)
+        delivery.hook(std::move(delivery.decision));
+}
+
+std::string_view toString(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::UnknownService:
+        return "unknown_service";
+    case RefusalReason::UnknownModel:
+        return "unknown_model";
+    case RefusalReason::NoBackend:
+        return "no_backend";
+    case RefusalReason::CustomerLimit:
+        return "customer_limit";
+    case RefusalReason::QueueFull:
+        return "queue_full";
+    case RefusalReason::DeadlineUnreachable:
+        return "deadline_unreachable";
+    case RefusalReason::RetryBudget:
+        return "retry_budget";
+    case RefusalReason::ShuttingDown:
+        return "shutting_down";
+    }
+    return "unknown";
+}
+
+LimitSharesOptions Router::State::limitOptions(const RouterOptions &options)
+{
+    LimitSharesOptions limits{
+        .self = options.instance, .instances = options.instances, .seed = options.seed};
+    if (limits.instances.empty())
+        limits.instances.push_back(options.instance);
+    return limits;
+}
+
+void Router::State::addMetrics()
+{
+    if (options.metrics == nullptr)
+        return;
+    dispatched = &options.metrics->counter("gentianramp_routing_dispatched_total",
+                                           "Requests that were given to a backend server");
+    refused = &options.metrics->counter("gentianramp_routing_refused_total",
+                                        "Requests that were refused before dispatch");
+    waitingGauge = &options.metrics->gauge("gentianramp_routing_waiting",
+                                           "Requests that wait for a backend server");
+}
+
+WaitNumber Router::State::enter(const ServiceTable &service, RequestShape shape, TimePoint now,
+                                DecisionHook onDecision, std::vector<Delivery> &deliveries)
+{
+    const OutputLength output
+        = service.state->output(shape.priority).estimate(shape.maxOutputTokens);
+    const std::vector<CacheHolder> holders = prefixes.holders(shape.prefixes, now);
+    const std::uint32_t cached = bestCached(holders, shape);
+    noteDemand(service, shape, cached, output);
+    WaitingRequest request{.output = output,
+                           .engineSeconds = expectedEngineSeconds(service, shape, cached, output),
+                           .onDecision = std::move(onDecision)};
+    const double tokens = shape.promptTokens + output.mean;
+    std::optional<Refusal> refusal = admit(service, shape, tokens, now);
+    request.takenTokens = !refusal && shape.attempt == Attempt(1) ? tokens : 0;
+    request.shape = std::move(shape);
+    if (!refusal && stopping.load(std::memory_order_acquire))
+        refusal = Refusal{RefusalReason::ShuttingDown, {}};
+    if (!refusal)
+        refusal = tooLate(service, request, holders, Duration::zero(), now);
+    if (refusal) {
+        refuse(service, std::move(request), *refusal, deliveries);
+        return 0;
+    }
+    if (service.state->waiting.load(std::memory_order_acquire) > 0)
+        return enqueue(service, std::move(request), holders, now, deliveries);
+    std::optional<Decision> decision
+        = decide(service, request.shape, request.output, request.takenTokens, now);
+    if (!decision)
+        return enqueue(service, std::move(request), holders, now, deliveries);
+    if (const auto *refused = std::get_if<Refusal>(&*decision))
+        refuse(service, std::move(request), *refused, deliveries);
+    else
+        deliveries.push_back({std::move(request.onDecision), std::move(*decision)});
+    return 0;
+}
+
+WaitNumber Router::State::enqueue(const ServiceTable &service, WaitingRequest request,
+                                  const std::vector<CacheHolder> &holders, TimePoint now,
+                                  std::vector<Delivery> &deliveries)
+{
+    const std::lock_guard lock(service.state->queueMutex);
+    AdmissionQueue &queue = service.state->queue;
+    if (stopping.load(std::memory_order_acquire)) {
+        refuse(service, std::move(request), {RefusalReason::ShuttingDown, {}}, deliveries);
+        return 0;
+    }
+    const double ahead = queue.engineSecondsBefore(request.shape.priority, request.shape.deadline);
+    const Duration wait = fromSeconds(ahead / static_cast<double>(service.candidates.size()));
+    if (const auto refusal = tooLate(service, request, holders, wait, now)) {
+        refuse(service, std::move(request), *refusal, deliveries);
+        return 0;
+    }
+    const WaitNumber number = lastWait.fetch_add(1, std::memory_order_relaxed) + 1;
+    request.number = number;
+    if (auto shed = queue.push(std::move(request)))
+        refuse(service, std::move(*shed),
+               {RefusalReason::QueueFull, std::max(wait, ShortRetryAfter)}, deliveries);
+    while (pollOnce(service, now, deliveries)) {
+    }
+    service.state->waiting.store(queue.size(), std::memory_order_release);
+    return queue.find(number) == nullptr ? 0 : number;
+}
+
+std::optional<Refusal> Router::State::admit(const ServiceTable &service, const RequestShape &shape,
+                                            double tokens, TimePoint now)
+{
+    RetryBudget &budget = service.retryBudget(shape.customer);
+    if (shape.attempt > Attempt(1))
+        return budget.takeRetry()
+            ? std::nullopt
+            : std::optional(Refusal{RefusalReason::RetryBudget, LongRetryAfter});
+    const std::lock_guard lock(limitsMutex);
+    const LimitAnswer answer = limits.take(shape.customer, tokens, now);
+    if (!answer.granted)
+        return Refusal{RefusalReason::CustomerLimit, answer.retryAfter};
+    budget.noteFirstAttempt(service.declaration.retryBudgetPercent);
+    return std::nullopt;
+}
+
+void Router::State::noteDemand(const ServiceTable &service, const RequestShape &shape,
+                               std::uint32_t cached, const OutputLength &output) const
+{
+    DemandCounters &demand = service.state->demand(shape.priority);
+    demand.requests.fetch_add(1, std::memory_order_relaxed);
+    demand.promptTokens.fetch_add(shape.promptTokens - cached, std::memory_order_relaxed);
+    demand.cachedTokens.fetch_add(cached, std::memory_order_relaxed);
+    demand.outputTokens.fetch_add(static_cast<std::uint64_t>(output.mean),
+                                  std::memory_order_relaxed);
+}
+
+Choice Router::State::choose(const ServiceTable &service, const RequestShape &shape,
+                             const OutputLength &output, const std::vector<CacheHolder> &holders,
+                             TimePoint now)
+{
+    ChoiceRandom random(options.seed ^ (choiceCount.fetch_add(1, std::memory_order_relaxed) << 20));
+    const ChoiceOptions choiceOptions{options.choices, service.reservedShare(shape.priority)};
+    return chooseBackends(service.candidates, {shape, output, holders}, choiceOptions, now, random);
+}
+
+Placement Router::State::place(const ServiceTable &service, const RequestShape &shape,
+                               const OutputLength &output, double takenTokens, const Choice &choice,
+                               TimePoint now)
+{
+    const Candidate &backend = service.candidates[choice.backend];
+    DispatchClaim claim{.serviceId = service.declaration.id,
+                        .service = service.state,
+                        .backend = backend.load,
+                        .customer = shape.customer,
+                        .priority = shape.priority,
+                        .promptTokens = shape.promptTokens - choice.cachedTokens,
+                        .outputTokens = static_cast<std::uint32_t>(output.mean),
+                        .takenTokens = takenTokens,
+                        .prefixes = shape.prefixes};
+    Placement placement{.backend = addressOf(backend.view),
+                        .expectedCachedTokens = choice.cachedTokens,
+                        .expectedFirstToken = now + choice.timeToFirstToken};
+    if (choice.prefillBackend) {
+        const Candidate &prefill = service.candidates[*choice.prefillBackend];
+        placement.prefillBackend = addressOf(prefill.view);
+        claim.prefillBackend = prefill.load;
+    }
+    const BackendLoad &caching = claim.prefillBackend ? *claim.prefillBackend : *claim.backend;
+    for (const PromptPrefix &prefix : shape.prefixes)
+        prefixes.store(prefix.hash, caching.number(), prefix.tokens, now);
+    placement.handle = std::make_shared<DispatchRecord>(std::move(claim));
+    if (dispatched != nullptr)
+        dispatched->add();
+    return placement;
+}
+
+std::optional<Decision> Router::State::decide(const ServiceTable &service,
+                                              const RequestShape &shape, const OutputLength &output,
+                                              double takenTokens, TimePoint now)
+{
+    const std::vector<CacheHolder> holders = prefixes.holders(shape.prefixes, now);
+    const Choice choice = choose(service, shape, output, holders, now);
+    switch (choice.outcome) {
+    case ChoiceOutcome::Busy:
+        return std::nullopt;
+    case ChoiceOutcome::NoBackend:
+        return Refusal{RefusalReason::NoBackend, ShortRetryAfter};
+    case ChoiceOutcome::UnknownModel:
+        return Refusal{RefusalReason::UnknownModel, LongRetryAfter};
+    case ChoiceOutcome::Chosen:
+        break;
+    }
+    // A breaker that is half open lets only one request through; the others wait.
+    if (!service.candidates[choice.backend].load->breaker().allow(shape.idempotent, now))
+        return std::nullopt;
+    return place(service, shape, output, takenTokens, choice, now);
+}
+
+std::optional<Refusal> Router::State::tooLate(const ServiceTable &service,
+                                              const WaitingRequest &request,
+                                              const std::vector<CacheHolder> &holders,
+                                              Duration wait, TimePoint now) const
+{
+    if (request.shape.deadline == TimePoint::max())
+        return std::nullopt;
+    const Duration shortest
+        = idleTimeToFinish(service.candidates, {request.shape, request.output, holders});
+    if (now + wait + shortest < request.shape.deadline)
+        return std::nullopt;
+    return Refusal{RefusalReason::DeadlineUnreachable, std::max(wait, ShortRetryAfter)};
+}
+
+void Router::State::giveBack(const CustomerId &customer, double tokens)
+{
+    const std::lock_guard lock(limitsMutex);
+    limits.giveBack(customer, tokens);
+}
+
+void Router::State::refuse(const ServiceTable &service, WaitingRequest request, Refusal refusal,
+                           std::vector<Delivery> &deliveries)
+{
+    if (request.takenTokens > 0)
+        giveBack(request.shape.customer, request.takenTokens);
+    if (forCapacity(refusal.reason))
+        service.state->demand(request.shape.priority).refused.fetch_add(1);
+    if (refused != nullptr)
+        refused->add();
+    deliveries.push_back({std::move(request.onDecision), refusal});
+}
+
+/// Dispatches the first waiting request that finds a place; false when none does.
+bool Router::State::pollOnce(const ServiceTable &service, TimePoint now,
+                             std::vector<Delivery> &deliveries)
+{
+    AdmissionQueue &queue = service.state->queue;
+    for (const WaitNumber number : queue.firstInOrder(TriedPerPoll)) {
+        const WaitingRequest *request = queue.find(number);
+        std::optional<Decision> decision
+            = decide(service, request->shape, request->output, request->takenTokens, now);
+        if (!decision)
+            continue;
+        WaitingRequest taken = *queue.takeForDispatch(number);
+        if (const auto *refusal = std::get_if<Refusal>(&*decision))
+            refuse(service, std::move(taken), *refusal, deliveries);
+        else
+            deliveries.push_back({std::move(taken.onDecision), std::move(*decision)});
+        return true;
+    }
+    return false;
+}
+
+void Router::State::poll(const ServiceTable &service, TimePoint now,
+                         std::vector<Delivery> &deliveries)
+{
+    if (service.state->waiting.load(std::memory_order_acquire) == 0)
+        return;
+    const std::lock_guard lock(service.state->queueMutex);
+    while (pollOnce(service, now, deliveries)) {
+    }
+    service.state->waiting.store(service.state->queue.size(), std::memory_order_release);
+}
+
+void Router::State::pollAll(TimePoint now)
+{
+    std::vector<Delivery> deliveries;
+    {
+        const RcuReadGuard guard;
+        for (const auto &[id, service] : table.read(guard).services)
+            poll(service, now, deliveries);
+    }
+    deliver(std::move(deliveries));
+}
+
+void Router::State::pollService(const ServiceId &id, TimePoint now)
+{
+    std::vector<Delivery> deliveries;
+    {
+        const RcuReadGuard guard;
+        const auto &services = table.read(guard).services;
+        const auto found = services.find(id);
+        if (found != services.end())
+            poll(found->second, now, deliveries);
+    }
+    deliver(std::move(deliveries));
+}
+
+void Router::State::expire(const ServiceTable &service, TimePoint now,
+                           std::vector<Delivery> &deliveries)
+{
+    if (service.state->waiting.load(std::memory_order_acquire) == 0)
+        return;
+    const std::lock_guard lock(service.state->queueMutex);
+    std::vector<WaitingRequest> late
+        = service.state->queue.takeIf([&](const WaitingRequest &request) {
+              const auto holders = prefixes.holders(request.shape.prefixes, now);
+              return tooLate(service, request, holders, Duration::zero(), now).has_value();
+          });
+    for (WaitingRequest &request : late)
+        refuse(service, std::move(request), {RefusalReason::DeadlineUnreachable, ShortRetryAfter},
+               deliveries);
+    service.state->waiting.store(service.state->queue.size(), std::memory_order_release);
+}
+
+void Router::State::settle(const DispatchRecord &record, std::uint32_t emitted)
+{
+    const DispatchClaim &claim = record.claim();
+    if (claim.takenTokens <= 0)
+        return;
+    const std::lock_guard lock(limitsMutex);
+    limits.settle(claim.customer, static_cast<double>(emitted) - claim.outputTokens);
+}
+
+void Router::State::rebuild(TimePoint now)
+{
+    table.publish(builder.build(now));
+}
+
+std::size_t Router::State::waitingCount() const
+{
+    const RcuReadGuard guard;
+    std::size_t count = 0;
+    for (const auto &[id, service] : table.read(guard).services)
+        count += service.state->waiting.load(std::memory_order_relaxed);
+    return count;
+}
+
+DemandSample Router::State::takeDemand(TimePoint now)
+{
+    const Duration::rep before = demandTakenAt.exchange(now.time_since_epoch().count());
+    DemandSample sample{.instance = options.instance,
+                        .span = now.time_since_epoch() - Duration(before)};
+    const RcuReadGuard guard;
+    for (const auto &[id, service] : table.read(guard).services) {
+        std::vector<ServiceDemand> demands = takeServiceDemand(id, *service.state);
+        sample.services.insert(sample.services.end(), demands.begin(), demands.end());
+    }
+    return sample;
+}
+
+} // namespace gentianramp
