--- a/include/gentianramp/config/node_settings.hpp
+++ b/include/gentianramp/config/node_settings.hpp
@@ -43,6 +43,8 @@
     std::uint64_t timelineMaxBytes = 16 * 1024 * 1024;
     std::filesystem::path configurationFile;         ///< Base file to start from before any apply.
     std::vector<std::filesystem::path> overlayFiles; ///< Overlays that go with it.
+    /// Fault injection: see MeshOptions::faultFile. Empty in service.
+    std::filesystem::path faultFile;
     std::string platformListUrl; ///< The platform's list of live and leaving instances, or empty.
     unsigned threads = 2;        ///< Threads that work on requests.
     std::uint32_t maxConnections = 4096; ///< Callers' connections.
--- /dev/null
+++ b/scripts/lib/deployment.py
@@ -0,0 +1,299 @@
+"""Starts a deployment on loopback from generated settings; used by quickstart and measures."""
+
+import dataclasses
+import hashlib
+import json
+import os
+import pathlib
+import shutil
+import signal
+import socket
+import subprocess
+import time
+import urllib.error
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+START_TIMEOUT_S = 20
+STOP_TIMEOUT_S = 15
+
+
+def free_ports(count):
+    """Returns that many TCP ports which were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        return [one.getsockname()[1] for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
+
+
+@dataclasses.dataclass(frozen=True)
+class Backend:
+    """A fake backend server; `arguments` are options of gentianramp-fake-engine."""
+
+    id: str
+    site: str
+    service: str
+    plain: bool = False
+    checks_fencing: bool = False
+    role: str = "mixed"
+    slots: int = 16
+    arguments: tuple = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Node:
+    """A process of the system."""
+
+    instance: str
+    kind: str
+    data_centre: str
+    voter: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Layout:
+    """What runs: nodes, backend servers and the sections of the base file."""
+
+    sites: tuple
+    nodes: tuple
+    backends: tuple
+    base: dict
+
+
+def standard_nodes(sites, entries, controls, voters=3):
+    """Spreads entry and control processes over the sites in turn."""
+    nodes = [Node(f"entry-{n + 1}", "entry", sites[n % len(sites)]) for n in range(entries)]
+    nodes += [Node(f"control-{n + 1}", "control", sites[n % len(sites)], voter=n < voters)
+              for n in range(controls)]
+    return tuple(nodes)
+
+
+def key_sha256(key):
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class Process:
+    """A child process with its log; ended only through its own id."""
+
+    def __init__(self, name, arguments, log):
+        self.name = name
+        self.arguments = arguments
+        self.log = log
+        self.child = None
+
+    def start(self):
+        with open(self.log, "ab") as out:
+            self.child = subprocess.Popen(self.arguments, stdout=out, stderr=out,
+                                          stdin=subprocess.DEVNULL)
+
+    def running(self):
+        return self.child is not None and self.child.poll() is None
+
+    def send(self, number):
+        if self.running():
+            self.child.send_signal(number)
+
+    def kill(self):
+        self.send(signal.SIGKILL)
+        if self.child:
+            self.child.wait()
+
+    def pause(self):
+        self.send(signal.SIGSTOP)
+
+    def resume(self):
+        self.send(signal.SIGCONT)
+
+    def terminate(self, timeout=STOP_TIMEOUT_S):
+        """Asks for a graceful stop; returns the exit code, or None when it had to be killed."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGTERM)
+        if not self.child:
+            return None
+        try:
+            return self.child.wait(timeout)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return None
+
+
+class Deployment:
+    """Processes of a layout, with settings, keys, data and logs in one folder."""
+
+    def __init__(self, layout, folder, binaries=ROOT / "build" / "bin"):
+        self.layout = layout
+        self.folder = pathlib.Path(folder)
+        self.binaries = pathlib.Path(binaries)
+        ports = iter(free_ports(2 * len(layout.nodes) + len(layout.backends)))
+        self.http_ports = {node.instance: next(ports) for node in layout.nodes}
+        self.endpoints = {node.instance: f"tcp://127.0.0.1:{next(ports)}"
+                          for node in layout.nodes}
+        self.backend_ports = {backend.id: next(ports) for backend in layout.backends}
+        self.processes = {}
+        self._prepare()
+
+    # Settings
+
+    def _prepare(self):
+        shutil.rmtree(self.folder, ignore_errors=True)
+        for name in ("nodes", "keys", "declared", "logs", "timeline", "data", "faults"):
+            (self.folder / name).mkdir(parents=True)
+        names = [node.instance for node in self.layout.nodes] + ["operator"]
+        subprocess.run([self.binaries / "gentianctl", "keys", "make", "--dir",
+                        self.folder / "keys", *names], check=True, stdout=subprocess.DEVNULL)
+        shutil.copy(self.folder / "keys" / "operator.pub", self.folder / "operators.txt")
+        self._write("peers.yaml", {"peers": [self._peer(node) for node in self.layout.nodes]})
+        self._write("declared/base.yaml", {"sites": list(self.layout.sites), **self.layout.base})
+        for site in self.layout.sites:
+            self._write(f"declared/{site}.yaml", {
+                "site": site,
+                "backends": [self._backend(one) for one in self.layout.backends
+                             if one.site == site]})
+        for node in self.layout.nodes:
+            self._write(f"nodes/{node.instance}.yaml", self._node(node))
+        self._write("operator.yaml", {
+            "name": "operator", "secret_key_file": "keys/operator.key", "key_folder": "keys",
+            "peers_file": "peers.yaml"})
+
+    def _write(self, name, content):
+        # JSON is YAML too.
+        (self.folder / name).write_text(json.dumps(content, indent=1) + "\n")
+
+    def _peer(self, node):
+        peer = {"instance": node.instance, "data_centre": node.data_centre, "kind": node.kind,
+                "endpoint": self.endpoints[node.instance]}
+        return {**peer, "voter": True} if node.voter else peer
+
+    def _backend(self, backend):
+        return {"id": backend.id, "service": backend.service, "host": "127.0.0.1",
+                "port": self.backend_ports[backend.id], "role": backend.role,
+                "slots": backend.slots, "checks_fencing": backend.checks_fencing}
+
+    def _node(self, node):
+        settings = {
+            "instance": node.instance, "data_centre": node.data_centre, "kind": node.kind,
+            "http_port": self.http_ports[node.instance],
+            "endpoint": self.endpoints[node.instance], "key_folder": "../keys",
+            "operator_keys_file": "../operators.txt", "peers_file": "../peers.yaml",
+            "timeline_file": f"../timeline/{node.instance}.jsonl",
+            "fault_file": f"../faults/{node.instance}",
+            "configuration_file": "../declared/base.yaml",
+            "overlay_files": [f"../declared/{site}.yaml" for site in self.layout.sites]}
+        if node.voter:
+            settings.update(voter=True, data_folder=f"../data/{node.instance}")
+        return settings
+
+    # Processes
+
+    def node_process(self, instance):
+        if instance not in self.processes:
+            node = next(one for one in self.layout.nodes if one.instance == instance)
+            program = self.binaries / f"gentianramp-{node.kind}"
+            self.processes[instance] = Process(
+                instance,
+                [str(program), "--config", str(self.folder / "nodes" / f"{instance}.yaml")],
+                self.folder / "logs" / f"{instance}.log")
+        return self.processes[instance]
+
+    def backend_process(self, backend_id):
+        if backend_id not in self.processes:
+            backend = next(one for one in self.layout.backends if one.id == backend_id)
+            arguments = [str(self.binaries / "gentianramp-fake-engine"), "--id", backend.id,
+                         "--port", str(self.backend_ports[backend.id]), "--role", backend.role,
+                         "--slots", str(backend.slots), "--kind",
+                         "service" if backend.plain else "engine", *backend.arguments]
+            if backend.checks_fencing:
+                arguments.append("--checks-fencing")
+            self.processes[backend_id] = Process(backend_id, arguments,
+                                                 self.folder / "logs" / f"{backend_id}.log")
+        return self.processes[backend_id]
+
+    def start(self, kinds=("backend", "control", "entry")):
+        """Starts processes of these kinds and waits until all answer."""
+        if "backend" in kinds:
+            for backend in self.layout.backends:
+                self.backend_process(backend.id).start()
+        for kind in ("control", "entry"):
+            for node in self.layout.nodes:
+                if kind in kinds and node.kind == kind:
+                    self.node_process(node.instance).start()
+        for name in self.processes:
+            self.wait_ready(name)
+
+    def wait_ready(self, name, timeout=START_TIMEOUT_S):
+        port = self.http_ports.get(name) or self.backend_ports[name]
+        path = "/readyz" if name in self.http_ports else "/engine/state"
+        deadline = time.monotonic() + timeout
+        while time.monotonic() < deadline:
+            if not self.processes[name].running():
+                raise RuntimeError(f"{name} ended; see {self.processes[name].log}")
+            if self.get(port, path, timeout=1) is not None:
+                return
+            time.sleep(0.05)
+        raise RuntimeError(f"{name} is not ready after {timeout} s; see {self.processes[name].log}")
+
+    def stop(self):
+        """Stops everything gracefully, entries first; returns names that had to be killed."""
+        killed = []
+        order = {"entry": 0, "control": 1}
+        kinds = {node.instance: order[node.kind] for node in self.layout.nodes}
+        for name in sorted(self.processes, key=lambda one: kinds.get(one, 2)):
+            process = self.processes[name]
+            if process.running() and process.terminate() is None:
+                killed.append(name)
+        return killed
+
+    # Faults
+
+    def block(self, instance, others):
+        """Drops all traffic of `instance` with these processes; an empty list ends it."""
+        target = self.folder / "faults" / instance
+        scratch = target.with_suffix(".new")
+        scratch.write_text("".join(f"{one}\n" for one in others))
+        os.replace(scratch, target)
+
+    def cut_off(self, site, on=True):
+        """Separates a data centre from all others, or heals it."""
+        inside = [node.instance for node in self.layout.nodes if node.data_centre == site]
+        outside = [node.instance for node in self.layout.nodes if node.data_centre != site]
+        for one in inside:
+            self.block(one, outside if on else [])
+        for one in outside:
+            self.block(one, inside if on else [])
+
+    def fault(self, backend_id, kind, **fields):
+        """Brings about a failure at a fake backend server."""
+        return self.post(self.backend_ports[backend_id], "/engine/fault",
+                         {"kind": kind, **fields})
+
+    # HTTP
+
+    @staticmethod
+    def get(port, path, timeout=5):
+        """Body of the answer, or None when there is none or it is an error."""
+        try:
+            with urllib.request.urlopen(f"http://127.0.0.1:{port}{path}",
+                                        timeout=timeout) as answer:
+                return answer.read().decode()
+        except (OSError, urllib.error.URLError):
+            return None
+
+    @staticmethod
+    def post(port, path, body, headers=None, timeout=5):
+        request = urllib.request.Request(f"http://127.0.0.1:{port}{path}",
+                                         json.dumps(body).encode(), headers or {})
+        try:
+            with urllib.request.urlopen(request, timeout=timeout) as answer:
+                return answer.read().decode()
+        except (OSError, urllib.error.URLError):
+            return None
+
+    def ctl(self, *arguments, timeout=30):
+        """Runs gentianctl as the operator; returns the finished process."""
+        return subprocess.run([self.binaries / "gentianctl", "--config",
+                               self.folder / "operator.yaml", *arguments], timeout=timeout,
+                              capture_output=True, text=True, check=False)
--- a/src/gentianramp/config/configuration_rules.cpp
+++ b/src/gentianramp/config/configuration_rules.cpp
@@ -24,8 +24,8 @@
     void add(const Located<T> &place, const std::string &field, const std::string &value)
     {
         if (!m_seen.insert(value).second)
-            m_errors.push_back(
-                place.problem(field, "expected a unique " + m_what + ", found '" + value + "' twice"));
+            m_errors.push_back(place.problem(
+                field, "expected a unique " + m_what + ", found '" + value + "' twice"));
     }
 
 private:
@@ -117,8 +117,7 @@
         reserved += each.value.reservedShare;
         if (reserved > HighestReservedSum)
             errors.push_back(each.problem("reserved_share",
-                                          "expected at most "
-                                              + formatNumber(HighestReservedSum)
+                                          "expected at most " + formatNumber(HighestReservedSum)
                                               + " over all classes, found "
                                               + formatNumber(reserved)));
     }
@@ -157,15 +156,14 @@
 {
     names.models.require(service, "model", service.value.model.value());
     if (!service.value.pathPrefix.empty())
-        errors.push_back(
-            service.problem("path_prefix", "expected only on services of kind plain"));
+        errors.push_back(service.problem("path_prefix", "expected only on services of kind plain"));
     if (!service.value.idempotentPaths.empty())
         errors.push_back(
             service.problem("idempotent_paths", "expected only on services of kind plain"));
     if (service.value.firstTokenTarget > service.value.timeout)
-        errors.push_back(
-            service.problem("first_token_target", "expected at most the timeout, found "
-                                + formatDuration(service.value.firstTokenTarget)));
+        errors.push_back(service.problem("first_token_target",
+                                         "expected at most the timeout, found "
+                                             + formatDuration(service.value.firstTokenTarget)));
 }
 
 void checkPathPrefix(const Located<ServiceDeclaration> &service, SettingsErrors &errors)
@@ -178,8 +176,7 @@
     else if (isReservedPath(prefix))
         errors.push_back(service.problem(
             "path_prefix",
-            "expected a path outside /v1, /healthz, /readyz and /metrics, found '" + prefix
-                + "'"));
+            "expected a path outside /v1, /healthz, /readyz and /metrics, found '" + prefix + "'"));
 }
 
 void checkIdempotentPaths(const Located<ServiceDeclaration> &service, SettingsErrors &errors)
@@ -329,8 +326,8 @@
     located.siteModels = keyed(configuration.siteModels, "site_models");
     located.planner.value = configuration.planner;
     located.planner.key = "planner";
-    located.general.value = {configuration.weightStoreBytesPerSecond,
-                             configuration.idempotencyLifetime};
+    located.general.value
+        = {configuration.weightStoreBytesPerSecond, configuration.idempotencyLifetime};
     return located;
 }
 
--- a/src/gentianramp/config/declared_configuration.cpp
+++ b/src/gentianramp/config/declared_configuration.cpp
@@ -8,8 +8,7 @@
 
 bool liesBelow(std::string_view path, std::string_view prefix)
 {
-    return path.starts_with(prefix)
-        && (path.size() == prefix.size() || path[prefix.size()] == '/');
+    return path.starts_with(prefix) && (path.size() == prefix.size() || path[prefix.size()] == '/');
 }
 
 } // namespace
--- a/src/gentianramp/config/declared_configuration_file.cpp
+++ b/src/gentianramp/config/declared_configuration_file.cpp
@@ -60,9 +60,8 @@
     const ReadContext context{file, &errors};
     Located<T> content;
     content.file = file;
-    readYamlFile(context, [&](const YAML::Node &root) {
-        content = readMapping(root, table, "", context);
-    });
+    readYamlFile(context,
+                 [&](const YAML::Node &root) { content = readMapping(root, table, "", context); });
     return content;
 }
 
@@ -124,8 +123,9 @@
         if (!baseIsReadable || errors.size() != before)
             continue;
         if (!seen.insert(overlay.value.site).second)
-            errors.push_back(overlay.problem("site", "expected one overlay for each site, found a "
-                                                     "second one for '"
+            errors.push_back(overlay.problem("site",
+                                             "expected one overlay for each site, found a "
+                                             "second one for '"
                                                  + overlay.value.site.value() + "'"));
         takeOverlay(overlay, merged, errors);
     }
--- a/src/gentianramp/config/field_table.hpp
+++ b/src/gentianramp/config/field_table.hpp
@@ -73,9 +73,9 @@
 
 /// A key of T whose value, a member of T or of a base of T, is parsed by ValueCodec<V>.
 template <typename T, typename Owner, typename V>
-    requires std::derived_from<T, Owner>
-Field<T> fieldOf(const std::string &key, V Owner::*member, Need need = Need::Optional,
-                 RangeCheck<V> check = {})
+requires std::derived_from<T, Owner> Field<T> fieldOf(const std::string &key, V Owner::*member,
+                                                      Need need = Need::Optional,
+                                                      RangeCheck<V> check = {})
 {
     Field<T> entry;
     entry.key = key;
@@ -98,7 +98,8 @@
 
 /// A key of T whose value is parsed by ValueCodec<V> and checked by @p check.
 template <typename T, typename V>
-Field<T> field(const std::string &key, V T::*member, Need need = Need::Optional, RangeCheck<V> check = {})
+Field<T> field(const std::string &key, V T::*member, Need need = Need::Optional,
+               RangeCheck<V> check = {})
 {
     return fieldOf<T>(key, member, need, std::move(check));
 }
@@ -166,8 +167,8 @@
 
 /// A key that holds a list of mappings read by @p table.
 template <typename T, typename V>
-Field<T> listField(const std::string &key, std::vector<Located<V>> T::*member, const FieldTable<V> &table,
-                   Need need = Need::Optional)
+Field<T> listField(const std::string &key, std::vector<Located<V>> T::*member,
+                   const FieldTable<V> &table, Need need = Need::Optional)
 {
     Field<T> entry;
     entry.key = key;
--- a/src/gentianramp/config/key_files.cpp
+++ b/src/gentianramp/config/key_files.cpp
@@ -52,8 +52,8 @@
     const int handle = ::open(file.c_str(), O_WRONLY | O_CREAT | O_EXCL | O_CLOEXEC, mode);
     if (handle < 0)
         return false;
-    const bool written = ::write(handle, text.data(), text.size())
-        == static_cast<ssize_t>(text.size());
+    const bool written
+        = ::write(handle, text.data(), text.size()) == static_cast<ssize_t>(text.size());
     const bool synced = ::fsync(handle) == 0;
     return ::close(handle) == 0 && written && synced;
 }
@@ -103,8 +103,7 @@
     std::error_code failure;
     std::filesystem::create_directories(folder, failure);
     if (failure)
-        return {Error::StorageFailed,
-                "cannot make " + folder.string() + ": " + failure.message()};
+        return {Error::StorageFailed, "cannot make " + folder.string() + ": " + failure.message()};
     const std::filesystem::path secretFile = folder / (name + ".key");
     const std::filesystem::path publicFile = folder / (name + ".pub");
     if (!writeNewFile(secretFile, keys.publicKey + "\n" + keys.secretKey + "\n", SecretMode))
--- a/src/gentianramp/config/model_fields.cpp
+++ b/src/gentianramp/config/model_fields.cpp
@@ -24,7 +24,8 @@
 {
     static const FieldTable<ModelDeclaration> table{
         field("id", &ModelDeclaration::id, Need::Required, RangeCheck<ModelId>(modelNameCheck)),
-        field("version", &ModelDeclaration::version, Need::Required, RangeCheck<std::string>(nameCheck<std::string>)),
+        field("version", &ModelDeclaration::version, Need::Required,
+              RangeCheck<std::string>(nameCheck<std::string>)),
         field("adapters", &ModelDeclaration::adapters, Need::Optional,
               RangeCheck<std::vector<std::string>>(adaptersCheck)),
         field("weight_bytes", &ModelDeclaration::weightBytes),
@@ -37,7 +38,8 @@
     static const FieldTable<SiteModelDeclaration> table{
         field("model", &SiteModelDeclaration::model, Need::Required,
               RangeCheck<ModelId>(modelNameCheck)),
-        field("version", &SiteModelDeclaration::version, Need::Required, RangeCheck<std::string>(nameCheck<std::string>)),
+        field("version", &SiteModelDeclaration::version, Need::Required,
+              RangeCheck<std::string>(nameCheck<std::string>)),
         field("adapters", &SiteModelDeclaration::adapters, Need::Optional,
               RangeCheck<std::vector<std::string>>(adaptersCheck)),
     };
--- a/src/gentianramp/config/node_settings_file.cpp
+++ b/src/gentianramp/config/node_settings_file.cpp
@@ -46,6 +46,7 @@
                           between(SmallestTimelineBytes, LargestTimelineBytes)),
         fieldOf<NodeFile>("configuration_file", &Node::configurationFile),
         fieldOf<NodeFile>("overlay_files", &Node::overlayFiles),
+        fieldOf<NodeFile>("fault_file", &Node::faultFile),
         fieldOf<NodeFile>("platform_list_url", &Node::platformListUrl),
         fieldOf<NodeFile>("threads", &Node::threads, Need::Optional, between(1U, MostThreads)),
         fieldOf<NodeFile>("max_connections", &Node::maxConnections, Need::Optional,
@@ -66,6 +67,7 @@
     node.dataFolder = besideFile(file, node.dataFolder);
     node.timelineFile = besideFile(file, node.timelineFile);
     node.configurationFile = besideFile(file, node.configurationFile);
+    node.faultFile = besideFile(file, node.faultFile);
     node.peersFile = besideFile(file, node.peersFile);
     for (std::filesystem::path &overlay : node.overlayFiles)
         overlay = besideFile(file, overlay);
@@ -77,14 +79,14 @@
 void checkOwnEntry(const Located<NodeFile> &node, const Located<PeerEntry> &entry,
                    SettingsErrors &errors)
 {
-    const auto require = [&](const std::string &key, const std::string &here,
-                             const std::string &there) {
-        if (here != there)
-            errors.push_back(node.problem(key, "expected '" + there + "' as in "
-                                              + entry.file.string() + ":"
-                                              + std::to_string(entry.line) + ", found '" + here
-                                              + "'"));
-    };
+    const auto require
+        = [&](const std::string &key, const std::string &here, const std::string &there) {
+              if (here != there)
+                  errors.push_back(
+                      node.problem(key,
+                                   "expected '" + there + "' as in " + entry.file.string() + ":"
+                                       + std::to_string(entry.line) + ", found '" + here + "'"));
+          };
     const NodeFile &own = node.value;
     require("data_centre", own.dataCentre.value(), entry.value.dataCentre.value());
     require("kind", ValueCodec<ProcessKind>::show(own.kind),
@@ -99,14 +101,16 @@
     if (own.voter && own.kind != ProcessKind::Control)
         errors.push_back(node.problem("voter", "expected true only on control processes"));
     if (own.voter && own.dataFolder.empty())
-        errors.push_back(node.problem("data_folder", "key is missing, expected a folder on a disk "
-                                                     "because voter is true"));
+        errors.push_back(node.problem("data_folder",
+                                      "key is missing, expected a folder on a disk "
+                                      "because voter is true"));
     std::size_t voters = own.voter ? 1 : 0;
     for (const PeerSettings &peer : own.peers)
         voters += peer.voter && peer.kind == ProcessKind::Control ? 1 : 0;
     if (voters != 0 && (voters % 2 == 0 || voters > MostVoters))
-        errors.push_back(node.problem("voter", "expected 1, 3, 5 or 7 voters over all processes, "
-                                               "found "
+        errors.push_back(node.problem("voter",
+                                      "expected 1, 3, 5 or 7 voters over all processes, "
+                                      "found "
                                           + std::to_string(voters)));
 }
 
--- a/src/gentianramp/config/node_settings_test.cpp
+++ b/src/gentianramp/config/node_settings_test.cpp
@@ -78,13 +78,14 @@
 
 Test(NodeSettings, RefusesWhatDoesNotFitTogether)
 {
-    cr_assert(contains(onlyError(replaced(ValidNode, "data_folder: data/control-1\n", ""),
-                                 ValidPeers),
-                       "data_folder: key is missing"));
-    cr_assert(contains(onlyError(replaced(ValidNode, "north", "south"), ValidPeers),
-                       "expected 'north'"));
-    cr_assert(contains(onlyError(ValidNode, replaced(ValidPeers, ":7002\"}", ":7002\", voter: true}")),
-                       "only on control processes"));
+    cr_assert(
+        contains(onlyError(replaced(ValidNode, "data_folder: data/control-1\n", ""), ValidPeers),
+                 "data_folder: key is missing"));
+    cr_assert(
+        contains(onlyError(replaced(ValidNode, "north", "south"), ValidPeers), "expected 'north'"));
+    cr_assert(
+        contains(onlyError(ValidNode, replaced(ValidPeers, ":7002\"}", ":7002\", voter: true}")),
+                 "only on control processes"));
     cr_assert(contains(onlyError(replaced(ValidNode, "tcp://", "udp://"), ValidPeers),
                        "tcp://127.0.0.1:7001"));
 }
--- a/src/gentianramp/config/peer_fields.cpp
+++ b/src/gentianramp/config/peer_fields.cpp
@@ -123,11 +123,12 @@
     for (const Located<PeerEntry> &entry : entries) {
         PeerSettings peer = entry.value;
         if (!instances.insert(peer.instance.value()).second)
-            errors.push_back(entry.problem("instance", "expected a unique instance, found '"
+            errors.push_back(entry.problem("instance",
+                                           "expected a unique instance, found '"
                                                + peer.instance.value() + "' twice"));
         if (!endpoints.insert(peer.endpoint).second)
-            errors.push_back(entry.problem("endpoint", "expected a unique endpoint, found '"
-                                               + peer.endpoint + "' twice"));
+            errors.push_back(entry.problem(
+                "endpoint", "expected a unique endpoint, found '" + peer.endpoint + "' twice"));
         if (peer.voter && peer.kind != ProcessKind::Control)
             errors.push_back(entry.problem("voter", "expected true only on control processes"));
         if (keyFiles == KeyFiles::Read)
--- a/src/gentianramp/config/priority_class_fields.cpp
+++ b/src/gentianramp/config/priority_class_fields.cpp
@@ -12,7 +12,8 @@
 const FieldTable<PriorityClass> &priorityClassFields()
 {
     static const FieldTable<PriorityClass> table{
-        field("name", &PriorityClass::name, Need::Required, RangeCheck<std::string>(nameCheck<std::string>)),
+        field("name", &PriorityClass::name, Need::Required,
+              RangeCheck<std::string>(nameCheck<std::string>)),
         field("level", &PriorityClass::level, Need::Required, between(0U, HighestLevel)),
         field("reserved_share", &PriorityClass::reservedShare, Need::Optional,
               between(0.0, HighestReservedShare)),
--- a/src/gentianramp/config/value_codec.cpp
+++ b/src/gentianramp/config/value_codec.cpp
@@ -13,9 +13,12 @@
 };
 
 constexpr std::array DurationUnits{
-    DurationUnit{"h", 3'600'000'000'000}, DurationUnit{"m", 60'000'000'000},
-    DurationUnit{"s", 1'000'000'000},     DurationUnit{"ms", 1'000'000},
-    DurationUnit{"us", 1'000},            DurationUnit{"ns", 1},
+    DurationUnit{"h", 3'600'000'000'000},
+    DurationUnit{"m", 60'000'000'000},
+    DurationUnit{"s", 1'000'000'000},
+    DurationUnit{"ms", 1'000'000},
+    DurationUnit{"us", 1'000},
+    DurationUnit{"ns", 1},
 };
 
 } // namespace
--- a/src/gentianramp/config/value_codec.hpp
+++ b/src/gentianramp/config/value_codec.hpp
@@ -174,7 +174,7 @@
 };
 
 template <typename E>
-    requires std::is_enum_v<E>
+requires std::is_enum_v<E>
 struct ValueCodec<E>
 {
     static std::string expected()
