Claim idempotency keys by agreement of three replicas

Cause: a repeat may reach any instance while the first attempt runs, after its instance died, or through another data centre; at most one may be dispatched. Change: KeyReplica (acceptor in memory), ClaimRound (prepare and accept over all groups), KeyService (claims, waiting, settlement, learning after a restart). A restarted replica learns from all other members before it takes part, and a proposal that rests on a life that is over is refused.

--- a/include/gentianramp/idempotency/key_service.hpp
+++ b/include/gentianramp/idempotency/key_service.hpp
@@ -22,11 +22,13 @@
     std::vector<PlacedInstance> instances; ///< All entry instances, this one too.
     /// Instances before the last change; groups of both lists are needed for one key lifetime.
     std::vector<PlacedInstance> previousInstances;
-    std::vector<DataCentreId> sites; ///< Data centres that own keys.
-    Duration lifetime = std::chrono::minutes(10);
+    std::vector<DataCentreId> sites;              ///< Data centres that own keys.
+    Duration lifetime = std::chrono::minutes(10); ///< From a key's first claim to its last repeat.
+    Duration longestWait = std::chrono::seconds(60);   ///< Bounds the deadline of a claim.
     Duration dispatchWindow = std::chrono::seconds(5); ///< From the grant's request to first byte.
     Duration roundTimeout = std::chrono::milliseconds(150); ///< One exchange with the replicas.
     Duration pollInterval = std::chrono::milliseconds(200); ///< While another attempt runs.
+    Duration unavailableAfter = std::chrono::seconds(2);    ///< Without an answer of a quorum.
     Duration settleTimeout = std::chrono::seconds(60);      ///< Longest retry of an outcome.
     std::size_t maxKeys = 200'000;                          ///< Keys kept by this replica.
     std::size_t maxAnswerBytes = 64 * 1024;                 ///< Largest answer kept for repeats.
@@ -86,7 +88,7 @@
     /// Replaces the instances; the list in force until now stays needed for one key lifetime.
     void setInstances(std::vector<PlacedInstance> instances, TimePoint now);
 
-    KeyServiceStatistics statistics() const;
+    KeyServiceStatistics statistics(TimePoint now) const;
 
 private:
     struct State;
--- /dev/null
+++ b/src/gentianramp/idempotency/claim_round.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <gentianramp/idempotency/key_groups.hpp>
+#include <gentianramp/idempotency/messages.hpp>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace gentianramp {
+
+/// One proposal for a key under one ballot: a prepare exchange, then an accept exchange.
+class ClaimRound
+{
+public:
+    ClaimRound(KeyScope scope, ReplicaGroups groups, KeyBallot ballot);
+
+    const std::set<InstanceId> &members() const { return m_groups.members(); }
+    const KeyBallot &ballot() const { return m_ballot; }
+    KeyPrepare prepare() const;
+
+    void onPromise(const InstanceId &sender, const KeyPromise &promise);
+    /// A quorum promised the ballot.
+    bool isPromised() const;
+    /// A quorum has no room for the key and therefore knows nothing of it.
+    bool isOverloaded() const;
+    /// The newest record that the quorum knows; empty when there is none.
+    std::optional<ClaimRecord> record() const;
+
+    /// Starts the accept exchange.
+    KeyAccept propose(ClaimRecord record);
+    bool isProposed() const { return m_proposal.has_value(); }
+    const std::optional<ClaimRecord> &proposal() const { return m_proposal; }
+    void onAccepted(const InstanceId &sender, const KeyAccepted &accepted);
+    /// A quorum keeps the proposed record.
+    bool isChosen() const;
+
+    /// Highest ballot that overtook this one; round 0 when none did.
+    const KeyBallot &overtakenBy() const { return m_overtakenBy; }
+
+private:
+    bool isOutdated(const InstanceId &member, Incarnation incarnation) const;
+
+    KeyScope m_scope;
+    ReplicaGroups m_groups;
+    KeyBallot m_ballot;
+    std::map<InstanceId, KeyPromise> m_promises;
+    std::map<InstanceId, KeyAccepted> m_acceptances;
+    std::set<InstanceId> m_overloaded;
+    std::optional<ClaimRecord> m_proposal;
+    KeyBallot m_overtakenBy;
+};
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/idempotency/codec_test.cpp
@@ -0,0 +1,77 @@
+#include <gentianramp/idempotency/codec.hpp>
+#include <gentianramp/idempotency/key_time.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+
+namespace {
+
+const KeyScope Scope{CustomerId("c"), ServiceId("bay"), IdempotencyKey("hliny/1")};
+const KeyBallot Ballot{7, InstanceId("e1"), Incarnation(3)};
+const ClaimRecord Record{{InstanceId("e1"), Incarnation(3), 9},
+                         2,
+                         "digest",
+                         ClaimState::Complete,
+                         {200, "text/plain", std::string("a\0b", 3), false}};
+
+std::vector<KeyMessage> oneOfEach()
+{
+    const MemberLives lives{{InstanceId("e2"), Incarnation(4)}};
+    return {KeyPrepare{Scope, Ballot},
+            KeyPromise{Scope, Ballot, KeyReply::Ok, Incarnation(4), {}, Ballot, Record},
+            KeyPromise{Scope, Ballot, KeyReply::Overtaken, Incarnation(4), Ballot, {}, {}},
+            KeyAccept{Scope, Ballot, Record, lives},
+            KeyAccepted{Scope, Ballot, KeyReply::Overloaded, Incarnation(4), {}, lives},
+            KeyLearnRequest{Incarnation(5), std::nullopt},
+            KeyLearnRequest{Incarnation(5), Scope},
+            KeyLearnPage{Incarnation(5),
+                         Incarnation(6),
+                         Scope,
+                         {{Scope, Ballot, Ballot, Record}, {Scope, Ballot, {}, std::nullopt}},
+                         true,
+                         {InstanceId("e3")}},
+            KeyClaimantQuery{5, Record.claim},
+            KeyClaimantAnswer{5, Record.claim, true}};
+}
+
+} // namespace
+
+Test(KeyCodec, EveryMessageSurvives)
+{
+    for (const KeyMessage &message : oneOfEach()) {
+        const auto decoded = decodeKeyMessage(encodeKeyMessage(message));
+        cr_assert(static_cast<bool>(decoded), "kind %zu", message.index());
+        cr_assert(*decoded == message, "kind %zu", message.index());
+    }
+}
+
+Test(KeyCodec, MangledMessagesAreRefusedOrRead)
+{
+    std::mt19937_64 random(1);
+    int refused = 0;
+    for (int run = 0; run < 5000; ++run) {
+        const auto messages = oneOfEach();
+        std::string bytes = encodeKeyMessage(messages[random() % messages.size()]);
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+        bytes.resize(random() % (bytes.size() + 1));
+        if (!decodeKeyMessage(bytes))
+            ++refused;
+    }
+    cr_assert_gt(refused, 0);
+    cr_assert_not(static_cast<bool>(decodeKeyMessage("")));
+}
+
+Test(KeyTime, ReadsOnlyUuidVersion7)
+{
+    cr_assert_eq(keyTimeMs(IdempotencyKey("017f22e2-79b0-7cc3-98c4-dc0c0c07398f")), 1645557742000);
+    cr_assert_eq(keyTimeMs(IdempotencyKey("a/017F22E2-79b0-7cc3-98c4-dc0c0c07398f")),
+                 1645557742000);
+    cr_assert_not(keyTimeMs(IdempotencyKey("017f22e2-79b0-4cc3-98c4-dc0c0c07398f")));
+    cr_assert_not(keyTimeMs(IdempotencyKey("017f22e2-79b0-7cc3-98c4-dc0c0c07398")));
+    cr_assert_not(keyTimeMs(IdempotencyKey("017f22e2x79b0-7cc3-98c4-dc0c0c07398f")));
+    cr_assert_not(keyTimeMs(IdempotencyKey("")));
+}
--- /dev/null
+++ b/src/gentianramp/idempotency/key_replica.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <gentianramp/core/clock.hpp>
+#include <gentianramp/idempotency/key_groups.hpp>
+#include <gentianramp/idempotency/messages.hpp>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace gentianramp {
+
+/// Options of a KeyReplica.
+struct KeyReplicaOptions
+{
+    InstanceId self;
+    Incarnation incarnation;
+    Duration retention; ///< How long a key is kept after its last change.
+    std::size_t maxKeys = 0;
+    std::size_t maxStoredBytes = 0;
+    std::int64_t startWallMs = 0;
+    Duration clockSkew{};
+    bool startsEmpty = false;
+};
+
+/// One instance's memory of the claims; an acceptor of the agreement on each key.
+///
+/// The memory is lost at a restart. A restarted replica takes no part in a key until it has
+/// learned from all other members of the key's groups or the retention has passed since its start.
+class KeyReplica
+{
+public:
+    /// @p groups must outlive the replica.
+    KeyReplica(KeyReplicaOptions options, const KeyGroups &groups, TimePoint now);
+
+    KeyPromise onPrepare(const KeyPrepare &prepare, TimePoint now);
+    KeyAccepted onAccept(const KeyAccept &accept, TimePoint now);
+    KeyLearnPage onLearnRequest(const InstanceId &sender, const KeyLearnRequest &request,
+                                TimePoint now);
+    /// Takes in a page; returns the request for the next one unless this was the last.
+    std::optional<KeyLearnRequest> onLearnPage(const InstanceId &sender, const KeyLearnPage &page,
+                                               TimePoint now);
+
+    /// Instances that have to be asked for a page now, with the request for each.
+    std::map<InstanceId, KeyLearnRequest> dueLearnRequests(TimePoint now);
+    /// Forgets keys whose time is over, a bounded number at each call.
+    void forgetExpired(TimePoint now);
+
+    /// Whether this replica vouches for @p scope.
+    bool isReady(const KeyScope &scope, TimePoint now) const;
+    bool isLearning(TimePoint now) const;
+
+    std::size_t keyCount() const { return m_entries.size(); }
+    std::size_t storedBytes() const { return m_storedBytes; }
+    std::uint64_t droppedAnswers() const { return m_droppedAnswers; }
+    std::uint64_t overloadedKeys() const { return m_overloadedKeys; }
+
+private:
+    struct Entry
+    {
+        KeyBallot promised;
+        KeyBallot accepted;
+        std::optional<ClaimRecord> record;
+        TimePoint forgetAt;
+    };
+    /// How far this replica got in learning from one other.
+    struct Source
+    {
+        std::optional<KeyScope> after;
+        Incarnation incarnation;
+        bool learned = false;
+        std::set<InstanceId> missing;     ///< Over the last whole pass.
+        std::set<InstanceId> passMissing; ///< Over the pass that is under way.
+        TimePoint askAt;
+    };
+
+    bool isFresh(const KeyScope &scope) const;
+    Entry *entry(const KeyScope &scope, TimePoint now);
+    bool restsOnOldLife(const MemberLives &quorum) const;
+    MemberLives knownLives(const KeyScope &scope) const;
+    void noteLife(const InstanceId &instance, Incarnation incarnation);
+    void keep(Entry &entry, const KeyBallot &ballot, ClaimRecord record, TimePoint now);
+    void merge(const KeyLearnEntry &learned, TimePoint now);
+    std::set<InstanceId> missingSources(TimePoint now) const;
+
+    KeyReplicaOptions m_options;
+    const KeyGroups &m_groups;
+    TimePoint m_readyAt;
+    std::map<KeyScope, Entry> m_entries;
+    std::map<InstanceId, Source> m_sources;
+    MemberLives m_lives;
+    std::optional<KeyScope> m_sweepAfter;
+    std::size_t m_storedBytes = 0;
+    std::uint64_t m_droppedAnswers = 0;
+    std::uint64_t m_overloadedKeys = 0;
+};
+
+} // namespace gentianramp
--- a/src/gentianramp/membership/placement_test.cpp
+++ b/src/gentianramp/membership/placement_test.cpp
@@ -65,15 +65,15 @@
 {
     const auto instances = placed({{"a", 6}});
     std::map<InstanceId, int> load;
-    constexpr int Keys = 6000;
-    for (int number = 0; number < Keys; ++number) {
+    constexpr int keys = 6000;
+    for (int number = 0; number < keys; ++number) {
         for (const InstanceId &member :
              replicaGroup(std::to_string(number), DataCentreId("a"), instances))
             ++load[member];
     }
     for (const auto &[member, count] : load) {
-        cr_assert_geq(count, Keys / 2 * 9 / 10);
-        cr_assert_leq(count, Keys / 2 * 11 / 10);
+        cr_assert_geq(count, keys / 2 * 9 / 10);
+        cr_assert_leq(count, keys / 2 * 11 / 10);
     }
 }
 
