--- a/src/gentianramp/idempotency/key_service_test.cpp
+++ b/src/gentianramp/idempotency/key_service_test.cpp
@@ -211,3 +211,11 @@
     bench.deployment.crash(InstanceId("a3"));
     cr_assert_eq(bench.claim("b1", bench.request("a/2")).status, ClaimStatus::Unavailable);
 }
+
+Test(KeyService, TicketEndsWithItsDispatchWindow)
+{
+    Bench bench;
+    const ClaimResult first = bench.claim("a1", bench.request("a/1"));
+    cr_assert(first.ticket.mayDispatch(bench.deployment.now()));
+    cr_assert_not(first.ticket.mayDispatch(bench.deployment.now() + 5s));
+}
