--- a/include/gentianramp/http/client.hpp
+++ b/include/gentianramp/http/client.hpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <functional>
 #include <gentianramp/core/clock.hpp>
 #include <gentianramp/core/error.hpp>
 #include <gentianramp/http/message.hpp>
@@ -30,6 +31,8 @@
     /// Never take a pooled connection; needed for requests that must not be repeated, since a
     /// pooled connection may be half dead.
     bool freshConnection = false;
+    /// Asked directly before the first byte is sent; false ends with Error::ConnectionRefused.
+    std::function<bool()> mayStart;
 };
 
 /// One request and its answer; used on the executor of the coroutine that opens it.
@@ -52,6 +55,8 @@
     virtual boost::asio::awaitable<Result<std::string>> readAll() = 0;
     /// True when the whole body was read.
     virtual bool complete() const = 0;
+    /// Changes the bound on silence for the calls that follow.
+    virtual void setSilenceTimeout(Duration timeout) = 0;
     /// Closes the connection; pending calls return Error::Cancelled.
     virtual void cancel() = 0;
     /// True once bytes of the request may have left.
--- /dev/null
+++ b/src/gentianramp/entry/deduplicate.cpp
@@ -0,0 +1,101 @@
+#include "deduplicate.hpp"
+
+#include "digest.hpp"
+
+#include <algorithm>
+
+namespace gentianramp {
+
+namespace {
+
+constexpr Duration RepeatLaterDelay = std::chrono::seconds(1);
+/// Time that the way back to the caller takes; a wait for another attempt ends this much earlier.
+constexpr Duration AnswerMargin = std::chrono::milliseconds(50);
+
+ClaimRequest claimRequestFor(const IdentifiedRequest &request)
+{
+    const CallerRequest &caller = request.caller;
+    ClaimRequest claim;
+    claim.scope = {request.customer, request.service->id, caller.key};
+    claim.fingerprint = sha256Hex({caller.method, " ", caller.target, "\n", caller.body});
+    claim.firstAttempt = caller.firstAttempt;
+    claim.wallMs = wallClockMs();
+    claim.deadline = request.deadline - AnswerMargin;
+    return claim;
+}
+
+Exit refusalFor(const ClaimResult &result)
+{
+    const std::string reason = "key_" + std::string(toString(result.status));
+    switch (result.status) {
+    case ClaimStatus::Conflict:
+        return {422, result.verdict, reason, "the key was used for another request", {}};
+    case ClaimStatus::InProgress:
+        return {409, result.verdict, reason, "another attempt is running", RepeatLaterDelay};
+    case ClaimStatus::MayHaveRun:
+        return {409, result.verdict, reason, "an earlier attempt may have run; it is not repeated",
+                {}};
+    case ClaimStatus::AlreadyComplete:
+        return {409, Verdict::Complete, reason, "the request ran; its answer was not kept", {}};
+    case ClaimStatus::Granted:
+    case ClaimStatus::Unavailable:
+    case ClaimStatus::Overloaded:
+        break;
+    }
+    return {503, result.verdict, reason, "the key cannot be claimed now", RepeatLaterDelay};
+}
+
+} // namespace
+
+HeldClaim::HeldClaim(std::shared_ptr<KeyGate> gate, ClaimTicket ticket)
+    : m_gate(std::move(gate))
+    , m_ticket(std::move(ticket))
+{ }
+
+HeldClaim::~HeldClaim()
+{
+    if (!m_settled)
+        settle({m_sent ? ClaimState::MayHaveRun : ClaimState::Released, {}});
+}
+
+bool HeldClaim::startDispatch()
+{
+    if (!m_ticket.mayDispatch(RuntimeClock::now()))
+        return false;
+    m_sent = true;
+    return true;
+}
+
+void HeldClaim::complete(StoredAnswer answer)
+{
+    settle({ClaimState::Complete, std::move(answer)});
+}
+
+void HeldClaim::settle(ClaimOutcome outcome)
+{
+    m_settled = true;
+    m_gate->settle(m_ticket, std::move(outcome));
+}
+
+boost::asio::awaitable<Deduplicated> deduplicate(IdentifiedRequest request,
+                                                 std::shared_ptr<KeyGate> gate)
+{
+    AdmissibleRequest admissible;
+    admissible.prior = request.caller.priorVerdict();
+    if (request.idempotent) {
+        admissible.request = std::move(request);
+        co_return admissible;
+    }
+    ClaimResult result = co_await gate->claim(claimRequestFor(request));
+    if (result.status == ClaimStatus::Granted) {
+        admissible.prior = Verdict::NotRun;
+        admissible.claim = std::make_shared<HeldClaim>(std::move(gate), std::move(result.ticket));
+        admissible.request = std::move(request);
+        co_return admissible;
+    }
+    if (result.status == ClaimStatus::AlreadyComplete && !result.answer.tooLarge)
+        co_return EarlierAnswer{std::move(result.answer)};
+    co_return refusalFor(result);
+}
+
+} // namespace gentianramp
--- a/src/gentianramp/http/client_exchange.cpp
+++ b/src/gentianramp/http/client_exchange.cpp
@@ -71,6 +71,8 @@
 asio::awaitable<std::error_code> ClientExchange::writeRequest()
 {
     const std::string text = requestText();
+    if (m_call.mayStart && !m_call.mayStart())
+        co_return make_error_code(Error::ConnectionRefused);
     boost::system::error_code error;
     m_watchdog->expireAfter(m_call.silenceTimeout);
     m_bytesWritten = true;
--- a/src/gentianramp/http/client_exchange.hpp
+++ b/src/gentianramp/http/client_exchange.hpp
@@ -27,6 +27,7 @@
     boost::asio::awaitable<Result<std::string_view>> readPiece() override;
     boost::asio::awaitable<Result<std::string>> readAll() override;
     bool complete() const override { return m_complete; }
+    void setSilenceTimeout(Duration timeout) override { m_call.silenceTimeout = timeout; }
     void cancel() override;
     bool bytesWritten() const override { return m_bytesWritten; }
 
