--- a/src/gentianramp/entry/request_run.cpp
+++ b/src/gentianramp/entry/request_run.cpp
@@ -65,7 +65,7 @@
     };
     const std::uint32_t limit = delivered > 0 ? MaxResumeAttempts : MaxAttempts;
     while (!deadlinePassed()) {
-        if (m_watch->gone() && request().idempotent)
+        if (m_watch->gone())
             co_return CallerLeft{};
         if (m_attempts >= limit)
             co_return failedExit(m_lastFailure);
@@ -197,6 +197,12 @@
     return std::max<Duration>(request().deadline - RuntimeClock::now(), Duration::zero());
 }
 
+Duration RequestRun::firstTokenSilence() const
+{
+    return std::max<Duration>(request().service->firstTokenTarget * FirstTokenSilenceFactor,
+                              MinimumSilence);
+}
+
 Duration RequestRun::tokenSilence() const
 {
     return std::max<Duration>(request().service->tokenTarget * TokenSilenceFactor, MinimumSilence);
@@ -211,8 +217,7 @@
     Duration wanted = std::max<Duration>(service.timeout / PlainAttemptsInTimeout,
                                          MinimumHeadTimeout);
     if (caller().ask) {
-        wanted = std::max<Duration>(service.firstTokenTarget * FirstTokenSilenceFactor,
-                                    MinimumSilence);
+        wanted = firstTokenSilence();
         const std::uint32_t tokens = caller().ask->maxTokens;
         if (!caller().ask->stream)
             wanted = tokens > 0 ? wanted + service.tokenTarget * FirstTokenSilenceFactor
--- a/src/gentianramp/entry/request_run.hpp
+++ b/src/gentianramp/entry/request_run.hpp
@@ -25,6 +25,8 @@
     HttpClient *client = nullptr;
     Telemetry *telemetry = nullptr;
     StatedPhaseHook onStatedPhase;
+    /// Runs work that outlives the request, on an executor of its own.
+    std::function<void(boost::asio::awaitable<void>)> spawn;
 };
 
 /// An attempt whose answer has begun.
@@ -64,6 +66,9 @@
     CallerWatch &watch() { return *m_watch; }
     HeldClaim *claim() { return m_input.claim.get(); }
     Duration sinceArrival() const { return RuntimeClock::now() - caller().arrivedAt; }
+    /// Longest wait for the first token of an attempt.
+    Duration firstTokenSilence() const;
+    /// Longest wait between two tokens.
     Duration tokenSilence() const;
 
 private:
