--- /dev/null
+++ b/src/gentianramp/entry/backend_watch.cpp
@@ -0,0 +1,214 @@
+#include "backend_watch.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <charconv>
+#include <gentianramp/core/log.hpp>
+#include <gentianramp/engine/backend_client.hpp>
+#include <nlohmann/json.hpp>
+
+namespace gentianramp {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+namespace {
+
+constexpr Duration ReadInterval = std::chrono::milliseconds(500);
+constexpr Duration ReadTimeout = std::chrono::milliseconds(1000);
+constexpr unsigned FailuresUntilUnreachable = 2;
+constexpr std::size_t MaxAnswerBytes = 1024 * 1024;
+constexpr int HexBase = 16;
+
+LoadReport toLoadReport(const json &answer, TimePoint now)
+{
+    LoadReport report;
+    report.takenAt = now - std::chrono::milliseconds(answer.value("age_ms", 0));
+    report.running = answer.value("running", 0U);
+    report.queued = answer.value("queued", 0U);
+    report.promptTokens = answer.value("queued_prompt_tokens", 0ULL);
+    report.outputTokens = answer.value("outstanding_tokens", 0ULL);
+    report.kvTokens = answer.value("kv_tokens", 0ULL);
+    report.kvCapacityTokens = answer.value("kv_capacity_tokens", 0ULL);
+    return report;
+}
+
+BackendPhase statedPhase(const json &state)
+{
+    const auto phase = state.find("phase");
+    if (phase == state.end() || !phase->is_string())
+        return BackendPhase::Serving;
+    return parseBackendPhase(phase->get_ref<const std::string &>()).value_or(BackendPhase::Serving);
+}
+
+CacheEvent toCacheEvent(const json &entry)
+{
+    CacheEvent event;
+    event.sequence = entry.value("seq", 0ULL);
+    event.stored = entry.value("kind", std::string()) == "stored";
+    event.tokens = entry.value("tokens", 0U);
+    const std::string prefix = entry.value("prefix", std::string());
+    std::from_chars(prefix.data(), prefix.data() + prefix.size(), event.prefix, HexBase);
+    return event;
+}
+
+} // namespace
+
+BackendWatch::BackendWatch(asio::any_io_executor executor, Router &router, HttpClient &client,
+                           TimelineWriter &timeline, DataCentreId site)
+    : m_executor(std::move(executor))
+    , m_router(router)
+    , m_client(client)
+    , m_timeline(timeline)
+    , m_site(std::move(site))
+{ }
+
+void BackendWatch::setFleet(const FleetView &fleet)
+{
+    if (fleet.site != m_site || m_stopped)
+        return;
+    std::map<BackendId, std::shared_ptr<Watched>> kept;
+    for (const BackendView &view : fleet.backends) {
+        const auto found = m_watched.find(view.id);
+        const bool same = found != m_watched.end() && found->second->view.host == view.host
+            && found->second->view.port == view.port;
+        if (same) {
+            kept[view.id] = found->second;
+            continue;
+        }
+        const auto watched = std::make_shared<Watched>();
+        watched->view = view;
+        kept[view.id] = watched;
+        asio::co_spawn(m_executor, watch(watched), asio::detached);
+    }
+    for (const auto &[id, watched] : m_watched) {
+        const auto found = kept.find(id);
+        watched->wanted = found != kept.end() && found->second == watched;
+    }
+    m_watched = std::move(kept);
+}
+
+void BackendWatch::stop()
+{
+    m_stopped = true;
+    for (const auto &[id, watched] : m_watched)
+        watched->wanted = false;
+    m_watched.clear();
+}
+
+bool BackendWatch::notePhase(const BackendId &backend, BackendPhase phase)
+{
+    const auto found = m_watched.find(backend);
+    if (found == m_watched.end() || found->second->phase == phase)
+        return false;
+    setPhase(*found->second, phase);
+    return true;
+}
+
+void BackendWatch::setPhase(Watched &watched, BackendPhase phase)
+{
+    if (phase != watched.phase) {
+        TimelineEvent event;
+        event.kind = phase == BackendPhase::Serving ? EventKind::BackendHealthy
+            : phase == BackendPhase::Unreachable    ? EventKind::BackendUnhealthy
+                                                    : EventKind::BackendLeaving;
+        event.peer = watched.view.id.value();
+        event.detail = toString(phase);
+        m_timeline.record(std::move(event));
+        logInfo("backend_phase",
+                {{"backend", watched.view.id.value()}, {"phase", toString(phase)}});
+    }
+    watched.phase = phase;
+    if (phase != BackendPhase::Serving)
+        m_router.markPhase(watched.view.id, phase, RuntimeClock::now());
+}
+
+asio::awaitable<void> BackendWatch::watch(std::shared_ptr<Watched> watched)
+{
+    const auto self = shared_from_this();
+    while (watched->wanted) {
+        const bool reached = co_await readState(*watched);
+        if (reached && watched->wanted)
+            co_await readLoad(*watched);
+        if (reached && watched->wanted && !watched->view.models.empty())
+            co_await readCacheEvents(*watched);
+        co_await sleepFor(ReadInterval);
+    }
+}
+
+asio::awaitable<bool> BackendWatch::readState(Watched &watched)
+{
+    const HttpAddress address{watched.view.host, watched.view.port};
+    const Result<std::string> body = co_await read(address, "/engine/state");
+    const json state = json::parse(body ? *body : std::string(), nullptr, false);
+    const bool reached = body && state.is_object();
+    if (!watched.wanted)
+        co_return false;
+    if (reached) {
+        watched.failures = 0;
+        setPhase(watched, statedPhase(state));
+        co_return true;
+    }
+    ++watched.failures;
+    const bool absent = watched.phase == BackendPhase::Leaving;
+    if (absent || watched.failures >= FailuresUntilUnreachable)
+        setPhase(watched, absent ? BackendPhase::Leaving : BackendPhase::Unreachable);
+    co_return false;
+}
+
+asio::awaitable<void> BackendWatch::readLoad(const Watched &watched)
+{
+    const HttpAddress address{watched.view.host, watched.view.port};
+    const Result<std::string> body = co_await read(address, "/engine/load");
+    const json answer = json::parse(body ? *body : std::string(), nullptr, false);
+    if (!answer.is_object())
+        co_return;
+    try {
+        const TimePoint now = RuntimeClock::now();
+        m_router.applyLoad(watched.view.id, toLoadReport(answer, now), now);
+    } catch (const json::exception &problem) {
+        logWarning("malformed_load",
+                   {{"backend", watched.view.id.value()}, {"error", problem.what()}});
+    }
+}
+
+asio::awaitable<void> BackendWatch::readCacheEvents(Watched &watched)
+{
+    const HttpAddress address{watched.view.host, watched.view.port};
+    const std::string target
+        = "/engine/cache-events?after=" + std::to_string(watched.nextCacheEvent);
+    const Result<std::string> body = co_await read(address, target);
+    const json answer = json::parse(body ? *body : std::string(), nullptr, false);
+    if (!answer.is_object())
+        co_return;
+    try {
+        CacheEvents events;
+        events.restarted = answer.value("restarted", false);
+        for (const json &entry : answer.value("events", json::array()))
+            events.events.push_back(toCacheEvent(entry));
+        watched.nextCacheEvent = answer.value("next", watched.nextCacheEvent);
+        m_router.applyCacheEvents(watched.view.id, events, RuntimeClock::now());
+    } catch (const json::exception &problem) {
+        logWarning("malformed_cache_events",
+                   {{"backend", watched.view.id.value()}, {"error", problem.what()}});
+    }
+}
+
+asio::awaitable<Result<std::string>> BackendWatch::read(HttpAddress address, std::string target)
+{
+    HttpCall call;
+    call.address = std::move(address);
+    call.request.target = std::move(target);
+    call.connectTimeout = ReadTimeout;
+    call.headTimeout = ReadTimeout;
+    call.silenceTimeout = ReadTimeout;
+    call.maxBodyBytes = MaxAnswerBytes;
+    Result<HttpResponse> response = co_await m_client.request(std::move(call));
+    if (!response)
+        co_return Result<std::string>(response.error());
+    if (response->status != 200)
+        co_return Result<std::string>(Error::Unavailable);
+    co_return Result<std::string>(std::move(response).value().body);
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/entry/status_pages.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "service_directory.hpp"
+
+#include <gentianramp/core/metrics.hpp>
+#include <gentianramp/http/message.hpp>
+#include <gentianramp/routing/fleet_view.hpp>
+#include <optional>
+#include <vector>
+
+namespace gentianramp {
+
+/// What the pages about an entry instance show.
+struct InstanceStatus
+{
+    InstanceId instance;
+    DataCentreId dataCentre;
+    bool shuttingDown = false;
+    bool keysLearning = false; ///< The replica of idempotency keys still learns from the others.
+    std::size_t activeRequests = 0;
+    std::size_t waiting = 0;
+};
+
+/// Page of /healthz: the process answers.
+HttpResponse healthPage();
+/// Page of /readyz: 200 when new work is taken, else 503.
+HttpResponse readyPage(const InstanceStatus &status, const ServiceDirectory &directory,
+                       TimePoint now);
+/// Page of /metrics in the Prometheus text format.
+HttpResponse metricsPage(const MetricsRegistry &metrics);
+/// Page of /v1/models: models that the declared services offer.
+HttpResponse modelsPage(const ServiceDirectory &directory);
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/entry/worker_threads.cpp
@@ -0,0 +1,51 @@
+#include "worker_threads.hpp"
+
+#include <algorithm>
+
+namespace gentianramp {
+
+WorkerThread::WorkerThread()
+    : m_work(boost::asio::make_work_guard(m_context))
+{ }
+
+WorkerThread::~WorkerThread()
+{
+    stop();
+}
+
+void WorkerThread::start()
+{
+    m_thread = std::thread([this] { m_context.run(); });
+}
+
+void WorkerThread::stop()
+{
+    m_context.stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+WorkerPool::WorkerPool(unsigned threads)
+{
+    for (unsigned index = 0; index < std::max(threads, 1U); ++index)
+        m_workers.push_back(std::make_unique<WorkerThread>());
+}
+
+void WorkerPool::start()
+{
+    for (const auto &worker : m_workers)
+        worker->start();
+}
+
+void WorkerPool::stop()
+{
+    for (const auto &worker : m_workers)
+        worker->stop();
+}
+
+boost::asio::any_io_executor WorkerPool::next()
+{
+    return m_workers[m_next.fetch_add(1) % m_workers.size()]->executor();
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/programs/entry/main.cpp
@@ -0,0 +1,144 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <gentianramp/config/key_files.hpp>
+#include <gentianramp/config/settings_file.hpp>
+#include <gentianramp/core/log.hpp>
+#include <gentianramp/entry/entry_service.hpp>
+#include <iostream>
+
+using namespace gentianramp;
+namespace asio = boost::asio;
+namespace po = boost::program_options;
+
+namespace {
+
+constexpr int ExitUsage = 2;
+constexpr int ExitFailed = 1;
+constexpr Duration DrainPollInterval = std::chrono::milliseconds(50);
+
+struct Arguments
+{
+    std::string settingsFile;
+    bool checkConfig = false;
+    bool firstStart = false;
+    std::uint64_t seed = 0;
+};
+
+po::options_description describeOptions(Arguments &arguments)
+{
+    po::options_description description("gentianramp-entry [options] SETTINGS.yaml");
+    auto add = description.add_options();
+    add("help", "print this text");
+    add("version", "print the version");
+    add("settings", po::value(&arguments.settingsFile), "settings of this instance (YAML)");
+    add("check-config", po::bool_switch(&arguments.checkConfig),
+        "check the settings and the declared configuration, then end");
+    add("first-start", po::bool_switch(&arguments.firstStart),
+        "no idempotency key was ever claimed in this deployment");
+    add("seed", po::value(&arguments.seed),
+        "seed of randomised choices; without it taken from the time");
+    return description;
+}
+
+/// Ends once no answer is under way, or when the longest shutdown is over.
+asio::awaitable<void> drain(EntryService &service, Duration longest)
+{
+    const TimePoint deadline = RuntimeClock::now() + longest;
+    while (!service.idle() && RuntimeClock::now() < deadline)
+        co_await sleepFor(DrainPollInterval);
+}
+
+asio::awaitable<void> runUntilSignal(EntryService &service, Duration longestDrain)
+{
+    asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT);
+    co_await signals.async_wait(asio::use_awaitable);
+    service.beginShutdown();
+    co_await drain(service, longestDrain);
+}
+
+int run(const Arguments &arguments)
+{
+    const auto settings = loadNodeSettings(arguments.settingsFile);
+    if (!settings) {
+        std::cerr << settings.message();
+        return ExitFailed;
+    }
+    const auto configuration
+        = loadDeclaredConfiguration(settings->configurationFile, settings->overlayFiles);
+    if (!configuration) {
+        std::cerr << configuration.message();
+        return ExitFailed;
+    }
+    if (arguments.checkConfig)
+        return EXIT_SUCCESS;
+    EntryOptions options;
+    if (!settings->endpoint.empty()) {
+        const auto keys = readKeyPairFile(settings->secretKeyFile);
+        if (!keys) {
+            std::cerr << "cannot read the key file: " << keys.message() << "\n";
+            return ExitFailed;
+        }
+        options.keys = {keys->publicKey, keys->secretKey};
+    }
+    options.settings = *settings;
+    options.configuration = *configuration;
+    options.incarnation = Incarnation(static_cast<std::uint64_t>(wallClockMs()));
+    options.firstStart = arguments.firstStart;
+    options.seed = arguments.seed != 0 ? arguments.seed : options.incarnation.value();
+    startLogging("gentianramp-entry");
+    EntryService service(std::move(options));
+    const Result<std::uint16_t> port = service.start();
+    if (!port) {
+        logError("start_failed", {{"error", port.message()}});
+        return ExitFailed;
+    }
+    logInfo("listening", {{"host", settings->httpHost}, {"port", *port}});
+    asio::io_context context;
+    asio::co_spawn(context,
+                   runUntilSignal(service, std::chrono::seconds(settings->drainSeconds)),
+                   asio::detached);
+    context.run();
+    service.timeline().record({.kind = EventKind::ProcessStopped});
+    service.timeline().flush();
+    return EXIT_SUCCESS;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    Arguments arguments;
+    const po::options_description description = describeOptions(arguments);
+    po::positional_options_description positional;
+    positional.add("settings", 1);
+    po::variables_map values;
+    try {
+        po::store(po::command_line_parser(argc, argv)
+                      .options(description)
+                      .positional(positional)
+                      .run(),
+                  values);
+        po::notify(values);
+    } catch (const po::error &error) {
+        std::cerr << error.what() << "\n" << description;
+        return ExitUsage;
+    }
+    if (values.count("help") > 0) {
+        std::cout << description;
+        return EXIT_SUCCESS;
+    }
+    if (values.count("version") > 0) {
+        std::cout << "gentianramp-entry " << GENTIANRAMP_VERSION << "\n";
+        return EXIT_SUCCESS;
+    }
+    if (arguments.settingsFile.empty()) {
+        std::cerr << "no settings file\n" << description;
+        return ExitUsage;
+    }
+    return run(arguments);
+}
