--- a/cmake/gentianramp_options.cmake
+++ b/cmake/gentianramp_options.cmake
@@ -16,7 +16,7 @@
 endif()
 
 add_library(gentianramp_options INTERFACE)
-target_compile_options(gentianramp_options INTERFACE -Wall -Wextra -Wpedantic -Werror -Wno-psabi -Wno-missing-field-initializers
+target_compile_options(gentianramp_options INTERFACE -Wall -Wextra -Wpedantic -Werror -Wno-psabi -Wno-missing-field-initializers -Wno-mismatched-new-delete
     -ffile-prefix-map=${PROJECT_SOURCE_DIR}=. -include utility) # Asio 1.74 misses this header in coroutines
 target_link_options(gentianramp_options INTERFACE -fuse-ld=lld)
 target_include_directories(gentianramp_options INTERFACE "${PROJECT_SOURCE_DIR}/include"
--- a/src/gentianramp/entry/entry_service.cpp
+++ b/src/gentianramp/entry/entry_service.cpp
@@ -46,6 +46,14 @@
     return instances;
 }
 
+Duration longestTimeout(const DeclaredConfiguration &configuration)
+{
+    Duration longest = std::chrono::seconds(1);
+    for (const ServiceDeclaration &service : configuration.services)
+        longest = std::max(longest, service.timeout);
+    return longest;
+}
+
 KeyServiceOptions keyOptions(const EntryOptions &options)
 {
     KeyServiceOptions keys;
@@ -54,6 +62,7 @@
     keys.instances = placedInstances(options.settings);
     keys.sites = options.configuration.sites;
     keys.lifetime = options.configuration.idempotencyLifetime;
+    keys.longestWait = longestTimeout(options.configuration);
     keys.startWallMs = wallClockMs();
     keys.startsEmpty = options.firstStart;
     keys.seed = options.seed;
--- a/src/gentianramp/entry/key_gate.cpp
+++ b/src/gentianramp/entry/key_gate.cpp
@@ -40,7 +40,7 @@
 KeyServiceStatistics KeyGate::statistics()
 {
     const std::lock_guard lock(m_mutex);
-    return m_service.statistics();
+    return m_service.statistics(RuntimeClock::now());
 }
 
 } // namespace gentianramp
--- a/src/gentianramp/entry/request_run.cpp
+++ b/src/gentianramp/entry/request_run.cpp
@@ -106,7 +106,7 @@
     answer.attempt = Attempt((m_attemptSalt << AttemptNumberBits) | m_attempts);
     BackendCall call = makeCall(placement, std::move(fields));
     call.headTimeout = headTimeout(delivered);
-    call.mayStart = [this, handle = placement.handle] { return beginDispatch(handle); };
+    call.mayStart = [this] { return beginDispatch(); };
     answer.exchange = std::make_shared<BackendExchange>(*m_tools->client, std::move(call));
     answer.placement = std::move(placement);
     m_tools->telemetry->attemptStarted(caller().id, answer.attempt, answer.placement.backend.id);
@@ -116,12 +116,9 @@
     co_return answer;
 }
 
-bool RequestRun::beginDispatch(const DispatchHandle &handle)
+bool RequestRun::beginDispatch()
 {
-    if (m_input.claim && !m_input.claim->startDispatch())
-        return false;
-    m_tools->router->started(handle, RuntimeClock::now());
-    return true;
+    return !m_input.claim || m_input.claim->startDispatch();
 }
 
 /// Books a start that brought no answer; true when another attempt may follow.
--- a/src/gentianramp/entry/request_run.hpp
+++ b/src/gentianramp/entry/request_run.hpp
@@ -76,7 +76,7 @@
     BackendCall makeCall(const Placement &placement, EngineFields fields);
     Duration headTimeout(std::uint32_t delivered) const;
     Duration untilDeadline() const;
-    bool beginDispatch(const DispatchHandle &handle);
+    bool beginDispatch();
     boost::asio::awaitable<OpenAnswer> dispatch(Placement placement, std::uint32_t delivered,
                                                 CallStart &start);
     boost::asio::awaitable<std::string> prefillElsewhere(const Placement &placement);
