--- a/src/gentianramp/entry/caller_request.cpp
+++ b/src/gentianramp/entry/caller_request.cpp
@@ -33,8 +33,8 @@
     std::uint32_t words = 0;
     bool inWord = false;
     for (const char character : text) {
-        const bool space = character == ' ' || character == '\n' || character == '\t'
-            || character == '\r';
+        const bool space
+            = character == ' ' || character == '\n' || character == '\t' || character == '\r';
         words += (!space && !inWord) ? 1 : 0;
         inWord = !space;
     }
--- a/src/gentianramp/entry/caller_request_test.cpp
+++ b/src/gentianramp/entry/caller_request_test.cpp
@@ -0,0 +1,108 @@
+#include "caller_request.hpp"
+
+#include <random>
+
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t Seed = 20261203;
+const RequestId Generated("generated");
+
+HttpRequest completion(std::string body, HttpHeaders headers = {})
+{
+    return {"POST", "/v1/completions", std::move(headers), std::move(body)};
+}
+
+Passed<CallerRequest> accept(HttpRequest request)
+{
+    return acceptRequest(std::move(request), Generated, TimePoint{});
+}
+
+Exit refusalOf(HttpRequest request)
+{
+    const Passed<CallerRequest> passed = accept(std::move(request));
+    cr_assert(std::holds_alternative<Exit>(passed));
+    return std::get<Exit>(passed);
+}
+
+CallerRequest acceptedOf(HttpRequest request)
+{
+    const Passed<CallerRequest> passed = accept(std::move(request));
+    cr_assert(std::holds_alternative<CallerRequest>(passed));
+    return std::get<CallerRequest>(passed);
+}
+
+} // namespace
+
+Test(CallerRequest, ReadsWhatRoutingNeeds)
+{
+    const CallerRequest request = acceptedOf(
+        completion(R"({"model":"m","prompt":"one two  three","max_tokens":9,"stream":true,)"
+                   R"("gentianramp_prefix":"p","gentianramp_prefix_tokens":2})",
+                   {{"Authorization", "Bearer secret"}, {"Last-Event-ID", "4"}}));
+    cr_assert(request.id == Generated);
+    cr_assert(request.bearerKey == "secret");
+    cr_assert(request.ask->stream);
+    cr_assert_eq(request.ask->promptTokens, 3U);
+    cr_assert_eq(request.ask->maxTokens, 9U);
+    cr_assert_eq(request.ask->resumeAfter, 4U);
+    cr_assert(request.ask->prefixes == (std::vector<PromptPrefix>{{prefixHash("p"), 2}}));
+    cr_assert(request.priorVerdict() == Verdict::NotRun);
+}
+
+Test(CallerRequest, SaysNotRunOfNamedRequestsOnlyOnTheFirstAttempt)
+{
+    const std::string body = R"({"model":"m"})";
+    const auto repeat = acceptedOf(completion(body, {{"Gentianramp-Request-Id", "r"}}));
+    cr_assert(repeat.priorVerdict() == Verdict::MayHaveRun);
+    const auto keyed = acceptedOf(completion(body, {{"Idempotency-Key", "k"}}));
+    cr_assert(keyed.priorVerdict() == Verdict::MayHaveRun);
+    const auto first
+        = acceptedOf(completion(body, {{"Idempotency-Key", "k"}, {"Gentianramp-Attempt", "1"}}));
+    cr_assert(first.priorVerdict() == Verdict::NotRun);
+}
+
+Test(CallerRequest, RefusesBadInputClearly)
+{
+    cr_assert_eq(refusalOf(completion("{")).status, 400U);
+    cr_assert_eq(refusalOf(completion("[]")).status, 400U);
+    cr_assert_eq(refusalOf(completion("{}")).status, 400U);
+    cr_assert_eq(refusalOf(completion(R"({"model":1})")).status, 400U);
+    cr_assert_eq(refusalOf(completion(R"({"model":"m","max_tokens":-1})")).status, 400U);
+    cr_assert_eq(refusalOf(completion(R"({"model":"m","max_tokens":1e300})")).status, 400U);
+    cr_assert_eq(refusalOf({"GET", "/v1/completions", {}, ""}).status, 405U);
+    const std::string body = R"({"model":"m"})";
+    cr_assert_eq(refusalOf(completion(body, {{"Idempotency-Key", "a b"}})).status, 400U);
+    cr_assert_eq(refusalOf(completion(body, {{"Gentianramp-Timeout-Ms", "soon"}})).status, 400U);
+    const Exit expired = refusalOf(completion(body, {{"Gentianramp-Timeout-Ms", "0"}}));
+    cr_assert_eq(expired.status, 504U);
+    cr_assert(expired.verdict == Verdict::NotRun);
+}
+
+Test(CallerRequest, ChangesTheBodyOnlyWhenNeeded)
+{
+    const std::string body = R"({ "model": "m", "stream": true })";
+    const CallerRequest request = acceptedOf(completion(body));
+    cr_assert(engineBody(request, {"m", 0, {}, false}) == body);
+    const std::string resumed = engineBody(request, {"m", 7, "h", false});
+    cr_assert(resumed.find("\"gentianramp_resume_offset\":7") != std::string::npos);
+    cr_assert(resumed.find("\"gentianramp_kv_handle\":\"h\"") != std::string::npos);
+}
+
+Test(CallerRequest, SurvivesRandomBodies)
+{
+    std::mt19937_64 random(Seed);
+    const std::string_view alphabet = R"({}[]":,model1-e0.truenull\u )";
+    std::uniform_int_distribution<std::size_t> pick(0, alphabet.size() - 1);
+    for (int run = 0; run < 2000; ++run) {
+        std::string body = R"({"model":"m","messages":)";
+        for (int length = 0; length < 40; ++length)
+            body += alphabet[pick(random)];
+        accept(completion(body + '}'));
+        accept(completion(std::string(2000, '[') + body));
+    }
+}
--- a/src/gentianramp/entry/deduplicate.cpp
+++ b/src/gentianramp/entry/deduplicate.cpp
@@ -33,8 +33,8 @@
     case ClaimStatus::InProgress:
         return {409, result.verdict, reason, "another attempt is running", RepeatLaterDelay};
     case ClaimStatus::MayHaveRun:
-        return {409, result.verdict, reason, "an earlier attempt may have run; it is not repeated",
-                {}};
+        return {
+            409, result.verdict, reason, "an earlier attempt may have run; it is not repeated", {}};
     case ClaimStatus::AlreadyComplete:
         return {409, Verdict::Complete, reason, "the request ran; its answer was not kept", {}};
     case ClaimStatus::Granted:
--- a/src/gentianramp/entry/digest.cpp
+++ b/src/gentianramp/entry/digest.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr std::string_view Digits = "0123456789abcdef";
+
 struct ContextDeleter
 {
     void operator()(EVP_MD_CTX *context) const { EVP_MD_CTX_free(context); }
@@ -15,7 +17,6 @@
 
 std::string toHex(const unsigned char *bytes, unsigned size)
 {
-    constexpr std::string_view Digits = "0123456789abcdef";
     std::string text;
     text.reserve(2 * size);
     for (unsigned index = 0; index < size; ++index) {
--- a/src/gentianramp/entry/entry_service.cpp
+++ b/src/gentianramp/entry/entry_service.cpp
@@ -206,8 +206,8 @@
             keys->onMessage(message.sender, message.payload);
             return;
         case PayloadKind::Limit:
-            sendLimits(router.applyLimitMessage(message.sender, message.payload,
-                                                RuntimeClock::now()));
+            sendLimits(
+                router.applyLimitMessage(message.sender, message.payload, RuntimeClock::now()));
             return;
         case PayloadKind::Notice:
             takeNotice(message.payload);
@@ -239,8 +239,8 @@
         notice.set_backend(backend.value());
         notice.set_phase(std::string(toString(phase)));
         for (const PeerSettings &peer : options.settings.peers) {
-            const bool neighbour = peer.kind == ProcessKind::Entry
-                && peer.dataCentre == options.settings.dataCentre;
+            const bool neighbour
+                = peer.kind == ProcessKind::Entry && peer.dataCentre == options.settings.dataCentre;
             if (neighbour)
                 send(peer.instance, PayloadKind::Notice, notice.SerializeAsString(), NoticeTtl);
         }
@@ -298,9 +298,8 @@
     void publish(const FleetView &fleet)
     {
         router.publishFleet(fleet, RuntimeClock::now());
-        asio::post(background.executor(), [self = shared_from_this(), fleet] {
-            self->watch->setFleet(fleet);
-        });
+        asio::post(background.executor(),
+                   [self = shared_from_this(), fleet] { self->watch->setFleet(fleet); });
     }
 
     /// Puts @p configuration in force.
@@ -308,8 +307,8 @@
     {
         const TimePoint now = RuntimeClock::now();
         router.configure(configuration, now);
-        auto next = std::make_shared<const ServiceDirectory>(std::move(configuration), revision,
-                                                             now);
+        auto next
+            = std::make_shared<const ServiceDirectory>(std::move(configuration), revision, now);
         directory.store(next);
         metrics.gauge("gentianramp_revision", "Revision of the configuration in force")
             .set(static_cast<double>(revision.value()));
@@ -365,7 +364,7 @@
             meshOptions(state.options, state.metrics, state.timeline),
             [&state](ReceivedMessage message) { state.onMessage(std::move(message)); });
     }
-    const Result<std::uint16_t> port = state.server.start();
+    Result<std::uint16_t> port = state.server.start();
     if (!port)
         return port;
     for (const DataCentreId &site : state.options.configuration.sites)
--- a/src/gentianramp/entry/exit.cpp
+++ b/src/gentianramp/entry/exit.cpp
@@ -49,12 +49,11 @@
 std::string errorBody(const Exit &exit)
 {
     const bool callersFault = exit.status < ClientErrorEnd;
-    const nlohmann::json body{
-        {"error",
-         {{"message", exit.message},
-          {"type", callersFault ? "invalid_request_error" : "server_error"},
-          {"code", exit.reason},
-          {"verdict", toString(exit.verdict)}}}};
+    const nlohmann::json body{{"error",
+                               {{"message", exit.message},
+                                {"type", callersFault ? "invalid_request_error" : "server_error"},
+                                {"code", exit.reason},
+                                {"verdict", toString(exit.verdict)}}}};
     return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
--- a/src/gentianramp/entry/pipeline.cpp
+++ b/src/gentianramp/entry/pipeline.cpp
@@ -28,8 +28,7 @@
 Pipeline::Pipeline(PipelineParts parts)
     : m_parts(std::move(parts))
     , m_idPrefix(m_parts.instance.value() + '-' + hexText(m_parts.incarnation.value()) + '-')
-    , m_lastSalt(static_cast<std::uint32_t>(
-          std::hash<std::string>{}(m_idPrefix)))
+    , m_lastSalt(static_cast<std::uint32_t>(std::hash<std::string>{}(m_idPrefix)))
 { }
 
 RequestId Pipeline::nextRequestId()
@@ -60,8 +59,8 @@
     RelayEnd end;
     if (m_parts.shuttingDown()) {
         writer.closeAfterwards();
-        end = endWith({503, prior, "shutting_down", "this instance is shutting down",
-                       ShutdownRetryDelay});
+        end = endWith(
+            {503, prior, "shutting_down", "this instance is shutting down", ShutdownRetryDelay});
     } else {
         end = co_await process(std::move(caller), writer);
     }
@@ -119,10 +118,11 @@
         co_return;
     }
     telemetry.refused(request, *end.exit);
-    logInfo("request_refused", {{"request", request.value()},
-                                {"status", end.exit->status},
-                                {"reason", end.exit->reason},
-                                {"verdict", toString(end.exit->verdict)}});
+    logInfo("request_refused",
+            {{"request", request.value()},
+             {"status", end.exit->status},
+             {"reason", end.exit->reason},
+             {"verdict", toString(end.exit->verdict)}});
     HttpResponse response = toResponse(*end.exit, request);
     co_await writer.send(std::move(response));
 }
--- a/src/gentianramp/entry/place.cpp
+++ b/src/gentianramp/entry/place.cpp
@@ -8,8 +8,7 @@
 
 Placed toPlaced(Decision decision)
 {
-    return std::visit([](auto &&value) -> Placed { return std::move(value); },
-                      std::move(decision));
+    return std::visit([](auto &&value) -> Placed { return std::move(value); }, std::move(decision));
 }
 
 } // namespace
--- a/src/gentianramp/entry/relay.hpp
+++ b/src/gentianramp/entry/relay.hpp
@@ -10,8 +10,8 @@
 struct RelayEnd
 {
     Verdict verdict = Verdict::MayHaveRun;
-    std::string how;            ///< For the time line.
-    std::optional<Exit> exit;   ///< Still to be told to the caller.
+    std::string how;          ///< For the time line.
+    std::optional<Exit> exit; ///< Still to be told to the caller.
     bool callerGone = false;
 };
 
--- a/src/gentianramp/entry/relay_whole.cpp
+++ b/src/gentianramp/entry/relay_whole.cpp
@@ -58,12 +58,12 @@
     if (run.claim() && !ran)
         run.claim()->noteNotRun();
     if (run.claim() && ran)
-        run.claim()->complete({exchange.status(), std::string(exchange.headers().find("Content-Type")),
-                               body, false});
+        run.claim()->complete(
+            {exchange.status(), std::string(exchange.headers().find("Content-Type")), body, false});
     const Verdict verdict = ran ? Verdict::Complete : run.verdict();
     run.succeed(answer, completionTokens(run, body));
-    run.tools().telemetry->firstByte(run.caller().id, answer.attempt,
-                                     answer.placement.backend.id, run.sinceArrival());
+    run.tools().telemetry->firstByte(run.caller().id, answer.attempt, answer.placement.backend.id,
+                                     run.sinceArrival());
     HttpResponse response = answerFor(run, exchange, std::move(body), verdict);
     const std::error_code error = co_await writer.send(std::move(response));
     RelayEnd end;
@@ -124,8 +124,7 @@
             co_return endWith(std::move(*exit));
         if (std::holds_alternative<CallerLeft>(opened))
             co_return endForGoneCaller(run);
-        RelayEnd end
-            = co_await finishWhole(run, std::move(std::get<OpenAnswer>(opened)), writer);
+        RelayEnd end = co_await finishWhole(run, std::move(std::get<OpenAnswer>(opened)), writer);
         const bool final = !end.exit || !run.mayRepeat() || run.deadlinePassed();
         if (final)
             co_return end;
--- a/src/gentianramp/entry/request_run.cpp
+++ b/src/gentianramp/entry/request_run.cpp
@@ -60,9 +60,8 @@
 
 asio::awaitable<Opened> RequestRun::open(std::uint32_t delivered)
 {
-    const auto onQueued = [this] {
-        m_tools->telemetry->queued(caller().id, request().service->id);
-    };
+    const auto onQueued
+        = [this] { m_tools->telemetry->queued(caller().id, request().service->id); };
     const std::uint32_t limit = delivered > 0 ? MaxResumeAttempts : MaxAttempts;
     while (!deadlinePassed()) {
         if (m_watch->gone())
@@ -75,14 +74,14 @@
         if (const Refusal *refusal = std::get_if<Refusal>(&placed)) {
             if (!waitsOut(*refusal, delivered))
                 co_return toExit(*refusal, verdict());
-            const Duration delay = std::clamp(refusal->retryAfter, ShortestRetryDelay,
-                                              LongestRetryDelay);
+            const Duration delay
+                = std::clamp(refusal->retryAfter, ShortestRetryDelay, LongestRetryDelay);
             co_await sleepFor(std::min(delay, untilDeadline()));
             continue;
         }
         CallStart start = CallStart::NotSent;
-        OpenAnswer answer = co_await dispatch(std::move(std::get<Placement>(placed)), delivered,
-                                              start);
+        OpenAnswer answer
+            = co_await dispatch(std::move(std::get<Placement>(placed)), delivered, start);
         if (start == CallStart::Answering)
             co_return answer;
         if (start == CallStart::Cancelled)
@@ -211,14 +210,15 @@
     const ServiceDeclaration &service = *request().service;
     if (!request().idempotent)
         return left;
-    Duration wanted = std::max<Duration>(service.timeout / PlainAttemptsInTimeout,
-                                         MinimumHeadTimeout);
+    Duration wanted
+        = std::max<Duration>(service.timeout / PlainAttemptsInTimeout, MinimumHeadTimeout);
     if (caller().ask) {
         wanted = firstTokenSilence();
         const std::uint32_t tokens = caller().ask->maxTokens;
         if (!caller().ask->stream)
-            wanted = tokens > 0 ? wanted + service.tokenTarget * FirstTokenSilenceFactor
-                    * (tokens - std::min(tokens, delivered))
+            wanted = tokens > 0 ? wanted
+                    + service.tokenTarget * FirstTokenSilenceFactor
+                        * (tokens - std::min(tokens, delivered))
                                 : left;
     }
     return std::min(wanted, left);
@@ -287,11 +287,13 @@
     import.address = {placement.backend.host, placement.backend.port};
     import.request.method = "POST";
     import.request.target = "/engine/kv/import";
-    import.request.body = nlohmann::json{{"kv_handle", handle},
-                                         {"source", prefill.backend.id.value()},
-                                         {"tokens", caller().ask->promptTokens}}
-                              .dump();
+    import.request.body = nlohmann::json{
+        {"kv_handle", handle}, {"source", prefill.backend.id.value()}, {
+            "tokens",
+            caller().ask->promptTokens
+        }}.dump();
     import.headTimeout = ControlCallTimeout;
+    m_tools->router->firstToken(placement.handle, RuntimeClock::now());
     const Result<HttpResponse> imported = co_await m_tools->client->request(std::move(import));
     co_return imported && imported->status == 200 ? handle : std::string();
 }
@@ -306,8 +308,9 @@
     const bool hadExclusions = !m_excluded.empty();
     m_excluded.clear();
     return delivered > 0
-        || (hadExclusions && (refusal.reason == RefusalReason::NoBackend
-                              || refusal.reason == RefusalReason::UnknownModel));
+        || (hadExclusions
+            && (refusal.reason == RefusalReason::NoBackend
+                || refusal.reason == RefusalReason::UnknownModel));
 }
 
 void RequestRun::cancelAtBackend(const OpenAnswer &answer)
@@ -315,8 +318,8 @@
     if (!caller().ask)
         return;
     const BackendAddress &backend = answer.placement.backend;
-    m_tools->spawn(cancelAttempt(*m_tools->client, {backend.host, backend.port}, caller().id,
-                                 answer.attempt));
+    m_tools->spawn(
+        cancelAttempt(*m_tools->client, {backend.host, backend.port}, caller().id, answer.attempt));
 }
 
 } // namespace gentianramp
--- a/src/programs/entry/main.cpp
+++ b/src/programs/entry/main.cpp
@@ -99,8 +99,7 @@
     }
     logInfo("listening", {{"host", settings->httpHost}, {"port", *port}});
     asio::io_context context;
-    asio::co_spawn(context,
-                   runUntilSignal(service, std::chrono::seconds(settings->drainSeconds)),
+    asio::co_spawn(context, runUntilSignal(service, std::chrono::seconds(settings->drainSeconds)),
                    asio::detached);
     context.run();
     service.timeline().record({.kind = EventKind::ProcessStopped});
@@ -118,11 +117,9 @@
     positional.add("settings", 1);
     po::variables_map values;
     try {
-        po::store(po::command_line_parser(argc, argv)
-                      .options(description)
-                      .positional(positional)
-                      .run(),
-                  values);
+        po::store(
+            po::command_line_parser(argc, argv).options(description).positional(positional).run(),
+            values);
         po::notify(values);
     } catch (const po::error &error) {
         std::cerr << error.what() << "\n" << description;
