Add the ledger: a majority log with admitted data folders, on checked files

Accepted configurations need agreement over voters whose disks may come back empty, swapped or old. The ledger is a pure state machine (Replica), its files (LogStore) behind hooks, and the store of accepted configurations on top.

What differs from a plain majority log: which data folder fills a voter's slot is part of the log. Votes and acknowledgements of other folders don't count. A new folder's slot is emptied, the folder learns the whole log and is admitted, each by a committed entry. Voters remember, on disk too, how far each other's folder was; a folder that starts with less takes a new identity.

--- /dev/null
+++ b/include/gentianramp/ledger/log_store.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <gentianramp/ledger/disk.hpp>
+#include <gentianramp/ledger/records.hpp>
+#include <optional>
+#include <string>
+#include <system_error>
+
+namespace gentianramp {
+
+/// The ledger's files in a data folder.
+///
+/// `snapshot-N` holds a snapshot and `log-G` the records after it; G grows with each snapshot and
+/// only the newest log counts. A record is a frame of length, kind and XXH64 checksum around a
+/// PersistRecord. A broken frame at the end of the log is cut off, as a crash leaves it; a broken
+/// frame before a whole one, a broken snapshot, and every failed write or sync are
+/// Error::StorageFailed, after which the store refuses all work.
+class LogStore
+{
+public:
+    explicit LogStore(Disk disk);
+
+    /// Turns an empty folder into one that may take part in founding the ledger.
+    std::error_code initialise(std::uint64_t seed);
+    /// Reads the folder, counts this start and syncs the count. An empty folder gets a new
+    /// identity from @p seed, which must differ between all folders.
+    Result<StoredLog> open(std::uint64_t seed);
+    /// Makes @p record, and @p snapshot before it, last.
+    std::error_code write(const std::optional<proto::LedgerSnapshot> &snapshot,
+                          const proto::PersistRecord &record);
+    /// Bytes in the present log file.
+    std::uint64_t logBytes() const { return m_logBytes; }
+    bool failed() const { return m_failed; }
+
+private:
+    Result<StoredLog> load();
+    Result<proto::LedgerSnapshot> loadSnapshot(std::uint64_t index);
+    Result<std::uint64_t> replay(const std::string &bytes, StoredLog &log);
+    std::error_code startLog(const proto::PersistRecord &record);
+    std::error_code removeOld(std::uint64_t snapshotIndex);
+    std::error_code fail(std::error_code error);
+
+    Disk m_disk;
+    std::uint64_t m_generation = 0;
+    std::uint64_t m_logBytes = 0;
+    bool m_failed = false;
+};
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/ledger/disk.cpp
@@ -0,0 +1,207 @@
+#include <gentianramp/ledger/disk.hpp>
+
+#include <cerrno>
+#include <fcntl.h>
+#include <map>
+#include <memory>
+#include <sys/file.h>
+#include <unistd.h>
+#include <utility>
+
+namespace gentianramp {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr const char *LockName = "lock";
+constexpr const char *TemporarySuffix = ".tmp";
+constexpr mode_t FileMode = 0640;
+
+std::error_code lastError()
+{
+    return {errno, std::generic_category()};
+}
+
+/// Owns a file descriptor.
+class Descriptor
+{
+public:
+    explicit Descriptor(int fd = -1)
+        : m_fd(fd)
+    { }
+    Descriptor(Descriptor &&other) noexcept
+        : m_fd(std::exchange(other.m_fd, -1))
+    { }
+    Descriptor &operator=(Descriptor &&other) noexcept
+    {
+        std::swap(m_fd, other.m_fd);
+        return *this;
+    }
+    ~Descriptor()
+    {
+        if (m_fd >= 0)
+            ::close(m_fd);
+    }
+    int fd() const { return m_fd; }
+    bool valid() const { return m_fd >= 0; }
+
+private:
+    int m_fd;
+};
+
+std::error_code writeAll(int fd, std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        const ssize_t written = ::write(fd, bytes.data(), bytes.size());
+        if (written < 0 && errno == EINTR)
+            continue;
+        if (written < 0)
+            return lastError();
+        bytes.remove_prefix(static_cast<std::size_t>(written));
+    }
+    return {};
+}
+
+/// The data folder with the files that are open for appending.
+class Folder
+{
+public:
+    Folder(fs::path path, Descriptor lock)
+        : m_path(std::move(path))
+        , m_lock(std::move(lock))
+    { }
+
+    Result<std::vector<std::string>> list() const
+    {
+        std::vector<std::string> names;
+        std::error_code error;
+        for (const auto &item : fs::directory_iterator(m_path, error)) {
+            const std::string name = item.path().filename().string();
+            if (name != LockName)
+                names.push_back(name);
+        }
+        if (error)
+            return error;
+        return names;
+    }
+
+    Result<std::string> read(const std::string &name) const
+    {
+        const Descriptor file(::open((m_path / name).c_str(), O_RDONLY | O_CLOEXEC));
+        if (!file.valid())
+            return lastError();
+        std::string bytes;
+        std::string block(64 * 1024, '\0');
+        while (true) {
+            const ssize_t count = ::read(file.fd(), block.data(), block.size());
+            if (count < 0 && errno == EINTR)
+                continue;
+            if (count < 0)
+                return lastError();
+            if (count == 0)
+                return bytes;
+            bytes.append(block.data(), static_cast<std::size_t>(count));
+        }
+    }
+
+    std::error_code append(const std::string &name, std::string_view bytes)
+    {
+        Descriptor &file = m_open[name];
+        if (!file.valid())
+            file = Descriptor(::open((m_path / name).c_str(), O_WRONLY | O_APPEND | O_CLOEXEC));
+        if (!file.valid())
+            return lastError();
+        return writeAll(file.fd(), bytes);
+    }
+
+    std::error_code sync(const std::string &name)
+    {
+        const auto file = m_open.find(name);
+        if (file == m_open.end() || !file->second.valid())
+            return std::make_error_code(std::errc::bad_file_descriptor);
+        return ::fdatasync(file->second.fd()) == 0 ? std::error_code{} : lastError();
+    }
+
+    std::error_code truncate(const std::string &name, std::uint64_t size)
+    {
+        m_open.erase(name);
+        const Descriptor file(::open((m_path / name).c_str(), O_WRONLY | O_CLOEXEC));
+        if (!file.valid() || ::ftruncate(file.fd(), static_cast<off_t>(size)) != 0)
+            return lastError();
+        return ::fsync(file.fd()) == 0 ? std::error_code{} : lastError();
+    }
+
+    std::error_code replace(const std::string &name, std::string_view bytes)
+    {
+        m_open.erase(name);
+        const fs::path temporary = m_path / (name + TemporarySuffix);
+        {
+            const Descriptor file(
+                ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FileMode));
+            if (!file.valid())
+                return lastError();
+            if (const std::error_code error = writeAll(file.fd(), bytes))
+                return error;
+            if (::fsync(file.fd()) != 0)
+                return lastError();
+        }
+        if (::rename(temporary.c_str(), (m_path / name).c_str()) != 0)
+            return lastError();
+        return syncFolder();
+    }
+
+    std::error_code remove(const std::string &name)
+    {
+        m_open.erase(name);
+        if (::unlink((m_path / name).c_str()) != 0)
+            return lastError();
+        return syncFolder();
+    }
+
+private:
+    std::error_code syncFolder() const
+    {
+        const Descriptor folder(::open(m_path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
+        if (!folder.valid() || ::fsync(folder.fd()) != 0)
+            return lastError();
+        return {};
+    }
+
+    fs::path m_path;
+    Descriptor m_lock;
+    std::map<std::string, Descriptor> m_open;
+};
+
+} // namespace
+
+Result<Disk> openFolder(const std::filesystem::path &folder)
+{
+    std::error_code error;
+    fs::create_directories(folder, error);
+    if (error)
+        return {error, "cannot make data folder " + folder.string()};
+    Descriptor lock(::open((folder / LockName).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, FileMode));
+    if (!lock.valid())
+        return {lastError(), "cannot open the lock of data folder " + folder.string()};
+    if (::flock(lock.fd(), LOCK_EX | LOCK_NB) != 0)
+        return {lastError(), "another process uses data folder " + folder.string()};
+    const auto state = std::make_shared<Folder>(folder, std::move(lock));
+    Disk disk;
+    disk.list = [state] { return state->list(); };
+    disk.read = [state](const std::string &name) { return state->read(name); };
+    disk.append = [state](const std::string &name, std::string_view bytes) {
+        return state->append(name, bytes);
+    };
+    disk.sync = [state](const std::string &name) { return state->sync(name); };
+    disk.truncate = [state](const std::string &name, std::uint64_t size) {
+        return state->truncate(name, size);
+    };
+    disk.replace = [state](const std::string &name, std::string_view bytes) {
+        return state->replace(name, bytes);
+    };
+    disk.remove = [state](const std::string &name) { return state->remove(name); };
+    return disk;
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/ledger/log_store_test.cpp
@@ -0,0 +1,175 @@
+#include "frame.hpp"
+#include "memory_disk.hpp"
+
+#include <filesystem>
+#include <gentianramp/ledger/log_store.hpp>
+#include <unistd.h>
+
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+using namespace gentianramp::testing;
+
+namespace {
+
+constexpr const char *FirstLog = "log-1";
+
+proto::PersistRecord recordWith(std::uint64_t index, const std::string &command)
+{
+    proto::PersistRecord record;
+    record.mutable_hard_state()->set_identity(9);
+    proto::LogEntry &entry = *record.add_entries();
+    entry.set_index(index);
+    entry.set_term(1);
+    entry.set_command(command);
+    return record;
+}
+
+/// A folder whose log holds the entries 1 to 3.
+MemoryDisk filledDisk()
+{
+    MemoryDisk disk;
+    LogStore store(disk.disk());
+    cr_assert(store.open(1));
+    for (std::uint64_t index = 1; index <= 3; ++index)
+        cr_assert_not(store.write(std::nullopt, recordWith(index, "command")));
+    return disk;
+}
+
+std::size_t entriesOnDisk(MemoryDisk &disk)
+{
+    LogStore store(disk.disk());
+    const Result<StoredLog> log = store.open(2);
+    cr_assert(log, "%s", log.message().c_str());
+    return log->entries.size();
+}
+
+std::error_code openError(MemoryDisk &disk)
+{
+    LogStore store(disk.disk());
+    return store.open(2).error();
+}
+
+} // namespace
+
+Test(LogStore, EmptyFolderGetsAnIdentityThatStays)
+{
+    MemoryDisk disk;
+    LogStore store(disk.disk());
+    const Result<StoredLog> first = store.open(1);
+    LogStore again(disk.disk());
+    const Result<StoredLog> second = again.open(2);
+    cr_assert_neq(first->hardState.identity(), 0);
+    cr_assert_eq(first->hardState.identity(), second->hardState.identity());
+    cr_assert_eq(second->hardState.boot(), first->hardState.boot() + 1);
+    cr_assert_not(second->hardState.founding());
+}
+
+Test(LogStore, InitialisesOnlyAnEmptyFolder)
+{
+    MemoryDisk disk = filledDisk();
+    LogStore store(disk.disk());
+    cr_assert(store.initialise(1) == make_error_code(Error::InvalidArgument));
+}
+
+Test(LogStore, CutsOffATornTail)
+{
+    for (std::size_t lost = 1; lost < 20; ++lost) {
+        MemoryDisk disk = filledDisk();
+        disk.files[FirstLog].bytes.resize(disk.files[FirstLog].bytes.size() - lost);
+        cr_assert_eq(entriesOnDisk(disk), 2);
+        cr_assert_eq(entriesOnDisk(disk), 2, "the tail is cut off for good");
+    }
+}
+
+Test(LogStore, StopsAtABrokenRecordInside)
+{
+    MemoryDisk disk = filledDisk();
+    std::string &bytes = disk.files[FirstLog].bytes;
+    for (std::size_t at = 0; at + 64 < bytes.size(); at += 7) {
+        MemoryDisk broken = disk;
+        broken.files[FirstLog].bytes[at] ^= 0x20;
+        cr_assert(openError(broken) == make_error_code(Error::StorageFailed), "byte %zu", at);
+    }
+}
+
+Test(LogStore, FailedSyncStopsTheStore)
+{
+    MemoryDisk disk = filledDisk();
+    LogStore store(disk.disk());
+    cr_assert(store.open(2));
+    disk.fault = DiskFault::FailedSync;
+    cr_assert(store.write(std::nullopt, recordWith(4, "lost")) == Error::StorageFailed);
+    disk.fault = DiskFault::None;
+    cr_assert(store.write(std::nullopt, recordWith(4, "late")) == Error::StorageFailed,
+              "a store that failed never carries on");
+    cr_assert(store.failed());
+}
+
+Test(LogStore, FullDiskStopsTheStore)
+{
+    MemoryDisk disk = filledDisk();
+    LogStore store(disk.disk());
+    cr_assert(store.open(2));
+    disk.fault = DiskFault::FullDisk;
+    cr_assert(store.write(std::nullopt, recordWith(4, "lost")) == Error::StorageFailed);
+    disk.fault = DiskFault::None;
+    cr_assert_eq(entriesOnDisk(disk), 3);
+}
+
+Test(LogStore, SnapshotReplacesTheLog)
+{
+    MemoryDisk disk = filledDisk();
+    LogStore store(disk.disk());
+    cr_assert(store.open(2));
+    proto::LedgerSnapshot snapshot;
+    snapshot.set_index(2);
+    snapshot.set_state("state");
+    proto::PersistRecord record = recordWith(3, "after");
+    record.set_base_index(2);
+    cr_assert_not(store.write(snapshot, record));
+    cr_assert_eq(disk.files.size(), 2);
+    LogStore again(disk.disk());
+    const Result<StoredLog> log = again.open(3);
+    cr_assert(log, "%s", log.message().c_str());
+    cr_assert_eq(log->snapshot.state(), "state");
+    cr_assert_eq(log->entries.size(), 1);
+    disk.files["snapshot-2"].bytes.back() ^= 1;
+    cr_assert(openError(disk) == make_error_code(Error::StorageFailed));
+}
+
+Test(LogStore, KeepsTheOldLogWhenASnapshotFails)
+{
+    MemoryDisk disk = filledDisk();
+    LogStore store(disk.disk());
+    cr_assert(store.open(2));
+    disk.fault = DiskFault::FailedReplace;
+    proto::LedgerSnapshot snapshot;
+    snapshot.set_index(3);
+    proto::PersistRecord record;
+    record.set_base_index(3);
+    cr_assert(store.write(snapshot, record) == Error::StorageFailed);
+    disk.fault = DiskFault::None;
+    cr_assert_eq(entriesOnDisk(disk), 3);
+}
+
+Test(LogStore, WorksOnARealFolderForOneProcessOnly)
+{
+    const std::filesystem::path folder = std::filesystem::temp_directory_path()
+        / ("gentianramp-log-store-test-" + std::to_string(::getpid()));
+    {
+        Result<Disk> disk = openFolder(folder);
+        cr_assert(disk);
+        cr_assert_not(openFolder(folder));
+        LogStore store(disk.value());
+        cr_assert(store.open(1));
+        cr_assert_not(store.write(std::nullopt, recordWith(1, "kept")));
+    }
+    Result<Disk> disk = openFolder(folder);
+    cr_assert(disk, "%s", disk.message().c_str());
+    LogStore store(disk.value());
+    const Result<StoredLog> log = store.open(1);
+    cr_assert(log, "%s", log.message().c_str());
+    cr_assert_eq(log->entries.size(), 1);
+    std::filesystem::remove_all(folder);
+}
--- /dev/null
+++ b/src/gentianramp/ledger/replica.cpp
@@ -0,0 +1,393 @@
+#include <gentianramp/ledger/replica.hpp>
+
+#include "replica_state.hpp"
+
+#include <algorithm>
+#include <gentianramp/core/invariant.hpp>
+
+namespace gentianramp {
+
+Replica::Replica(ReplicaOptions options, StoredLog stored, TimePoint now)
+    : m_state(std::make_unique<State>(std::move(options), std::move(stored), now))
+{ }
+
+Replica::~Replica() = default;
+Replica::Replica(Replica &&) noexcept = default;
+Replica &Replica::operator=(Replica &&) noexcept = default;
+
+ReplicaOutput Replica::step(const InstanceId &from, const proto::LedgerMessage &message,
+                            TimePoint now)
+{
+    m_state->now = now;
+    m_state->receive(from.value(), message);
+    return m_state->takeOutput();
+}
+
+ReplicaOutput Replica::tick(TimePoint now)
+{
+    State &state = *m_state;
+    state.now = now;
+    if (state.role == ReplicaRole::Leader) {
+        if (now >= state.quorumCheckDue)
+            state.checkQuorum();
+        if (state.role == ReplicaRole::Leader && now >= state.heartbeatDue) {
+            state.repairVoters();
+            state.broadcast(false);
+        }
+    } else if (now >= state.electionDeadline) {
+        state.startPreVote();
+    }
+    return state.takeOutput();
+}
+
+std::optional<LogIndex> Replica::propose(std::string command, TimePoint now, ReplicaOutput &output)
+{
+    State &state = *m_state;
+    state.now = now;
+    if (state.role != ReplicaRole::Leader || state.handOverUntil)
+        return std::nullopt;
+    proto::LogEntry entry;
+    entry.set_kind(proto::ENTRY_COMMAND);
+    entry.set_command(std::move(command));
+    state.appendAsLeader(std::move(entry));
+    const LogIndex index(state.log.lastIndex());
+    state.broadcast(true);
+    output = state.takeOutput();
+    return index;
+}
+
+ReplicaOutput Replica::requestRead(std::uint64_t id, TimePoint now)
+{
+    State &state = *m_state;
+    state.now = now;
+    if (state.role != ReplicaRole::Leader) {
+        state.output.failedReads.push_back(id);
+        return state.takeOutput();
+    }
+    state.reads.push_back({.id = id, .probe = state.probe + 1});
+    state.broadcast(false);
+    state.answerReads();
+    return state.takeOutput();
+}
+
+ReplicaOutput Replica::compact(LogIndex index, std::string state)
+{
+    if (!checkInvariant(index.value() <= m_state->commit, "ledger.compacts_committed_only")
+        || index.value() <= m_state->log.snapshot().index())
+        return {};
+    m_state->log.compact(index.value(), std::move(state), m_state->options.retainedEntries);
+    m_state->persistSnapshot();
+    return m_state->takeOutput();
+}
+
+ReplicaOutput Replica::handOver(TimePoint now)
+{
+    State &state = *m_state;
+    state.now = now;
+    if (state.role != ReplicaRole::Leader)
+        return {};
+    const PeerState *best = nullptr;
+    std::string target;
+    for (const auto &[instance, peer] : state.peers) {
+        if (state.isLive(instance) && (best == nullptr || peer.match > best->match)) {
+            best = &peer;
+            target = instance;
+        }
+    }
+    if (best == nullptr)
+        return {};
+    state.handOverUntil = now + state.options.electionTimeout;
+    proto::LedgerMessage message = state.newMessage();
+    message.mutable_hand_over();
+    state.send(target, std::move(message));
+    return state.takeOutput();
+}
+
+TimePoint Replica::nextTick() const
+{
+    if (m_state->role == ReplicaRole::Leader)
+        return std::min(m_state->heartbeatDue, m_state->quorumCheckDue);
+    return m_state->electionDeadline;
+}
+
+ReplicaRole Replica::role() const
+{
+    return m_state->role;
+}
+
+std::optional<InstanceId> Replica::leader() const
+{
+    if (m_state->leader.empty())
+        return std::nullopt;
+    return InstanceId(m_state->leader);
+}
+
+Term Replica::term() const
+{
+    return Term(m_state->hard.term());
+}
+
+LogIndex Replica::commitIndex() const
+{
+    return LogIndex(m_state->commit);
+}
+
+LogIndex Replica::lastIndex() const
+{
+    return LogIndex(m_state->log.lastIndex());
+}
+
+LogIndex Replica::snapshotIndex() const
+{
+    return LogIndex(m_state->log.snapshot().index());
+}
+
+std::uint64_t Replica::identity() const
+{
+    return m_state->hard.identity();
+}
+
+bool Replica::admitted() const
+{
+    return m_state->selfAdmitted();
+}
+
+std::vector<VoterView> Replica::voters() const
+{
+    std::vector<VoterView> views;
+    for (const InstanceId &voter : m_state->options.voters) {
+        const auto slot = m_state->log.identities().find(voter.value());
+        VoterView view{.instance = voter};
+        view.identity = slot == m_state->log.identities().end() ? 0 : slot->second;
+        if (voter.value() == m_state->self) {
+            view.admitted = m_state->selfAdmitted();
+            view.match = LogIndex(m_state->log.lastIndex());
+            view.lastContact = m_state->now;
+        } else {
+            const PeerState &peer = m_state->peers.at(voter.value());
+            view.admitted = m_state->isAdmitted(voter.value(), peer.life.identity);
+            view.match = LogIndex(peer.match);
+            view.lastContact = peer.lastContact;
+        }
+        views.push_back(view);
+    }
+    return views;
+}
+
+std::vector<proto::LogEntry> Replica::entries() const
+{
+    return m_state->log.entriesAfterSnapshot();
+}
+
+Replica::State::State(ReplicaOptions givenOptions, StoredLog stored, TimePoint time)
+    : options(std::move(givenOptions))
+    , self(options.self.value())
+    , hard(stored.hardState)
+    , log(std::move(stored))
+    , random(options.seed)
+    , commit(log.snapshot().index())
+    , emitted(commit)
+    , now(time)
+{
+    start = {.term = hard.term(), .lastIndex = log.lastIndex()};
+    session = random();
+    for (const InstanceId &voter : options.voters) {
+        if (voter.value() != self)
+            peers[voter.value()] = {};
+    }
+    for (const proto::Witness &witness : hard.witnesses())
+        witnesses.merge(witness);
+    resetElectionTimer();
+}
+
+void Replica::State::receive(const std::string &from, const proto::LedgerMessage &message)
+{
+    if (!peers.contains(from) || isFromEarlierLife(from, message))
+        return;
+    checkOwnFolder(message);
+    notePeer(from, message);
+    const bool ignoredVote
+        = message.has_vote_request() && !message.vote_request().hand_over() && heardFromLeader();
+    if (message.term() > hard.term() && !ignoredVote)
+        becomeFollower(message.term());
+    dispatch(from, message);
+}
+
+void Replica::State::dispatch(const std::string &from, const proto::LedgerMessage &message)
+{
+    switch (message.body_case()) {
+    case proto::LedgerMessage::kVoteRequest:
+        return receiveVoteRequest(from, message);
+    case proto::LedgerMessage::kVoteResponse:
+        return receiveVoteResponse(from, message);
+    case proto::LedgerMessage::kAppendRequest:
+        return receiveAppendRequest(from, message);
+    case proto::LedgerMessage::kAppendResponse:
+        return receiveAppendResponse(from, message);
+    case proto::LedgerMessage::kSnapshotRequest:
+        return receiveSnapshotRequest(from, message);
+    case proto::LedgerMessage::kHandOver:
+        return receiveHandOver(message);
+    case proto::LedgerMessage::BODY_NOT_SET:
+        return;
+    }
+}
+
+void Replica::State::checkOwnFolder(const proto::LedgerMessage &message)
+{
+    const Life own{hard.identity(), hard.boot(), session, hard.term()};
+    bool news = false;
+    for (const proto::Witness &witness : message.witnesses()) {
+        if (witness.instance() == self) {
+            if (provesRollback(witness, own, start))
+                return renewIdentity();
+        } else if (isAdmitted(witness.instance(), witness.identity())) {
+            news = witnesses.merge(witness) || news;
+        }
+    }
+    if (news)
+        persistHardState();
+}
+
+void Replica::State::renewIdentity()
+{
+    hard.set_identity(random());
+    hard.set_founding(false);
+    becomeFollower(hard.term());
+    persistHardState();
+}
+
+/// True for late messages of a life that has ended, and for the life of a rolled back folder.
+bool Replica::State::isFromEarlierLife(const std::string &from,
+                                       const proto::LedgerMessage &message) const
+{
+    const Life &known = peers.at(from).life;
+    if (known.identity != message.identity() || known.session == message.session())
+        return false;
+    return message.boot() <= known.boot;
+}
+
+void Replica::State::notePeer(const std::string &from, const proto::LedgerMessage &message)
+{
+    PeerState &peer = peers[from];
+    const Life life{message.identity(), message.boot(), message.session(), message.term()};
+    if (peer.life.identity != life.identity || peer.life.session != life.session) {
+        peer = {};
+        peer.next = log.lastIndex() + 1;
+    }
+    peer.life = life;
+    peer.lastContact = now;
+    if (isAdmitted(from, life.identity))
+        witnesses.observe(from, life);
+}
+
+void Replica::State::becomeFollower(std::uint64_t term)
+{
+    if (role == ReplicaRole::Leader)
+        failReads();
+    if (term > hard.term()) {
+        hard.set_term(term);
+        hard.clear_voted_for();
+        persistHardState();
+        leader.clear();
+    }
+    if (role == ReplicaRole::Leader || role == ReplicaRole::Candidate)
+        leader.clear();
+    role = ReplicaRole::Follower;
+    handOverUntil.reset();
+    votes.clear();
+    resetElectionTimer();
+}
+
+void Replica::State::resetElectionTimer()
+{
+    std::uniform_int_distribution<Duration::rep> jitter(0, options.electionTimeout.count());
+    electionDeadline = now + options.electionTimeout + Duration(jitter(random));
+}
+
+void Replica::State::persistHardState()
+{
+    if (!output.record)
+        output.record.emplace();
+    hard.clear_witnesses();
+    witnesses.retain(log.identities());
+    for (const proto::Witness &witness : witnesses.all())
+        *hard.add_witnesses() = witness;
+    *output.record->mutable_hard_state() = hard;
+}
+
+void Replica::State::persistEntry(const proto::LogEntry &entry)
+{
+    persistHardState();
+    *output.record->add_entries() = entry;
+}
+
+void Replica::State::persistTruncation(std::uint64_t index)
+{
+    persistHardState();
+    auto &entries = *output.record->mutable_entries();
+    while (!entries.empty() && entries.rbegin()->index() >= index)
+        entries.RemoveLast();
+    const std::uint64_t earlier = output.record->truncate_from();
+    output.record->set_truncate_from(earlier == 0 ? index : std::min(earlier, index));
+}
+
+void Replica::State::persistSnapshot()
+{
+    persistHardState();
+    output.snapshot = log.snapshot();
+    output.record->set_base_index(log.snapshot().index());
+    output.record->clear_truncate_from();
+    output.record->clear_entries();
+    for (const proto::LogEntry &entry : log.entriesAfterSnapshot())
+        *output.record->add_entries() = entry;
+}
+
+void Replica::State::advanceCommit(std::uint64_t index)
+{
+    commit = std::max(commit, std::min(index, log.lastIndex()));
+    while (emitted < commit)
+        output.committed.push_back(log.at(++emitted));
+}
+
+proto::LedgerMessage Replica::State::newMessage() const
+{
+    proto::LedgerMessage message;
+    message.set_identity(hard.identity());
+    message.set_boot(hard.boot());
+    message.set_session(session);
+    message.set_term(hard.term());
+    return message;
+}
+
+void Replica::State::addWitnesses(proto::LedgerMessage &message) const
+{
+    for (const proto::Witness &witness : witnesses.all())
+        *message.add_witnesses() = witness;
+}
+
+void Replica::State::send(const std::string &to, proto::LedgerMessage message)
+{
+    output.messages.push_back({.to = InstanceId(to), .message = std::move(message)});
+}
+
+bool Replica::State::isAdmitted(const std::string &instance, std::uint64_t folder) const
+{
+    const auto slot = log.identities().find(instance);
+    return slot != log.identities().end() && slot->second == folder;
+}
+
+bool Replica::State::isLive(const std::string &instance) const
+{
+    const PeerState &peer = peers.at(instance);
+    return isAdmitted(instance, peer.life.identity) && peer.lastContact
+        && now - *peer.lastContact < options.electionTimeout;
+}
+
+ReplicaOutput Replica::State::takeOutput()
+{
+    // Messages carry the term and identity that the record of the same output makes durable.
+    return std::exchange(output, {});
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/ledger/replica_leader.cpp
@@ -0,0 +1,200 @@
+#include "replica_state.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <gentianramp/core/invariant.hpp>
+
+namespace gentianramp {
+
+namespace {
+
+constexpr std::uint64_t WitnessEvery = 8; ///< Heartbeats.
+
+} // namespace
+
+void Replica::State::appendAsLeader(proto::LogEntry entry)
+{
+    entry.set_index(log.lastIndex() + 1);
+    entry.set_term(hard.term());
+    log.append(entry);
+    persistEntry(entry);
+    advanceLeaderCommit();
+}
+
+/// Sends to all peers, or only to those that lack entries.
+void Replica::State::broadcast(bool onlyWaiting)
+{
+    if (!onlyWaiting) {
+        ++probe;
+        heartbeatDue = now + options.heartbeatInterval;
+    }
+    for (auto &[instance, peer] : peers) {
+        if (!onlyWaiting || peer.next <= log.lastIndex())
+            sendAppend(instance, peer);
+    }
+}
+
+void Replica::State::sendAppend(const std::string &to, PeerState &peer)
+{
+    const std::optional<std::uint64_t> prevTerm = log.termAt(peer.next - 1);
+    if (!prevTerm)
+        return sendSnapshot(to, peer);
+    proto::LedgerMessage message = newMessage();
+    proto::AppendRequest &request = *message.mutable_append_request();
+    request.set_prev_index(peer.next - 1);
+    request.set_prev_term(*prevTerm);
+    request.set_commit(commit);
+    request.set_probe(probe);
+    std::size_t bytes = 0;
+    while (peer.next <= log.lastIndex()
+           && static_cast<std::size_t>(request.entries_size()) < options.maxEntriesPerMessage) {
+        const proto::LogEntry &entry = log.at(peer.next);
+        bytes += entry.command().size();
+        if (request.entries_size() > 0 && bytes > options.maxBytesPerMessage)
+            break;
+        *request.add_entries() = entry;
+        ++peer.next;
+    }
+    if (request.entries_size() > 0 || probe % WitnessEvery == 1)
+        addWitnesses(message);
+    send(to, std::move(message));
+}
+
+void Replica::State::sendSnapshot(const std::string &to, PeerState &peer)
+{
+    if (peer.snapshotSent != TimePoint{} && now - peer.snapshotSent < options.electionTimeout)
+        return;
+    peer.snapshotSent = now;
+    proto::LedgerMessage message = newMessage();
+    addWitnesses(message);
+    proto::SnapshotRequest &request = *message.mutable_snapshot_request();
+    *request.mutable_snapshot() = log.snapshot();
+    request.set_commit(commit);
+    request.set_probe(probe);
+    send(to, std::move(message));
+}
+
+void Replica::State::receiveAppendResponse(const std::string &from,
+                                           const proto::LedgerMessage &message)
+{
+    if (role != ReplicaRole::Leader || message.term() != hard.term())
+        return;
+    const proto::AppendResponse &response = message.append_response();
+    PeerState &peer = peers[from];
+    peer.probe = std::max(peer.probe, response.probe());
+    peer.snapshotSent = {};
+    if (response.accepted()) {
+        peer.match = std::max(peer.match, response.match_index());
+        peer.next = std::max(peer.next, peer.match + 1);
+        if (isAdmitted(from, message.identity()))
+            witnesses.acknowledge(from, peer.life, hard.term(), peer.match,
+                                  std::min(peer.match, commit));
+        advanceLeaderCommit();
+    } else {
+        peer.next = std::min(response.match_index(), log.lastIndex()) + 1;
+    }
+    answerReads();
+    if (role == ReplicaRole::Leader && peer.next <= log.lastIndex())
+        sendAppend(from, peer);
+}
+
+void Replica::State::advanceLeaderCommit()
+{
+    std::vector<std::uint64_t> matches;
+    matches.push_back(selfAdmitted() ? log.lastIndex() : 0);
+    for (const auto &[instance, peer] : peers)
+        matches.push_back(isAdmitted(instance, peer.life.identity) ? peer.match : 0);
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    const std::uint64_t held = matches[majority() - 1];
+    if (held <= commit || log.termAt(held) != hard.term())
+        return;
+    advanceCommit(held);
+    answerReads();
+    broadcast(false);
+}
+
+void Replica::State::answerReads()
+{
+    if (reads.empty() || !committedOwnTerm())
+        return;
+    std::vector<std::uint64_t> probes;
+    probes.push_back(selfAdmitted() ? probe : 0);
+    for (const auto &[instance, peer] : peers)
+        probes.push_back(isAdmitted(instance, peer.life.identity) ? peer.probe : 0);
+    std::sort(probes.begin(), probes.end(), std::greater<>());
+    const std::uint64_t confirmed = probes[majority() - 1];
+    std::erase_if(reads, [&](const PendingRead &read) {
+        if (read.probe > confirmed)
+            return false;
+        output.confirmedReads.push_back({.id = read.id, .index = LogIndex(commit)});
+        return true;
+    });
+}
+
+void Replica::State::failReads()
+{
+    for (const PendingRead &read : reads)
+        output.failedReads.push_back(read.id);
+    reads.clear();
+}
+
+void Replica::State::checkQuorum()
+{
+    quorumCheckDue = now + options.electionTimeout;
+    std::size_t live = selfAdmitted() ? 1 : 0;
+    for (const auto &[instance, peer] : peers)
+        live += isLive(instance) ? 1 : 0;
+    if (live < majority())
+        return becomeFollower(hard.term());
+    if (handOverUntil && now >= *handOverUntil)
+        handOverUntil.reset();
+}
+
+/// Replaces the data folders of voters, one step at a time: each step waits until the one before
+/// it is committed, so that any two majorities in force at once share a voter.
+void Replica::State::repairVoters()
+{
+    if (!committedOwnTerm() || log.identitiesIndex() > commit)
+        return;
+    std::size_t live = 1;
+    for (const auto &[instance, peer] : peers)
+        live += isLive(instance) ? 1 : 0;
+    for (const auto &[instance, peer] : peers) {
+        const bool heard = peer.lastContact && now - *peer.lastContact < options.electionTimeout;
+        if (!heard || isAdmitted(instance, peer.life.identity))
+            continue;
+        if (!log.identities().contains(instance)) {
+            if (peer.match == log.lastIndex())
+                return admitFolder(instance, peer.life.identity);
+        } else if (live >= majority()) {
+            return retireFolder(instance);
+        }
+    }
+}
+
+void Replica::State::retireFolder(const std::string &instance)
+{
+    proto::LogEntry entry;
+    entry.set_kind(proto::ENTRY_RETIRE);
+    auto *slot = entry.add_identities();
+    slot->set_instance(instance);
+    slot->set_identity(log.identities().at(instance));
+    appendAsLeader(std::move(entry));
+}
+
+void Replica::State::admitFolder(const std::string &instance, std::uint64_t folder)
+{
+    proto::LogEntry entry;
+    entry.set_kind(proto::ENTRY_ADMIT);
+    auto *slot = entry.add_identities();
+    slot->set_instance(instance);
+    slot->set_identity(folder);
+    appendAsLeader(std::move(entry));
+}
+
+bool Replica::State::committedOwnTerm() const
+{
+    return log.termAt(commit) == hard.term();
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/ledger/replica_test.cpp
@@ -0,0 +1,300 @@
+#include "ledger_run.hpp"
+
+#include <algorithm>
+#include <gentianramp/ledger/replica.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+using namespace gentianramp::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Start{1s};
+
+/// Three voters "a", "b" and "c" whose identities are 1, 2 and 3.
+StoredLog foundedLog()
+{
+    StoredLog stored;
+    stored.hardState.set_identity(1);
+    stored.hardState.set_boot(1);
+    stored.hardState.set_term(1);
+    stored.snapshot.set_index(10);
+    stored.snapshot.set_term(1);
+    std::uint64_t identity = 1;
+    for (const char *name : {"a", "b", "c"}) {
+        auto *slot = stored.snapshot.add_identities();
+        slot->set_instance(name);
+        slot->set_identity(identity++);
+    }
+    return stored;
+}
+
+ReplicaOptions optionsOfA()
+{
+    return {.self = InstanceId("a"), .voters = {InstanceId("a"), InstanceId("b"), InstanceId("c")}};
+}
+
+proto::LedgerMessage messageOf(std::uint64_t identity, std::uint64_t term)
+{
+    proto::LedgerMessage message;
+    message.set_identity(identity);
+    message.set_boot(1);
+    message.set_session(identity * 100);
+    message.set_term(term);
+    return message;
+}
+
+proto::LedgerMessage voteRequest(std::uint64_t identity, std::uint64_t term)
+{
+    proto::LedgerMessage message = messageOf(identity, term);
+    message.mutable_vote_request()->set_last_index(10);
+    message.mutable_vote_request()->set_last_term(1);
+    return message;
+}
+
+proto::LedgerMessage granted(std::uint64_t identity, std::uint64_t term, bool preVote)
+{
+    proto::LedgerMessage message = messageOf(identity, term);
+    message.mutable_vote_response()->set_pre_vote(preVote);
+    message.mutable_vote_response()->set_granted(true);
+    message.mutable_vote_response()->set_election_term(term);
+    message.mutable_vote_response()->set_last_index(10);
+    return message;
+}
+
+proto::LedgerMessage acknowledged(std::uint64_t identity, std::uint64_t term, std::uint64_t match)
+{
+    proto::LedgerMessage message = messageOf(identity, term);
+    message.mutable_append_response()->set_accepted(true);
+    message.mutable_append_response()->set_match_index(match);
+    return message;
+}
+
+/// Lets "a" win the election of the term after @p stored with the vote of "b".
+Replica leaderFrom(const StoredLog &stored)
+{
+    Replica replica(optionsOfA(), stored, Start);
+    const std::uint64_t term = stored.hardState.term();
+    replica.tick(Start + 10s);
+    replica.step(InstanceId("b"), granted(2, term, true), Start + 10s);
+    replica.step(InstanceId("b"), granted(2, term + 1, false), Start + 10s);
+    return replica;
+}
+
+bool grantsVote(const ReplicaOutput &output)
+{
+    return std::any_of(output.messages.begin(), output.messages.end(),
+                       [](const auto &each) { return each.message.vote_response().granted(); });
+}
+
+std::size_t entriesOfKind(const Replica &replica, proto::EntryKind kind)
+{
+    const auto entries = replica.entries();
+    return static_cast<std::size_t>(
+        std::count_if(entries.begin(), entries.end(),
+                      [kind](const proto::LogEntry &entry) { return entry.kind() == kind; }));
+}
+
+/// Makes a change that only the leader and @p other have; the third voter is cut off.
+std::string acceptWithout(LedgerRun &run, std::size_t third)
+{
+    run.cut(third, true);
+    run.run(10s);
+    std::string command = run.propose("accepted while one was away");
+    run.run(5s);
+    cr_assert(run.accepted(command));
+    return command;
+}
+
+} // namespace
+
+Test(Replica, VoteOutlivesARestart)
+{
+    StoredLog stored = foundedLog();
+    Replica replica(optionsOfA(), stored, Start);
+    const ReplicaOutput output = replica.step(InstanceId("b"), voteRequest(2, 5), Start + 10s);
+    cr_assert(grantsVote(output));
+    cr_assert(output.record.has_value());
+    stored.hardState = output.record->hard_state();
+    Replica restarted(optionsOfA(), stored, Start + 11s);
+    cr_assert_not(grantsVote(restarted.step(InstanceId("c"), voteRequest(3, 5), Start + 12s)));
+    cr_assert(grantsVote(restarted.step(InstanceId("b"), voteRequest(2, 5), Start + 12s)));
+}
+
+Test(Replica, CommitsEarlierTermsOnlyThroughItsOwn)
+{
+    StoredLog stored = foundedLog();
+    proto::LogEntry old;
+    old.set_index(11);
+    old.set_term(1);
+    stored.entries.push_back(old);
+    Replica replica = leaderFrom(stored);
+    cr_assert(replica.role() == ReplicaRole::Leader);
+    replica.step(InstanceId("b"), acknowledged(2, 2, 11), Start + 10s);
+    cr_assert(replica.commitIndex() == LogIndex(10), "an entry of an earlier term is not counted");
+    replica.step(InstanceId("b"), acknowledged(2, 2, 12), Start + 10s);
+    cr_assert(replica.commitIndex() == LogIndex(12));
+}
+
+Test(Replica, CountsNoVoteOfAnotherFolder)
+{
+    Replica replica(optionsOfA(), foundedLog(), Start);
+    replica.tick(Start + 10s);
+    replica.step(InstanceId("b"), granted(77, 1, true), Start + 10s);
+    cr_assert(replica.role() == ReplicaRole::PreCandidate);
+    replica.step(InstanceId("c"), granted(3, 1, true), Start + 10s);
+    cr_assert(replica.role() == ReplicaRole::Candidate);
+    replica.step(InstanceId("b"), granted(77, 2, false), Start + 10s);
+    cr_assert(replica.role() == ReplicaRole::Candidate);
+}
+
+Test(Replica, AdmitsAFolderOnlyAfterRetirementAndLearning)
+{
+    Replica replica = leaderFrom(foundedLog());
+    const TimePoint now = Start + 10s;
+    replica.step(InstanceId("b"), acknowledged(2, 2, 11), now);
+    replica.step(InstanceId("c"), acknowledged(30, 2, 0), now);
+    replica.tick(now + 500ms);
+    cr_assert_eq(entriesOfKind(replica, proto::ENTRY_RETIRE), 1);
+    replica.step(InstanceId("c"), acknowledged(30, 2, 12), now + 500ms);
+    replica.tick(now + 1s);
+    cr_assert_eq(entriesOfKind(replica, proto::ENTRY_ADMIT), 0, "retirement is not committed");
+    replica.step(InstanceId("b"), acknowledged(2, 2, 12), now + 1s);
+    ReplicaOutput output;
+    replica.propose("one more", now + 1s, output);
+    replica.tick(now + 1500ms);
+    cr_assert_eq(entriesOfKind(replica, proto::ENTRY_ADMIT), 0, "an entry is not learnt yet");
+    replica.step(InstanceId("c"), acknowledged(30, 2, 13), now + 1500ms);
+    replica.tick(now + 2s);
+    cr_assert_eq(entriesOfKind(replica, proto::ENTRY_ADMIT), 1);
+}
+
+Test(Replica, RemembersHowFarTheLeadersFolderWas)
+{
+    Replica replica(optionsOfA(), foundedLog(), Start);
+    proto::LedgerMessage append = messageOf(2, 3);
+    append.mutable_append_request()->set_prev_index(10);
+    append.mutable_append_request()->set_prev_term(1);
+    append.mutable_append_request()->set_commit(10);
+    proto::LogEntry &entry = *append.mutable_append_request()->add_entries();
+    entry.set_index(11);
+    entry.set_term(3);
+    replica.step(InstanceId("b"), append, Start);
+    const ReplicaOutput output = replica.step(InstanceId("c"), voteRequest(3, 4), Start + 10s);
+    const auto &witnesses = output.messages.front().message.witnesses();
+    const auto ofLeader = std::find_if(witnesses.begin(), witnesses.end(),
+                                       [](const auto &each) { return each.instance() == "b"; });
+    cr_assert(ofLeader != witnesses.end());
+    cr_assert_eq(ofLeader->life().match_index(), 11);
+    cr_assert_eq(ofLeader->life().committed(), 10);
+}
+
+Test(Replica, StepsDownWithoutAMajority)
+{
+    Replica replica = leaderFrom(foundedLog());
+    cr_assert(replica.role() == ReplicaRole::Leader);
+    replica.tick(Start + 20s);
+    cr_assert(replica.role() == ReplicaRole::Follower);
+}
+
+Test(Ledger, EmptyFolderIsNotTheVoterItWas)
+{
+    LedgerRun run({.seed = 5, .dropShare = 0, .duplicateShare = 0});
+    run.found();
+    const std::size_t leader = *run.leader();
+    const std::size_t lost = (leader + 1) % 3;
+    const std::size_t behind = (leader + 2) % 3;
+    acceptWithout(run, behind);
+    run.cut(leader, true);
+    run.cut(behind, false);
+    run.loseDisk(lost);
+    run.start(lost);
+    run.run(30s);
+    cr_assert(run.voter(behind).replica->role() != ReplicaRole::Leader);
+    cr_assert(run.voter(lost).replica->role() != ReplicaRole::Leader);
+    run.settle();
+    for (const std::string &what : run.broken())
+        cr_expect(false, "%s", what.c_str());
+}
+
+Test(Ledger, SecondLossAfterARepairLosesNothing)
+{
+    LedgerRun run({.seed = 6, .dropShare = 0, .duplicateShare = 0});
+    run.found();
+    const std::size_t first = *run.leader();
+    const std::size_t repaired = (first + 1) % 3;
+    const std::size_t third = (first + 2) % 3;
+    acceptWithout(run, third);
+    run.loseDisk(repaired);
+    run.start(repaired);
+    run.cut(third, false);
+    run.run(20s);
+    cr_assert(run.voter(repaired).replica->admitted());
+    acceptWithout(run, third);
+    run.loseDisk(*run.leader());
+    run.cut(third, false);
+    run.run(20s);
+    run.settle();
+    for (const std::string &what : run.broken())
+        cr_expect(false, "%s", what.c_str());
+}
+
+Test(Ledger, RolledBackFolderIsNotTheVoterItWas)
+{
+    LedgerRun run({.seed = 7, .dropShare = 0, .duplicateShare = 0});
+    run.found();
+    const std::size_t leader = *run.leader();
+    const std::size_t stale = (leader + 1) % 3;
+    const std::size_t behind = (leader + 2) % 3;
+    run.voter(stale).oldCopy = run.voter(stale).disk.files;
+    run.crash(stale);
+    run.start(stale);
+    run.run(20s);
+    acceptWithout(run, behind);
+    run.cut(leader, true);
+    run.cut(behind, false);
+    run.restoreCopy(stale);
+    run.run(30s);
+    cr_assert(run.voter(behind).replica->role() != ReplicaRole::Leader);
+    cr_assert(run.voter(stale).replica->role() != ReplicaRole::Leader);
+    cr_assert_not(run.voter(stale).replica->admitted());
+    run.settle();
+    for (const std::string &what : run.broken())
+        cr_expect(false, "%s", what.c_str());
+}
+
+Test(Ledger, IsolatedLeaderConfirmsNoRead)
+{
+    LedgerRun run({.seed = 8, .dropShare = 0, .duplicateShare = 0});
+    run.found();
+    const std::size_t leader = *run.leader();
+    cr_assert(run.confirmsRead(leader));
+    run.cut(leader, true);
+    cr_assert(run.voter(leader).replica->role() == ReplicaRole::Leader);
+    cr_assert_not(run.confirmsRead(leader));
+}
+
+Test(Ledger, PausedLeaderConfirmsNoRead)
+{
+    LedgerRun run({.seed = 9, .dropShare = 0, .duplicateShare = 0});
+    run.found();
+    const std::size_t leader = *run.leader();
+    run.voter(leader).paused = true;
+    run.run(20s);
+    cr_assert(run.leader().has_value() && *run.leader() != leader);
+    run.voter(leader).paused = false;
+    run.voter(leader).held.clear();
+    cr_assert_not(run.confirmsRead(leader));
+}
+
+Test(Ledger, LeaderHandsOverWithoutAnElectionTimeout)
+{
+    LedgerRun run({.seed = 10, .dropShare = 0, .duplicateShare = 0});
+    run.found();
+    const std::size_t leader = *run.leader();
+    run.handOver(leader);
+    run.run(1200ms);
+    cr_assert(run.leader().has_value() && *run.leader() != leader);
+}
--- /dev/null
+++ b/src/gentianramp/ledger/replicated_log.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <gentianramp/ledger/records.hpp>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace gentianramp {
+
+/// Identity of the admitted data folder for each voter's name; empty slots are absent.
+using IdentityMap = std::map<std::string, std::uint64_t>;
+
+/// Entries of a replica in memory, from a snapshot on, with the identities that they declare.
+class ReplicatedLog
+{
+public:
+    explicit ReplicatedLog(StoredLog stored);
+
+    std::uint64_t lastIndex() const;
+    std::uint64_t lastTerm() const;
+    /// Term of the entry at @p index; empty when it is not known any more or not yet.
+    std::optional<std::uint64_t> termAt(std::uint64_t index) const;
+    const proto::LogEntry &at(std::uint64_t index) const;
+    /// Smallest index after which entries can be sent.
+    std::uint64_t baseIndex() const { return m_baseIndex; }
+    const proto::LedgerSnapshot &snapshot() const { return m_snapshot; }
+
+    void append(const proto::LogEntry &entry);
+    /// Removes the entry at @p index and all later ones.
+    void truncateFrom(std::uint64_t index);
+    /// Replaces everything up to the snapshot; entries after it stay when they continue it.
+    void install(proto::LedgerSnapshot snapshot);
+    /// Snapshot at @p index with @p state; keeps @p retained entries before it in memory.
+    void compact(std::uint64_t index, std::string state, std::size_t retained);
+
+    /// Identities after the last entry.
+    const IdentityMap &identities() const { return m_identities; }
+    /// Index of the last entry that changed identities.
+    std::uint64_t identitiesIndex() const { return m_identitiesIndex; }
+    std::vector<proto::LogEntry> entriesAfterSnapshot() const;
+
+private:
+    void reloadIdentities();
+    void applyIdentities(const proto::LogEntry &entry);
+
+    proto::LedgerSnapshot m_snapshot;
+    std::uint64_t m_baseIndex = 0;
+    std::uint64_t m_baseTerm = 0;
+    std::deque<proto::LogEntry> m_entries;
+    IdentityMap m_identities;
+    std::uint64_t m_identitiesIndex = 0;
+};
+
+} // namespace gentianramp
