--- a/src/gentianramp/entry/place.cpp
+++ b/src/gentianramp/entry/place.cpp
@@ -8,7 +8,9 @@
 
 Placed toPlaced(Decision decision)
 {
-    return std::visit([](auto &&value) -> Placed { return std::move(value); }, std::move(decision));
+    if (Placement *placement = std::get_if<Placement>(&decision))
+        return std::move(*placement);
+    return std::get<Refusal>(decision);
 }
 
 } // namespace
--- a/src/gentianramp/entry/relay_whole.cpp
+++ b/src/gentianramp/entry/relay_whole.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr unsigned ClientErrorBegin = 400;
 constexpr unsigned ServerErrorBegin = 500;
 
 /// True when the end of the body can be told from a lost connection.
--- a/src/gentianramp/entry/request_run.cpp
+++ b/src/gentianramp/entry/request_run.cpp
@@ -103,7 +103,7 @@
     ++m_attempts;
     OpenAnswer answer;
     answer.attempt = Attempt((m_attemptSalt << AttemptNumberBits) | m_attempts);
-    BackendCall call = makeCall(placement, std::move(fields));
+    BackendCall call = makeCall(placement, fields);
     call.headTimeout = headTimeout(delivered);
     call.mayStart = [this] { return beginDispatch(); };
     answer.exchange = std::make_shared<BackendExchange>(*m_tools->client, std::move(call));
@@ -245,7 +245,7 @@
     return shape;
 }
 
-BackendCall RequestRun::makeCall(const Placement &placement, EngineFields fields)
+BackendCall RequestRun::makeCall(const Placement &placement, const EngineFields &fields)
 {
     BackendCall call;
     call.address = {placement.backend.host, placement.backend.port};
@@ -272,7 +272,7 @@
     EngineFields fields;
     fields.model = request().service->model.value();
     fields.prefillOnly = true;
-    BackendCall call = makeCall(prefill, std::move(fields));
+    BackendCall call = makeCall(prefill, fields);
     call.headTimeout = headTimeout(0);
     BackendExchange exchange(*m_tools->client, std::move(call));
     const CallStart start = co_await exchange.start();
--- a/src/gentianramp/entry/request_run.hpp
+++ b/src/gentianramp/entry/request_run.hpp
@@ -73,7 +73,7 @@
 
 private:
     RequestShape shape(std::uint32_t delivered) const;
-    BackendCall makeCall(const Placement &placement, EngineFields fields);
+    BackendCall makeCall(const Placement &placement, const EngineFields &fields);
     Duration headTimeout(std::uint32_t delivered) const;
     Duration untilDeadline() const;
     bool beginDispatch();
--- a/src/programs/entry/main.cpp
+++ b/src/programs/entry/main.cpp
@@ -65,13 +65,13 @@
 {
     const auto settings = loadNodeSettings(arguments.settingsFile);
     if (!settings) {
-        std::cerr << settings.message();
+        std::cerr << settings.message() << "\n";
         return ExitFailed;
     }
     const auto configuration
         = loadDeclaredConfiguration(settings->configurationFile, settings->overlayFiles);
     if (!configuration) {
-        std::cerr << configuration.message();
+        std::cerr << configuration.message() << "\n";
         return ExitFailed;
     }
     if (arguments.checkConfig)
