--- a/src/gentianramp/entry/entry_service.cpp
+++ b/src/gentianramp/entry/entry_service.cpp
@@ -79,6 +79,7 @@
     mesh.keys = options.keys;
     for (const PeerSettings &peer : options.settings.peers)
         mesh.peers.push_back({peer.instance, peer.endpoint, peer.publicKey});
+    mesh.faultFile = options.settings.faultFile;
     mesh.metrics = &metrics;
     mesh.timeline = &timeline;
     return mesh;
--- a/src/programs/entry/main.cpp
+++ b/src/programs/entry/main.cpp
@@ -35,7 +35,7 @@
     auto add = description.add_options();
     add("help", "print this text");
     add("version", "print the version");
-    add("settings", po::value(&arguments.settingsFile), "settings of this instance (YAML)");
+    add("config", po::value(&arguments.settingsFile), "settings of this instance (YAML)");
     add("check-config", po::bool_switch(&arguments.checkConfig),
         "check the settings and the declared configuration, then end");
     add("first-start", po::bool_switch(&arguments.firstStart),
@@ -114,7 +114,7 @@
     Arguments arguments;
     const po::options_description description = describeOptions(arguments);
     po::positional_options_description positional;
-    positional.add("settings", 1);
+    positional.add("config", 1);
     po::variables_map values;
     try {
         po::store(
