Route by what others probably sent, observed stream speeds and deadlines

Every instance filled the room that a report from 1 s ago showed, and an answer that could not be in time was begun all the same. Did not help: refusing by idle times alone; cost as plain drain time, which gives long prompts to decode engines.

--- a/src/gentianramp/routing/backend_choice.cpp
+++ b/src/gentianramp/routing/backend_choice.cpp
@@ -12,6 +12,7 @@
 constexpr double TransferSeconds = 0.02;      ///< Export and import of a KV cache.
 constexpr double RemoteSeconds = 0.05;        ///< Preference for the own data centre.
 constexpr double OccupiedSlotSeconds = 0.001; ///< Tells apart backend servers without token work.
+constexpr double HopeForLess = 0.2; ///< Share by which an estimate may fall while waiting.
 constexpr std::size_t DrawsPerChoice = 3;
 
 /// What one backend server would make of the request.
@@ -67,12 +68,18 @@
                                            : std::min(holder->tokens, request.shape.promptTokens);
 }
 
-bool hasRoom(const BackendView &view, const WorkAmount &work, const ChoiceOptions &options)
+/// Whether the backend server may be given more. Other instances decide on the same report, and
+/// are taken to have sent as much as this one since it was made.
+bool hasRoom(const Candidate &candidate, const WorkAmount &work, const ChoiceOptions &options,
+             TimePoint now)
 {
+    const BackendView &view = candidate.view;
+    const UnreportedWork unreported = candidate.load->unreported(now);
     const double open = std::max(1.0, std::floor(view.slots * (1 - options.reservedShare)));
-    if (work.requests >= open)
+    if (work.requests + options.otherInstances * unreported.requests >= open)
         return false;
-    return work.promptTokens <= prefillRate(view, view.role) * PrefillBacklogSeconds;
+    const double prompt = work.promptTokens + options.otherInstances * unreported.promptTokens;
+    return prompt <= prefillRate(view, view.role) * PrefillBacklogSeconds;
 }
 
 double prefillSeconds(const BackendView &view, double tokens)
@@ -95,12 +102,30 @@
     return prefill + std::max(0.0, decodeSeconds(view, outputTokens) - overlapped);
 }
 
-/// Seconds from the first to the last token of an answer beside @p others other streams.
-double answerSeconds(const BackendView &view, double outputTokens, double others)
+/// Seconds that an answer takes on an otherwise idle engine, from the first to the last token.
+double idleAnswerSeconds(const BackendView &view, double outputTokens)
 {
     const double alone
         = view.streamTokensPerSecond > 0 ? outputTokens / view.streamTokensPerSecond : 0;
-    return std::max(alone, decodeSeconds(view, outputTokens) * (1 + others));
+    return std::max(alone, decodeSeconds(view, outputTokens));
+}
+
+/// The same beside the work that the engine has, by the speed that its streams had lately.
+double answerSeconds(const Candidate &candidate, const WorkAmount &work, double outputTokens,
+                     TimePoint now)
+{
+    const BackendView &view = candidate.view;
+    const double shared = decodeRate(view, view.role) / (1 + work.requests);
+    const double expected = std::min(view.streamTokensPerSecond, shared);
+    const double rate = candidate.load->streamRate(expected, now);
+    return rate > 0 ? outputTokens / rate : 0;
+}
+
+/// Growth of the square of the time an engine needs to drain: balances engines, and keeps work
+/// from engines that are slow at it.
+double addedCost(double drainBefore, double drainAfter)
+{
+    return drainAfter * drainAfter - drainBefore * drainBefore;
 }
 
 double fixedCost(const Candidate &candidate, const WorkAmount &work)
@@ -111,47 +136,53 @@
 
 /// The whole request on one engine.
 Estimate estimateWhole(const Candidate &candidate, const WorkAmount &work,
-                       const ChoiceRequest &request)
+                       const ChoiceRequest &request, TimePoint now)
 {
     const BackendView &view = candidate.view;
     Estimate estimate;
     estimate.cachedTokens = cachedAt(candidate, request);
     const double prompt = work.promptTokens + request.shape.promptTokens - estimate.cachedTokens;
     estimate.firstToken = prefillSeconds(view, prompt);
-    estimate.finish = estimate.firstToken + answerSeconds(view, request.output.mean, work.requests);
+    estimate.finish
+        = estimate.firstToken + answerSeconds(candidate, work, request.output.mean, now);
     estimate.cost = fixedCost(candidate, work)
-        + drainSeconds(view, prompt, work.outputTokens + request.output.mean);
+        + addedCost(drainSeconds(view, work.promptTokens, work.outputTokens),
+                    drainSeconds(view, prompt, work.outputTokens + request.output.mean));
     return estimate;
 }
 
 Estimate estimatePrefill(const Candidate &candidate, const WorkAmount &work,
-                         const ChoiceRequest &request)
+                         const ChoiceRequest &request, TimePoint)
 {
     Estimate estimate;
     estimate.cachedTokens = cachedAt(candidate, request);
     const double prompt = work.promptTokens + request.shape.promptTokens - estimate.cachedTokens;
     estimate.firstToken = prefillSeconds(candidate.view, prompt);
-    estimate.cost = fixedCost(candidate, work) + estimate.firstToken;
+    estimate.cost = fixedCost(candidate, work)
+        + addedCost(drainSeconds(candidate.view, work.promptTokens, work.outputTokens),
+                    drainSeconds(candidate.view, prompt, work.outputTokens));
     return estimate;
 }
 
 Estimate estimateDecode(const Candidate &candidate, const WorkAmount &work,
-                        const ChoiceRequest &request)
+                        const ChoiceRequest &request, TimePoint now)
 {
     Estimate estimate;
-    estimate.finish = answerSeconds(candidate.view, request.output.mean, work.requests);
+    estimate.finish = answerSeconds(candidate, work, request.output.mean, now);
     estimate.cost = fixedCost(candidate, work)
         + drainSeconds(candidate.view, work.promptTokens, work.outputTokens + request.output.mean);
     return estimate;
 }
 
-using Estimator = Estimate (*)(const Candidate &, const WorkAmount &, const ChoiceRequest &);
+using Estimator
+    = Estimate (*)(const Candidate &, const WorkAmount &, const ChoiceRequest &, TimePoint);
 
 struct Best
 {
     std::optional<std::size_t> index;
     Estimate estimate;
     std::size_t compared = 0;
+    double soonest = std::numeric_limits<double>::max(); ///< Seconds to the end of the answer.
 };
 
 /// Compares candidates one by one and keeps the best.
@@ -192,10 +223,13 @@
     {
         const Candidate &candidate = m_candidates[index];
         const WorkAmount work = candidate.load->estimate(m_now);
-        if (!hasRoom(candidate.view, work, m_options))
+        if (!hasRoom(candidate, work, m_options, m_now))
             return;
-        const Estimate estimate = estimator(candidate, work, m_request);
+        const Estimate estimate = estimator(candidate, work, m_request, m_now);
         ++best.compared;
+        best.soonest = std::min(best.soonest, estimate.finish);
+        if (fromSeconds(estimate.finish) > m_request.shape.deadline - m_now)
+            return;
         if (best.index && best.estimate.cost <= estimate.cost)
             return;
         best.index = index;
@@ -221,7 +255,7 @@
 struct Eligible
 {
     std::vector<std::size_t> whole;   ///< Roles Mixed and Decode.
-    std::vector<std::size_t> prefill; ///< Role Prefill.
+    std::vector<std::size_t> prefill; ///< Roles Prefill and Mixed.
     std::vector<std::size_t> decode;  ///< Role Decode.
     bool modelKnown = false;
     bool mayReturn = false;    ///< One that is out of service now may be back soon.
@@ -244,11 +278,10 @@
             continue;
         }
         const EngineRole role = candidates[i].view.role;
-        if (role == EngineRole::Prefill) {
+        if (role != EngineRole::Decode)
             eligible.prefill.push_back(i);
-            continue;
-        }
-        eligible.whole.push_back(i);
+        if (role != EngineRole::Prefill)
+            eligible.whole.push_back(i);
         if (role == EngineRole::Decode)
             eligible.decode.push_back(i);
     }
@@ -314,10 +347,18 @@
     const Comparison comparison(candidates, request, options, now);
     const Best whole = comparison.best(eligible.whole, estimateWhole, random);
     const Best prefill = comparison.best(eligible.prefill, estimatePrefill, random);
-    const Best decode = comparison.best(eligible.decode, estimateDecode, random);
+    // Two mixed engines do not make a pair: nothing would be gained by the transfer.
+    const bool prefillApart
+        = prefill.index && candidates[*prefill.index].view.role == EngineRole::Prefill;
+    const Best decode
+        = comparison.best(prefillApart ? eligible.whole : eligible.decode, estimateDecode, random);
     const bool pairPossible = prefill.index && decode.index;
-    if (!whole.index && !pairPossible)
-        return {.outcome = ChoiceOutcome::Busy};
+    if (!whole.index && !pairPossible) {
+        const double soonest = std::min(whole.soonest, decode.soonest);
+        const bool hopeless = soonest < std::numeric_limits<double>::max()
+            && fromSeconds(soonest * (1 - HopeForLess)) > request.shape.deadline - now;
+        return {.outcome = hopeless ? ChoiceOutcome::TooLate : ChoiceOutcome::Busy};
+    }
     if (!pairPossible)
         return wholeChoice(whole);
     const double pairCost = prefill.estimate.cost + TransferSeconds + decode.estimate.cost;
@@ -338,7 +379,7 @@
         const double prefill = uncached / std::max(1.0, prefillRate(view, view.role));
         if (view.role == EngineRole::Prefill)
             continue;
-        best = std::min(best, prefill + answerSeconds(view, shortestOutput, 0));
+        best = std::min(best, prefill + idleAnswerSeconds(view, shortestOutput));
     }
     return best == std::numeric_limits<double>::max() ? Duration::zero() : fromSeconds(best);
 }
--- a/src/gentianramp/routing/backend_choice.hpp
+++ b/src/gentianramp/routing/backend_choice.hpp
@@ -42,6 +42,7 @@
 {
     std::uint32_t choices = 2; ///< Candidates compared besides cache holders.
     double reservedShare = 0;  ///< Share of the slots kept free for more urgent classes.
+    double otherInstances = 0; ///< Entry instances that decide on the same reports.
 };
 
 /// A request with what is expected of it.
@@ -54,6 +55,7 @@
 
 enum class ChoiceOutcome {
     Chosen,
+    TooLate,     ///< None is expected to answer within the deadline.
     Busy,        ///< Backend servers could take it once they have less to do.
     NoBackend,   ///< None that fits is in service.
     UnknownModel ///< None has the model, version or adapter.
--- a/src/gentianramp/routing/backend_load.cpp
+++ b/src/gentianramp/routing/backend_load.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Duration ReportTrusted = std::chrono::seconds(2);
+constexpr double StreamRateGain = 0.2;
+constexpr double StreamRateLifetimeSeconds = 3;
 constexpr Duration ReportForgotten = std::chrono::seconds(8);
 
 /// Weight of a report of that age: 1 while it is trusted, then falling to 0.
@@ -34,6 +36,49 @@
     m_requests.fetch_add(requests, std::memory_order_relaxed);
     m_promptTokens.fetch_add(promptTokens, std::memory_order_relaxed);
     m_outputTokens.fetch_add(outputTokens, std::memory_order_relaxed);
+    if (requests <= 0)
+        return;
+    m_sentRequests.fetch_add(static_cast<std::uint64_t>(requests), std::memory_order_relaxed);
+    m_sentPromptTokens.fetch_add(
+        static_cast<std::uint64_t>(std::max<std::int64_t>(0, promptTokens)),
+        std::memory_order_relaxed);
+}
+
+UnreportedWork BackendLoad::sent() const noexcept
+{
+    return {static_cast<double>(m_sentRequests.load(std::memory_order_relaxed)),
+            static_cast<double>(m_sentPromptTokens.load(std::memory_order_relaxed))};
+}
+
+UnreportedWork BackendLoad::unreported(TimePoint now) const noexcept
+{
+    const TimePoint reportedAt{Duration(m_reportedAt.load(std::memory_order_relaxed))};
+    if (now - reportedAt > ReportTrusted)
+        return {};
+    const UnreportedWork all = sent();
+    return {
+        std::max(0.0, all.requests - m_reportedSentRequests.load(std::memory_order_relaxed)),
+        std::max(0.0,
+                 all.promptTokens - m_reportedSentPromptTokens.load(std::memory_order_relaxed))};
+}
+
+void BackendLoad::noteStreamRate(double tokensPerSecond, TimePoint now) noexcept
+{
+    const double before = m_streamRate.load(std::memory_order_relaxed);
+    const double gain = before == 0 ? 1 : StreamRateGain;
+    m_streamRate.store(before + gain * (tokensPerSecond - before), std::memory_order_relaxed);
+    m_streamRateAt.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+}
+
+double BackendLoad::streamRate(double expected, TimePoint now) const noexcept
+{
+    const TimePoint seenAt{Duration(m_streamRateAt.load(std::memory_order_relaxed))};
+    const double seen = m_streamRate.load(std::memory_order_relaxed);
+    if (seen <= 0)
+        return expected;
+    const double age = std::chrono::duration<double>(now - seenAt).count();
+    const double weight = std::clamp(1 - age / StreamRateLifetimeSeconds, 0.0, 1.0);
+    return weight * seen + (1 - weight) * expected;
 }
 
 WorkAmount BackendLoad::own() const noexcept
@@ -57,18 +102,18 @@
     checkInvariant(m_requests >= 0 && m_promptTokens >= 0 && m_outputTokens >= 0,
                    "outstanding_not_negative");
     const std::lock_guard lock(m_samplesMutex);
-    m_samples[m_nextSample] = {now, own()};
+    m_samples[m_nextSample] = {now, own(), sent()};
     m_nextSample = (m_nextSample + 1) % Samples;
 }
 
-WorkAmount BackendLoad::ownAt(TimePoint at) const
+BackendLoad::Sample BackendLoad::sampleAt(TimePoint at) const
 {
     const Sample *best = nullptr;
     for (const Sample &sample : m_samples) {
         if (sample.at <= at && (best == nullptr || sample.at > best->at))
             best = &sample;
     }
-    return best == nullptr ? WorkAmount{} : best->own;
+    return best == nullptr ? Sample{} : *best;
 }
 
 void BackendLoad::applyReport(const LoadReport &report, TimePoint now)
@@ -82,7 +127,8 @@
     // not be repeated has no other probe.
     if (m_breaker.mayAllow(true, takenAt))
         m_breaker.succeeded();
-    const WorkAmount mine = ownAt(takenAt);
+    const Sample then = sampleAt(takenAt);
+    const WorkAmount &mine = then.own;
     const double requests = static_cast<double>(report.running) + report.queued;
     m_othersRequests.store(std::max(0.0, requests - mine.requests), std::memory_order_relaxed);
     m_othersPromptTokens.store(
@@ -91,6 +137,8 @@
     m_othersOutputTokens.store(
         std::max(0.0, static_cast<double>(report.outputTokens) - mine.outputTokens),
         std::memory_order_relaxed);
+    m_reportedSentRequests.store(then.sent.requests, std::memory_order_relaxed);
+    m_reportedSentPromptTokens.store(then.sent.promptTokens, std::memory_order_relaxed);
     m_reportedAt.store(takenAt.time_since_epoch().count(), std::memory_order_relaxed);
 }
 
--- a/src/gentianramp/routing/backend_load.hpp
+++ b/src/gentianramp/routing/backend_load.hpp
@@ -21,6 +21,14 @@
     bool operator==(const WorkAmount &) const = default;
 };
 
+/// Work that one instance sent since a backend server's last report was made.
+struct UnreportedWork
+{
+    double requests = 0;
+    double promptTokens = 0;
+    bool operator==(const UnreportedWork &) const = default;
+};
+
 /// Work outstanding at one backend server, as this instance can know it.
 ///
 /// What this instance itself sent is exact. What others sent is the last report less what this
@@ -39,6 +47,14 @@
     /// Own work and the reported work of others, which fades out as the report ages.
     WorkAmount estimate(TimePoint now) const noexcept;
 
+    /// What this instance sent since the last report was made; nothing without recent reports.
+    UnreportedWork unreported(TimePoint now) const noexcept;
+
+    /// Notes the tokens per second that one stream got.
+    void noteStreamRate(double tokensPerSecond, TimePoint now) noexcept;
+    /// Tokens per second that a stream gets, between what was seen lately and @p expected.
+    double streamRate(double expected, TimePoint now) const noexcept;
+
     /// Keeps the present own work for later comparison with reports; call at regular times.
     void sample(TimePoint now);
     void applyReport(const LoadReport &report, TimePoint now);
@@ -50,10 +66,12 @@
     {
         TimePoint at{};
         WorkAmount own;
+        UnreportedWork sent; ///< Since the start.
     };
     static constexpr std::size_t Samples = 64;
 
-    WorkAmount ownAt(TimePoint at) const;
+    Sample sampleAt(TimePoint at) const;
+    UnreportedWork sent() const noexcept;
 
     const BackendNumber m_number;
     std::atomic<std::int64_t> m_requests{0};
@@ -63,6 +81,12 @@
     std::atomic<double> m_othersPromptTokens{0};
     std::atomic<double> m_othersOutputTokens{0};
     std::atomic<Duration::rep> m_reportedAt{0};
+    std::atomic<std::uint64_t> m_sentRequests{0};
+    std::atomic<std::uint64_t> m_sentPromptTokens{0};
+    std::atomic<double> m_reportedSentRequests{0};
+    std::atomic<double> m_reportedSentPromptTokens{0};
+    std::atomic<double> m_streamRate{0};
+    std::atomic<Duration::rep> m_streamRateAt{0};
     std::atomic<std::uint64_t> m_cacheSequence{0};
     CircuitBreaker m_breaker;
 
--- a/src/gentianramp/routing/dispatch_record.cpp
+++ b/src/gentianramp/routing/dispatch_record.cpp
@@ -7,6 +7,8 @@
 
 constexpr std::int64_t LeastOutputLeft = 4; ///< Assumed while an answer goes on past its estimate.
 
+constexpr Duration SpeedInterval = std::chrono::milliseconds(500);
+
 } // namespace
 
 DispatchRecord::DispatchRecord(DispatchClaim claim)
@@ -35,7 +37,26 @@
     return atPrefill ? *m_claim.prefillBackend : *m_claim.backend;
 }
 
-void DispatchRecord::prefilled() noexcept
+void DispatchRecord::prefilled(TimePoint now) noexcept
+{
+    m_seenAt.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+    releasePrompt();
+}
+
+void DispatchRecord::noteSpeed(std::uint32_t tokens, TimePoint now) noexcept
+{
+    const Duration since
+        = now.time_since_epoch() - Duration(m_seenAt.load(std::memory_order_relaxed));
+    if (since < SpeedInterval)
+        return;
+    const std::uint32_t before = m_seenTokens.exchange(tokens, std::memory_order_relaxed);
+    m_seenAt.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+    if (tokens > before)
+        m_claim.backend->noteStreamRate(
+            (tokens - before) / std::chrono::duration<double>(since).count(), now);
+}
+
+void DispatchRecord::releasePrompt() noexcept
 {
     if (!m_prefilling.exchange(false, std::memory_order_acq_rel))
         return;
@@ -48,10 +69,11 @@
         m_claim.backend->add(0, -prompt, 0);
 }
 
-void DispatchRecord::emitted(std::uint32_t tokens) noexcept
+void DispatchRecord::emitted(std::uint32_t tokens, TimePoint now) noexcept
 {
     if (m_ended.load(std::memory_order_acquire))
         return;
+    noteSpeed(tokens, now);
     const std::int64_t left
         = std::max<std::int64_t>(std::int64_t{m_claim.outputTokens} - tokens, LeastOutputLeft);
     const std::int64_t change = left - m_outputLeft.exchange(left, std::memory_order_relaxed);
@@ -64,7 +86,7 @@
 {
     if (m_ended.exchange(true, std::memory_order_acq_rel))
         return false;
-    prefilled();
+    releasePrompt();
     const std::int64_t left = m_outputLeft.exchange(0, std::memory_order_relaxed);
     m_claim.backend->add(-1, 0, -left);
     m_claim.service->demand(m_claim.priority)
--- a/src/gentianramp/routing/dispatch_record.hpp
+++ b/src/gentianramp/routing/dispatch_record.hpp
@@ -38,15 +38,20 @@
     const DispatchClaim &claim() const noexcept { return m_claim; }
     /// The backend server that the request is at: prefill until the first token.
     BackendLoad &current() const noexcept;
-    void prefilled() noexcept;
-    void emitted(std::uint32_t tokens) noexcept;
+    void prefilled(TimePoint now) noexcept;
+    void emitted(std::uint32_t tokens, TimePoint now) noexcept;
     /// Releases everything; true for the first call.
     bool end() noexcept;
 
 private:
+    void releasePrompt() noexcept;
+    void noteSpeed(std::uint32_t tokens, TimePoint now) noexcept;
+
     DispatchClaim m_claim;
     std::atomic<std::int64_t> m_promptLeft;
     std::atomic<std::int64_t> m_outputLeft;
+    std::atomic<std::uint32_t> m_seenTokens{0};
+    std::atomic<Duration::rep> m_seenAt{0};
     std::atomic<bool> m_prefilling{true};
     std::atomic<bool> m_ended{false};
 };
--- a/src/gentianramp/routing/router.cpp
+++ b/src/gentianramp/routing/router.cpp
@@ -146,13 +146,13 @@
 void Router::firstToken(const DispatchHandle &handle, TimePoint now)
 {
     handle->current().breaker().succeeded();
-    handle->prefilled();
+    handle->prefilled(now);
     m_state->pollService(handle->claim().serviceId, now);
 }
 
-void Router::progress(const DispatchHandle &handle, std::uint32_t emitted, TimePoint)
+void Router::progress(const DispatchHandle &handle, std::uint32_t emitted, TimePoint now)
 {
-    handle->emitted(emitted);
+    handle->emitted(emitted, now);
 }
 
 void Router::finished(const DispatchHandle &handle, std::uint32_t emitted, TimePoint now)
--- a/src/gentianramp/routing/router_state.cpp
+++ b/src/gentianramp/routing/router_state.cpp
@@ -30,6 +30,13 @@
     return engineSeconds(table.candidates.front().view, shape.promptTokens - cached, output.mean);
 }
 
+OutputLength expectedOutput(const ServiceTable &service, const RequestShape &shape)
+{
+    if (service.declaration.kind == ServiceKind::Plain)
+        return {};
+    return service.state->output(shape.priority).estimate(shape.maxOutputTokens);
+}
+
 std::uint32_t bestCached(const std::vector<CacheHolder> &holders, const RequestShape &shape)
 {
     std::uint32_t tokens = 0;
@@ -135,8 +142,7 @@
 WaitNumber Router::State::enter(const ServiceTable &service, RequestShape shape, TimePoint now,
                                 DecisionHook onDecision, std::vector<Delivery> &deliveries)
 {
-    const OutputLength output
-        = service.state->output(shape.priority).estimate(shape.maxOutputTokens);
+    const OutputLength output = expectedOutput(service, shape);
     const std::vector<CacheHolder> holders = prefixes.holders(shape.prefixes, now);
     const std::uint32_t cached = bestCached(holders, shape);
     noteDemand(service, shape, cached, output);
@@ -227,7 +233,10 @@
                              TimePoint now)
 {
     ChoiceRandom random(options.seed ^ (choiceCount.fetch_add(1, std::memory_order_relaxed) << 20));
-    const ChoiceOptions choiceOptions{options.choices, service.reservedShare(shape.priority)};
+    const ChoiceOptions choiceOptions{
+        .choices = options.choices,
+        .reservedShare = service.reservedShare(shape.priority),
+        .otherInstances = std::max<double>(1, static_cast<double>(options.instances.size())) - 1};
     return chooseBackends(service.candidates, {shape, output, holders}, choiceOptions, now, random);
 }
 
@@ -271,6 +280,8 @@
     switch (choice.outcome) {
     case ChoiceOutcome::Busy:
         return std::nullopt;
+    case ChoiceOutcome::TooLate:
+        return Refusal{RefusalReason::DeadlineUnreachable, ShortRetryAfter};
     case ChoiceOutcome::NoBackend:
         return Refusal{RefusalReason::NoBackend, ShortRetryAfter};
     case ChoiceOutcome::UnknownModel:
--- a/src/gentianramp/routing/routing_table.hpp
+++ b/src/gentianramp/routing/routing_table.hpp
@@ -35,7 +35,7 @@
 struct ServiceState
 {
     static constexpr std::size_t Priorities = 4; ///< Less urgent levels share the last place.
-    static constexpr OutputLength FirstOutputLength{128, 64};
+    static constexpr OutputLength FirstOutputLength{128, 128};
 
     ServiceState();
 
