Move replica groups and ballots to membership

Cause: leases need the same quorums and ballots as key claims. Change: ReplicaGroups and Ballot stand in membership; no behaviour changed.

--- a/src/gentianramp/idempotency/claim_round.cpp
+++ b/src/gentianramp/idempotency/claim_round.cpp
@@ -4,7 +4,7 @@
 
 namespace gentianramp {
 
-ClaimRound::ClaimRound(KeyScope scope, ReplicaGroups groups, KeyBallot ballot)
+ClaimRound::ClaimRound(KeyScope scope, ReplicaGroups groups, Ballot ballot)
     : m_scope(std::move(scope))
     , m_groups(std::move(groups))
     , m_ballot(std::move(ballot))
--- a/src/gentianramp/idempotency/claim_round.hpp
+++ b/src/gentianramp/idempotency/claim_round.hpp
@@ -12,10 +12,10 @@
 class ClaimRound
 {
 public:
-    ClaimRound(KeyScope scope, ReplicaGroups groups, KeyBallot ballot);
+    ClaimRound(KeyScope scope, ReplicaGroups groups, Ballot ballot);
 
     const std::set<InstanceId> &members() const { return m_groups.members(); }
-    const KeyBallot &ballot() const { return m_ballot; }
+    const Ballot &ballot() const { return m_ballot; }
     KeyPrepare prepare() const;
 
     void onPromise(const InstanceId &sender, const KeyPromise &promise);
@@ -35,19 +35,19 @@
     bool isChosen() const;
 
     /// Highest ballot that overtook this one; round 0 when none did.
-    const KeyBallot &overtakenBy() const { return m_overtakenBy; }
+    const Ballot &overtakenBy() const { return m_overtakenBy; }
 
 private:
     bool isOutdated(const InstanceId &member, Incarnation incarnation) const;
 
     KeyScope m_scope;
     ReplicaGroups m_groups;
-    KeyBallot m_ballot;
+    Ballot m_ballot;
     std::map<InstanceId, KeyPromise> m_promises;
     std::map<InstanceId, KeyAccepted> m_acceptances;
     std::set<InstanceId> m_overloaded;
     std::optional<ClaimRecord> m_proposal;
-    KeyBallot m_overtakenBy;
+    Ballot m_overtakenBy;
 };
 
 } // namespace gentianramp
--- a/src/gentianramp/idempotency/codec.cpp
+++ b/src/gentianramp/idempotency/codec.cpp
@@ -24,7 +24,7 @@
             .key = IdempotencyKey(in.key())};
 }
 
-proto::KeyBallot toProto(const KeyBallot &ballot)
+proto::KeyBallot toProto(const Ballot &ballot)
 {
     proto::KeyBallot out;
     out.set_round(ballot.round);
@@ -33,7 +33,7 @@
     return out;
 }
 
-KeyBallot fromProto(const proto::KeyBallot &in)
+Ballot fromProto(const proto::KeyBallot &in)
 {
     return {.round = in.round(),
             .instance = InstanceId(in.instance()),
--- a/src/gentianramp/idempotency/codec_test.cpp
+++ b/src/gentianramp/idempotency/codec_test.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 const KeyScope Scope{CustomerId("c"), ServiceId("bay"), IdempotencyKey("hliny/1")};
-const KeyBallot Ballot{7, InstanceId("e1"), Incarnation(3)};
+const Ballot SomeBallot{7, InstanceId("e1"), Incarnation(3)};
 const ClaimRecord Record{{InstanceId("e1"), Incarnation(3), 9},
                          2,
                          "digest",
@@ -21,17 +21,17 @@
 std::vector<KeyMessage> oneOfEach()
 {
     const MemberLives lives{{InstanceId("e2"), Incarnation(4)}};
-    return {KeyPrepare{Scope, Ballot},
-            KeyPromise{Scope, Ballot, KeyReply::Ok, Incarnation(4), {}, Ballot, Record},
-            KeyPromise{Scope, Ballot, KeyReply::Overtaken, Incarnation(4), Ballot, {}, {}},
-            KeyAccept{Scope, Ballot, Record, lives},
-            KeyAccepted{Scope, Ballot, KeyReply::Overloaded, Incarnation(4), {}, lives},
+    return {KeyPrepare{Scope, SomeBallot},
+            KeyPromise{Scope, SomeBallot, KeyReply::Ok, Incarnation(4), {}, SomeBallot, Record},
+            KeyPromise{Scope, SomeBallot, KeyReply::Overtaken, Incarnation(4), SomeBallot, {}, {}},
+            KeyAccept{Scope, SomeBallot, Record, lives},
+            KeyAccepted{Scope, SomeBallot, KeyReply::Overloaded, Incarnation(4), {}, lives},
             KeyLearnRequest{Incarnation(5), std::nullopt},
             KeyLearnRequest{Incarnation(5), Scope},
             KeyLearnPage{Incarnation(5),
                          Incarnation(6),
                          Scope,
-                         {{Scope, Ballot, Ballot, Record}, {Scope, Ballot, {}, std::nullopt}},
+                         {{Scope, SomeBallot, SomeBallot, Record}, {Scope, SomeBallot, {}, std::nullopt}},
                          true,
                          {InstanceId("e3")}},
             KeyClaimantQuery{5, Record.claim},
--- a/src/gentianramp/idempotency/key_groups.cpp
+++ b/src/gentianramp/idempotency/key_groups.cpp
@@ -19,30 +19,6 @@
 
 } // namespace
 
-ReplicaGroups::ReplicaGroups(std::vector<std::vector<InstanceId>> groups)
-    : m_groups(std::move(groups))
-{
-    for (const auto &group : m_groups)
-        m_members.insert(group.begin(), group.end());
-}
-
-bool ReplicaGroups::isQuorum(const std::set<InstanceId> &chosen) const
-{
-    const auto hasMajority = [&chosen](const std::vector<InstanceId> &group) {
-        const auto count = std::count_if(group.begin(), group.end(), [&](const InstanceId &member) {
-            return chosen.contains(member);
-        });
-        return 2 * static_cast<std::size_t>(count) > group.size();
-    };
-    return !m_groups.empty() && std::all_of(m_groups.begin(), m_groups.end(), hasMajority);
-}
-
-bool ReplicaGroups::isRelearnable() const
-{
-    return std::all_of(m_groups.begin(), m_groups.end(),
-                       [](const std::vector<InstanceId> &group) { return group.size() > 1; });
-}
-
 KeyGroups::KeyGroups(std::vector<PlacedInstance> instances, std::vector<DataCentreId> sites)
     : m_sites(std::move(sites))
 {
--- a/src/gentianramp/idempotency/key_groups.hpp
+++ b/src/gentianramp/idempotency/key_groups.hpp
@@ -3,31 +3,13 @@
 #include <gentianramp/core/clock.hpp>
 #include <gentianramp/idempotency/claim.hpp>
 #include <gentianramp/membership/placement.hpp>
+#include <gentianramp/membership/replica_groups.hpp>
 #include <map>
 #include <set>
 #include <vector>
 
 namespace gentianramp {
 
-/// Replica groups of one key: one for each list of instances in force. A decision needs a
-/// majority of every group.
-class ReplicaGroups
-{
-public:
-    explicit ReplicaGroups(std::vector<std::vector<InstanceId>> groups);
-
-    /// Members of all groups, each once.
-    const std::set<InstanceId> &members() const { return m_members; }
-    /// Whether @p chosen holds a majority of every group.
-    bool isQuorum(const std::set<InstanceId> &chosen) const;
-    /// Whether a member that lost its memory can learn every decision from the others.
-    bool isRelearnable() const;
-
-private:
-    std::vector<std::vector<InstanceId>> m_groups;
-    std::set<InstanceId> m_members;
-};
-
 /// Finds the replica groups of keys over the present and the earlier lists of instances.
 class KeyGroups
 {
--- a/src/gentianramp/idempotency/key_replica.cpp
+++ b/src/gentianramp/idempotency/key_replica.cpp
@@ -83,7 +83,7 @@
     return answer;
 }
 
-void KeyReplica::keep(Entry &entry, const KeyBallot &ballot, ClaimRecord record, TimePoint now)
+void KeyReplica::keep(Entry &entry, const Ballot &ballot, ClaimRecord record, TimePoint now)
 {
     if (entry.accepted == ballot) {
         checkInvariant(!entry.record || entry.record->claim == record.claim,
--- a/src/gentianramp/idempotency/key_replica.hpp
+++ b/src/gentianramp/idempotency/key_replica.hpp
@@ -59,8 +59,8 @@
 private:
     struct Entry
     {
-        KeyBallot promised;
-        KeyBallot accepted;
+        Ballot promised;
+        Ballot accepted;
         std::optional<ClaimRecord> record;
         TimePoint forgetAt;
     };
@@ -80,7 +80,7 @@
     bool restsOnOldLife(const MemberLives &quorum) const;
     MemberLives knownLives(const KeyScope &scope) const;
     void noteLife(const InstanceId &instance, Incarnation incarnation);
-    void keep(Entry &entry, const KeyBallot &ballot, ClaimRecord record, TimePoint now);
+    void keep(Entry &entry, const Ballot &ballot, ClaimRecord record, TimePoint now);
     void merge(const KeyLearnEntry &learned, TimePoint now);
     std::set<InstanceId> missingSources(TimePoint now) const;
 
--- a/src/gentianramp/idempotency/key_replica_test.cpp
+++ b/src/gentianramp/idempotency/key_replica_test.cpp
@@ -20,7 +20,7 @@
     return {.claim = {claimant, Incarnation(1), 1}, .attempt = 1, .fingerprint = "body"};
 }
 
-KeyBallot ballot(std::uint64_t round, const InstanceId &proposer)
+Ballot ballot(std::uint64_t round, const InstanceId &proposer)
 {
     return {.round = round, .instance = proposer, .incarnation = Incarnation(1)};
 }
--- a/src/gentianramp/idempotency/key_service.cpp
+++ b/src/gentianramp/idempotency/key_service.cpp
@@ -103,7 +103,7 @@
     void handle(const InstanceId &sender, const KeyClaimantAnswer &answer, TimePoint now);
 
     void addOperation(Operation operation, TimePoint now);
-    Operation *operationOfBallot(const KeyBallot &ballot, std::uint64_t &id);
+    Operation *operationOfBallot(const Ballot &ballot, std::uint64_t &id);
     void startRound(std::uint64_t id, TimePoint now);
     void endRound(Operation &operation);
     void retryLater(Operation &operation, TimePoint now);
@@ -243,7 +243,7 @@
     startRound(id, now);
 }
 
-Operation *KeyService::State::operationOfBallot(const KeyBallot &ballot, std::uint64_t &id)
+Operation *KeyService::State::operationOfBallot(const Ballot &ballot, std::uint64_t &id)
 {
     const auto found = operationOfRound.find(ballot.round);
     if (found == operationOfRound.end())
@@ -257,7 +257,7 @@
 {
     Operation &operation = operations.at(id);
     endRound(operation);
-    const KeyBallot ballot{
+    const Ballot ballot{
         .round = ++lastRound, .instance = options.self, .incarnation = options.incarnation};
     operationOfRound[ballot.round] = id;
     operation.round.emplace(operation.scope, groups.groups(operation.scope), ballot);
--- a/src/gentianramp/idempotency/messages.hpp
+++ b/src/gentianramp/idempotency/messages.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <gentianramp/core/ids.hpp>
 #include <gentianramp/idempotency/claim.hpp>
+#include <gentianramp/membership/replica_groups.hpp>
 #include <map>
 #include <optional>
 #include <set>
@@ -13,15 +14,6 @@
 
 namespace gentianramp {
 
-/// Orders the proposals for one key; no two proposals share a ballot.
-struct KeyBallot
-{
-    std::uint64_t round = 0; ///< 0: no ballot.
-    InstanceId instance;
-    Incarnation incarnation;
-    auto operator<=>(const KeyBallot &) const = default;
-};
-
 /// Newest known life of instances.
 using MemberLives = std::map<InstanceId, Incarnation>;
 
@@ -37,7 +29,7 @@
 struct KeyPrepare
 {
     KeyScope scope;
-    KeyBallot ballot;
+    Ballot ballot;
     bool operator==(const KeyPrepare &) const = default;
 };
 
@@ -45,11 +37,11 @@
 struct KeyPromise
 {
     KeyScope scope;
-    KeyBallot ballot;
+    Ballot ballot;
     KeyReply reply = KeyReply::Ok;
     Incarnation incarnation; ///< Life of the replica.
-    KeyBallot promised;      ///< With KeyReply::Overtaken.
-    KeyBallot accepted;      ///< Ballot of the record.
+    Ballot promised;      ///< With KeyReply::Overtaken.
+    Ballot accepted;      ///< Ballot of the record.
     std::optional<ClaimRecord> record;
     bool operator==(const KeyPromise &) const = default;
 };
@@ -58,7 +50,7 @@
 struct KeyAccept
 {
     KeyScope scope;
-    KeyBallot ballot;
+    Ballot ballot;
     ClaimRecord record;
     MemberLives quorum; ///< Lives whose promises the proposal rests on.
     bool operator==(const KeyAccept &) const = default;
@@ -68,10 +60,10 @@
 struct KeyAccepted
 {
     KeyScope scope;
-    KeyBallot ballot;
+    Ballot ballot;
     KeyReply reply = KeyReply::Ok;
     Incarnation incarnation;
-    KeyBallot promised;
+    Ballot promised;
     MemberLives known; ///< Newest lives that the replica knows of.
     bool operator==(const KeyAccepted &) const = default;
 };
@@ -88,8 +80,8 @@
 struct KeyLearnEntry
 {
     KeyScope scope;
-    KeyBallot promised;
-    KeyBallot accepted;
+    Ballot promised;
+    Ballot accepted;
     std::optional<ClaimRecord> record;
     bool operator==(const KeyLearnEntry &) const = default;
 };
