Lease the right to order engines and gate every order

Cause: one process at a time may order a data centre's engines, also with paused holders, diskless restarts and engines that ignore fencing numbers. Change: LeaseService (quorum lease, fencing numbers in blocks, hand-over), OrderGate (lease checked on the clock at each send, fence, read, one order at a time), EnginePlan (level-triggered orders, last copy kept, shared weight store); the protocol to engines gets the order 'fence', which only carries the number.

--- /dev/null
+++ b/src/gentianramp/authority/lease_service_test.cpp
@@ -0,0 +1,155 @@
+#include <gentianramp/authority/lease_member.hpp>
+#include <gentianramp/authority/lease_messages.hpp>
+#include <gentianramp/authority/lease_service.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint Now{1h};
+const DataCentreId Site("a");
+
+Ballot ballot(std::uint64_t round, const std::string &instance = "a1")
+{
+    return {.round = round, .instance = InstanceId(instance), .incarnation = Incarnation(1)};
+}
+
+std::vector<LeaseMessage> oneOfEach()
+{
+    return {{Site, LeasePrepare{ballot(1)}},
+            {Site,
+             LeasePromise{ballot(1),
+                          LeaseReply::Ok,
+                          {},
+                          LeaseGrant{ballot(2), FencingNumber(3), 4s},
+                          FencingNumber(5)}},
+            {Site, LeasePropose{ballot(1), FencingNumber(2), 3s}},
+            {Site, LeaseAccepted{ballot(1), LeaseReply::Overtaken, ballot(2)}},
+            {Site, LeaseRelease{ballot(1)}}};
+}
+
+/// A single control process, which is its own quorum.
+struct Alone
+{
+    Alone()
+        : service(
+            {.self = InstanceId("a1"),
+             .dataCentre = Site,
+             .incarnation = Incarnation(1),
+             .instances = {{InstanceId("a1"), Site}}},
+            [](const InstanceId &, const std::string &) {}, Now)
+    { }
+
+    void runUntil(TimePoint end)
+    {
+        for (; now <= end; now += 20ms)
+            service.tick(now);
+    }
+
+    TimePoint now = Now;
+    LeaseService service;
+};
+
+} // namespace
+
+Test(LeaseCodec, EveryMessageSurvives)
+{
+    for (const LeaseMessage &message : oneOfEach()) {
+        const auto decoded = decodeLeaseMessage(encodeLeaseMessage(message));
+        cr_assert(static_cast<bool>(decoded));
+        cr_assert(*decoded == message);
+    }
+    cr_assert_not(static_cast<bool>(decodeLeaseMessage("")));
+}
+
+Test(LeaseCodec, MangledMessagesAreRefusedOrRead)
+{
+    std::mt19937_64 random(1);
+    int refused = 0;
+    for (int run = 0; run < 5000; ++run) {
+        const auto messages = oneOfEach();
+        std::string bytes = encodeLeaseMessage(messages[random() % messages.size()]);
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+        bytes.resize(random() % (bytes.size() + 1));
+        if (!decodeLeaseMessage(bytes))
+            ++refused;
+    }
+    cr_assert_gt(refused, 0);
+}
+
+Test(LeaseMember, GrantsNothingUntilTheLongestLeaseIsOver)
+{
+    LeaseMember member(Now + 3s);
+    cr_assert_eq(member.onPrepare({ballot(1)}, Now + 2s).reply, LeaseReply::Restarted);
+    cr_assert_eq(member.onPropose({ballot(1), FencingNumber(1), 3s}, Now + 2s).reply,
+                 LeaseReply::Restarted);
+    cr_assert_eq(member.onPrepare({ballot(1)}, Now + 3s).reply, LeaseReply::Ok);
+}
+
+Test(LeaseMember, RemembersNumbersOfExpiredLeases)
+{
+    LeaseMember member(Now);
+    member.onPropose({ballot(1), FencingNumber(7), 3s}, Now);
+    cr_assert(member.onPrepare({ballot(2)}, Now + 1s).grant.has_value());
+    const LeasePromise later = member.onPrepare({ballot(3)}, Now + 4s);
+    cr_assert_not(later.grant.has_value());
+    cr_assert_eq(later.highestFencing, FencingNumber(7));
+}
+
+Test(LeaseMember, ReleaseOfAnEarlierGrantChangesNothing)
+{
+    LeaseMember member(Now);
+    member.onPropose({ballot(1), FencingNumber(1), 3s}, Now);
+    member.onPropose({ballot(2), FencingNumber(1), 3s}, Now);
+    member.onRelease({ballot(1)});
+    cr_assert(member.onPrepare({ballot(3)}, Now).grant.has_value());
+    member.onRelease({ballot(2)});
+    cr_assert_not(member.onPrepare({ballot(4)}, Now).grant.has_value());
+}
+
+Test(LeaseService, HoldsAfterSittingOutAndKeepsItsNumber)
+{
+    Alone alone;
+    alone.runUntil(Now + 2900ms);
+    cr_assert_not(alone.service.held(alone.now).has_value());
+    alone.runUntil(Now + 4s);
+    const auto lease = alone.service.held(alone.now);
+    cr_assert(lease.has_value());
+    alone.runUntil(Now + 10s);
+    cr_assert_eq(alone.service.held(alone.now)->fencing, lease->fencing);
+    cr_assert_eq(alone.service.held(alone.now)->acquiredAt, lease->acquiredAt);
+}
+
+Test(LeaseService, PausedHolderWakesWithoutTheLease)
+{
+    Alone alone;
+    alone.runUntil(Now + 4s);
+    cr_assert(alone.service.held(alone.now).has_value());
+    cr_assert_not(alone.service.held(alone.now + 3s).has_value());
+}
+
+Test(LeaseService, NumberRisesAboveWhatAnEngineHasSeen)
+{
+    Alone alone;
+    alone.runUntil(Now + 4s);
+    alone.service.raiseFencing(FencingNumber(5 * FencingBlock + 41), alone.now);
+    cr_assert_not(alone.service.held(alone.now).has_value());
+    alone.runUntil(Now + 5s);
+    cr_assert_eq(alone.service.held(alone.now)->fencing, FencingNumber(6 * FencingBlock));
+}
+
+Test(LeaseService, ReleaseEndsTheLeaseAtOnceAndForGood)
+{
+    Alone alone;
+    alone.runUntil(Now + 4s);
+    alone.service.release(alone.now, alone.now + 500ms);
+    cr_assert_not(alone.service.held(alone.now).has_value());
+    alone.runUntil(Now + 12s);
+    cr_assert_not(alone.service.held(alone.now).has_value());
+}
--- /dev/null
+++ b/src/gentianramp/authority/order_gate.cpp
@@ -0,0 +1,129 @@
+#include <gentianramp/authority/order_gate.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace gentianramp {
+
+std::string_view toString(OrderKind kind)
+{
+    switch (kind) {
+    case OrderKind::SetRole:
+        return "set_role";
+    case OrderKind::Load:
+        return "load";
+    case OrderKind::Unload:
+        return "unload";
+    case OrderKind::Drain:
+        return "drain";
+    case OrderKind::Undrain:
+        return "undrain";
+    case OrderKind::Fence:
+        return "fence";
+    }
+    return "unknown";
+}
+
+OrderGate::OrderGate(DataCentreId dataCentre, Duration orderFlight, OrderGateHooks hooks)
+    : m_dataCentre(std::move(dataCentre))
+    , m_orderFlight(orderFlight)
+    , m_hooks(std::move(hooks))
+{ }
+
+void OrderGate::onReport(const BackendId &backend, FencingNumber seen, TimePoint requestedAt)
+{
+    Engine &engine = m_engines[backend];
+    engine.seen = std::max(engine.seen, seen);
+    if (engine.read && requestedAt <= engine.readAt)
+        return;
+    engine.read = true;
+    engine.readAt = requestedAt;
+    const TimePoint now = m_hooks.clock();
+    const std::optional<HeldLease> lease = m_hooks.lease(now);
+    if (!checkSend(engine, lease, now) && engine.fenced != engine.number)
+        send(engine, {.backend = backend, .kind = OrderKind::Fence}, now);
+}
+
+void OrderGate::chooseNumber(Engine &engine, const HeldLease &lease)
+{
+    const bool ownBlock = engine.number >= lease.fencing
+        && engine.number.value() < lease.fencing.value() + FencingBlock;
+    if (!ownBlock)
+        engine.number = lease.fencing;
+    else if (!engine.pendingOrder.empty())
+        engine.number = FencingNumber(engine.number.value() + 1);
+    engine.pendingOrder.clear();
+}
+
+std::error_code OrderGate::checkSend(Engine &engine, const std::optional<HeldLease> &lease,
+                                     TimePoint now)
+{
+    if (!lease)
+        return Error::StaleAuthority;
+    if (now < engine.settledAt)
+        return Error::Overloaded;
+    const bool current
+        = engine.read && engine.readAt >= lease->acquiredAt && engine.readAt >= engine.settledAt;
+    if (!current)
+        return Error::Unavailable;
+    chooseNumber(engine, *lease);
+    const bool ownNumber = engine.ordered >= lease->fencing && engine.seen <= engine.ordered;
+    if (engine.seen >= lease->fencing && !ownNumber) {
+        m_hooks.raiseFencing(engine.seen);
+        return Error::StaleAuthority;
+    }
+    if (engine.number.value() >= lease->fencing.value() + FencingBlock) {
+        m_hooks.raiseFencing(engine.number);
+        return Error::StaleAuthority;
+    }
+    return {};
+}
+
+Result<std::string> OrderGate::trySend(const PlannedOrder &order)
+{
+    Engine &engine = m_engines[order.backend];
+    const TimePoint now = m_hooks.clock();
+    const std::optional<HeldLease> lease = m_hooks.lease(now);
+    if (!lease)
+        ++m_refusedWithoutLease;
+    if (const std::error_code error = checkSend(engine, lease, now))
+        return {error};
+    if (engine.fenced != engine.number)
+        return {Error::Unavailable, "the engine has not confirmed the fencing number"};
+    return send(engine, order, now);
+}
+
+std::string OrderGate::send(Engine &engine, const PlannedOrder &order, TimePoint now)
+{
+    SentOrder sent{.fencing = engine.number,
+                   .orderId = m_dataCentre.value() + "-" + std::to_string(engine.number.value())
+                       + "-" + std::to_string(++m_lastOrder),
+                   .order = order};
+    engine.ordered = engine.number;
+    engine.pendingOrder = sent.orderId;
+    engine.settledAt = now + m_orderFlight;
+    m_hooks.send(sent);
+    return sent.orderId;
+}
+
+void OrderGate::onAnswer(const BackendId &backend, const std::string &orderId, FencingNumber seen)
+{
+    Engine &engine = m_engines[backend];
+    engine.seen = std::max(engine.seen, seen);
+    if (engine.pendingOrder != orderId)
+        return;
+    engine.pendingOrder.clear();
+    engine.settledAt = std::min(engine.settledAt, m_hooks.clock());
+    if (seen <= engine.ordered)
+        engine.fenced = engine.ordered;
+}
+
+TimePoint OrderGate::ordersArrivedAt() const
+{
+    TimePoint latest{};
+    for (const auto &[backend, engine] : m_engines)
+        latest = std::max(latest, engine.settledAt);
+    return latest;
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/authority/schedule_test.cpp
@@ -0,0 +1,41 @@
+#include <gentianramp/authority/test_schedule.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int Schedules = 300;
+
+} // namespace
+
+Test(LeaseSchedules, OneHolderAndNoStaleOrder)
+{
+    TestControlFigures sum;
+    for (std::uint64_t seed = 1; seed <= Schedules; ++seed) {
+        const TestControlFigures figures = runAuthoritySchedule(seed);
+        const auto shown = static_cast<unsigned long>(seed);
+        cr_expect_eq(figures.twoHolders, 0, "seed %lu: two holders", shown);
+        cr_expect_eq(figures.conflicting, 0, "seed %lu: conflicting orders", shown);
+        cr_expect_eq(figures.staleEffective, 0, "seed %lu: stale order in effect", shown);
+        sum.orders += figures.orders;
+        sum.acquisitions += figures.acquisitions;
+    }
+    cr_log_info("%d orders, %d acquisitions", sum.orders, sum.acquisitions);
+    cr_expect_gt(sum.orders, Schedules * 20);
+    cr_expect_gt(sum.acquisitions, Schedules * 2);
+}
+
+Test(LeaseSchedules, SuccessorTakesOverWithinFiveSeconds)
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed)
+        cr_expect_lt(measureFailover(seed).count(), Duration(5s).count());
+}
+
+Test(LeaseSchedules, HandOverLeavesNoGap)
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed)
+        cr_expect_lt(measureHandOver(seed).count(), Duration(1s).count());
+}
--- a/src/gentianramp/idempotency/codec_test.cpp
+++ b/src/gentianramp/idempotency/codec_test.cpp
@@ -28,12 +28,13 @@
             KeyAccepted{Scope, SomeBallot, KeyReply::Overloaded, Incarnation(4), {}, lives},
             KeyLearnRequest{Incarnation(5), std::nullopt},
             KeyLearnRequest{Incarnation(5), Scope},
-            KeyLearnPage{Incarnation(5),
-                         Incarnation(6),
-                         Scope,
-                         {{Scope, SomeBallot, SomeBallot, Record}, {Scope, SomeBallot, {}, std::nullopt}},
-                         true,
-                         {InstanceId("e3")}},
+            KeyLearnPage{
+                Incarnation(5),
+                Incarnation(6),
+                Scope,
+                {{Scope, SomeBallot, SomeBallot, Record}, {Scope, SomeBallot, {}, std::nullopt}},
+                true,
+                {InstanceId("e3")}},
             KeyClaimantQuery{5, Record.claim},
             KeyClaimantAnswer{5, Record.claim, true}};
 }
--- a/src/gentianramp/idempotency/messages.hpp
+++ b/src/gentianramp/idempotency/messages.hpp
@@ -40,8 +40,8 @@
     Ballot ballot;
     KeyReply reply = KeyReply::Ok;
     Incarnation incarnation; ///< Life of the replica.
-    Ballot promised;      ///< With KeyReply::Overtaken.
-    Ballot accepted;      ///< Ballot of the record.
+    Ballot promised;         ///< With KeyReply::Overtaken.
+    Ballot accepted;         ///< Ballot of the record.
     std::optional<ClaimRecord> record;
     bool operator==(const KeyPromise &) const = default;
 };
