Encode the declared configuration canonically, compare configurations and front the daemons

Cause: the ledger stores and spreads a configuration as bytes, operators read differences, and every daemon needs the same command line. Change: protobuf form with sorted lists; only canonical bytes are read back. Parsing works on texts: a first form of the random test wrote each mutation to disk and took minutes on a busy disk. Conclusion: equal configurations have equal bytes; anything else is refused.

--- /dev/null
+++ b/include/gentianramp/config/program_options.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <boost/program_options/options_description.hpp>
+#include <boost/program_options/variables_map.hpp>
+#include <filesystem>
+#include <gentianramp/config/declared_configuration.hpp>
+#include <gentianramp/config/node_settings.hpp>
+#include <optional>
+#include <ostream>
+#include <string>
+
+namespace gentianramp {
+
+/// Exit codes of all programs.
+enum class ExitCode : int {
+    Ok = 0,
+    Failed = 1,         ///< The program ran and failed; the message says why.
+    Usage = 2,          ///< Wrong command line.
+    BadSettings = 3,    ///< A settings or configuration file is wrong.
+    Conflict = 4,       ///< Another change was accepted first.
+    Refused = 5,        ///< The system refused the command.
+    Unavailable = 6,    ///< No process answered in time; nothing was run.
+    UnknownOutcome = 7, ///< The command may have been run; resend it with the same id.
+    NotInForce = 8,     ///< Accepted, but not seen in force everywhere within the wait.
+};
+
+/// Name and purpose of a program, for --help.
+struct ProgramDescription
+{
+    std::string name;    ///< "gentianramp-entry".
+    std::string summary; ///< One line.
+};
+
+/// Command line with --help and --version besides the program's own options.
+class CommandLine
+{
+public:
+    explicit CommandLine(ProgramDescription description);
+
+    /// Options of the program are added here before parse().
+    boost::program_options::options_description &options() noexcept { return m_options; }
+    /// Reads the arguments; returns the code to exit with when there is nothing to run.
+    std::optional<ExitCode> parse(int argc, const char *const *argv, std::ostream &out,
+                                  std::ostream &errors);
+    const boost::program_options::variables_map &values() const noexcept { return m_values; }
+
+private:
+    ProgramDescription m_description;
+    boost::program_options::options_description m_options;
+    boost::program_options::variables_map m_values;
+};
+
+/// What a daemon starts with, or the code to exit with at once.
+struct DaemonStart
+{
+    std::optional<ExitCode> exitCode;
+    NodeSettings settings;
+    /// Read from the files that the settings name; empty when they name none.
+    std::optional<DeclaredConfiguration> configuration;
+};
+
+/// Front of all daemons: --config FILE, --check-config, --help and --version.
+///
+/// Every error of the settings goes to @p errors, one a line. --check-config reads the settings and
+/// the declared configuration that they name, and exits with Ok or BadSettings.
+DaemonStart startDaemon(int argc, const char *const *argv, ProcessKind kind,
+                        const ProgramDescription &description, std::ostream &out,
+                        std::ostream &errors);
+
+} // namespace gentianramp
--- a/src/gentianramp/config/configuration_rules.cpp
+++ b/src/gentianramp/config/configuration_rules.cpp
@@ -179,6 +179,11 @@
             "expected a path outside /v1, /healthz, /readyz and /metrics, found '" + prefix + "'"));
 }
 
+std::string expectedBelow(const std::string &below, const std::string &found)
+{
+    return "expected paths below '" + below + "', found '" + found + "'";
+}
+
 void checkIdempotentPaths(const Located<ServiceDeclaration> &service, SettingsErrors &errors)
 {
     if (service.value.idempotent && !service.value.idempotentPaths.empty())
@@ -189,8 +194,7 @@
     const std::string below = service.value.pathPrefix + "/";
     for (const std::string &path : service.value.idempotentPaths) {
         if (!isPathPrefix(path) || !path.starts_with(below))
-            errors.push_back(service.problem(
-                "idempotent_paths", "expected paths below '" + below + "', found '" + path + "'"));
+            errors.push_back(service.problem("idempotent_paths", expectedBelow(below, path)));
     }
 }
 
--- a/src/gentianramp/config/declared_configuration_file.cpp
+++ b/src/gentianramp/config/declared_configuration_file.cpp
@@ -1,6 +1,7 @@
+#include "declared_configuration_file.hpp"
 #include "configuration_rules.hpp"
-#include "yaml_file.hpp"
 
+#include <gentianramp/config/configuration_codec.hpp>
 #include <gentianramp/config/settings_file.hpp>
 #include <set>
 
@@ -53,18 +54,6 @@
     return table;
 }
 
-template <typename T>
-Located<T> readFile(const std::filesystem::path &file, const FieldTable<T> &table,
-                    SettingsErrors &errors)
-{
-    const ReadContext context{file, &errors};
-    Located<T> content;
-    content.file = file;
-    readYamlFile(context,
-                 [&](const YAML::Node &root) { content = readMapping(root, table, "", context); });
-    return content;
-}
-
 void takeBase(const Located<BaseFile> &base, LocatedConfiguration &merged)
 {
     const auto sitesLine = base.fieldLines.find("sites");
@@ -108,18 +97,17 @@
 } // namespace
 
 Validated<DeclaredConfiguration>
-loadDeclaredConfiguration(const std::filesystem::path &baseFile,
-                          const std::vector<std::filesystem::path> &overlayFiles)
+parseDeclaredConfiguration(const SourceText &baseText, const std::vector<SourceText> &overlayTexts)
 {
     SettingsErrors errors;
     LocatedConfiguration merged;
-    const Located<BaseFile> base = readFile(baseFile, baseFields(), errors);
+    const Located<BaseFile> base = readDocument(baseText, baseFields(), errors);
     const bool baseIsReadable = errors.empty();
     takeBase(base, merged);
     std::set<DataCentreId> seen;
-    for (const std::filesystem::path &file : overlayFiles) {
+    for (const SourceText &text : overlayTexts) {
         const std::size_t before = errors.size();
-        const Located<OverlayFile> overlay = readFile(file, overlayFields(), errors);
+        const Located<OverlayFile> overlay = readDocument(text, overlayFields(), errors);
         if (!baseIsReadable || errors.size() != before)
             continue;
         if (!seen.insert(overlay.value.site).second)
@@ -133,7 +121,22 @@
         checkRules(merged, errors);
     if (!errors.empty())
         return errors;
-    return withoutLocations(merged);
+    return canonicalOrder(withoutLocations(merged));
+}
+
+Validated<DeclaredConfiguration>
+loadDeclaredConfiguration(const std::filesystem::path &baseFile,
+                          const std::vector<std::filesystem::path> &overlayFiles)
+{
+    SettingsErrors errors;
+    const SourceText base = readSource(baseFile, errors);
+    std::vector<SourceText> overlays;
+    overlays.reserve(overlayFiles.size());
+    for (const std::filesystem::path &file : overlayFiles)
+        overlays.push_back(readSource(file, errors));
+    if (!errors.empty())
+        return errors;
+    return parseDeclaredConfiguration(base, overlays);
 }
 
 SettingsErrors validateConfiguration(const DeclaredConfiguration &configuration)
--- a/src/gentianramp/config/declared_configuration_test.cpp
+++ b/src/gentianramp/config/declared_configuration_test.cpp
@@ -1,3 +1,4 @@
+#include "declared_configuration_file.hpp"
 #include "edit_distance.hpp"
 #include "test_files.hpp"
 #include "value_codec.hpp"
@@ -13,9 +14,7 @@
 
 Validated<DeclaredConfiguration> load(const std::string &base, const std::string &overlay)
 {
-    const ScratchFolder folder("declared");
-    return loadDeclaredConfiguration(folder.write("base.yaml", base),
-                                     {folder.write("north.yaml", overlay)});
+    return parseDeclaredConfiguration({"base.yaml", base}, {{"north.yaml", overlay}});
 }
 
 /// The only error of a base file with one change.
@@ -46,8 +45,8 @@
     const auto loaded = load(ValidBase, ValidOverlay);
     cr_assert(static_cast<bool>(loaded), "%s", loaded.message().c_str());
     cr_assert_eq(loaded->sites.size(), 2U);
-    cr_assert(loaded->services[0].timeout == 30s);
-    cr_assert(loaded->services[0].firstTokenTarget == 1800ms);
+    cr_assert(loaded->services[1].timeout == 30s);
+    cr_assert(loaded->services[1].firstTokenTarget == 1800ms);
     cr_assert(loaded->backends[0].site == DataCentreId("north"));
     cr_assert(loaded->backends[0].role == EngineRole::Prefill);
     cr_assert(loaded->backends[0].checksFencing);
@@ -69,12 +68,12 @@
 Test(DeclaredConfiguration, IdempotencyDependsOnThePath)
 {
     const auto loaded = load(ValidBase, ValidOverlay);
-    const ServiceDeclaration &bay = loaded->services[1];
+    const ServiceDeclaration &bay = loaded->services[0];
     cr_assert(isIdempotent(bay, "/bay/lookup"));
     cr_assert(isIdempotent(bay, "/bay/lookup/7"));
     cr_assert_not(isIdempotent(bay, "/bay/lookups"));
     cr_assert_not(isIdempotent(bay, "/bay/unlock"));
-    cr_assert(isIdempotent(loaded->services[0], "/v1/completions"));
+    cr_assert(isIdempotent(loaded->services[1], "/v1/completions"));
 }
 
 Test(DeclaredConfiguration, UnknownKeyNamesTheNearest)
@@ -164,11 +163,11 @@
 {
     DeclaredConfiguration configuration = *load(ValidBase, ValidOverlay);
     configuration.backends[1].slots = 0;
-    configuration.services[0].model = ModelId("gone");
+    configuration.services[1].model = ModelId("gone");
     const SettingsErrors errors = validateConfiguration(configuration);
     cr_assert_eq(errors.size(), 2U);
     assertContains(toString(errors), "backends[1].slots");
-    assertContains(toString(errors), "services[0].model");
+    assertContains(toString(errors), "services[1].model");
 }
 
 Test(EditDistance, FindsTheNearest)
--- a/src/gentianramp/config/node_settings_file.cpp
+++ b/src/gentianramp/config/node_settings_file.cpp
@@ -157,11 +157,7 @@
 Validated<NodeSettings> loadNodeSettings(const std::filesystem::path &file, KeyFiles keyFiles)
 {
     SettingsErrors errors;
-    const ReadContext context{file, &errors};
-    Located<NodeFile> node;
-    readYamlFile(context, [&](const YAML::Node &root) {
-        node = readMapping(root, nodeFields(), "", context);
-    });
+    Located<NodeFile> node = readDocument(file, nodeFields(), errors);
     if (!errors.empty())
         return errors;
     resolvePaths(file, node.value);
--- a/src/gentianramp/config/operator_settings_file.cpp
+++ b/src/gentianramp/config/operator_settings_file.cpp
@@ -40,11 +40,7 @@
                                                  KeyFiles keyFiles)
 {
     SettingsErrors errors;
-    const ReadContext context{file, &errors};
-    Located<OperatorFile> content;
-    readYamlFile(context, [&](const YAML::Node &root) {
-        content = readMapping(root, operatorFields(), "", context);
-    });
+    Located<OperatorFile> content = readDocument(file, operatorFields(), errors);
     if (!errors.empty())
         return errors;
     OperatorSettings settings = content.value;
--- a/src/gentianramp/config/peer_fields.cpp
+++ b/src/gentianramp/config/peer_fields.cpp
@@ -87,12 +87,7 @@
 std::vector<Located<PeerEntry>> readPeersFile(const std::filesystem::path &file,
                                               SettingsErrors &errors)
 {
-    const ReadContext context{file, &errors};
-    Located<PeersFile> content;
-    readYamlFile(context, [&](const YAML::Node &root) {
-        content = readMapping(root, peersFileFields(), "", context);
-    });
-    return content.value.peers;
+    return readDocument(file, peersFileFields(), errors).value.peers;
 }
 
 std::string endpointCheck(const std::string &endpoint)
--- a/src/gentianramp/config/yaml_file.cpp
+++ b/src/gentianramp/config/yaml_file.cpp
@@ -9,46 +9,43 @@
 
 constexpr std::uintmax_t LargestFileBytes = 4 * 1024 * 1024;
 
-void addFileError(const ReadContext &context, int line, std::string problem)
+SettingsError fileError(const std::filesystem::path &file, std::string problem)
 {
-    context.errors->push_back({context.file, line, "", std::move(problem)});
+    return {file, 0, "", std::move(problem)};
 }
 
-bool readText(const ReadContext &context, std::string &text)
+} // namespace
+
+SourceText readSource(const std::filesystem::path &file, SettingsErrors &errors)
 {
+    SourceText source{file, {}};
     std::error_code failure;
-    const std::uintmax_t size = std::filesystem::file_size(context.file, failure);
+    const std::uintmax_t size = std::filesystem::file_size(file, failure);
     if (failure) {
-        addFileError(context, 0, "cannot read the file: " + failure.message());
-        return false;
+        errors.push_back(fileError(file, "cannot read the file: " + failure.message()));
+        return source;
     }
     if (size > LargestFileBytes) {
-        addFileError(context, 0,
-                     "expected at most " + std::to_string(LargestFileBytes) + " bytes, found "
-                         + std::to_string(size));
-        return false;
-    }
-    std::ifstream in(context.file, std::ios::binary);
-    text.assign(std::istreambuf_iterator<char>(in), {});
-    if (!in.good() && !in.eof()) {
-        addFileError(context, 0, "cannot read the file");
-        return false;
+        errors.push_back(fileError(file,
+                                   "expected at most " + std::to_string(LargestFileBytes)
+                                       + " bytes, found " + std::to_string(size)));
+        return source;
     }
-    return true;
+    std::ifstream in(file, std::ios::binary);
+    source.text.assign(std::istreambuf_iterator<char>(in), {});
+    if (!in.is_open() || in.bad())
+        errors.push_back(fileError(file, "cannot read the file"));
+    return source;
 }
 
-} // namespace
-
-void readYamlFile(const ReadContext &context, const std::function<void(const YAML::Node &)> &use)
+void parseYaml(const std::string &text, const ReadContext &context,
+               const std::function<void(const YAML::Node &)> &use)
 {
-    std::string text;
-    if (!readText(context, text))
-        return;
     try {
         use(YAML::Load(text));
     } catch (const YAML::Exception &problem) {
         const int line = problem.mark.is_null() ? 0 : problem.mark.line + 1;
-        addFileError(context, line, "expected valid YAML: " + problem.msg);
+        context.errors->push_back({context.file, line, "", "expected valid YAML: " + problem.msg});
     }
 }
 
