Tell entry instances of a new deployment that no key was claimed

Cause: a restarted entry instance has to learn the keys from the others; at the very first start there is none to learn.

--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -79,16 +79,19 @@
 class Process:
     """A child process with its log; ended only through its own id."""
 
-    def __init__(self, name, arguments, log):
+    def __init__(self, name, arguments, log, first_arguments=()):
         self.name = name
         self.arguments = arguments
         self.log = log
         self.child = None
+        self._first_arguments = list(first_arguments)
 
     def start(self):
+        """Starts the process; `first_arguments` are given at the first start only."""
         with open(self.log, "ab") as out:
-            self.child = subprocess.Popen(self.arguments, stdout=out, stderr=out,
-                                          stdin=subprocess.DEVNULL)
+            self.child = subprocess.Popen(self.arguments + self._first_arguments, stdout=out,
+                                          stderr=out, stdin=subprocess.DEVNULL)
+        self._first_arguments = []
 
     def running(self):
         return self.child is not None and self.child.poll() is None
@@ -196,7 +199,8 @@
             self.processes[instance] = Process(
                 instance,
                 [str(program), "--config", str(self.folder / "nodes" / f"{instance}.yaml")],
-                self.folder / "logs" / f"{instance}.log")
+                self.folder / "logs" / f"{instance}.log",
+                ["--first-start"] if node.kind == "entry" else [])
         return self.processes[instance]
 
     def backend_process(self, backend_id):
