Refuse with an answer while callers still find a stopping entry instance

Change: one second of refusals after SIGTERM, then the listening socket accepts what waits and closes; outcomes of keys are told for at most 3 s.

--- a/include/gentianramp/entry/entry_service.hpp
+++ b/include/gentianramp/entry/entry_service.hpp
@@ -40,8 +40,12 @@
     Result<std::uint16_t> start();
     /// Refuses new work with NotRun; answers under way go on.
     void beginShutdown();
-    /// True when no answer is under way and every outcome of a key is told.
-    bool idle() const;
+    /// Closes the listening socket; open connections stay.
+    void stopListening();
+    /// True while an answer is under way.
+    bool hasActiveRequests() const;
+    /// True while the outcome of a keyed request is not known to a majority of its replicas.
+    bool hasOpenSettlements() const;
 
     /// Puts a configuration in force; false when its revision is not larger than the present one.
     bool applyConfiguration(DeclaredConfiguration configuration, Revision revision);
--- a/include/gentianramp/http/server.hpp
+++ b/include/gentianramp/http/server.hpp
@@ -74,6 +74,8 @@
     Result<std::uint16_t> start();
     /// Closes every connection after the answer that it carries now or next.
     void closeAfterAnswers();
+    /// Accepts what already waits, then closes the listening socket; open connections stay.
+    void stopListening();
     /// Accepts no more and closes all connections at once.
     void stop();
     /// Connections that are open.
--- a/scripts/lib/callers.py
+++ b/scripts/lib/callers.py
@@ -61,14 +61,14 @@
         return self._exchange(logical, instance, path, {"for": logical.id}, headers,
                               self._check_plain)
 
-    def whole(self, logical, instance, model):
+    def whole(self, logical, instance, model, attempt=0):
         body = {"model": model, "prompt": "a b c", "max_tokens": logical.wanted_tokens}
         return self._exchange(logical, instance, "/v1/completions", body,
-                              self._headers(logical, 0), self._check_whole)
+                              self._headers(logical, attempt), self._check_whole)
 
-    def stream(self, logical, instance, model, after):
+    def stream(self, logical, instance, model, after, attempt=0):
         """Streams the answer from the token after `after`."""
-        headers = self._headers(logical, 0)
+        headers = self._headers(logical, attempt)
         if after:
             headers["Last-Event-ID"] = str(after)
         body = {"model": model, "messages": [{"role": "user", "content": "a b c"}],
--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import subprocess
+import threading
 import time
 import urllib.error
 import urllib.request
@@ -137,6 +138,8 @@
                           for node in layout.nodes}
         self.backend_ports = {backend.id: next(ports) for backend in layout.backends}
         self.processes = {}
+        self._cut_sites = set()
+        self._cut_lock = threading.Lock()
         self._prepare()
 
     # Settings
@@ -261,13 +264,19 @@
         os.replace(scratch, target)
 
     def cut_off(self, site, on=True):
-        """Separates a data centre from all others, or heals it."""
-        inside = [node.instance for node in self.layout.nodes if node.data_centre == site]
-        outside = [node.instance for node in self.layout.nodes if node.data_centre != site]
-        for one in inside:
-            self.block(one, outside if on else [])
-        for one in outside:
-            self.block(one, inside if on else [])
+        """Separates a data centre from all others, or heals it; several may be cut off at once."""
+        with self._cut_lock:
+            if on:
+                self._cut_sites.add(site)
+            else:
+                self._cut_sites.discard(site)
+            for node in self.layout.nodes:
+                self.block(node.instance, [other.instance for other in self.layout.nodes
+                                           if self._separated(node, other)])
+
+    def _separated(self, node, other):
+        return node.data_centre != other.data_centre and bool(
+            self._cut_sites & {node.data_centre, other.data_centre})
 
     def fault(self, backend_id, kind, **fields):
         """Brings about a failure at a fake backend server."""
--- a/src/gentianramp/entry/entry_service.cpp
+++ b/src/gentianramp/entry/entry_service.cpp
@@ -389,10 +389,19 @@
     logInfo("shutting_down", {{"active_requests", m_state->server.activeRequests()}});
 }
 
-bool EntryService::idle() const
+void EntryService::stopListening()
 {
-    return m_state->server.activeRequests() == 0
-        && m_state->keys->statistics().openSettlements == 0;
+    m_state->server.stopListening();
+}
+
+bool EntryService::hasActiveRequests() const
+{
+    return m_state->server.activeRequests() > 0;
+}
+
+bool EntryService::hasOpenSettlements() const
+{
+    return m_state->keys->statistics().openSettlements > 0;
 }
 
 bool EntryService::applyConfiguration(DeclaredConfiguration configuration, Revision revision)
--- a/src/gentianramp/http/server.cpp
+++ b/src/gentianramp/http/server.cpp
@@ -54,10 +54,29 @@
                 co_await sleepFor(AcceptRetryDelay);
                 continue;
             }
-            auto session
-                = std::make_shared<ServerSession>(connectionExecutor, std::move(socket), shared);
-            shared->add(session);
-            asio::co_spawn(connectionExecutor, runSession(std::move(session)), asio::detached);
+            beginSession(connectionExecutor, std::move(socket));
+        }
+    }
+
+    void beginSession(const asio::any_io_executor &connectionExecutor, tcp::socket socket)
+    {
+        auto session
+            = std::make_shared<ServerSession>(connectionExecutor, std::move(socket), shared);
+        shared->add(session);
+        asio::co_spawn(connectionExecutor, runSession(std::move(session)), asio::detached);
+    }
+
+    /// Connections that the kernel completed but nobody accepted would be reset by the close.
+    void acceptWaiting()
+    {
+        boost::system::error_code error;
+        acceptor.non_blocking(true, error);
+        while (!error) {
+            const asio::any_io_executor connectionExecutor = shared->options.connectionExecutor();
+            tcp::socket socket(connectionExecutor);
+            acceptor.accept(socket, error);
+            if (!error)
+                beginSession(connectionExecutor, std::move(socket));
         }
     }
 
@@ -106,6 +125,15 @@
     m_state->shared->closing = true;
 }
 
+void HttpServer::stopListening()
+{
+    asio::post(m_state->executor, [state = m_state] {
+        state->acceptWaiting();
+        boost::system::error_code ignored;
+        state->acceptor.close(ignored);
+    });
+}
+
 void HttpServer::stop()
 {
     if (m_state->shared->stopped.exchange(true))
--- a/src/programs/entry/main.cpp
+++ b/src/programs/entry/main.cpp
@@ -20,6 +20,9 @@
 constexpr int ExitUsage = 2;
 constexpr int ExitFailed = 1;
 constexpr Duration DrainPollInterval = std::chrono::milliseconds(50);
+constexpr Duration RefusalTime = std::chrono::seconds(1); // for the balancer to move on
+constexpr Duration LastConnectionTime = std::chrono::milliseconds(200);
+constexpr Duration SettlementTime = std::chrono::seconds(3);
 
 struct Arguments
 {
@@ -45,20 +48,33 @@
     return description;
 }
 
-/// Ends once no answer is under way, or when the longest shutdown is over.
-asio::awaitable<void> drain(EntryService &service, Duration longest)
+/// Ends once @p busy is false, or after @p longest.
+asio::awaitable<void> waitWhile(std::function<bool()> busy, Duration longest)
 {
     const TimePoint deadline = RuntimeClock::now() + longest;
-    while (!service.idle() && RuntimeClock::now() < deadline)
+    while (busy() && RuntimeClock::now() < deadline)
         co_await sleepFor(DrainPollInterval);
 }
 
+/// Refuses new work while callers still find this instance, then ends what runs.
+asio::awaitable<void> shutDown(EntryService &service, Duration longestDrain)
+{
+    const auto active = [&service] { return service.hasActiveRequests(); };
+    service.beginShutdown();
+    co_await sleepFor(RefusalTime);
+    co_await waitWhile(active, longestDrain);
+    service.stopListening();
+    co_await sleepFor(LastConnectionTime);
+    co_await waitWhile(active, LastConnectionTime);
+    // Replicas that can't be reached learn from the next claim that this instance is gone.
+    co_await waitWhile([&service] { return service.hasOpenSettlements(); }, SettlementTime);
+}
+
 asio::awaitable<void> runUntilSignal(EntryService &service, Duration longestDrain)
 {
     asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT);
     co_await signals.async_wait(asio::use_awaitable);
-    service.beginShutdown();
-    co_await drain(service, longestDrain);
+    co_await shutDown(service, longestDrain);
 }
 
 int run(const Arguments &arguments)
