Run the lease against real engines in the control process

Cause: the lease, the gate and the plan were pure; nothing ordered an engine. Fencing numbers start from the wall clock, so that they rise also when all members and engines restarted. An order of which no byte left keeps its number.

--- a/examples/examples_test.cpp
+++ b/examples/examples_test.cpp
@@ -118,8 +118,8 @@
 Test(Examples, BayCallsGoBeforeAssistantAnswers)
 {
     const Deployment zilina{"zilina", "", 0, "", "", ""};
-    const auto loaded = loadDeclaredConfiguration(folderOf(zilina) / "declared/base.yaml",
-                                                  overlaysOf(zilina));
+    const auto loaded
+        = loadDeclaredConfiguration(folderOf(zilina) / "declared/base.yaml", overlaysOf(zilina));
     const auto levelOf = [&loaded](const std::string &service) {
         const std::string &name = serviceOf(*loaded, service).priorityClass;
         return std::find_if(loaded->priorityClasses.begin(), loaded->priorityClasses.end(),
--- a/include/gentianramp/authority/lease_service.hpp
+++ b/include/gentianramp/authority/lease_service.hpp
@@ -27,6 +27,9 @@
     Duration retryInterval = std::chrono::milliseconds(100); ///< Longest jitter of a new attempt.
     Duration roundTimeout = std::chrono::milliseconds(200);
     Duration orderFlight = std::chrono::milliseconds(500); ///< Longest way of an order.
+    /// Fencing numbers start above this. Wall-clock seconds times FencingBlock lets them rise even
+    /// when all members and engines restarted; nothing else depends on it.
+    FencingNumber fencingFloor;
     double clockDrift = 0.01; ///< Largest relative difference in the speed of two clocks.
     std::uint64_t seed = 1;   ///< For the jitter of retries.
 };
--- a/include/gentianramp/authority/order_gate.hpp
+++ b/include/gentianramp/authority/order_gate.hpp
@@ -52,6 +52,8 @@
     Result<std::string> trySend(const PlannedOrder &order);
     /// The engine answered the order @p orderId; @p seen is the fencing number it named.
     void onAnswer(const BackendId &backend, const std::string &orderId, FencingNumber seen);
+    /// No byte of the order @p orderId was sent.
+    void onNotSent(const BackendId &backend, const std::string &orderId);
 
     /// No order can be on its way at or after this time.
     TimePoint ordersArrivedAt() const;
--- a/src/gentianramp/authority/lease_service.cpp
+++ b/src/gentianramp/authority/lease_service.cpp
@@ -52,6 +52,7 @@
         , grantsFrom(now + scaled(options.length, 1 + options.clockDrift))
         , nextRoundAt(now)
         , random(options.seed)
+        , fencingFloor(options.fencingFloor)
     { }
 
     LeaseMember &member(const DataCentreId &dataCentre);
--- a/src/gentianramp/authority/order_gate.cpp
+++ b/src/gentianramp/authority/order_gate.cpp
@@ -118,6 +118,15 @@
         engine.fenced = engine.ordered;
 }
 
+void OrderGate::onNotSent(const BackendId &backend, const std::string &orderId)
+{
+    Engine &engine = m_engines[backend];
+    if (engine.pendingOrder != orderId)
+        return;
+    engine.pendingOrder.clear();
+    engine.settledAt = std::min(engine.settledAt, m_hooks.clock());
+}
+
 TimePoint OrderGate::ordersArrivedAt() const
 {
     TimePoint latest{};
--- a/src/gentianramp/authority/order_gate_test.cpp
+++ b/src/gentianramp/authority/order_gate_test.cpp
@@ -112,3 +112,15 @@
     cr_assert_eq(bench.sent.back().order.kind, OrderKind::Fence);
     cr_assert_eq(bench.sent.back().fencing, Next);
 }
+
+Test(OrderGate, OrderThatNeverLeftKeepsTheNumber)
+{
+    Bench bench;
+    bench.fence();
+    cr_assert_not(bench.error());
+    bench.gate.onNotSent(Engine, bench.sent.back().orderId);
+    bench.now += 1ms;
+    bench.gate.onReport(Engine, Own, bench.now);
+    cr_assert_not(bench.error());
+    cr_assert_eq(bench.sent.back().fencing, Own);
+}
--- /dev/null
+++ b/src/gentianramp/control/authority_loop.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <cstdint>
+#include <functional>
+#include <gentianramp/authority/engine_plan.hpp>
+#include <gentianramp/authority/lease_service.hpp>
+#include <gentianramp/config/declared_configuration.hpp>
+#include <gentianramp/config/node_settings.hpp>
+#include <gentianramp/core/metrics.hpp>
+#include <gentianramp/core/timeline.hpp>
+#include <gentianramp/planner/role_policy.hpp>
+#include <gentianramp/wire/mesh.hpp>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace gentianramp {
+
+/// What an AuthorityLoop needs from its process.
+struct AuthorityOptions
+{
+    NodeSettings settings;
+    Incarnation incarnation;
+    std::uint64_t seed = 1;
+    boost::asio::any_io_executor executor; ///< All calls and hooks run on it, one at a time.
+    std::function<void(const InstanceId &to, PayloadKind kind, std::string payload, Duration ttl)>
+        send;
+    /// Makes the policy of one service; without it roles are only changed by declaration.
+    std::function<RolePolicy()> makeRolePolicy;
+    MetricsRegistry *metrics = nullptr;
+    TimelineWriter *timeline = nullptr;
+    Duration pollInterval = std::chrono::milliseconds(500);
+    PlanLimits limits;
+};
+
+/// One engine as the holder of the lease knows it.
+struct EngineOverview
+{
+    EngineReport report;
+    EngineRole desiredRole = EngineRole::Mixed;
+    bool drained = false;
+    bool reachable = false;
+    TimePoint lastReport;
+};
+
+/// Competes for the lease of the own data centre; while it holds it, polls the backend servers,
+/// orders the engines and sends the fleet table to the entry instances.
+class AuthorityLoop
+{
+public:
+    explicit AuthorityLoop(AuthorityOptions options);
+    ~AuthorityLoop();
+    AuthorityLoop(const AuthorityLoop &) = delete;
+    AuthorityLoop &operator=(const AuthorityLoop &) = delete;
+
+    void onConfiguration(const DeclaredConfiguration &configuration);
+    /// Messages of PayloadKind::Lease, Fleet and Demand.
+    void onMessage(const ReceivedMessage &message);
+    /// Call every 20 ms.
+    void tick(TimePoint now);
+    /// Hands the lease over; calls @p done when the members have been told.
+    void release(std::function<void()> done);
+
+    std::optional<HeldLease> held(TimePoint now) const;
+    std::vector<EngineOverview> engines() const;
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace gentianramp
--- a/src/gentianramp/fleet/fleet_table.cpp
+++ b/src/gentianramp/fleet/fleet_table.cpp
@@ -55,7 +55,8 @@
 bool knownEnums(const proto::FleetUpdate &update)
 {
     for (const proto::FleetBackend &backend : update.backends()) {
-        if (!proto::FleetRole_IsValid(backend.role()) || !proto::FleetPhase_IsValid(backend.phase()))
+        if (!proto::FleetRole_IsValid(backend.role())
+            || !proto::FleetPhase_IsValid(backend.phase()))
             return false;
     }
     return true;
