Add the operators' client gentianctl

Cause: operators need to check, compare, apply and follow changes, drain backend servers and make keys, and never to be told more than is known.

--- a/include/gentianramp/config/settings_file.hpp
+++ b/include/gentianramp/config/settings_file.hpp
@@ -23,6 +23,9 @@
 Validated<OperatorSettings> loadOperatorSettings(const std::filesystem::path &file,
                                                  KeyFiles keyFiles = KeyFiles::Read);
 
+/// Reads a peers file: the list of all processes, without their keys.
+Validated<std::vector<PeerSettings>> loadPeers(const std::filesystem::path &file);
+
 /// Reads the base file, merges the overlay of each site into it and checks the whole.
 Validated<DeclaredConfiguration>
 loadDeclaredConfiguration(const std::filesystem::path &baseFile,
--- /dev/null
+++ b/src/gentianramp/client/commands_test.cpp
@@ -0,0 +1,189 @@
+#include "json_form.hpp"
+#include "text_table.hpp"
+
+#include <filesystem>
+#include <fstream>
+#include <gentianramp/client/commands.hpp>
+#include <gentianramp/config/key_files.hpp>
+#include <sstream>
+#include <unistd.h>
+
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+
+namespace {
+
+const std::string Base = R"(sites: [north]
+priority_classes: [{name: normal, level: 0}]
+services: []
+customers: []
+)";
+
+/// Runs one command without control processes, or with the ones of @p client.
+struct Runner
+{
+    std::ostringstream out;
+    std::ostringstream errors;
+    OperatorClient *client = nullptr;
+    CommandOptions options;
+
+    ExitCode run(std::vector<std::string> words)
+    {
+        const Command *command = findCommand(words);
+        cr_assert_not_null(command);
+        options.arguments = words;
+        CommandContext context{
+            .options = options,
+            .out = out,
+            .errors = errors,
+            .client = [this] { return client; },
+            .makeCommandId = [] { return "made-1"; },
+            .pause = [](Duration) {},
+        };
+        return command->run(context);
+    }
+};
+
+std::filesystem::path scratch(const std::string &name)
+{
+    auto folder = std::filesystem::temp_directory_path()
+        / ("gentianramp-client-" + name + "-" + std::to_string(getpid()));
+    std::filesystem::remove_all(folder);
+    std::filesystem::create_directories(folder);
+    return folder;
+}
+
+/// A link whose control process answers every request with @p answer.
+OperatorLink answering(const proto::OperatorAnswer &answer, std::vector<proto::OperatorRequest> &sent)
+{
+    const auto pending = std::make_shared<std::vector<std::string>>();
+    OperatorLink link;
+    link.send = [pending, answer, &sent](const InstanceId &, const std::string &bytes, Duration) {
+        proto::OperatorRequest request;
+        request.ParseFromString(bytes);
+        sent.push_back(request);
+        proto::OperatorAnswer numbered = answer;
+        numbered.set_request_id(request.request_id());
+        pending->push_back(numbered.SerializeAsString());
+    };
+    link.receive = [pending](TimePoint deadline) -> std::optional<std::string> {
+        if (pending->empty()) {
+            RuntimeClock::advance(deadline - RuntimeClock::now());
+            return std::nullopt;
+        }
+        std::string bytes = pending->back();
+        pending->pop_back();
+        return bytes;
+    };
+    return link;
+}
+
+OperatorClientOptions oneControl()
+{
+    return {.author = "eva", .controls = {InstanceId("c1")}, .requestPrefix = "t"};
+}
+
+} // namespace
+
+Test(Commands, AreFoundByOneOrTwoWords)
+{
+    std::vector<std::string> words{"config", "apply", "folder"};
+    cr_assert(findCommand(words)->name == "config apply");
+    cr_assert_eq(words.size(), 1U);
+    words = {"drain", "engine-1"};
+    cr_assert(findCommand(words)->name == "drain");
+    words = {"config"};
+    cr_assert_null(findCommand(words));
+    words = {"confg", "apply"};
+    cr_assert_null(findCommand(words));
+}
+
+Test(Commands, CheckListsErrorsAndExitsWithThree)
+{
+    const auto folder = scratch("check");
+    std::ofstream(folder / "base.yaml") << Base;
+    Runner good;
+    cr_assert(good.run({"config", "check", folder.string()}) == ExitCode::Ok);
+    std::ofstream(folder / "south.yaml") << "site: south\n";
+    Runner bad;
+    bad.options.json = true;
+    cr_assert(bad.run({"config", "check", folder.string()}) == ExitCode::BadSettings);
+    const auto value = nlohmann::json::parse(bad.out.str());
+    cr_assert_eq(value.at("errors").size(), 1U);
+    cr_assert_eq(value.at("errors")[0].at("line").get<int>(), 1);
+    std::filesystem::remove_all(folder);
+}
+
+Test(Commands, KeysAreMadeOnce)
+{
+    const auto folder = scratch("keys");
+    Runner runner;
+    runner.options.folder = folder;
+    runner.options.names = {"entry-1"};
+    runner.options.operators = {"eva"};
+    cr_assert(runner.run({"keys", "make"}) == ExitCode::Ok);
+    const auto first = readPublicKeyFile(folder / "entry-1.pub");
+    cr_assert(runner.run({"keys", "make"}) == ExitCode::Ok);
+    cr_assert(*readPublicKeyFile(folder / "entry-1.pub") == *first);
+    cr_assert_eq(readPublicKeysFile(folder / "operators.pub")->size(), 1U);
+    cr_assert(runner.run({"keys", "show", (folder / "entry-1.key").string()}) == ExitCode::Ok);
+    cr_assert(runner.out.str().find(*first) != std::string::npos);
+    std::filesystem::remove_all(folder);
+}
+
+Test(Commands, DrainSendsOneCommandAndSaysTheRevision)
+{
+    RuntimeClock::pause();
+    std::vector<proto::OperatorRequest> sent;
+    proto::OperatorAnswer answer;
+    answer.mutable_apply()->set_revision(12);
+    OperatorClient client(oneControl(), answering(answer, sent));
+    Runner runner;
+    runner.client = &client;
+    cr_assert(runner.run({"drain", "engine-1"}) == ExitCode::Ok);
+    cr_assert(sent.front().set_drained().backend() == "engine-1");
+    cr_assert(sent.front().set_drained().drained());
+    cr_assert(sent.front().set_drained().command_id() == "made-1");
+    cr_assert(runner.out.str().find("revision 12") != std::string::npos);
+}
+
+Test(Commands, ConflictHasItsOwnExitCode)
+{
+    RuntimeClock::pause();
+    std::vector<proto::OperatorRequest> sent;
+    proto::OperatorAnswer answer;
+    answer.set_error(proto::OPERATOR_ERROR_CONFLICT);
+    answer.set_message("revision 8 is current");
+    OperatorClient client(oneControl(), answering(answer, sent));
+    Runner runner;
+    runner.client = &client;
+    runner.options.baseRevision = 7;
+    cr_assert(runner.run({"undrain", "engine-1"}) == ExitCode::Conflict);
+    cr_assert(runner.errors.str().find("revision 8 is current") != std::string::npos);
+}
+
+Test(Commands, ResendNeedsTheFirstRevision)
+{
+    const auto folder = scratch("resend");
+    std::ofstream(folder / "base.yaml") << Base;
+    Runner runner;
+    runner.options.commandId = "again";
+    cr_assert(runner.run({"config", "apply", folder.string()}) == ExitCode::Usage);
+    std::filesystem::remove_all(folder);
+}
+
+Test(TextTable, AlignsColumns)
+{
+    TextTable table({"A", "LONG"});
+    table.addRow({"value", "x"});
+    cr_assert(table.toString() == "A      LONG\nvalue  x\n");
+}
+
+Test(JsonForm, WritesNumbersAsNumbers)
+{
+    proto::RolesAnswer answer;
+    answer.add_plans()->set_fencing(1ULL << 60);
+    const auto value = toJson(answer);
+    cr_assert_eq(value.at("plans")[0].at("fencing").get<std::uint64_t>(), 1ULL << 60);
+}
--- a/src/gentianramp/config/operator_settings_file.cpp
+++ b/src/gentianramp/config/operator_settings_file.cpp
@@ -65,4 +65,14 @@
     return settings;
 }
 
+Validated<std::vector<PeerSettings>> loadPeers(const std::filesystem::path &file)
+{
+    SettingsErrors errors;
+    const auto entries = readPeersFile(file, errors);
+    auto peers = resolvePeers(entries, {}, KeyFiles::Skip, errors);
+    if (!errors.empty())
+        return errors;
+    return peers;
+}
+
 } // namespace gentianramp
