--- /dev/null
+++ b/src/gentianramp/entry/entry_test_support.cpp
@@ -0,0 +1,185 @@
+#include "entry_test_support.hpp"
+
+#include "digest.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_future.hpp>
+#include <future>
+#include <gentianramp/http/sse.hpp>
+#include <optional>
+
+namespace gentianramp {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr const char *Key = "secret";
+constexpr Duration CallTimeout = std::chrono::seconds(20);
+
+const DataCentreId Site("north");
+
+asio::awaitable<std::optional<Result<HttpResponse>>> callOnce(HttpClient &client, HttpCall call)
+{
+    co_return co_await client.request(std::move(call));
+}
+
+DeclaredConfiguration declaredServices()
+{
+    DeclaredConfiguration configuration;
+    configuration.sites = {Site};
+    configuration.priorityClasses = {{"urgent", 0, 0}, {"normal", 1, 0}};
+    configuration.models = {{.id = ModelId("m"), .version = "1"}};
+    ServiceDeclaration desk{.id = ServiceId("desk"), .model = ModelId("m")};
+    desk.priorityClass = "normal";
+    desk.timeout = std::chrono::seconds(15);
+    desk.firstTokenTarget = std::chrono::milliseconds(300);
+    desk.tokenTarget = std::chrono::milliseconds(20);
+    ServiceDeclaration bay{.id = ServiceId("bay"), .kind = ServiceKind::Plain};
+    bay.pathPrefix = "/bay";
+    bay.priorityClass = "urgent";
+    bay.idempotent = false;
+    bay.idempotentPaths = {"/bay/lookup"};
+    bay.timeout = std::chrono::seconds(3);
+    configuration.services = {desk, bay};
+    configuration.customers = {{.id = CustomerId("customer"), .keySha256 = {sha256Hex({Key})}}};
+    return configuration;
+}
+
+FakeBackendOptions fakeOptions(unsigned number, bool engine)
+{
+    FakeBackendOptions options;
+    options.id = BackendId((engine ? "engine-" : "service-") + std::to_string(number));
+    options.kind = engine ? ServiceKind::Model : ServiceKind::Plain;
+    options.model = engine ? "m" : "";
+    options.engine.prefillTokensPerSecond = 1e5;
+    options.engine.decodeTokensPerSecond = 1e4;
+    options.engine.streamTokensPerSecond = 100;
+    options.serviceTime = std::chrono::milliseconds(5);
+    return options;
+}
+
+} // namespace
+
+EntryBench::EntryBench(unsigned engines, unsigned services)
+    : m_configuration(declaredServices())
+{
+    for (unsigned number = 0; number < engines; ++number)
+        addBackend(fakeOptions(number, true), "desk");
+    for (unsigned number = 0; number < services; ++number)
+        addBackend(fakeOptions(number, false), "bay");
+    m_thread.start();
+    EntryOptions options;
+    options.settings.instance = InstanceId("entry-1");
+    options.settings.dataCentre = Site;
+    options.configuration = m_configuration;
+    options.incarnation = Incarnation(1);
+    options.firstStart = true;
+    m_service = std::make_unique<EntryService>(std::move(options));
+    m_port = m_service->start().value();
+}
+
+EntryBench::~EntryBench()
+{
+    m_service.reset();
+    std::promise<void> stopped;
+    asio::post(m_thread.executor(), [&] {
+        for (const auto &backend : m_backends)
+            backend->stop();
+        stopped.set_value();
+    });
+    stopped.get_future().wait();
+    m_thread.stop();
+}
+
+void EntryBench::addBackend(FakeBackendOptions options, const std::string &service)
+{
+    BackendDeclaration declared;
+    declared.id = options.id;
+    declared.site = Site;
+    declared.service = ServiceId(service);
+    declared.host = "127.0.0.1";
+    m_backends.push_back(std::make_unique<FakeBackend>(m_thread.executor(), std::move(options)));
+    declared.port = m_backends.back()->start().value();
+    m_ports.push_back(declared.port);
+    m_configuration.backends.push_back(std::move(declared));
+}
+
+Result<HttpResponse> EntryBench::send(std::uint16_t port, HttpRequest request)
+{
+    HttpCall call;
+    call.address = {"127.0.0.1", port};
+    call.request = std::move(request);
+    call.headTimeout = CallTimeout;
+    call.silenceTimeout = CallTimeout;
+    return asio::co_spawn(m_thread.executor(), callOnce(m_client, std::move(call)),
+                          asio::use_future)
+        .get()
+        .value();
+}
+
+Result<HttpResponse> EntryBench::call(const std::string &target, const std::string &body,
+                                      HttpHeaders headers)
+{
+    headers.add("Authorization", std::string("Bearer ") + Key);
+    return send(m_port, {"POST", target, std::move(headers), body});
+}
+
+Result<HttpResponse> EntryBench::stream(unsigned tokens, HttpHeaders headers)
+{
+    const nlohmann::json body{
+        {"model", "m"}, {"prompt", "a b"}, {"max_tokens", tokens}, {"stream", true}};
+    return call("/v1/completions", body.dump(), std::move(headers));
+}
+
+nlohmann::json EntryBench::callBackend(std::size_t backend, const std::string &target,
+                                       const nlohmann::json &body)
+{
+    HttpRequest request;
+    request.method = body.is_null() ? "GET" : "POST";
+    request.target = target;
+    request.body = body.is_null() ? "" : body.dump();
+    const Result<HttpResponse> response = send(m_ports[backend], std::move(request));
+    return response ? nlohmann::json::parse(response->body) : nlohmann::json();
+}
+
+void EntryBench::fault(std::size_t backend, const std::string &kind, unsigned count)
+{
+    callBackend(backend, "/engine/fault", {{"kind", kind}, {"count", count}});
+}
+
+std::size_t EntryBench::runs()
+{
+    std::size_t total = 0;
+    for (std::size_t backend = 0; backend < m_backends.size(); ++backend)
+        total += callBackend(backend, "/engine/runs").size();
+    return total;
+}
+
+std::string expectedStream(const std::string &request, unsigned tokens, unsigned skipped)
+{
+    std::string text;
+    for (unsigned offset = skipped + 1; offset <= tokens; ++offset)
+        text += "t" + std::to_string(offset) + "-" + request + " ";
+    return text + "[DONE]";
+}
+
+std::string streamText(const std::string &body)
+{
+    SseParser parser;
+    parser.feed(body);
+    std::string text;
+    while (const auto event = parser.next()) {
+        if (event->data == "[DONE]") {
+            text += event->data;
+            continue;
+        }
+        const auto data = nlohmann::json::parse(event->data);
+        text += data.contains("choices") ? data["choices"][0]["text"].get<std::string>()
+                                         : event->data;
+    }
+    return text;
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/entry/entry_test_support.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "worker_threads.hpp"
+
+#include <gentianramp/entry/entry_service.hpp>
+#include <gentianramp/fakes/fake_backend.hpp>
+#include <gentianramp/http/client.hpp>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace gentianramp {
+
+/// One entry instance without peers before fake backend servers, all in this process.
+class EntryBench
+{
+public:
+    /// Starts @p engines engines of one model and @p services plain services.
+    EntryBench(unsigned engines, unsigned services);
+    ~EntryBench();
+    EntryBench(const EntryBench &) = delete;
+    EntryBench &operator=(const EntryBench &) = delete;
+
+    /// Calls the entry instance as its customer.
+    Result<HttpResponse> call(const std::string &target, const std::string &body,
+                              HttpHeaders headers = {});
+    /// Asks for a stream of @p tokens tokens.
+    Result<HttpResponse> stream(unsigned tokens, HttpHeaders headers = {});
+    /// Calls a backend server itself; engines come first, then services.
+    nlohmann::json callBackend(std::size_t backend, const std::string &target,
+                               const nlohmann::json &body = nullptr);
+    /// Brings about a fault at a backend server for @p count requests.
+    void fault(std::size_t backend, const std::string &kind, unsigned count);
+    /// Runs recorded by all backend servers.
+    std::size_t runs();
+
+    EntryService &service() { return *m_service; }
+
+private:
+    Result<HttpResponse> send(std::uint16_t port, HttpRequest request);
+    void addBackend(FakeBackendOptions options, const std::string &service);
+
+    WorkerThread m_thread;
+    HttpClient m_client;
+    std::vector<std::unique_ptr<FakeBackend>> m_backends;
+    std::vector<std::uint16_t> m_ports;
+    DeclaredConfiguration m_configuration;
+    std::unique_ptr<EntryService> m_service;
+    std::uint16_t m_port = 0;
+};
+
+/// The whole stream of @p tokens tokens for @p request, after the first @p skipped.
+std::string expectedStream(const std::string &request, unsigned tokens, unsigned skipped = 0);
+/// Texts of the tokens of an answer in SSE; "[DONE]" at its end when it is whole.
+std::string streamText(const std::string &body);
+
+} // namespace gentianramp
