--- a/src/gentianramp/entry/backend_watch.cpp
+++ b/src/gentianramp/entry/backend_watch.cpp
@@ -73,6 +73,7 @@
         const bool same = found != m_watched.end() && found->second->view.host == view.host
             && found->second->view.port == view.port;
         if (same) {
+            found->second->view = view;
             kept[view.id] = found->second;
             continue;
         }
@@ -118,9 +119,12 @@
         logInfo("backend_phase",
                 {{"backend", watched.view.id.value()}, {"phase", toString(phase)}});
     }
+    const bool recovered = watched.phase != BackendPhase::Serving && phase == BackendPhase::Serving;
     watched.phase = phase;
     if (phase != BackendPhase::Serving)
         m_router.markPhase(watched.view.id, phase, RuntimeClock::now());
+    else if (recovered)
+        m_router.markPhase(watched.view.id, watched.view.phase, RuntimeClock::now());
 }
 
 asio::awaitable<void> BackendWatch::watch(std::shared_ptr<Watched> watched)
--- a/src/gentianramp/entry/pipeline.cpp
+++ b/src/gentianramp/entry/pipeline.cpp
@@ -4,7 +4,6 @@
 
 #include <array>
 #include <charconv>
-#include <gentianramp/core/log.hpp>
 
 namespace gentianramp {
 
@@ -118,11 +117,6 @@
         co_return;
     }
     telemetry.refused(request, *end.exit);
-    logInfo("request_refused",
-            {{"request", request.value()},
-             {"status", end.exit->status},
-             {"reason", end.exit->reason},
-             {"verdict", toString(end.exit->verdict)}});
     HttpResponse response = toResponse(*end.exit, request);
     co_await writer.send(std::move(response));
 }
