Learn of leaving backend servers everywhere and after a standstill

Instances of other data centres neither watched them nor were told, and a paused process went on with what it knew before the pause.

--- a/src/gentianramp/entry/backend_watch.cpp
+++ b/src/gentianramp/entry/backend_watch.cpp
@@ -1,11 +1,13 @@
 #include "backend_watch.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <charconv>
 #include <gentianramp/core/log.hpp>
 #include <gentianramp/engine/backend_client.hpp>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace gentianramp {
 
@@ -15,6 +17,9 @@
 namespace {
 
 constexpr Duration ReadInterval = std::chrono::milliseconds(500);
+constexpr Duration ReadIntervalElsewhere = std::chrono::seconds(1);
+constexpr Duration RefreshPollInterval = std::chrono::milliseconds(10);
+constexpr std::size_t MaxWatchedElsewhere = 64;
 constexpr Duration ReadTimeout = std::chrono::milliseconds(1000);
 constexpr unsigned FailuresUntilUnreachable = 2;
 constexpr std::size_t MaxAnswerBytes = 1024 * 1024;
@@ -63,30 +68,58 @@
     , m_site(std::move(site))
 { }
 
+bool BackendWatch::hasRoomFor(const BackendView &view) const
+{
+    const auto elsewhere = std::ranges::count_if(
+        m_watched, [this](const auto &entry) { return !isLocal(entry.second->view); });
+    return isLocal(view) || static_cast<std::size_t>(elsewhere) < MaxWatchedElsewhere;
+}
+
 void BackendWatch::setFleet(const FleetView &fleet)
 {
-    if (fleet.site != m_site || m_stopped)
+    if (m_stopped)
         return;
-    std::map<BackendId, std::shared_ptr<Watched>> kept;
+    std::set<BackendId> listed;
     for (const BackendView &view : fleet.backends) {
-        const auto found = m_watched.find(view.id);
-        const bool same = found != m_watched.end() && found->second->view.host == view.host
-            && found->second->view.port == view.port;
+        listed.insert(view.id);
+        std::shared_ptr<Watched> &watched = m_watched[view.id];
+        const bool same
+            = watched && watched->view.host == view.host && watched->view.port == view.port;
         if (same) {
-            found->second->view = view;
-            kept[view.id] = found->second;
+            watched->view = view;
             continue;
         }
-        const auto watched = std::make_shared<Watched>();
+        if (watched)
+            watched->wanted = false;
+        watched = std::make_shared<Watched>();
         watched->view = view;
-        kept[view.id] = watched;
-        asio::co_spawn(m_executor, watch(watched), asio::detached);
+        if (hasRoomFor(view))
+            asio::co_spawn(m_executor, watch(watched), asio::detached);
     }
+    std::erase_if(m_watched, [&](const auto &entry) {
+        const bool gone = entry.second->view.site == fleet.site && !listed.contains(entry.first);
+        if (gone)
+            entry.second->wanted = false;
+        return gone;
+    });
+}
+
+asio::awaitable<void> BackendWatch::refresh()
+{
+    const auto self = shared_from_this();
     for (const auto &[id, watched] : m_watched) {
-        const auto found = kept.find(id);
-        watched->wanted = found != kept.end() && found->second == watched;
+        ++m_refreshing;
+        asio::co_spawn(m_executor, refreshOne(watched), asio::detached);
     }
-    m_watched = std::move(kept);
+    while (m_refreshing > 0)
+        co_await sleepFor(RefreshPollInterval);
+}
+
+asio::awaitable<void> BackendWatch::refreshOne(std::shared_ptr<Watched> watched)
+{
+    const auto self = shared_from_this();
+    co_await readState(*watched);
+    --m_refreshing;
 }
 
 void BackendWatch::stop()
@@ -132,11 +165,12 @@
     const auto self = shared_from_this();
     while (watched->wanted) {
         const bool reached = co_await readState(*watched);
-        if (reached && watched->wanted)
+        const bool local = isLocal(watched->view);
+        if (local && reached && watched->wanted)
             co_await readLoad(*watched);
-        if (reached && watched->wanted && !watched->view.models.empty())
+        if (local && reached && watched->wanted && !watched->view.models.empty())
             co_await readCacheEvents(*watched);
-        co_await sleepFor(ReadInterval);
+        co_await sleepFor(local ? ReadInterval : ReadIntervalElsewhere);
     }
 }
 
--- a/src/gentianramp/entry/backend_watch.hpp
+++ b/src/gentianramp/entry/backend_watch.hpp
@@ -12,7 +12,8 @@
 
 namespace gentianramp {
 
-/// Reads the load reports, phases and cache events of the backend servers of one data centre.
+/// Reads the load reports, phases and cache events of the backend servers of the own data centre,
+/// and the phases of a bounded number of those elsewhere.
 ///
 /// Used on one executor. A backend server that takes no new work is marked at the router for as
 /// long as that lasts, whatever the fleet table says.
@@ -22,8 +23,11 @@
     BackendWatch(boost::asio::any_io_executor executor, Router &router, HttpClient &client,
                  TimelineWriter &timeline, DataCentreId site);
 
-    /// Starts and stops watching so that exactly the backend servers of @p fleet are watched.
+    /// Starts and stops watching so that of its data centre just the backend servers of @p fleet
+    /// are watched.
     void setFleet(const FleetView &fleet);
+    /// Reads all phases at once, as is needed after this process stood still.
+    boost::asio::awaitable<void> refresh();
     /// Takes a phase that another source told; true when it is news.
     bool notePhase(const BackendId &backend, BackendPhase phase);
     void stop();
@@ -38,7 +42,10 @@
         bool wanted = true;
     };
 
+    bool isLocal(const BackendView &view) const { return view.site == m_site; }
+    bool hasRoomFor(const BackendView &view) const;
     boost::asio::awaitable<void> watch(std::shared_ptr<Watched> watched);
+    boost::asio::awaitable<void> refreshOne(std::shared_ptr<Watched> watched);
     boost::asio::awaitable<bool> readState(Watched &watched);
     boost::asio::awaitable<void> readLoad(const Watched &watched);
     boost::asio::awaitable<void> readCacheEvents(Watched &watched);
@@ -51,6 +58,7 @@
     TimelineWriter &m_timeline;
     DataCentreId m_site;
     bool m_stopped = false;
+    std::size_t m_refreshing = 0;
     std::map<BackendId, std::shared_ptr<Watched>> m_watched;
 };
 
--- a/src/gentianramp/entry/entry_service.cpp
+++ b/src/gentianramp/entry/entry_service.cpp
@@ -23,6 +23,8 @@
 constexpr Duration KeyTickInterval = std::chrono::milliseconds(20);
 constexpr Duration RouterTickInterval = std::chrono::milliseconds(50);
 constexpr Duration SlowTickInterval = std::chrono::seconds(1);
+/// Longer than this without a tick, and what is known of backend servers is read anew.
+constexpr Duration LongestStandstill = std::chrono::seconds(1);
 constexpr Duration NoticeTtl = std::chrono::seconds(2);
 constexpr Duration LimitTtl = std::chrono::seconds(2);
 
@@ -145,6 +147,7 @@
             asio::post(background.executor(),
                        [this, backend, phase] { takePhase(backend, phase, true); });
         };
+        parts.tools.viewIsStale = [this] { return viewIsStale(); };
         parts.tools.spawn = [this](asio::awaitable<void> work) {
             asio::co_spawn(background.executor(), std::move(work), asio::detached);
         };
@@ -270,11 +273,21 @@
     asio::awaitable<void> tickRouter()
     {
         while (!stopped) {
+            const TimePoint now = RuntimeClock::now();
+            if (now - lastTick.load() > LongestStandstill)
+                co_await watch->refresh();
             router.tick(RuntimeClock::now());
+            lastTick = RuntimeClock::now();
             co_await sleepFor(RouterTickInterval);
         }
     }
 
+    /// True when the background thread stood still, or still learns what it missed.
+    bool viewIsStale() const
+    {
+        return RuntimeClock::now() - lastTick.load(std::memory_order_acquire) > LongestStandstill;
+    }
+
     asio::awaitable<void> tickSlowly()
     {
         Gauge &connections
@@ -334,6 +347,7 @@
     std::mutex installMutex;
     std::atomic<bool> shuttingDown{false};
     std::atomic<bool> stopped{false};
+    std::atomic<TimePoint> lastTick{RuntimeClock::now()};
     std::map<PayloadKind, MessageHook> messageHooks;
     std::unique_ptr<Mesh> mesh;
     Pipeline pipeline;
--- a/src/gentianramp/entry/entry_service_test.cpp
+++ b/src/gentianramp/entry/entry_service_test.cpp
@@ -140,7 +140,7 @@
     const auto refused = bench.stream(1, named("late"));
     cr_assert_eq(refused->status, 503U);
     cr_assert(verdictOf(refused) == "NotRun");
-    cr_assert_not(bench.service().idle());
+    cr_assert(bench.service().hasActiveRequests());
     cr_assert(streamText(answer.get()->body) == expectedStream("long", 100));
 }
 
--- a/src/gentianramp/entry/request_run.cpp
+++ b/src/gentianramp/entry/request_run.cpp
@@ -23,6 +23,7 @@
 constexpr Duration MinimumHeadTimeout = std::chrono::milliseconds(200);
 constexpr Duration ShortestRetryDelay = std::chrono::milliseconds(50);
 constexpr Duration LongestRetryDelay = std::chrono::milliseconds(500);
+constexpr Duration StaleViewPollInterval = std::chrono::milliseconds(10);
 constexpr Duration ControlCallTimeout = std::chrono::seconds(2);
 
 AttemptFailure failureOf(CallStart start)
@@ -68,6 +69,7 @@
             co_return CallerLeft{};
         if (m_attempts >= limit)
             co_return failedExit(m_lastFailure);
+        co_await waitForFreshView();
         Placed placed = co_await place(*m_tools->router, shape(delivered), *m_watch, onQueued);
         if (std::holds_alternative<CallerLeft>(placed))
             co_return CallerLeft{};
@@ -92,6 +94,12 @@
     co_return Exit{504, verdict(), "deadline_expired", "the deadline passed", {}};
 }
 
+asio::awaitable<void> RequestRun::waitForFreshView()
+{
+    while (m_tools->viewIsStale() && !deadlinePassed())
+        co_await sleepFor(StaleViewPollInterval);
+}
+
 asio::awaitable<OpenAnswer> RequestRun::dispatch(Placement placement, std::uint32_t delivered,
                                                  CallStart &start)
 {
--- a/src/gentianramp/entry/request_run.hpp
+++ b/src/gentianramp/entry/request_run.hpp
@@ -25,6 +25,8 @@
     HttpClient *client = nullptr;
     Telemetry *telemetry = nullptr;
     StatedPhaseHook onStatedPhase;
+    /// True while what is known of backend servers may be too old, as after a pause of the process.
+    std::function<bool()> viewIsStale;
     /// Runs work that outlives the request, on an executor of its own.
     std::function<void(boost::asio::awaitable<void>)> spawn;
 };
@@ -72,6 +74,7 @@
     Duration tokenSilence() const;
 
 private:
+    boost::asio::awaitable<void> waitForFreshView();
     RequestShape shape(std::uint32_t delivered) const;
     BackendCall makeCall(const Placement &placement, const EngineFields &fields);
     Duration headTimeout(std::uint32_t delivered) const;
--- a/src/programs/overhead/load.cpp
+++ b/src/programs/overhead/load.cpp
@@ -123,8 +123,8 @@
     HttpClient client;
     LoadResult result;
     const TimePoint start = RuntimeClock::now();
-    const auto interval = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(1.0 / callsPerSecond));
+    const auto interval
+        = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1.0 / callsPerSecond));
     LoadResult warmUp;
     for (unsigned caller = 0; caller < RateCallers; ++caller) {
         const TimePoint due = start + interval * caller;
@@ -154,8 +154,7 @@
     const TimePoint start = RuntimeClock::now();
     for (unsigned stream = 0; stream < streams; ++stream) {
         HttpCall call = callTo(target, "/v1/completions", body.dump());
-        asio::co_spawn(context, readStream(client, std::move(call), count, result),
-                       asio::detached);
+        asio::co_spawn(context, readStream(client, std::move(call), count, result), asio::detached);
     }
     while (count.started + count.ended < streams && RuntimeClock::now() < start + LongestStart)
         context.run_one();
--- a/src/programs/overhead/main.cpp
+++ b/src/programs/overhead/main.cpp
@@ -113,14 +113,13 @@
     const std::uint64_t memoryBefore = residentBytes(setup.entryPid);
     std::uint64_t memoryOpen = 0;
     const Duration before = processorTime(setup.entryPid);
-    const LoadResult result
-        = runStreams(setup.entry, setup.model, setup.streams, setup.tokens,
-                     [&] { memoryOpen = residentBytes(setup.entryPid); });
+    const LoadResult result = runStreams(setup.entry, setup.model, setup.streams, setup.tokens,
+                                         [&] { memoryOpen = residentBytes(setup.entryPid); });
     const Duration used = processorTime(setup.entryPid) - before;
     failed += result.failed;
     const std::uint64_t grown = memoryOpen - std::min(memoryOpen, memoryBefore);
-    printFigure("overhead.tokens_per_s", static_cast<double>(result.tokens) / toSeconds(result.span),
-                "1/s");
+    printFigure("overhead.tokens_per_s",
+                static_cast<double>(result.tokens) / toSeconds(result.span), "1/s");
     printFigure("overhead.tokens_per_core_s", static_cast<double>(result.tokens) / toSeconds(used),
                 "1/s");
     printFigure("overhead.bytes_per_open_stream",
@@ -147,7 +146,8 @@
     add("help", "print this text");
     add("entry-port", po::value(&setup.entry.address.port)->required(), "of the entry instance");
     add("entry-pid", po::value(&setup.entryPid)->required(), "of the entry instance");
-    add("service-port", po::value(&setup.service.address.port)->required(), "for the plain service of this program");
+    add("service-port", po::value(&setup.service.address.port)->required(),
+        "for the plain service of this program");
     add("key", po::value(&setup.entry.bearerKey)->required(), "bearer key of a customer");
     add("model", po::value(&setup.model)->required(), "model for streams");
     add("streams", po::value(&setup.streams)->default_value(200), "open at once");
--- a/src/programs/overhead/process_usage.cpp
+++ b/src/programs/overhead/process_usage.cpp
@@ -25,8 +25,8 @@
     std::uint64_t user = 0;
     std::uint64_t system = 0;
     fields >> user >> system;
-    const double seconds = static_cast<double>(user + system)
-        / static_cast<double>(sysconf(_SC_CLK_TCK));
+    const double seconds
+        = static_cast<double>(user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
