Answer operators about engines, roles and holders from the fleet tables

Cause: only the holder knows its engines; operators ask any control process. Change: the holder also sends its table to the lease groups; AuthorityBoard keeps the tables and answers from them with their age.

--- a/include/gentianramp/fleet/fleet_table.hpp
+++ b/include/gentianramp/fleet/fleet_table.hpp
@@ -53,15 +53,18 @@
     Outcome onMessage(std::string_view payload, TimePoint now);
     /// Number of the holder whose table is kept; 0 when none is.
     FencingNumber fencing() const { return m_fencing; }
+    /// Last time that the holder sent or confirmed the table that is kept.
+    TimePoint confirmedAt() const { return m_confirmedAt; }
+    FleetView view() const;
 
 private:
-    FleetView view() const;
 
     DataCentreId m_dataCentre;
     FencingNumber m_fencing;
     std::uint64_t m_sequence = 0;
     std::map<BackendId, BackendView> m_backends;
     TimePoint m_nextRequest;
+    TimePoint m_confirmedAt;
 };
 
 } // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/control/authority_answers.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "authority_board.hpp"
+
+#include <gentianramp/control/generated/operator.pb.h>
+#include <string>
+
+namespace gentianramp {
+
+/// Engines of @p dataCentre, or of all that were heard of when it is empty.
+proto::OperatorAnswer enginesAnswer(const AuthorityBoard &board, const std::string &dataCentre,
+                                    TimePoint now);
+/// Roles and lease holders of all data centres that were heard of.
+proto::OperatorAnswer rolesAnswer(const AuthorityBoard &board, TimePoint now);
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/control/authority_answers_test.cpp
@@ -0,0 +1,49 @@
+#include "authority_answers.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+
+namespace {
+
+constexpr TimePoint Now{std::chrono::hours(1)};
+
+BackendView engine(const std::string &name, EngineRole role)
+{
+    BackendView view;
+    view.id = BackendId(name);
+    view.service = ServiceId("desk");
+    view.models = {{ModelId("m"), "2"}};
+    view.role = role;
+    return view;
+}
+
+} // namespace
+
+Test(AuthorityAnswers, ShowEnginesRolesAndHolders)
+{
+    const DataCentreId site("a");
+    AuthorityBoard board({site, DataCentreId("b")});
+    FleetSender sender(site);
+    const InstanceId holder("control-1");
+    const FencingNumber number(7);
+    const FleetView before{site, {engine("e1", EngineRole::Mixed), engine("e2", EngineRole::Mixed)}};
+    const FleetView after{site, {engine("e1", EngineRole::Prefill), engine("e2", EngineRole::Mixed)}};
+    board.onMessage(holder, sender.update(before, number), Now);
+    board.onMessage(holder, sender.update(after, number), Now);
+    const TimePoint later = Now + std::chrono::seconds(2);
+
+    const auto engines = enginesAnswer(board, "", later).engines();
+    cr_assert_eq(engines.engines_size(), 2);
+    cr_assert_eq(engines.engines(0).role(), "prefill");
+    cr_assert_eq(engines.engines(0).versions(0), "m=2");
+    cr_assert_eq(engines.engines(0).age_ms(), 2000U);
+    cr_assert_eq(enginesAnswer(board, "b", later).engines().engines_size(), 0);
+
+    const auto roles = rolesAnswer(board, later).roles();
+    cr_assert_eq(roles.plans_size(), 1);
+    cr_assert_eq(roles.plans(0).prefill(), 1U);
+    cr_assert_eq(roles.plans(0).mixed(), 1U);
+    cr_assert_eq(roles.plans(0).changes(), 1U);
+    cr_assert_eq(roles.plans(0).lease_holder(), "control-1");
+}
--- a/src/gentianramp/control/authority_loop.cpp
+++ b/src/gentianramp/control/authority_loop.cpp
@@ -9,6 +9,7 @@
 #include <gentianramp/fleet/fleet_table.hpp>
 #include <gentianramp/planner/demand_summary.hpp>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace gentianramp {
@@ -55,6 +56,27 @@
     return lease;
 }
 
+/// Entry instances of the data centre, and the lease groups of all, which answer operators.
+std::vector<InstanceId> readersOfTable(const NodeSettings &settings)
+{
+    std::set<InstanceId> readers;
+    std::set<DataCentreId> sites{settings.dataCentre};
+    std::vector<PlacedInstance> control{{settings.instance, settings.dataCentre}};
+    for (const PeerSettings &peer : settings.peers) {
+        if (peer.kind == ProcessKind::Control && peer.instance != settings.instance) {
+            control.push_back({peer.instance, peer.dataCentre});
+            sites.insert(peer.dataCentre);
+        } else if (peer.dataCentre == settings.dataCentre && peer.kind == ProcessKind::Entry) {
+            readers.insert(peer.instance);
+        }
+    }
+    for (const DataCentreId &site : sites) {
+        const std::vector<InstanceId> group = leaseGroup(site, control);
+        readers.insert(group.begin(), group.end());
+    }
+    return {readers.begin(), readers.end()};
+}
+
 BackendPhase fleetPhase(const Watched &watched)
 {
     if (!watched.reachable())
@@ -109,6 +131,7 @@
     FleetSender fleet;
     DemandSummary demand;
     DeclaredConfiguration configuration;
+    std::vector<InstanceId> tableReaders;
     std::map<BackendId, Watched> watched;
     std::map<BackendId, EngineRole> roles; ///< Wanted roles under the present lease.
     std::map<ServiceId, RolePolicy> policies;
@@ -137,6 +160,7 @@
             = [this](FencingNumber seen) { lease.raiseFencing(seen, RuntimeClock::now()); }})
     , engines(http, LeaseOptions{}.orderFlight)
     , fleet(options.settings.dataCentre)
+    , tableReaders(readersOfTable(options.settings))
 { }
 
 void AuthorityLoop::State::record(EventKind kind, const std::string &peer,
@@ -366,10 +390,8 @@
 {
     nextConfirm = now + ConfirmInterval;
     const std::string payload = fleet.update(fleetView(), current->fencing);
-    for (const PeerSettings &peer : options.settings.peers) {
-        if (peer.kind == ProcessKind::Entry && peer.dataCentre == options.settings.dataCentre)
-            options.send(peer.instance, PayloadKind::Fleet, payload, FleetMessageTtl);
-    }
+    for (const InstanceId &reader : tableReaders)
+        options.send(reader, PayloadKind::Fleet, payload, FleetMessageTtl);
 }
 
 AuthorityLoop::AuthorityLoop(AuthorityOptions options)
--- a/src/gentianramp/fleet/fleet_table.cpp
+++ b/src/gentianramp/fleet/fleet_table.cpp
@@ -136,8 +136,11 @@
     const FencingNumber fencing(update.fencing());
     if (update.data_centre() != m_dataCentre.value() || fencing < m_fencing || !knownEnums(update))
         return {};
-    if (fencing == m_fencing && update.sequence() <= m_sequence)
+    if (fencing == m_fencing && update.sequence() <= m_sequence) {
+        if (update.sequence() == m_sequence)
+            m_confirmedAt = now;
         return {};
+    }
     const bool whole = update.base() == 0;
     if (!whole && (fencing != m_fencing || update.base() != m_sequence)) {
         if (now < m_nextRequest)
@@ -155,6 +158,7 @@
         m_backends.erase(BackendId(removed));
     m_fencing = fencing;
     m_sequence = update.sequence();
+    m_confirmedAt = now;
     return {.view = view(), .request = {}};
 }
 
--- a/src/gentianramp/fleet/fleet_table_test.cpp
+++ b/src/gentianramp/fleet/fleet_table_test.cpp
@@ -45,7 +45,9 @@
     cr_assert_lt(change.size(), whole.size());
     cr_assert(bench.receiver.onMessage(change, Now).view == second);
     const std::string same = bench.sender.update(second, FencingNumber(1));
-    cr_assert_not(bench.receiver.onMessage(same, Now).view.has_value());
+    const TimePoint later = Now + std::chrono::seconds(1);
+    cr_assert_not(bench.receiver.onMessage(same, later).view.has_value());
+    cr_assert_eq(bench.receiver.confirmedAt(), later);
 }
 
 Test(FleetTable, ReceiverThatMissedAChangeAsksAndCatchesUp)
