--- a/include/gentianramp/fleet/fleet_table.hpp
+++ b/include/gentianramp/fleet/fleet_table.hpp
@@ -58,7 +58,6 @@
     FleetView view() const;
 
 private:
-
     DataCentreId m_dataCentre;
     FencingNumber m_fencing;
     std::uint64_t m_sequence = 0;
--- a/src/gentianramp/control/authority_answers_test.cpp
+++ b/src/gentianramp/control/authority_answers_test.cpp
@@ -27,8 +27,10 @@
     FleetSender sender(site);
     const InstanceId holder("control-1");
     const FencingNumber number(7);
-    const FleetView before{site, {engine("e1", EngineRole::Mixed), engine("e2", EngineRole::Mixed)}};
-    const FleetView after{site, {engine("e1", EngineRole::Prefill), engine("e2", EngineRole::Mixed)}};
+    const FleetView before{site,
+                           {engine("e1", EngineRole::Mixed), engine("e2", EngineRole::Mixed)}};
+    const FleetView after{site,
+                          {engine("e1", EngineRole::Prefill), engine("e2", EngineRole::Mixed)}};
     board.onMessage(holder, sender.update(before, number), Now);
     board.onMessage(holder, sender.update(after, number), Now);
     const TimePoint later = Now + std::chrono::seconds(2);
--- a/src/gentianramp/control/authority_board.cpp
+++ b/src/gentianramp/control/authority_board.cpp
@@ -42,9 +42,9 @@
         if (!outcome.view)
             continue;
         const bool sameHolder = before == site.receiver.fencing();
-        overview.roleChanges
-            = sameHolder ? overview.roleChanges + countRoleChanges(overview.fleet, *outcome.view)
-                         : 0;
+        overview.roleChanges = sameHolder
+            ? overview.roleChanges + countRoleChanges(overview.fleet, *outcome.view)
+            : 0;
         overview.fleet = std::move(*outcome.view);
         overview.holder = sender;
         overview.fencing = site.receiver.fencing();
