--- a/src/gentianramp/client/command_support.cpp
+++ b/src/gentianramp/client/command_support.cpp
@@ -39,7 +39,8 @@
     case CallOutcome::Unavailable:
         return "no answer in time, nothing was changed";
     case CallOutcome::UnknownOutcome:
-        return "may have been accepted; see config history, or resend it with the same --command-id";
+        return "may have been accepted; see config history, or resend it with the same "
+               "--command-id";
     }
     return "failed";
 }
--- a/src/gentianramp/client/commands_test.cpp
+++ b/src/gentianramp/client/commands_test.cpp
@@ -55,7 +55,8 @@
 }
 
 /// A link whose control process answers every request with @p answer.
-OperatorLink answering(const proto::OperatorAnswer &answer, std::vector<proto::OperatorRequest> &sent)
+OperatorLink answering(const proto::OperatorAnswer &answer,
+                       std::vector<proto::OperatorRequest> &sent)
 {
     const auto pending = std::make_shared<std::vector<std::string>>();
     OperatorLink link;
--- a/src/gentianramp/client/config_commands.cpp
+++ b/src/gentianramp/client/config_commands.cpp
@@ -190,7 +190,8 @@
         return code;
     if (context.options.comment.empty())
         context.options.comment = "as revision " + std::to_string(*revision);
-    return propose(context, Revision(context.options.baseRevision.value_or(current.revision.value())),
+    return propose(context,
+                   Revision(context.options.baseRevision.value_or(current.revision.value())),
                    wanted.bytes);
 }
 
--- a/src/gentianramp/client/fleet_commands.cpp
+++ b/src/gentianramp/client/fleet_commands.cpp
@@ -29,11 +29,10 @@
         + (status.confirmed() ? "confirmed" : "not confirmed") + " by a majority\n\n";
     TextTable sites({"SITE", "REACHABLE", "REPORTING", "CURRENT", "OLDEST", "LAST REPORT"});
     for (const proto::SiteStatus &site : status.sites())
-        sites.addRow(
-            {site.data_centre(), yesOrNo(site.reachable()),
-             std::to_string(site.reporting()) + " of " + std::to_string(site.processes()),
-             std::to_string(site.in_force()) + " of " + std::to_string(site.processes()),
-             std::to_string(site.oldest_revision()), describeAge(site.age_ms())});
+        sites.addRow({site.data_centre(), yesOrNo(site.reachable()),
+                      std::to_string(site.reporting()) + " of " + std::to_string(site.processes()),
+                      std::to_string(site.in_force()) + " of " + std::to_string(site.processes()),
+                      std::to_string(site.oldest_revision()), describeAge(site.age_ms())});
     TextTable voters({"VOTER", "SITE", "REACHABLE", "ADMITTED", "MATCH", "LAST CONTACT"});
     for (const proto::VoterStatus &voter : status.voters())
         voters.addRow({voter.instance(), voter.data_centre(), yesOrNo(voter.reachable()),
@@ -122,8 +121,8 @@
     proto::OperatorRequest request;
     request.mutable_roles();
     return callAndUse(context, request, [&context](const proto::OperatorAnswer &answer) {
-        TextTable table({"SITE", "SERVICE", "PREFILL", "DECODE", "MIXED", "CHANGES",
-                         "LEASE HOLDER", "FENCING", "AGE"});
+        TextTable table({"SITE", "SERVICE", "PREFILL", "DECODE", "MIXED", "CHANGES", "LEASE HOLDER",
+                         "FENCING", "AGE"});
         for (const proto::RolePlan &each : answer.roles().plans())
             table.addRow({each.data_centre(), each.service(), std::to_string(each.prefill()),
                           std::to_string(each.decode()), std::to_string(each.mixed()),
--- a/src/gentianramp/client/in_force.cpp
+++ b/src/gentianramp/client/in_force.cpp
@@ -52,9 +52,8 @@
     if (!status.confirmed() || status.revision() < revision.value() || status.sites().empty())
         return false;
     const auto sites = progressOf(revision, status);
-    return std::all_of(sites.begin(), sites.end(), [](const SiteProgress &site) {
-        return site.state == SiteState::InForce;
-    });
+    return std::all_of(sites.begin(), sites.end(),
+                       [](const SiteProgress &site) { return site.state == SiteState::InForce; });
 }
 
 CallResult waitUntilInForce(OperatorClient &client, Revision revision, TimePoint deadline,
--- a/src/gentianramp/client/key_commands.cpp
+++ b/src/gentianramp/client/key_commands.cpp
@@ -74,8 +74,8 @@
     }
     const std::size_t wanted = names.size() + options.operators.size();
     print(context, {{"made", made}, {"kept", wanted - made}},
-          std::to_string(made) + " key pairs made, " + std::to_string(wanted - made)
-              + " kept in " + options.folder.string() + "\n");
+          std::to_string(made) + " key pairs made, " + std::to_string(wanted - made) + " kept in "
+              + options.folder.string() + "\n");
     return ExitCode::Ok;
 }
 
--- a/src/gentianramp/client/operator_client_test.cpp
+++ b/src/gentianramp/client/operator_client_test.cpp
@@ -223,9 +223,9 @@
 Test(InForce, NamesSitesThatAreCutOff)
 {
     const auto sites
-        = progressOf(Revision(7), statusOf({site("north", 3, 3, 7, true),
-                                            site("south", 2, 2, 6, true),
-                                            site("west", 2, 0, 7, false)}));
+        = progressOf(Revision(7),
+                     statusOf({site("north", 3, 3, 7, true), site("south", 2, 2, 6, true),
+                               site("west", 2, 0, 7, false)}));
     cr_assert(sites[0].state == SiteState::InForce);
     cr_assert(sites[1].state == SiteState::Behind);
     cr_assert(sites[2].state == SiteState::CutOff);
