--- a/include/gentianramp/engine/engine_model.hpp
+++ b/include/gentianramp/engine/engine_model.hpp
@@ -112,6 +112,8 @@
     EngineRole role() const;
     BackendPhase phase() const;
     std::size_t outstanding() const;
+    /// Prompt tokens that were found in the prefix cache since the start.
+    std::uint64_t cachedTokens() const;
     /// The lagging load report; LoadReport::takenAt tells its age.
     LoadReport loadReport(TimePoint now) const;
     /// Published cache events with a sequence above @p after, late and with gaps.
--- a/include/gentianramp/planner/role_policy.hpp
+++ b/include/gentianramp/planner/role_policy.hpp
@@ -54,8 +54,8 @@
 /// Options of the model-predictive policy.
 struct PredictiveOptions
 {
-    Duration fastWindow = std::chrono::seconds(4);
-    Duration slowWindow = std::chrono::seconds(20);
+    Duration memory = std::chrono::seconds(60); ///< Demand seen longer ago does not count.
+    Duration fade = std::chrono::seconds(20);   ///< Age at which demand counts a third.
     double headroom = 1.15; ///< Capacity over demand at which all answers are in time.
 };
 
--- a/src/gentianramp/engine/engine_model.cpp
+++ b/src/gentianramp/engine/engine_model.cpp
@@ -229,6 +229,7 @@
             return;
         }
         const std::uint32_t cached = cache.match(request.prefixes);
+        cachedTokens += cached;
         // A resumed answer is prefilled again with the tokens that the caller already has.
         const double tokens = static_cast<double>(request.promptTokens) + request.resumeOffset;
         work.stage = Stage::Prefilling;
@@ -283,6 +284,7 @@
     bool draining = false;
     bool leaving = false;
     std::uint64_t lastArrival = 0;
+    std::uint64_t cachedTokens = 0;
     std::vector<std::unique_ptr<Work>> works;
     std::vector<EngineProgress> pending;
     std::deque<LoadReport> reports;
@@ -392,6 +394,11 @@
     return m_state->works.size();
 }
 
+std::uint64_t EngineModel::cachedTokens() const
+{
+    return m_state->cachedTokens;
+}
+
 LoadReport EngineModel::loadReport(TimePoint now) const
 {
     LoadReport published;
--- a/src/gentianramp/planner/predictive_policy.cpp
+++ b/src/gentianramp/planner/predictive_policy.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <deque>
 #include <gentianramp/planner/role_policy.hpp>
 #include <memory>
 
@@ -9,6 +10,7 @@
 namespace gentianramp {
 namespace {
 
+constexpr std::size_t MostSteps = 4; ///< Changes that one plan looks ahead.
 constexpr std::array Roles{EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode};
 
 double seconds(Duration value)
@@ -16,39 +18,22 @@
     return std::chrono::duration<double>(value).count();
 }
 
-/// Exponential average over a window of time.
-class MovingRates
+/// Demand that a span of time may bring.
+struct Scenario
 {
-public:
-    explicit MovingRates(Duration window)
-        : m_window(window)
-    { }
-
-    void add(const ServiceRates &rates, Duration span)
-    {
-        const double gain = m_first ? 1 : 1 - std::exp(-seconds(span) / seconds(m_window));
-        m_first = false;
-        m_requests += gain * (rates.requestsPerSecond - m_requests);
-        m_tokens.promptTokens += gain * (rates.promptTokensPerSecond - m_tokens.promptTokens);
-        m_tokens.outputTokens += gain * (rates.outputTokensPerSecond - m_tokens.outputTokens);
-    }
-    double requests() const { return m_requests; }
-    const TokenRates &tokens() const { return m_tokens; }
-
-private:
-    Duration m_window;
-    bool m_first = true;
-    double m_requests = 0;
-    TokenRates m_tokens;
+    double requests = 0; ///< Per second.
+    TokenRates tokens;
 };
 
-/// Demand expected on average over the horizon.
-struct Forecast
+struct WeightedScenario
 {
-    double requests = 0; ///< Per second.
-    TokenRates tokens;
+    Scenario scenario;
+    double weight = 0; ///< All weights add up to 1.
 };
 
+/// Demand expected over the horizon, as a distribution.
+using Forecast = std::vector<WeightedScenario>;
+
 /// One step from a mix of roles to another.
 struct Step
 {
@@ -86,8 +71,6 @@
 public:
     explicit PredictivePolicy(PredictiveOptions options)
         : m_options(options)
-        , m_fast(options.fastWindow)
-        , m_slow(options.slowWindow)
     { }
 
     std::vector<RoleChange> decide(const PlanInput &input)
@@ -104,27 +87,31 @@
 private:
     void observe(const PlanInput &input)
     {
-        const Duration span = m_observedAt == TimePoint{} ? Duration(std::chrono::seconds(1))
-                                                          : input.now - m_observedAt;
-        m_observedAt = input.now;
-        m_fast.add(input.demand, span);
-        m_slow.add(input.demand, span);
+        m_seen.push_back(
+            {input.now,
+             {input.demand.requestsPerSecond,
+              {input.demand.promptTokensPerSecond, input.demand.outputTokensPerSecond}}});
+        while (m_seen.front().at + m_options.memory < input.now)
+            m_seen.pop_front();
     }
 
-    /// A swing that only the fast average shows is believed by half; waiting work is spread over
-    /// the horizon.
+    /// The demand of the time remembered comes again, the latest more often; waiting work is
+    /// spread over the horizon. A mix has to suit the swings, not only their average.
     Forecast predict(const PlanInput &input) const
     {
         const double horizon = seconds(input.settings.horizon);
-        const auto blend = [](double fast, double slow) { return (fast + slow) / 2; };
         Forecast forecast;
-        forecast.requests = blend(m_fast.requests(), m_slow.requests());
-        forecast.tokens.promptTokens
-            = blend(m_fast.tokens().promptTokens, m_slow.tokens().promptTokens)
-            + input.demand.waitingPromptTokens / horizon;
-        forecast.tokens.outputTokens
-            = blend(m_fast.tokens().outputTokens, m_slow.tokens().outputTokens)
-            + input.demand.waitingOutputTokens / horizon;
+        double weights = 0;
+        for (const Seen &seen : m_seen) {
+            const double weight = std::exp(-seconds(input.now - seen.at) / seconds(m_options.fade));
+            Scenario scenario = seen.demand;
+            scenario.tokens.promptTokens += input.demand.waitingPromptTokens / horizon;
+            scenario.tokens.outputTokens += input.demand.waitingOutputTokens / horizon;
+            forecast.push_back({scenario, weight});
+            weights += weight;
+        }
+        for (WeightedScenario &scenario : forecast)
+            scenario.weight /= weights;
         return forecast;
     }
 
@@ -132,8 +119,12 @@
     double answersPerSecond(const RoleMix &mix, const Forecast &forecast,
                             const BackendView &engine) const
     {
-        const double factor = capacityFactor(mix, forecast.tokens, engine);
-        return forecast.requests * std::min(1.0, factor / m_options.headroom);
+        double answers = 0;
+        for (const auto &[scenario, weight] : forecast) {
+            const double share = carriedShare(mix, scenario.tokens, engine, m_options.headroom);
+            answers += weight * scenario.requests * share;
+        }
+        return answers;
     }
 
     /// Answers lost by one change that takes an engine out of @p mix.
@@ -177,7 +168,7 @@
         for (std::uint32_t prefill = 0; prefill <= total; ++prefill) {
             for (std::uint32_t decode = 0; prefill + decode <= total; ++decode) {
                 const RoleMix mix{total - prefill - decode, prefill, decode};
-                if (mix.prefill == total)
+                if (mix.prefill == total || stepsBetween(now, mix).size() > MostSteps)
                     continue;
                 const double gain = netGain(input, forecast, now, mix);
                 if (gain <= bestGain)
@@ -213,10 +204,14 @@
         return changes;
     }
 
+    struct Seen
+    {
+        TimePoint at{};
+        Scenario demand;
+    };
+
     PredictiveOptions m_options;
-    MovingRates m_fast;
-    MovingRates m_slow;
-    TimePoint m_observedAt{};
+    std::deque<Seen> m_seen;
 };
 
 } // namespace
--- a/src/gentianramp/planner/role_mix.cpp
+++ b/src/gentianramp/planner/role_mix.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr double LargestFactor = 1e3;
-constexpr int BisectionSteps = 40;
+constexpr int FineSteps = 40;
+constexpr int CoarseSteps = 8;
 
 /// Whether the mix carries the demand: prefill goes first to the roles where it costs the least
 /// decoding.
@@ -31,6 +32,23 @@
     return prompt <= 1e-9 && decode >= demand.outputTokens;
 }
 
+TokenRates scaled(const TokenRates &demand, double factor)
+{
+    return {demand.promptTokens * factor, demand.outputTokens * factor};
+}
+
+double largestFactor(const RoleMix &mix, const TokenRates &demand, const BackendView &engine,
+                     double most, int steps)
+{
+    double low = 0;
+    double high = most;
+    for (int step = 0; step < steps; ++step) {
+        const double middle = (low + high) / 2;
+        (carries(mix, scaled(demand, middle), engine) ? low : high) = middle;
+    }
+    return low;
+}
+
 } // namespace
 
 std::uint32_t &RoleMix::count(EngineRole role)
@@ -49,14 +67,15 @@
 
 double capacityFactor(const RoleMix &mix, const TokenRates &demand, const BackendView &engine)
 {
-    double low = 0;
-    double high = LargestFactor;
-    for (int step = 0; step < BisectionSteps; ++step) {
-        const double middle = (low + high) / 2;
-        const TokenRates scaled{demand.promptTokens * middle, demand.outputTokens * middle};
-        (carries(mix, scaled, engine) ? low : high) = middle;
-    }
-    return low;
+    return largestFactor(mix, demand, engine, LargestFactor, FineSteps);
+}
+
+double carriedShare(const RoleMix &mix, const TokenRates &demand, const BackendView &engine,
+                    double headroom)
+{
+    if (carries(mix, scaled(demand, headroom), engine))
+        return 1;
+    return largestFactor(mix, demand, engine, headroom, CoarseSteps) / headroom;
 }
 
 } // namespace gentianramp
--- a/src/gentianramp/planner/role_mix.hpp
+++ b/src/gentianramp/planner/role_mix.hpp
@@ -30,4 +30,9 @@
 /// and decode on whatever engine does them best.
 double capacityFactor(const RoleMix &mix, const TokenRates &demand, const BackendView &engine);
 
+/// Share of the demand that the mix carries while @p headroom times as much capacity as demand is
+/// needed for all of it; from 0 to 1.
+double carriedShare(const RoleMix &mix, const TokenRates &demand, const BackendView &engine,
+                    double headroom);
+
 } // namespace gentianramp
--- a/src/gentianramp/routing/backend_choice.cpp
+++ b/src/gentianramp/routing/backend_choice.cpp
@@ -8,10 +8,13 @@
 namespace gentianramp {
 namespace {
 
-constexpr double PrefillBacklogSeconds = 1.0; ///< Prompt tokens beyond it wait at the entry.
+constexpr double PrefillBacklogSeconds = 2.0; ///< Prompt tokens beyond it wait at the entry.
 constexpr double TransferSeconds = 0.02;      ///< Export and import of a KV cache.
 constexpr double RemoteSeconds = 0.05;        ///< Preference for the own data centre.
 constexpr double OccupiedSlotSeconds = 0.001; ///< Tells apart backend servers without token work.
+constexpr double FinishMargin = 1.8;          ///< Answers slow down as later requests join them.
+constexpr double OthersAlike
+    = 0.8; ///< Share of own unreported work assumed of each other instance.
 constexpr double HopeForLess = 0.2; ///< Share by which an estimate may fall while waiting.
 constexpr std::size_t DrawsPerChoice = 3;
 
@@ -75,10 +78,11 @@
 {
     const BackendView &view = candidate.view;
     const UnreportedWork unreported = candidate.load->unreported(now);
+    const double others = OthersAlike * options.otherInstances;
     const double open = std::max(1.0, std::floor(view.slots * (1 - options.reservedShare)));
-    if (work.requests + options.otherInstances * unreported.requests >= open)
+    if (work.requests + others * unreported.requests >= open)
         return false;
-    const double prompt = work.promptTokens + options.otherInstances * unreported.promptTokens;
+    const double prompt = work.promptTokens + others * unreported.promptTokens;
     return prompt <= prefillRate(view, view.role) * PrefillBacklogSeconds;
 }
 
@@ -228,7 +232,7 @@
         const Estimate estimate = estimator(candidate, work, m_request, m_now);
         ++best.compared;
         best.soonest = std::min(best.soonest, estimate.finish);
-        if (fromSeconds(estimate.finish) > m_request.shape.deadline - m_now)
+        if (fromSeconds(estimate.finish * FinishMargin) > m_request.shape.deadline - m_now)
             return;
         if (best.index && best.estimate.cost <= estimate.cost)
             return;
@@ -356,7 +360,8 @@
     if (!whole.index && !pairPossible) {
         const double soonest = std::min(whole.soonest, decode.soonest);
         const bool hopeless = soonest < std::numeric_limits<double>::max()
-            && fromSeconds(soonest * (1 - HopeForLess)) > request.shape.deadline - now;
+            && fromSeconds(soonest * FinishMargin * (1 - HopeForLess))
+                > request.shape.deadline - now;
         return {.outcome = hopeless ? ChoiceOutcome::TooLate : ChoiceOutcome::Busy};
     }
     if (!pairPossible)
--- /dev/null
+++ b/src/programs/replay/shift_measure.hpp
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+
+namespace gentianramp {
+
+/// Options of the measure of role policies.
+struct ShiftOptions
+{
+    std::uint64_t seed = 1;
+    double load = 1; ///< Factor on the rate of arrivals.
+    unsigned threads = 3;
+};
+
+/// Runs all role policies on both deployments' traces and prints figures; returns the exit status.
+int runShiftMeasure(const ShiftOptions &options);
+
+} // namespace gentianramp
