Make the keys of a deployment the way gentianctl asks for

Cause: gentianctl takes names and operators as options, so every measure that starts a deployment failed before its first process.

--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -148,10 +148,11 @@
         shutil.rmtree(self.folder, ignore_errors=True)
         for name in ("nodes", "keys", "declared", "logs", "timeline", "data", "faults"):
             (self.folder / name).mkdir(parents=True)
-        names = [node.instance for node in self.layout.nodes] + ["operator"]
+        names = [word for node in self.layout.nodes for word in ("--name", node.instance)]
         subprocess.run([self.binaries / "gentianctl", "keys", "make", "--dir",
-                        self.folder / "keys", *names], check=True, stdout=subprocess.DEVNULL)
-        shutil.copy(self.folder / "keys" / "operator.pub", self.folder / "operators.txt")
+                        self.folder / "keys", *names, "--operator", "operator"],
+                       check=True, stdout=subprocess.DEVNULL)
+        shutil.copy(self.folder / "keys" / "operators.pub", self.folder / "operators.txt")
         self._write("peers.yaml", {"peers": [self._peer(node) for node in self.layout.nodes]})
         self._write("declared/base.yaml", {"sites": list(self.layout.sites), **self.layout.base})
         for site in self.layout.sites:
