Take the request id for a missing idempotency key

A call that must not run twice was refused when it had no key. Callers that name their requests can be served as safely: a repeat carries the same request id, so the id is claimed in place of the key. Only a call with neither is refused.

--- a/src/gentianramp/entry/deduplicate.cpp
+++ b/src/gentianramp/entry/deduplicate.cpp
@@ -12,11 +12,18 @@
 /// Time that the way back to the caller takes; a wait for another attempt ends this much earlier.
 constexpr Duration AnswerMargin = std::chrono::milliseconds(50);
 
+/// The caller's key; without one its request id, which repeats carry too.
+IdempotencyKey claimedKey(const CallerRequest &caller)
+{
+    const bool keyed = !caller.key.value().empty();
+    return keyed ? caller.key : IdempotencyKey("request:" + caller.id.value());
+}
+
 ClaimRequest claimRequestFor(const IdentifiedRequest &request)
 {
     const CallerRequest &caller = request.caller;
     ClaimRequest claim;
-    claim.scope = {request.customer, request.service->id, caller.key};
+    claim.scope = {request.customer, request.service->id, claimedKey(caller)};
     claim.fingerprint = sha256Hex({caller.method, " ", caller.target, "\n", caller.body});
     claim.firstAttempt = caller.firstAttempt;
     claim.wallMs = wallClockMs();
--- a/src/gentianramp/entry/entry_service_test.cpp
+++ b/src/gentianramp/entry/entry_service_test.cpp
@@ -101,6 +101,16 @@
     cr_assert_eq(bench.runs(), 1U);
 }
 
+Test(EntryService, TakesTheRequestIdForAMissingKey)
+{
+    EntryBench bench(0, 1);
+    const auto first = bench.call("/bay/unlock", "{}", named("r"));
+    const auto second = bench.call("/bay/unlock", "{}", named("r"));
+    cr_assert(verdictOf(first) == "Complete");
+    cr_assert(first->body == second->body);
+    cr_assert_eq(bench.runs(), 1U);
+}
+
 Test(EntryService, RepeatsIdempotentCalls)
 {
     EntryBench bench(0, 2);
--- a/src/gentianramp/entry/identify.cpp
+++ b/src/gentianramp/entry/identify.cpp
@@ -33,7 +33,7 @@
     identified.deadline = request.arrivedAt + timeout;
     identified.directory = std::move(directory);
     identified.caller = std::move(request);
-    if (!identified.idempotent && identified.caller.key.value().empty())
+    if (!identified.idempotent && !identified.caller.named)
         return Exit{400,
                     prior,
                     "idempotency_key_missing",
