Take the fleet table and the common command line in the entry program

The program makes a FleetLink, so that the table of the lease holder reaches the router and the demand reaches the planner. Exit codes and help follow the other programs.

--- a/src/gentianramp/entry/pipeline.cpp
+++ b/src/gentianramp/entry/pipeline.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::uint32_t AttemptSaltMask = (1U << 23U) - 1;
 constexpr std::uint32_t AttemptSaltStep = 0x9e3779b1; // odd, so that all salts are used
+constexpr Duration UnconfiguredRetryDelay = std::chrono::seconds(2);
 constexpr Duration ShutdownRetryDelay = std::chrono::seconds(1);
 
 std::string hexText(std::uint64_t value)
@@ -71,6 +72,10 @@
     const RequestId id = request.id;
     const bool stream = request.ask && request.ask->stream;
     CallerWatch watch(writer);
+    if (m_parts.directory()->isEmpty())
+        co_return endWith(Exit{503, request.priorVerdict(), "no_configuration",
+                               "no configuration has reached this instance",
+                               UnconfiguredRetryDelay});
     Passed<IdentifiedRequest> identified = identify(std::move(request), m_parts.directory());
     if (Exit *exit = std::get_if<Exit>(&identified))
         co_return endWith(std::move(*exit));
--- a/src/gentianramp/entry/service_directory.hpp
+++ b/src/gentianramp/entry/service_directory.hpp
@@ -28,6 +28,8 @@
     /// Level of the service's priority class; below all classes when it has none.
     std::uint32_t priorityOf(const ServiceDeclaration &service) const;
 
+    /// True when no service is declared, as before the first configuration arrived.
+    bool isEmpty() const noexcept { return m_configuration.services.empty(); }
     const DeclaredConfiguration &configuration() const noexcept { return m_configuration; }
     Revision revision() const noexcept { return m_revision; }
     TimePoint inForceSince() const noexcept { return m_inForceSince; }
--- a/src/gentianramp/entry/status_pages.cpp
+++ b/src/gentianramp/entry/status_pages.cpp
@@ -27,16 +27,17 @@
 HttpResponse readyPage(const InstanceStatus &status, const ServiceDirectory &directory,
                        TimePoint now)
 {
+    const bool ready = !status.shuttingDown && !directory.isEmpty();
     const json body{{"instance", status.instance.value()},
                     {"data_centre", status.dataCentre.value()},
-                    {"ready", !status.shuttingDown},
+                    {"ready", ready},
                     {"shutting_down", status.shuttingDown},
                     {"keys_learning", status.keysLearning},
                     {"active_requests", status.activeRequests},
                     {"waiting_requests", status.waiting},
                     {"revision", directory.revision().value()},
                     {"revision_age_ms", toMilliseconds(now - directory.inForceSince())}};
-    return jsonPage(status.shuttingDown ? 503 : 200, body);
+    return jsonPage(ready ? 200 : 503, body);
 }
 
 HttpResponse metricsPage(const MetricsRegistry &metrics)
--- a/src/programs/entry/main.cpp
+++ b/src/programs/entry/main.cpp
@@ -3,10 +3,11 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/program_options.hpp>
 #include <csignal>
 #include <gentianramp/config/key_files.hpp>
+#include <gentianramp/config/program_options.hpp>
 #include <gentianramp/config/settings_file.hpp>
+#include <gentianramp/control_link/fleet_link.hpp>
 #include <gentianramp/core/log.hpp>
 #include <gentianramp/entry/entry_service.hpp>
 #include <iostream>
@@ -17,35 +18,22 @@
 
 namespace {
 
-constexpr int ExitUsage = 2;
-constexpr int ExitFailed = 1;
 constexpr Duration DrainPollInterval = std::chrono::milliseconds(50);
 constexpr Duration RefusalTime = std::chrono::seconds(1); // for the balancer to move on
 constexpr Duration LastConnectionTime = std::chrono::milliseconds(200);
 constexpr Duration SettlementTime = std::chrono::seconds(3);
 
-struct Arguments
+CommandLine commandLine()
 {
-    std::string settingsFile;
-    bool checkConfig = false;
-    bool firstStart = false;
-    std::uint64_t seed = 0;
-};
-
-po::options_description describeOptions(Arguments &arguments)
-{
-    po::options_description description("gentianramp-entry [options] SETTINGS.yaml");
-    auto add = description.add_options();
-    add("help", "print this text");
-    add("version", "print the version");
-    add("config", po::value(&arguments.settingsFile), "settings of this instance (YAML)");
-    add("check-config", po::bool_switch(&arguments.checkConfig),
+    CommandLine line({"gentianramp-entry", "serves callers before the backend servers of a site"});
+    auto add = line.options().add_options();
+    add("config", po::value<std::string>()->required(), "settings of this instance (YAML)");
+    add("check-config", po::bool_switch(),
         "check the settings and the declared configuration, then end");
-    add("first-start", po::bool_switch(&arguments.firstStart),
-        "no idempotency key was ever claimed in this deployment");
-    add("seed", po::value(&arguments.seed),
+    add("first-start", po::bool_switch(), "no idempotency key was ever claimed in this deployment");
+    add("seed", po::value<std::uint64_t>(),
         "seed of randomised choices; without it taken from the time");
-    return description;
+    return line;
 }
 
 /// Ends once @p busy is false, or after @p longest.
@@ -77,81 +65,74 @@
     co_await shutDown(service, longestDrain);
 }
 
-int run(const Arguments &arguments)
+/// Reads the key pair of the mesh; prints what is wrong with it.
+std::optional<CurveKeyPair> readKeys(const NodeSettings &settings)
+{
+    const auto keys = readKeyPairFile(settings.secretKeyFile);
+    if (keys)
+        return CurveKeyPair{keys->publicKey, keys->secretKey};
+    std::cerr << settings.secretKeyFile.string() << ": " << keys.message() << "\n";
+    return std::nullopt;
+}
+
+ExitCode serve(EntryOptions options)
 {
-    const auto settings = loadNodeSettings(arguments.settingsFile);
+    const NodeSettings settings = options.settings;
+    asio::io_context context;
+    EntryService service(std::move(options));
+    const FleetLink fleetLink(service, settings, context.get_executor());
+    const Result<std::uint16_t> port = service.start();
+    if (!port) {
+        logError("start_failed", {{"error", port.message()}});
+        return ExitCode::Failed;
+    }
+    logInfo("listening", {{"host", settings.httpHost}, {"port", *port}});
+    const auto stop = [&context](const std::exception_ptr &) { context.stop(); };
+    asio::co_spawn(context, runUntilSignal(service, std::chrono::seconds(settings.drainSeconds)),
+                   stop);
+    context.run();
+    service.timeline().record({.kind = EventKind::ProcessStopped});
+    service.timeline().flush();
+    return ExitCode::Ok;
+}
+
+ExitCode run(const po::variables_map &values)
+{
+    const auto settings = loadNodeSettings(values["config"].as<std::string>());
     if (!settings) {
         std::cerr << settings.message() << "\n";
-        return ExitFailed;
+        return ExitCode::BadSettings;
     }
-    const auto configuration
-        = loadDeclaredConfiguration(settings->configurationFile, settings->overlayFiles);
+    const bool declared = !settings->configurationFile.empty();
+    const Validated<DeclaredConfiguration> configuration = declared
+        ? loadDeclaredConfiguration(settings->configurationFile, settings->overlayFiles)
+        : Validated<DeclaredConfiguration>(DeclaredConfiguration());
     if (!configuration) {
         std::cerr << configuration.message() << "\n";
-        return ExitFailed;
+        return ExitCode::BadSettings;
     }
-    if (arguments.checkConfig)
-        return EXIT_SUCCESS;
+    if (values["check-config"].as<bool>())
+        return ExitCode::Ok;
+    const auto keys = readKeys(*settings);
+    if (!keys)
+        return ExitCode::BadSettings;
     EntryOptions options;
-    if (!settings->endpoint.empty()) {
-        const auto keys = readKeyPairFile(settings->secretKeyFile);
-        if (!keys) {
-            std::cerr << "cannot read the key file: " << keys.message() << "\n";
-            return ExitFailed;
-        }
-        options.keys = {keys->publicKey, keys->secretKey};
-    }
     options.settings = *settings;
     options.configuration = *configuration;
+    options.keys = *keys;
     options.incarnation = Incarnation(static_cast<std::uint64_t>(wallClockMs()));
-    options.firstStart = arguments.firstStart;
-    options.seed = arguments.seed != 0 ? arguments.seed : options.incarnation.value();
+    options.firstStart = values["first-start"].as<bool>();
+    options.seed = values.count("seed") > 0 ? values["seed"].as<std::uint64_t>()
+                                            : options.incarnation.value();
     startLogging("gentianramp-entry");
-    EntryService service(std::move(options));
-    const Result<std::uint16_t> port = service.start();
-    if (!port) {
-        logError("start_failed", {{"error", port.message()}});
-        return ExitFailed;
-    }
-    logInfo("listening", {{"host", settings->httpHost}, {"port", *port}});
-    asio::io_context context;
-    asio::co_spawn(context, runUntilSignal(service, std::chrono::seconds(settings->drainSeconds)),
-                   asio::detached);
-    context.run();
-    service.timeline().record({.kind = EventKind::ProcessStopped});
-    service.timeline().flush();
-    return EXIT_SUCCESS;
+    return serve(std::move(options));
 }
 
 } // namespace
 
 int main(int argc, char **argv)
 {
-    Arguments arguments;
-    const po::options_description description = describeOptions(arguments);
-    po::positional_options_description positional;
-    positional.add("config", 1);
-    po::variables_map values;
-    try {
-        po::store(
-            po::command_line_parser(argc, argv).options(description).positional(positional).run(),
-            values);
-        po::notify(values);
-    } catch (const po::error &error) {
-        std::cerr << error.what() << "\n" << description;
-        return ExitUsage;
-    }
-    if (values.count("help") > 0) {
-        std::cout << description;
-        return EXIT_SUCCESS;
-    }
-    if (values.count("version") > 0) {
-        std::cout << "gentianramp-entry " << GENTIANRAMP_VERSION << "\n";
-        return EXIT_SUCCESS;
-    }
-    if (arguments.settingsFile.empty()) {
-        std::cerr << "no settings file\n" << description;
-        return ExitUsage;
-    }
-    return run(arguments);
+    CommandLine line = commandLine();
+    const auto ended = line.parse(argc, argv, std::cout, std::cerr);
+    return static_cast<int>(ended ? *ended : run(line.values()));
 }
