--- a/src/gentianramp/replay/replay_test.cpp
+++ b/src/gentianramp/replay/replay_test.cpp
@@ -1,4 +1,7 @@
+#include <gentianramp/replay/answer_check.hpp>
 #include <gentianramp/replay/goodput_bound.hpp>
+#include <gentianramp/replay/report.hpp>
+#include <gentianramp/replay/result_file.hpp>
 #include <gentianramp/replay/trace.hpp>
 #include <gentianramp/replay/virtual_replay.hpp>
 #include <random>
@@ -143,3 +146,48 @@
         cr_assert_lt(bound, static_cast<double>(trace.requests.size()));
     }
 }
+
+Test(AnswerCheck, TellsGapsRepeatsAndCrossedAnswers)
+{
+    AnswerCheck whole("a");
+    whole.feed("t1-a t2");
+    whole.feed("-a t3-a ");
+    cr_assert(whole.finish(3));
+    for (const char *wrong : {"t1-a t3-a", "t1-a t1-a", "t1-a t2-b", "t2-a", "x"}) {
+        AnswerCheck check("a");
+        check.feed(wrong);
+        cr_assert_not(check.finish(2));
+        cr_assert_not(check.faultless());
+    }
+    AnswerCheck cut("a");
+    cut.feed("t1-a ");
+    cr_assert_not(cut.finish(2));
+    cr_assert(cut.faultless());
+}
+
+Test(ResultFile, TextKeepsWhatReportsNeed)
+{
+    ReplayResult result{.name = "run",
+                        .outcomes = {{OutcomeKind::Late, std::chrono::milliseconds(5),
+                                      std::chrono::milliseconds(70)},
+                                     {OutcomeKind::Refused, {}, std::chrono::milliseconds(1)}},
+                        .roles = {{std::chrono::seconds(1), 1, 2, 3, 4}},
+                        .roleChanges = 7};
+    const Result<ReplayResult> parsed = parseResult(formatResult(result));
+    cr_assert(static_cast<bool>(parsed));
+    cr_assert(parsed->outcomes == result.outcomes);
+    cr_assert(parsed->roles == result.roles);
+    cr_assert_eq(parsed->roleChanges, 7);
+    cr_assert_not(static_cast<bool>(parseResult("gentianramp-result 1\nrequest odd 1 2\n")));
+}
+
+Test(Report, PageShowsEachRun)
+{
+    const Trace trace = generateTrace({Deployment::Kyushu, ShortTrace}, 4);
+    ReplayResult first = replayVirtually(trace, optionsFor(Deployment::Kyushu));
+    first.name = "first <run>";
+    const std::string page = reportPage(trace, {first, first});
+    cr_assert_neq(page.find("first &lt;run>"), std::string::npos);
+    cr_assert_neq(page.find("<polyline"), std::string::npos);
+    cr_assert_neq(reportPage({}, {ReplayResult{}}).find("</html>"), std::string::npos);
+}
--- a/src/programs/replay/shift_measure.cpp
+++ b/src/programs/replay/shift_measure.cpp
@@ -1,8 +1,9 @@
 #include "programs/replay/shift_measure.hpp"
 
 #include <algorithm>
-#include <functional>
+#include <fstream>
 #include <gentianramp/replay/goodput_bound.hpp>
+#include <gentianramp/replay/result_file.hpp>
 #include <gentianramp/replay/virtual_replay.hpp>
 #include <iostream>
 #include <string>
@@ -94,6 +95,26 @@
         && result.count(OutcomeKind::Wrong) == 0;
 }
 
+void writeFile(const std::string &path, const std::string &text)
+{
+    std::ofstream(path) << text;
+}
+
+/// Writes the trace and the best run of each policy, for gentianramp-replay report.
+void writeResults(const std::string &folder, const Trace &trace, const std::vector<Run> &runs)
+{
+    std::string prefix = folder;
+    prefix.append("/").append(trace.name);
+    writeFile(prefix + ".trace", formatTrace(trace));
+    for (const std::string policy : {"static", "threshold", "planner"}) {
+        ReplayResult result = bestOf(runs, policy).result;
+        result.name = policy;
+        std::string path = prefix;
+        path.append(".").append(policy).append(".result");
+        writeFile(path, formatResult(result));
+    }
+}
+
 bool measureDeployment(Deployment deployment, const ShiftOptions &options)
 {
     const Trace trace = generateTrace({deployment, TraceLength, options.load}, options.seed);
@@ -118,6 +139,8 @@
                 "1/s");
     const double reached = bestOf(runs, "planner").result.goodput(TraceLength) * length / bound;
     printFigure(prefix + ".planner.share_of_bound", reached, "ratio");
+    if (!options.results.empty())
+        writeResults(options.results, trace, runs);
     return whole;
 }
 
--- a/src/programs/replay/shift_measure.hpp
+++ b/src/programs/replay/shift_measure.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 
 namespace gentianramp {
 
@@ -10,6 +11,7 @@
     std::uint64_t seed = 1;
     double load = 1; ///< Factor on the rate of arrivals.
     unsigned threads = 3;
+    std::string results; ///< Folder for the trace and the result files; empty: none.
 };
 
 /// Runs all role policies on both deployments' traces and prints figures; returns the exit status.
