Change the instances in the middle of the key schedules

Cause: only one directed test covered a change of the instance list. Change: in half of the schedules four instances change their data centre, each process learning of it at its own time within 3 s.

--- a/src/gentianramp/idempotency/schedule_test.cpp
+++ b/src/gentianramp/idempotency/schedule_test.cpp
@@ -76,6 +76,8 @@
                             [this, number] { begin(number); });
         for (int number = 0; number < 14; ++number)
             m_deployment.at(start + m_deployment.upTo(RunLength), [this] { disturb(); });
+        if (m_deployment.chance(0.5))
+            m_deployment.at(start + m_deployment.upTo(RunLength), [this] { moveInstances(); });
         m_deployment.runUntil(start + RunLength + 10s);
         return m_totals;
     }
@@ -88,6 +90,15 @@
         return {.drop = share(random), .duplicate = share(random), .slow = share(random)};
     }
 
+    /// Two instances change their data centre, so that most groups change.
+    void moveInstances()
+    {
+        std::vector<PlacedInstance> moved = m_deployment.instances();
+        std::swap(moved[0].dataCentre, moved[3].dataCentre);
+        std::swap(moved[1].dataCentre, moved[5].dataCentre);
+        m_deployment.changeInstances(moved, 3s);
+    }
+
     InstanceId anyInstance()
     {
         const auto &instances = m_deployment.instances();
--- a/src/gentianramp/idempotency/test_deployment.cpp
+++ b/src/gentianramp/idempotency/test_deployment.cpp
@@ -92,6 +92,19 @@
         start(instance, false);
 }
 
+void TestDeployment::changeInstances(const std::vector<PlacedInstance> &instances, Duration spread)
+{
+    m_options.previousInstances = m_instances;
+    m_options.instances = instances;
+    for (const auto &[instance, node] : m_nodes) {
+        after(upTo(spread), [this, instance, life = node.life, instances] {
+            onInstance(instance, life, [this, instance, instances] {
+                service(instance)->setInstances(instances, m_now);
+            });
+        });
+    }
+}
+
 void TestDeployment::pause(const InstanceId &instance, Duration length)
 {
     m_nodes.at(instance).pausedUntil = m_now + length;
--- a/src/gentianramp/idempotency/test_deployment.hpp
+++ b/src/gentianramp/idempotency/test_deployment.hpp
@@ -51,6 +51,8 @@
     void pause(const InstanceId &instance, Duration length);
     /// Runs @p event on @p instance: at once, or when its pause is over; not when it crashed.
     void onInstance(const InstanceId &instance, std::uint64_t life, Event event);
+    /// Lets every instance take over @p instances within @p spread, each at its own time.
+    void changeInstances(const std::vector<PlacedInstance> &instances, Duration spread);
     /// Cuts these instances off from all others; an empty set heals.
     void cutOff(std::set<InstanceId> instances) { m_cutOff = std::move(instances); }
 
