Attach lease, orders and operators' answers to the control process

Cause: the control process has no one yet that orders engines. Change: AuthorityAttachment registers the loop's messages, ticks, configuration and graceful release with a ControlNode and answers engines and roles, with what the configuration declares of each server.

--- /dev/null
+++ b/include/gentianramp/control/authority_attachment.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <gentianramp/control/control_node.hpp>
+#include <gentianramp/planner/role_policy.hpp>
+#include <memory>
+
+namespace gentianramp {
+
+/// Adds the lease, the orders to engines and the answers about engines and roles to a control
+/// process. Make it before ControlNode::start() and keep it until run() has returned.
+class AuthorityAttachment
+{
+public:
+    AuthorityAttachment(ControlNode &node, Incarnation incarnation, std::uint64_t seed,
+                        std::function<RolePolicy()> makeRolePolicy);
+    ~AuthorityAttachment();
+    AuthorityAttachment(const AuthorityAttachment &) = delete;
+    AuthorityAttachment &operator=(const AuthorityAttachment &) = delete;
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace gentianramp
--- a/src/gentianramp/control/authority_answers.cpp
+++ b/src/gentianramp/control/authority_answers.cpp
@@ -1,5 +1,6 @@
 #include "authority_answers.hpp"
 
+#include <algorithm>
 #include <map>
 
 namespace gentianramp {
@@ -43,6 +44,14 @@
     return static_cast<std::uint64_t>(toMilliseconds(now - site.confirmedAt));
 }
 
+const BackendDeclaration *findBackend(const DeclaredConfiguration &configuration,
+                                      const BackendId &id)
+{
+    const auto found = std::find_if(configuration.backends.begin(), configuration.backends.end(),
+                                    [&id](const auto &backend) { return backend.id == id; });
+    return found == configuration.backends.end() ? nullptr : &*found;
+}
+
 void countRole(proto::RolePlan &plan, EngineRole role)
 {
     if (role == EngineRole::Prefill)
@@ -55,8 +64,9 @@
 
 } // namespace
 
-proto::OperatorAnswer enginesAnswer(const AuthorityBoard &board, const std::string &dataCentre,
-                                    TimePoint now)
+proto::OperatorAnswer enginesAnswer(const AuthorityBoard &board,
+                                    const DeclaredConfiguration &configuration,
+                                    const std::string &dataCentre, TimePoint now)
 {
     proto::OperatorAnswer answer;
     proto::EnginesAnswer &engines = *answer.mutable_engines();
@@ -74,6 +84,10 @@
                 status.add_versions(loaded.model.value() + "=" + loaded.version);
             status.set_fencing(site.fencing.value());
             status.set_age_ms(ageMs(site, now));
+            if (const BackendDeclaration *declared = findBackend(configuration, backend.id)) {
+                status.set_checks_fencing(declared->checksFencing);
+                status.set_drained(declared->drained);
+            }
         }
     }
     return answer;
--- a/src/gentianramp/control/authority_answers.hpp
+++ b/src/gentianramp/control/authority_answers.hpp
@@ -2,14 +2,17 @@
 
 #include "authority_board.hpp"
 
+#include <gentianramp/config/declared_configuration.hpp>
 #include <gentianramp/control/generated/operator.pb.h>
 #include <string>
 
 namespace gentianramp {
 
-/// Engines of @p dataCentre, or of all that were heard of when it is empty.
-proto::OperatorAnswer enginesAnswer(const AuthorityBoard &board, const std::string &dataCentre,
-                                    TimePoint now);
+/// Engines of @p dataCentre, or of all that were heard of when it is empty, with what
+/// @p configuration declares of them.
+proto::OperatorAnswer enginesAnswer(const AuthorityBoard &board,
+                                    const DeclaredConfiguration &configuration,
+                                    const std::string &dataCentre, TimePoint now);
 /// Roles and lease holders of all data centres that were heard of.
 proto::OperatorAnswer rolesAnswer(const AuthorityBoard &board, TimePoint now);
 
--- a/src/gentianramp/control/authority_answers_test.cpp
+++ b/src/gentianramp/control/authority_answers_test.cpp
@@ -33,14 +33,18 @@
                           {engine("e1", EngineRole::Prefill), engine("e2", EngineRole::Mixed)}};
     board.onMessage(holder, sender.update(before, number), Now);
     board.onMessage(holder, sender.update(after, number), Now);
+    DeclaredConfiguration configuration;
+    configuration.backends = {{.id = BackendId("e1"), .checksFencing = true, .drained = true}};
     const TimePoint later = Now + std::chrono::seconds(2);
 
-    const auto engines = enginesAnswer(board, "", later).engines();
+    const auto engines = enginesAnswer(board, configuration, "", later).engines();
     cr_assert_eq(engines.engines_size(), 2);
     cr_assert_eq(engines.engines(0).role(), "prefill");
     cr_assert_eq(engines.engines(0).versions(0), "m=2");
+    cr_assert(engines.engines(0).checks_fencing() && engines.engines(0).drained());
+    cr_assert_not(engines.engines(1).drained());
     cr_assert_eq(engines.engines(0).age_ms(), 2000U);
-    cr_assert_eq(enginesAnswer(board, "b", later).engines().engines_size(), 0);
+    cr_assert_eq(enginesAnswer(board, configuration, "b", later).engines().engines_size(), 0);
 
     const auto roles = rolesAnswer(board, later).roles();
     cr_assert_eq(roles.plans_size(), 1);
