--- a/src/gentianramp/config/operator_settings_file.cpp
+++ b/src/gentianramp/config/operator_settings_file.cpp
@@ -1,4 +1,4 @@
-#include "peer_fields.hpp"
+#include "operator_fields.hpp"
 #include "yaml_file.hpp"
 
 #include <gentianramp/config/key_files.hpp>
@@ -6,36 +6,6 @@
 
 namespace gentianramp {
 
-namespace {
-
-using namespace std::chrono_literals;
-
-/// Content of the settings file of an operator's client.
-struct OperatorFile : OperatorSettings
-{
-    std::filesystem::path keyFolder;
-    std::filesystem::path peersFile;
-};
-
-const FieldTable<OperatorFile> &operatorFields()
-{
-    using Settings = OperatorSettings;
-    static const FieldTable<OperatorFile> table{
-        fieldOf<OperatorFile>("name", &Settings::name, Need::Required,
-                              RangeCheck<std::string>(nameCheck<std::string>)),
-        field("key_folder", &OperatorFile::keyFolder, Need::Required),
-        fieldOf<OperatorFile>("secret_key_file", &Settings::secretKeyFile),
-        field("peers_file", &OperatorFile::peersFile, Need::Required),
-        fieldOf<OperatorFile>("answer_timeout", &Settings::answerTimeout, Need::Optional,
-                              between<Duration>(10ms, 1min)),
-        fieldOf<OperatorFile>("command_timeout", &Settings::commandTimeout, Need::Optional,
-                              between<Duration>(10ms, 1h)),
-    };
-    return table;
-}
-
-} // namespace
-
 Validated<OperatorSettings> loadOperatorSettings(const std::filesystem::path &file,
                                                  KeyFiles keyFiles)
 {
--- a/src/programs/timeline/event_files.cpp
+++ b/src/programs/timeline/event_files.cpp
@@ -19,8 +19,8 @@
 {
     if (last.event.instance != event.instance)
         return {event.instance, 0};
-    const bool newClock = event.kind == EventKind::ProcessStarted
-        && event.monotonicNs < last.event.monotonicNs;
+    const bool newClock
+        = event.kind == EventKind::ProcessStarted && event.monotonicNs < last.event.monotonicNs;
     return {event.instance, last.clock.life + (newClock ? 1 : 0)};
 }
 
--- a/src/programs/timeline/event_files.hpp
+++ b/src/programs/timeline/event_files.hpp
@@ -42,7 +42,6 @@
 void readEvents(std::istream &in, std::size_t maxEvents, LoadedEvents &loaded, ClockedEvent &last);
 
 /// Reads all @p files; keeps at most @p maxEvents events.
-LoadedEvents readEventFiles(const std::vector<std::filesystem::path> &files,
-                            std::size_t maxEvents);
+LoadedEvents readEventFiles(const std::vector<std::filesystem::path> &files, std::size_t maxEvents);
 
 } // namespace gentianramp
--- a/src/programs/timeline/merged_timeline.cpp
+++ b/src/programs/timeline/merged_timeline.cpp
@@ -70,12 +70,12 @@
     for (const ClockedEvent &each : events) {
         // Offsets say how a clock lags behind the reference, so they are added.
         const std::int64_t time = each.event.monotonicNs + timeline.offsets.at(each.clock).offsetNs;
-        timeline.events.push_back(
-            {time, (time + wallNs) / NanosecondsPerMillisecond, each.event});
+        timeline.events.push_back({time, (time + wallNs) / NanosecondsPerMillisecond, each.event});
     }
-    std::stable_sort(
-        timeline.events.begin(), timeline.events.end(),
-        [](const MergedEvent &left, const MergedEvent &right) { return left.timeNs < right.timeNs; });
+    std::stable_sort(timeline.events.begin(), timeline.events.end(),
+                     [](const MergedEvent &left, const MergedEvent &right) {
+                         return left.timeNs < right.timeNs;
+                     });
     const std::int64_t first = timeline.events.front().timeNs;
     for (MergedEvent &each : timeline.events)
         each.timeNs -= first;
--- a/src/programs/timeline/timeline_merge_test.cpp
+++ b/src/programs/timeline/timeline_merge_test.cpp
@@ -85,8 +85,8 @@
             fleet.message("b", "a", round * 50 * Millisecond + Millisecond);
         }
         const ClockOffsets offsets = estimateOffsets(fleet.events());
-        const std::int64_t error = std::max(offsets.at({"a", 0}).errorNs,
-                                            offsets.at({"b", 0}).errorNs);
+        const std::int64_t error
+            = std::max(offsets.at({"a", 0}).errorNs, offsets.at({"b", 0}).errorNs);
         const std::int64_t found = offsetBetween(offsets, "a", "b");
         cr_assert_leq(std::llabs(found - ahead), error);
         cr_assert_lt(error, 3 * Millisecond);
