Stop asking when no control process knows the request

Cause: a request that no process knows was repeated until the command timeout, seen against seven control processes; the message of an unknown outcome quoted another process's 'nothing was run'. Change: refused as soon as every control process said so and no send is open; the message says that a send got no answer. Figures: such a request took 20 s before; the test now counts one send to each of three processes. Conclusion: the client's tests cover it.

--- a/src/gentianramp/client/operator_client.cpp
+++ b/src/gentianramp/client/operator_client.cpp
@@ -51,6 +51,7 @@
 struct OperatorClient::Progress
 {
     std::set<std::string> openRequests; ///< Sent and not answered.
+    std::size_t unsupported = 0;        ///< Processes in a row that did not know the request.
     bool mayHaveRun = false;
     bool done = false;
     CallResult result;
@@ -76,6 +77,9 @@
     const bool unknown
         = changesSomething(request) && (progress.mayHaveRun || !progress.openRequests.empty());
     progress.result.outcome = unknown ? CallOutcome::UnknownOutcome : CallOutcome::Unavailable;
+    if (unknown && progress.result.answer.error() != proto::OPERATOR_ERROR_NONE)
+        progress.result.message
+            = "a send got no answer; the last answer to another was: " + progress.result.message;
     return progress.result;
 }
 
@@ -120,7 +124,11 @@
 void OperatorClient::takeAnswer(const proto::OperatorAnswer &answer, Progress &progress) const
 {
     progress.result.answer = answer;
-    if (isTransient(answer.error())) {
+    const bool unsupported = answer.error() == proto::OPERATOR_ERROR_UNSUPPORTED;
+    progress.unsupported = unsupported ? progress.unsupported + 1 : 0;
+    const bool nobodyKnowsIt = progress.unsupported >= m_options.controls.size()
+        && !progress.mayHaveRun && progress.openRequests.empty();
+    if (isTransient(answer.error()) && !nobodyKnowsIt) {
         progress.mayHaveRun
             = progress.mayHaveRun || answer.error() == proto::OPERATOR_ERROR_UNKNOWN_OUTCOME;
         progress.result.message = describe(answer);
--- a/src/gentianramp/client/operator_client_test.cpp
+++ b/src/gentianramp/client/operator_client_test.cpp
@@ -187,6 +187,15 @@
     cr_assert(wrong.call(applyRequest()).outcome == CallOutcome::Refused);
 }
 
+Test(OperatorClient, StopsWhenNobodyKnowsTheRequest)
+{
+    FakeLink fake(
+        [](const auto &, const auto &) { return refused(proto::OPERATOR_ERROR_UNSUPPORTED); });
+    OperatorClient client(options(), fake.link());
+    cr_assert(client.call(applyRequest()).outcome == CallOutcome::Refused);
+    cr_assert_eq(fake.sent().size(), 3U);
+}
+
 Test(OperatorClient, AForgottenCommandIsUnknown)
 {
     FakeLink fake(
