Count what others probably sent in the cost of a backend server too

Change: prompt tokens that other instances probably sent since the report count in the cost, not only in the room; a second until the first token costs as much as one square second of drain.

--- a/src/gentianramp/routing/backend_choice.cpp
+++ b/src/gentianramp/routing/backend_choice.cpp
@@ -12,6 +12,7 @@
 constexpr double TransferSeconds = 0.02;      ///< Export and import of a KV cache.
 constexpr double RemoteSeconds = 0.05;        ///< Preference for the own data centre.
 constexpr double OccupiedSlotSeconds = 0.001; ///< Tells apart backend servers without token work.
+constexpr double FirstTokenWeight = 1.0;      ///< Cost of a second until the first token.
 constexpr double FinishMargin = 1.8;          ///< Answers slow down as later requests join them.
 constexpr double OthersAlike
     = 0.8; ///< Share of own unreported work assumed of each other instance.
@@ -149,7 +150,7 @@
     estimate.firstToken = prefillSeconds(view, prompt);
     estimate.finish
         = estimate.firstToken + answerSeconds(candidate, work, request.output.mean, now);
-    estimate.cost = fixedCost(candidate, work)
+    estimate.cost = FirstTokenWeight * estimate.firstToken + fixedCost(candidate, work)
         + addedCost(drainSeconds(view, work.promptTokens, work.outputTokens),
                     drainSeconds(view, prompt, work.outputTokens + request.output.mean));
     return estimate;
@@ -162,7 +163,7 @@
     estimate.cachedTokens = cachedAt(candidate, request);
     const double prompt = work.promptTokens + request.shape.promptTokens - estimate.cachedTokens;
     estimate.firstToken = prefillSeconds(candidate.view, prompt);
-    estimate.cost = fixedCost(candidate, work)
+    estimate.cost = FirstTokenWeight * estimate.firstToken + fixedCost(candidate, work)
         + addedCost(drainSeconds(candidate.view, work.promptTokens, work.outputTokens),
                     drainSeconds(candidate.view, prompt, work.outputTokens));
     return estimate;
@@ -226,9 +227,11 @@
     void consider(std::size_t index, Estimator estimator, Best &best) const
     {
         const Candidate &candidate = m_candidates[index];
-        const WorkAmount work = candidate.load->estimate(m_now);
+        WorkAmount work = candidate.load->estimate(m_now);
         if (!hasRoom(candidate, work, m_options, m_now))
             return;
+        work.promptTokens += OthersAlike * m_options.otherInstances
+            * candidate.load->unreported(m_now).promptTokens;
         const Estimate estimate = estimator(candidate, work, m_request, m_now);
         ++best.compared;
         best.soonest = std::min(best.soonest, estimate.finish);
