Share the front of the daemons

Cause: startDaemon() fitted no daemon, since each has options of its own; the entry program read its settings by itself. Change: daemonCommandLine() and loadDaemonSettings() leave the daemon its options; the entry program uses them and startDaemon() is gone. Settings of another kind of process are now refused.

--- a/include/gentianramp/config/program_options.hpp
+++ b/include/gentianramp/config/program_options.hpp
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <gentianramp/config/declared_configuration.hpp>
 #include <gentianramp/config/node_settings.hpp>
+#include <gentianramp/config/settings_error.hpp>
 #include <optional>
 #include <ostream>
 #include <string>
@@ -50,21 +51,24 @@
     boost::program_options::variables_map m_values;
 };
 
-/// What a daemon starts with, or the code to exit with at once.
-struct DaemonStart
+/// What the settings file of a daemon leads to.
+struct DaemonSettings
 {
-    std::optional<ExitCode> exitCode;
-    NodeSettings settings;
+    NodeSettings node;
     /// Read from the files that the settings name; empty when they name none.
     std::optional<DeclaredConfiguration> configuration;
+    bool operator==(const DaemonSettings &) const = default;
 };
 
-/// Front of all daemons: --config FILE, --check-config, --help and --version.
-///
-/// Every error of the settings goes to @p errors, one a line. --check-config reads the settings and
-/// the declared configuration that they name, and exits with Ok or BadSettings.
-DaemonStart startDaemon(int argc, const char *const *argv, ProcessKind kind,
-                        const ProgramDescription &description, std::ostream &out,
-                        std::ostream &errors);
+/// Command line of a daemon: --config FILE and --check-config besides --help and --version.
+CommandLine daemonCommandLine(const ProgramDescription &description);
+
+/// Settings file that a daemon's command line names.
+std::filesystem::path settingsFileOf(const CommandLine &line);
+/// True when the settings are only to be checked.
+bool checksOnly(const CommandLine &line);
+
+/// Reads the settings of a daemon of @p kind and the declared configuration that they name.
+Validated<DaemonSettings> loadDaemonSettings(const std::filesystem::path &file, ProcessKind kind);
 
 } // namespace gentianramp
--- a/src/gentianramp/config/program_options.cpp
+++ b/src/gentianramp/config/program_options.cpp
@@ -15,41 +15,6 @@
     errors << name << ": " << message << '\n';
 }
 
-void reportAll(std::ostream &errors, const SettingsErrors &list)
-{
-    for (const SettingsError &error : list)
-        errors << toString(error) << '\n';
-}
-
-/// Fills @p start from the settings file; false when something is wrong with it.
-bool loadAll(const std::filesystem::path &file, ProcessKind kind, DaemonStart &start,
-             std::ostream &errors)
-{
-    auto settings = loadNodeSettings(file);
-    if (!settings) {
-        reportAll(errors, settings.errors());
-        return false;
-    }
-    if (settings->kind != kind) {
-        reportAll(errors,
-                  {{file, 0, "kind",
-                    std::string("expected ") + (kind == ProcessKind::Entry ? "entry" : "control")
-                        + " for this program"}});
-        return false;
-    }
-    start.settings = std::move(settings).value();
-    if (start.settings.configurationFile.empty())
-        return true;
-    auto configuration
-        = loadDeclaredConfiguration(start.settings.configurationFile, start.settings.overlayFiles);
-    if (!configuration) {
-        reportAll(errors, configuration.errors());
-        return false;
-    }
-    start.configuration = std::move(configuration).value();
-    return true;
-}
-
 } // namespace
 
 CommandLine::CommandLine(ProgramDescription description)
@@ -81,27 +46,47 @@
     return std::nullopt;
 }
 
-DaemonStart startDaemon(int argc, const char *const *argv, ProcessKind kind,
-                        const ProgramDescription &description, std::ostream &out,
-                        std::ostream &errors)
+CommandLine daemonCommandLine(const ProgramDescription &description)
 {
     CommandLine line(description);
-    std::string file;
-    line.options().add_options()("config", options::value(&file)->required()->value_name("FILE"),
+    line.options().add_options()("config",
+                                 options::value<std::string>()->required()->value_name("FILE"),
                                  "settings of this process (YAML)")(
-        "check-config", "check the settings and the configuration that they name, then exit");
-    DaemonStart start;
-    start.exitCode = line.parse(argc, argv, out, errors);
-    if (start.exitCode)
-        return start;
-    const bool valid = loadAll(file, kind, start, errors);
-    if (!valid)
-        start.exitCode = ExitCode::BadSettings;
-    else if (line.values().count("check-config") != 0)
-        start.exitCode = ExitCode::Ok;
-    if (start.exitCode == ExitCode::Ok)
-        out << file << ": no errors\n";
-    return start;
+        "check-config", options::bool_switch(),
+        "check the settings and the configuration that they name, then exit");
+    return line;
+}
+
+std::filesystem::path settingsFileOf(const CommandLine &line)
+{
+    return line.values()["config"].as<std::string>();
+}
+
+bool checksOnly(const CommandLine &line)
+{
+    return line.values()["check-config"].as<bool>();
+}
+
+Validated<DaemonSettings> loadDaemonSettings(const std::filesystem::path &file, ProcessKind kind)
+{
+    auto node = loadNodeSettings(file);
+    if (!node)
+        return node.errors();
+    if (node->kind != kind)
+        return SettingsErrors{{file, 0, "kind",
+                               std::string("expected ")
+                                   + (kind == ProcessKind::Entry ? "entry" : "control")
+                                   + " for this program"}};
+    DaemonSettings settings;
+    settings.node = std::move(node).value();
+    if (settings.node.configurationFile.empty())
+        return settings;
+    auto configuration
+        = loadDeclaredConfiguration(settings.node.configurationFile, settings.node.overlayFiles);
+    if (!configuration)
+        return configuration.errors();
+    settings.configuration = std::move(configuration).value();
+    return settings;
 }
 
 } // namespace gentianramp
--- a/src/gentianramp/config/program_options_test.cpp
+++ b/src/gentianramp/config/program_options_test.cpp
@@ -1,6 +1,8 @@
 #include "test_files.hpp"
 
+#include <gentianramp/config/key_files.hpp>
 #include <gentianramp/config/program_options.hpp>
+#include <optional>
 #include <sstream>
 #include <vector>
 
@@ -12,20 +14,20 @@
 
 struct Outcome
 {
-    DaemonStart start;
+    std::optional<ExitCode> exitCode;
+    CommandLine line = daemonCommandLine({"gentianramp-entry", "serves callers"});
     std::string out;
     std::string errors;
 };
 
-Outcome run(std::vector<const char *> arguments)
+Outcome parse(std::vector<const char *> arguments)
 {
     arguments.insert(arguments.begin(), "gentianramp-entry");
     std::ostringstream out;
     std::ostringstream errors;
     Outcome outcome;
-    outcome.start
-        = startDaemon(static_cast<int>(arguments.size()), arguments.data(), ProcessKind::Entry,
-                      {"gentianramp-entry", "serves callers"}, out, errors);
+    outcome.exitCode
+        = outcome.line.parse(static_cast<int>(arguments.size()), arguments.data(), out, errors);
     outcome.out = out.str();
     outcome.errors = errors.str();
     return outcome;
@@ -35,28 +37,50 @@
 
 Test(ProgramOptions, HelpAndVersionExitWithOk)
 {
-    const Outcome help = run({"--help"});
-    cr_assert(help.start.exitCode == ExitCode::Ok);
+    const Outcome help = parse({"--help"});
+    cr_assert(help.exitCode == ExitCode::Ok);
     cr_assert(help.out.find("--check-config") != std::string::npos);
-    const Outcome version = run({"--version"});
-    cr_assert(version.start.exitCode == ExitCode::Ok);
+    const Outcome version = parse({"--version"});
+    cr_assert(version.exitCode == ExitCode::Ok);
     cr_assert(version.out.find("gentianramp-entry ") == 0);
 }
 
 Test(ProgramOptions, WrongCommandLineIsUsage)
 {
-    cr_assert(run({}).start.exitCode == ExitCode::Usage);
-    cr_assert(run({"--confg", "x"}).start.exitCode == ExitCode::Usage);
-    cr_assert(run({"--config"}).start.exitCode == ExitCode::Usage);
+    cr_assert(parse({}).exitCode == ExitCode::Usage);
+    cr_assert(parse({"--confg", "x"}).exitCode == ExitCode::Usage);
+    cr_assert(parse({"--config"}).exitCode == ExitCode::Usage);
+}
+
+Test(ProgramOptions, NamesTheSettingsFile)
+{
+    const Outcome outcome = parse({"--config", "node.yaml", "--check-config"});
+    cr_assert_not(outcome.exitCode.has_value());
+    cr_assert(settingsFileOf(outcome.line) == "node.yaml");
+    cr_assert(checksOnly(outcome.line));
+    cr_assert_not(checksOnly(parse({"--config", "node.yaml"}).line));
 }
 
 Test(ProgramOptions, WrongSettingsListEveryError)
 {
     const ScratchFolder folder("front");
-    const std::string file = folder.write("node.yaml", "instance: a\nkind: entri\n").string();
-    const Outcome outcome = run({"--config", file.c_str()});
-    cr_assert(outcome.start.exitCode == ExitCode::BadSettings);
-    cr_assert(outcome.errors.find("node.yaml:2: kind: expected one of entry, control")
+    const auto loaded = loadDaemonSettings(folder.write("node.yaml", "instance: a\nkind: entri\n"),
+                                           ProcessKind::Entry);
+    cr_assert(loaded.message().find("node.yaml:2: kind: expected one of entry, control")
+              != std::string::npos);
+    cr_assert(loaded.message().find("endpoint: key is missing") != std::string::npos);
+    cr_assert(*loaded == DaemonSettings{});
+}
+
+Test(ProgramOptions, RefusesTheSettingsOfAnotherProgram)
+{
+    const ScratchFolder folder("kind");
+    writeKeyFiles(folder.path(), "a", {std::string(40, 'a'), std::string(40, 'b')});
+    const auto file = folder.write("node.yaml",
+                                   "instance: a\ndata_centre: north\nkind: control\n"
+                                   "http_port: 1\nendpoint: tcp://127.0.0.1:7001\n"
+                                   "key_folder: .\n");
+    cr_assert(static_cast<bool>(loadDaemonSettings(file, ProcessKind::Control)));
+    cr_assert(loadDaemonSettings(file, ProcessKind::Entry).message().find("expected entry")
               != std::string::npos);
-    cr_assert(outcome.errors.find("endpoint: key is missing") != std::string::npos);
 }
--- a/src/programs/entry/main.cpp
+++ b/src/programs/entry/main.cpp
@@ -6,7 +6,6 @@
 #include <csignal>
 #include <gentianramp/config/key_files.hpp>
 #include <gentianramp/config/program_options.hpp>
-#include <gentianramp/config/settings_file.hpp>
 #include <gentianramp/control_link/fleet_link.hpp>
 #include <gentianramp/core/log.hpp>
 #include <gentianramp/entry/entry_service.hpp>
@@ -25,11 +24,9 @@
 
 CommandLine commandLine()
 {
-    CommandLine line({"gentianramp-entry", "serves callers before the backend servers of a site"});
+    CommandLine line = daemonCommandLine(
+        {"gentianramp-entry", "serves callers before the backend servers of a site"});
     auto add = line.options().add_options();
-    add("config", po::value<std::string>()->required(), "settings of this instance (YAML)");
-    add("check-config", po::bool_switch(),
-        "check the settings and the declared configuration, then end");
     add("first-start", po::bool_switch(), "no idempotency key was ever claimed in this deployment");
     add("seed", po::value<std::uint64_t>(),
         "seed of randomised choices; without it taken from the time");
@@ -96,29 +93,22 @@
     return ExitCode::Ok;
 }
 
-ExitCode run(const po::variables_map &values)
+ExitCode run(const CommandLine &line)
 {
-    const auto settings = loadNodeSettings(values["config"].as<std::string>());
+    const auto settings = loadDaemonSettings(settingsFileOf(line), ProcessKind::Entry);
     if (!settings) {
         std::cerr << settings.message() << "\n";
         return ExitCode::BadSettings;
     }
-    const bool declared = !settings->configurationFile.empty();
-    const Validated<DeclaredConfiguration> configuration = declared
-        ? loadDeclaredConfiguration(settings->configurationFile, settings->overlayFiles)
-        : Validated<DeclaredConfiguration>(DeclaredConfiguration());
-    if (!configuration) {
-        std::cerr << configuration.message() << "\n";
-        return ExitCode::BadSettings;
-    }
-    if (values["check-config"].as<bool>())
+    if (checksOnly(line))
         return ExitCode::Ok;
-    const auto keys = readKeys(*settings);
+    const auto keys = readKeys(settings->node);
     if (!keys)
         return ExitCode::BadSettings;
+    const po::variables_map &values = line.values();
     EntryOptions options;
-    options.settings = *settings;
-    options.configuration = *configuration;
+    options.settings = settings->node;
+    options.configuration = settings->configuration.value_or(DeclaredConfiguration());
     options.keys = *keys;
     options.incarnation = Incarnation(static_cast<std::uint64_t>(wallClockMs()));
     options.firstStart = values["first-start"].as<bool>();
@@ -134,5 +124,5 @@
 {
     CommandLine line = commandLine();
     const auto ended = line.parse(argc, argv, std::cout, std::cerr);
-    return static_cast<int>(ended ? *ended : run(line.values()));
+    return static_cast<int>(ended ? *ended : run(line));
 }
