Keep the fleet table over a new configuration

Cause: declared backend servers were published once, at the start, so a revision with other servers would have had to wait for the fleet table. Change: they are published with each revision, but only for data centres that no fleet table came for.

--- a/src/gentianramp/entry/entry_service.cpp
+++ b/src/gentianramp/entry/entry_service.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/post.hpp>
 #include <gentianramp/core/log.hpp>
 #include <map>
+#include <set>
 
 namespace gentianramp {
 
@@ -316,6 +317,16 @@
                    [self = shared_from_this(), fleet] { self->watch->setFleet(fleet); });
     }
 
+    /// Publishes the declared backend servers of each data centre that no fleet table came for.
+    void publishDeclared()
+    {
+        const DeclaredConfiguration &configuration = directory.load()->configuration();
+        for (const DataCentreId &site : configuration.sites) {
+            if (!sitesWithTable.contains(site))
+                publish(declaredFleet(configuration, site));
+        }
+    }
+
     /// Puts @p configuration in force.
     void install(DeclaredConfiguration configuration, Revision revision)
     {
@@ -344,7 +355,8 @@
     std::shared_ptr<KeyGate> keys;
     std::shared_ptr<BackendWatch> watch;
     std::atomic<std::shared_ptr<const ServiceDirectory>> directory;
-    std::mutex installMutex;
+    std::mutex installMutex; ///< Held while a configuration or fleet table is put in force.
+    std::set<DataCentreId> sitesWithTable;
     std::atomic<bool> shuttingDown{false};
     std::atomic<bool> stopped{false};
     std::atomic<TimePoint> lastTick{RuntimeClock::now()};
@@ -382,8 +394,10 @@
     Result<std::uint16_t> port = state.server.start();
     if (!port)
         return port;
-    for (const DataCentreId &site : state.options.configuration.sites)
-        state.publish(declaredFleet(state.options.configuration, site));
+    {
+        const std::lock_guard lock(state.installMutex);
+        state.publishDeclared();
+    }
     const asio::any_io_executor executor = state.background.executor();
     asio::co_spawn(executor, state.tickKeys(), asio::detached);
     asio::co_spawn(executor, state.tickRouter(), asio::detached);
@@ -424,6 +438,7 @@
     if (revision <= this->revision())
         return false;
     m_state->install(std::move(configuration), revision);
+    m_state->publishDeclared();
     return true;
 }
 
@@ -434,6 +449,8 @@
 
 void EntryService::publishFleet(const FleetView &fleet)
 {
+    const std::lock_guard lock(m_state->installMutex);
+    m_state->sitesWithTable.insert(fleet.site);
     m_state->publish(fleet);
 }
 
