Add the control daemon: ledger, spread and operators' requests on one thread

gentianramp-control keeps accepted configurations: voters run the ledger on their data folder, all processes take part in the spread, any of them takes operators' requests and passes them on to the leader. A request is answered only after a majority confirmed the leader. Components of the engines' side are added through the hooks of ControlNode.

The spread is a pure state machine: control processes of a data centre form a tree with 8 below each, the root follows the leader; updates are pushed as a delta and repeated until reported; reports are merged on the way up as bitmaps, so that a process counted on two ways is still one process.

A voter's commit index is synced before an entry is applied, so that a restart never shows an older configuration than the one in force before.

--- a/include/gentianramp/ledger/replica.hpp
+++ b/include/gentianramp/ledger/replica.hpp
@@ -91,6 +91,7 @@
     Replica &operator=(Replica &&) noexcept;
 
     ReplicaOutput step(const InstanceId &from, const proto::LedgerMessage &message, TimePoint now);
+    /// Also hands out, at its first call, what was committed before a restart.
     ReplicaOutput tick(TimePoint now);
     /// Appends @p command; empty index when this replica does not lead.
     std::optional<LogIndex> propose(std::string command, TimePoint now, ReplicaOutput &output);
@@ -106,6 +107,8 @@
     ReplicaRole role() const;
     /// Leader of the present term, as far as known.
     std::optional<InstanceId> leader() const;
+    /// When the leader was last heard of; for a leader the last time that a majority answered it.
+    std::optional<TimePoint> leaderContact() const;
     Term term() const;
     LogIndex commitIndex() const;
     LogIndex lastIndex() const;
--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -220,8 +220,18 @@
                                                  self.folder / "logs" / f"{backend_id}.log")
         return self.processes[backend_id]
 
+    def initialise_voters(self):
+        """Makes the data folders of a new deployment; once, before the first start."""
+        for node in self.layout.nodes:
+            if node.voter and not (self.folder / "data" / node.instance).exists():
+                subprocess.run([self.binaries / "gentianramp-control", "--config",
+                                self.folder / "nodes" / f"{node.instance}.yaml",
+                                "--initialise"], check=True)
+
     def start(self, kinds=("backend", "control", "entry")):
         """Starts processes of these kinds and waits until all answer."""
+        if "control" in kinds:
+            self.initialise_voters()
         if "backend" in kinds:
             for backend in self.layout.backends:
                 self.backend_process(backend.id).start()
@@ -244,6 +254,14 @@
             time.sleep(0.05)
         raise RuntimeError(f"{name} is not ready after {timeout} s; see {self.processes[name].log}")
 
+    def wait_alive(self, name, timeout=START_TIMEOUT_S):
+        """Waits until a started process of the system answers at all, ready or not."""
+        deadline = time.monotonic() + timeout
+        while self.get(self.http_ports[name], "/healthz", timeout=1) is None:
+            if not self.processes[name].running() or time.monotonic() > deadline:
+                raise RuntimeError(f"{name} did not start; see {self.processes[name].log}")
+            time.sleep(0.05)
+
     def stop(self):
         """Stops everything gracefully, entries first; returns names that had to be killed."""
         killed = []
--- /dev/null
+++ b/src/gentianramp/control/control_node.cpp
@@ -0,0 +1,468 @@
+#include <gentianramp/control/control_node.hpp>
+
+#include "control_pages.hpp"
+#include "ledger_driver.hpp"
+#include "operator_service.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <gentianramp/core/log.hpp>
+#include <gentianramp/http/server.hpp>
+#include <map>
+
+namespace gentianramp {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Duration TickInterval = std::chrono::milliseconds(50);
+constexpr Duration LedgerTtl = std::chrono::seconds(1);
+constexpr Duration SpreadTtl = std::chrono::seconds(2);
+constexpr Duration OperatorTtl = std::chrono::seconds(2);
+constexpr Duration HandOverTime = std::chrono::milliseconds(300);
+
+std::vector<MeshPeer> meshPeers(const std::vector<PeerSettings> &peers)
+{
+    std::vector<MeshPeer> mesh;
+    mesh.reserve(peers.size());
+    for (const PeerSettings &peer : peers)
+        mesh.push_back({peer.instance, peer.endpoint, peer.publicKey});
+    return mesh;
+}
+
+SpreadOptions spreadOptions(const NodeSettings &settings)
+{
+    SpreadOptions options{.self = settings.instance};
+    options.members.push_back({settings.instance, settings.dataCentre, true, settings.voter});
+    for (const PeerSettings &peer : settings.peers) {
+        if (peer.instance != settings.instance)
+            options.members.push_back(
+                {peer.instance, peer.dataCentre, peer.kind == ProcessKind::Control, peer.voter});
+    }
+    return options;
+}
+
+ReplicaOptions replicaOptions(const NodeSettings &settings, std::uint64_t seed)
+{
+    ReplicaOptions options;
+    options.self = settings.instance;
+    options.seed = seed;
+    options.voters.push_back(settings.instance);
+    for (const PeerSettings &peer : settings.peers) {
+        if (peer.voter && peer.instance != settings.instance)
+            options.voters.push_back(peer.instance);
+    }
+    return options;
+}
+
+/// A hook that is called in regular intervals.
+struct Periodic
+{
+    Duration interval;
+    std::function<void(TimePoint)> hook;
+};
+
+/// A hook that lets a component end its work.
+struct ShutdownHook
+{
+    Duration longest;
+    std::function<void(std::function<void()>)> hook;
+};
+
+} // namespace
+
+struct ControlNode::State
+{
+    explicit State(ControlOptions given)
+        : options(std::move(given))
+        , settings(options.settings)
+        , timeline({.file = settings.timelineFile,
+                    .instance = settings.instance.value(),
+                    .maxBytes = settings.timelineMaxBytes})
+        , spread(spreadOptions(settings), RuntimeClock::now())
+    { }
+
+    Result<std::uint16_t> start();
+    Result<bool> startLedger();
+    void startOperators();
+    void startMesh();
+    Result<std::uint16_t> startHttp();
+    asio::awaitable<void> answerHttp(HttpRequest request, ResponseWriter &writer);
+    asio::awaitable<void> tickAlways();
+    asio::awaitable<void> runPeriodic(Periodic periodic);
+    void dispatch(const ReceivedMessage &message);
+    void perform(SpreadOutput output);
+    void noteLeader(TimePoint now);
+    void updateMetrics(TimePoint now);
+    void send(const InstanceId &to, PayloadKind kind, std::string payload, Duration ttl);
+    void beginShutdown();
+    void finishOne();
+    asio::awaitable<void> endAfter(Duration longest);
+    ControlStatus status() const;
+
+    ControlOptions options;
+    const NodeSettings &settings;
+    asio::io_context context{1};
+    MetricsRegistry metrics;
+    TimelineWriter timeline;
+    ConfigurationSpread spread;
+    std::unique_ptr<LedgerDriver> ledger;
+    std::unique_ptr<OperatorService> operators;
+    std::map<PayloadKind, std::function<void(const ReceivedMessage &)>> handlers;
+    std::map<proto::OperatorRequest::RequestCase, OperatorHandler> operatorHandlers;
+    std::vector<std::function<void(const AcceptedConfiguration &)>> configurationHooks;
+    std::vector<Periodic> periodics;
+    std::vector<ShutdownHook> shutdownHooks;
+    std::unique_ptr<HttpServer> http;
+    std::unique_ptr<Mesh> mesh;
+    std::size_t unfinished = 0;
+    bool shuttingDown = false;
+    bool storageFailed = false;
+};
+
+ControlNode::ControlNode(ControlOptions options)
+    : m_state(std::make_unique<State>(std::move(options)))
+{ }
+
+ControlNode::~ControlNode()
+{
+    m_state->mesh.reset(); // Its thread posts to the executor.
+}
+
+void ControlNode::handleMessages(PayloadKind kind,
+                                 std::function<void(const ReceivedMessage &)> handler)
+{
+    m_state->handlers[kind] = std::move(handler);
+}
+
+void ControlNode::onConfiguration(std::function<void(const AcceptedConfiguration &)> hook)
+{
+    m_state->configurationHooks.push_back(std::move(hook));
+}
+
+void ControlNode::every(Duration interval, std::function<void(TimePoint)> hook)
+{
+    m_state->periodics.push_back({interval, std::move(hook)});
+}
+
+void ControlNode::onShutdown(Duration longest, std::function<void(std::function<void()>)> hook)
+{
+    m_state->shutdownHooks.push_back({longest, std::move(hook)});
+}
+
+void ControlNode::answerHere(proto::OperatorRequest::RequestCase kind, OperatorHandler handler)
+{
+    m_state->operatorHandlers[kind] = std::move(handler);
+}
+
+void ControlNode::send(const InstanceId &to, PayloadKind kind, std::string payload, Duration ttl)
+{
+    m_state->send(to, kind, std::move(payload), ttl);
+}
+
+const NodeSettings &ControlNode::settings() const
+{
+    return m_state->settings;
+}
+
+const AcceptedConfiguration &ControlNode::configuration() const
+{
+    return m_state->spread.current();
+}
+
+MetricsRegistry &ControlNode::metrics()
+{
+    return m_state->metrics;
+}
+
+TimelineWriter &ControlNode::timeline()
+{
+    return m_state->timeline;
+}
+
+asio::any_io_executor ControlNode::executor()
+{
+    return m_state->context.get_executor();
+}
+
+Result<std::uint16_t> ControlNode::start()
+{
+    return m_state->start();
+}
+
+bool ControlNode::run()
+{
+    m_state->context.run();
+    m_state->mesh.reset();
+    m_state->timeline.record({.kind = EventKind::ProcessStopped});
+    m_state->timeline.flush();
+    return !m_state->storageFailed;
+}
+
+void ControlNode::shutdown()
+{
+    asio::post(m_state->context, [this] { m_state->beginShutdown(); });
+}
+
+void ControlNode::setPeers(const std::vector<PeerSettings> &peers,
+                           std::vector<std::string> operatorKeys)
+{
+    m_state->mesh->setPeers(meshPeers(peers), std::move(operatorKeys));
+}
+
+Result<std::uint16_t> ControlNode::State::start()
+{
+    timeline.record({.kind = EventKind::ProcessStarted});
+    startMesh();
+    if (const Result<bool> started = startLedger(); !started)
+        return {started.error(), started.message()};
+    startOperators();
+    for (const Periodic &periodic : periodics)
+        asio::co_spawn(context, runPeriodic(periodic), asio::detached);
+    asio::co_spawn(context, tickAlways(), asio::detached);
+    return startHttp();
+}
+
+Result<bool> ControlNode::State::startLedger()
+{
+    if (!settings.voter)
+        return true;
+    Result<Disk> disk = openFolder(settings.dataFolder);
+    if (!disk)
+        return {disk.error(), disk.message()};
+    LedgerHooks hooks;
+    hooks.send = [this](const InstanceId &to, std::string payload) {
+        send(to, PayloadKind::Ledger, std::move(payload), LedgerTtl);
+    };
+    hooks.decided = [this](const CommandId &command, const CommandAnswer &answer) {
+        if (operators) // Not yet while the data folder is read.
+            operators->onDecided(command, answer);
+    };
+    hooks.accepted = [this](const AcceptedConfiguration &configuration) {
+        timeline.record(
+            {.kind = EventKind::ConfigurationAccepted, .term = configuration.revision.value()});
+        perform(spread.offer(configuration, RuntimeClock::now()));
+    };
+    hooks.leadership = [this](bool leads, Term term) {
+        logInfo("ledger_leadership", {{"leads", leads ? "yes" : "no"}, {"term", term.value()}});
+        if (leads)
+            timeline.record({.kind = EventKind::LeaderElected, .term = term.value()});
+    };
+    hooks.storageFailed = [this](const std::string &reason) {
+        logError("storage_failed", {{"reason", reason}});
+        storageFailed = true;
+        context.stop();
+    };
+    ledger = std::make_unique<LedgerDriver>(replicaOptions(settings, options.seed),
+                                            std::move(disk).value(), std::move(hooks));
+    return ledger->start(RuntimeClock::now());
+}
+
+void ControlNode::State::startOperators()
+{
+    OperatorHooks hooks;
+    hooks.reply = [this](const std::string &route, const proto::OperatorAnswer &answer) {
+        mesh->reply(route, PayloadKind::OperatorAnswer, answer.SerializeAsString(), OperatorTtl);
+    };
+    hooks.forward = [this](const InstanceId &to, const proto::OperatorRequest &request) {
+        send(to, PayloadKind::Operator, request.SerializeAsString(), OperatorTtl);
+    };
+    operators = std::make_unique<OperatorService>(settings.instance, ledger.get(), spread,
+                                                  options.rules, std::move(hooks), metrics);
+    for (const auto &[kind, handler] : operatorHandlers)
+        operators->answerHere(kind, handler);
+}
+
+void ControlNode::State::startMesh()
+{
+    MeshOptions meshOptions;
+    meshOptions.instance = settings.instance;
+    meshOptions.incarnation = options.incarnation;
+    meshOptions.endpoint = settings.endpoint;
+    meshOptions.keys = options.keys;
+    meshOptions.peers = meshPeers(settings.peers);
+    meshOptions.operatorKeys = options.operatorKeys;
+    meshOptions.faultFile = settings.faultFile;
+    meshOptions.metrics = &metrics;
+    meshOptions.timeline = &timeline;
+    mesh = std::make_unique<Mesh>(std::move(meshOptions), [this](ReceivedMessage message) {
+        asio::post(context, [this, message = std::move(message)] { dispatch(message); });
+    });
+}
+
+Result<std::uint16_t> ControlNode::State::startHttp()
+{
+    HttpServerOptions httpOptions;
+    httpOptions.host = settings.httpHost;
+    httpOptions.port = settings.httpPort;
+    httpOptions.maxConnections = 64;
+    http = std::make_unique<HttpServer>(context.get_executor(), std::move(httpOptions),
+                                        [this](HttpRequest request, ResponseWriter &writer) {
+                                            return answerHttp(std::move(request), writer);
+                                        });
+    return http->start();
+}
+
+asio::awaitable<void> ControlNode::State::answerHttp(HttpRequest request, ResponseWriter &writer)
+{
+    const std::string_view path = request.path();
+    HttpResponse response = controlNotFoundPage();
+    if (path == "/healthz")
+        response = controlHealthPage();
+    else if (path == "/readyz")
+        response = controlReadyPage(status(), spread, RuntimeClock::now());
+    else if (path == "/metrics")
+        response = controlMetricsPage(metrics);
+    co_await writer.send(std::move(response));
+}
+
+asio::awaitable<void> ControlNode::State::tickAlways()
+{
+    while (true) {
+        const TimePoint now = RuntimeClock::now();
+        if (ledger)
+            ledger->tick(now);
+        noteLeader(now);
+        perform(spread.tick(now));
+        operators->tick(now);
+        updateMetrics(now);
+        co_await sleepFor(TickInterval);
+    }
+}
+
+asio::awaitable<void> ControlNode::State::runPeriodic(Periodic periodic)
+{
+    while (true) {
+        periodic.hook(RuntimeClock::now());
+        co_await sleepFor(periodic.interval);
+    }
+}
+
+void ControlNode::State::dispatch(const ReceivedMessage &message)
+{
+    const TimePoint now = RuntimeClock::now();
+    switch (message.kind) {
+    case PayloadKind::Ledger:
+        if (ledger)
+            ledger->onMessage(message.sender, message.payload, now);
+        return;
+    case PayloadKind::Configuration:
+        return perform(spread.onMessage(message.sender, message.payload, now));
+    case PayloadKind::Operator:
+        return operators->onRequest(message.replyRoute, message.payload, now);
+    case PayloadKind::OperatorAnswer:
+        return operators->onAnswer(message.payload);
+    default:
+        break;
+    }
+    if (const auto handler = handlers.find(message.kind); handler != handlers.end())
+        handler->second(message);
+}
+
+void ControlNode::State::perform(SpreadOutput output)
+{
+    for (SpreadOutgoing &message : output.messages)
+        send(message.to, PayloadKind::Configuration, std::move(message.payload), SpreadTtl);
+    if (!output.accepted)
+        return;
+    timeline.record(
+        {.kind = EventKind::ConfigurationInForce, .term = output.accepted->revision.value()});
+    for (const auto &hook : configurationHooks)
+        hook(*output.accepted);
+}
+
+/// Tells the spread how fresh the ledger's state here is.
+void ControlNode::State::noteLeader(TimePoint now)
+{
+    if (!ledger)
+        return;
+    const std::optional<TimePoint> contact = ledger->replica().leaderContact();
+    spread.noteLeader(ledger->replica().leader(), contact.value_or(now));
+}
+
+void ControlNode::State::updateMetrics(TimePoint now)
+{
+    metrics.gauge("gentianramp_configuration_revision", "Accepted revision in force here")
+        .set(static_cast<double>(spread.current().revision.value()));
+    if (const auto age = spread.age(now))
+        metrics
+            .gauge("gentianramp_configuration_age_seconds",
+                   "Since the leader of the ledger confirmed the configuration")
+            .set(std::chrono::duration<double>(*age).count());
+    if (!ledger)
+        return;
+    const Replica &replica = ledger->replica();
+    metrics.gauge("gentianramp_ledger_leads", "1 while this voter leads")
+        .set(ledger->leads() ? 1 : 0);
+    metrics.gauge("gentianramp_ledger_admitted", "1 while the data folder counts as a voter")
+        .set(replica.admitted() ? 1 : 0);
+    metrics.gauge("gentianramp_ledger_term", "Term of the ledger")
+        .set(static_cast<double>(replica.term().value()));
+    metrics.gauge("gentianramp_ledger_commit_index", "Last committed entry")
+        .set(static_cast<double>(replica.commitIndex().value()));
+    metrics.gauge("gentianramp_ledger_log_bytes", "Size of the log file")
+        .set(static_cast<double>(ledger->logBytes()));
+}
+
+void ControlNode::State::send(const InstanceId &to, PayloadKind kind, std::string payload,
+                              Duration ttl)
+{
+    mesh->send(to, kind, std::move(payload), ttl);
+}
+
+void ControlNode::State::beginShutdown()
+{
+    if (std::exchange(shuttingDown, true))
+        return;
+    timeline.record({.kind = EventKind::ProcessStopping});
+    Duration longest = HandOverTime;
+    if (ledger)
+        ledger->handOver(RuntimeClock::now());
+    unfinished = shutdownHooks.size() + 1;
+    for (const ShutdownHook &each : shutdownHooks) {
+        longest = std::max(longest, each.longest);
+        each.hook([this] { finishOne(); });
+    }
+    asio::co_spawn(context, endAfter(longest), asio::detached);
+    asio::co_spawn(
+        context,
+        [this]() -> asio::awaitable<void> {
+            co_await sleepFor(HandOverTime);
+            finishOne();
+        },
+        asio::detached);
+}
+
+void ControlNode::State::finishOne()
+{
+    if (--unfinished == 0)
+        context.stop();
+}
+
+asio::awaitable<void> ControlNode::State::endAfter(Duration longest)
+{
+    co_await sleepFor(longest);
+    context.stop();
+}
+
+ControlStatus ControlNode::State::status() const
+{
+    return {.instance = settings.instance,
+            .dataCentre = settings.dataCentre,
+            .voter = settings.voter,
+            .leads = ledger && ledger->leads(),
+            .shuttingDown = shuttingDown};
+}
+
+std::error_code initialiseDataFolder(const NodeSettings &settings, std::uint64_t seed)
+{
+    Result<Disk> disk = openFolder(settings.dataFolder);
+    if (!disk)
+        return disk.error();
+    return LogStore(std::move(disk).value()).initialise(seed);
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/control/control_pages.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <gentianramp/core/metrics.hpp>
+#include <gentianramp/http/message.hpp>
+#include <gentianramp/ledger/configuration_spread.hpp>
+
+namespace gentianramp {
+
+/// What /readyz tells of a control process.
+struct ControlStatus
+{
+    InstanceId instance;
+    DataCentreId dataCentre;
+    bool voter = false;
+    bool leads = false;
+    bool shuttingDown = false;
+};
+
+/// 200 while operators' requests can be taken here, else 503.
+HttpResponse controlReadyPage(const ControlStatus &status, const ConfigurationSpread &spread,
+                              TimePoint now);
+HttpResponse controlHealthPage();
+HttpResponse controlMetricsPage(const MetricsRegistry &metrics);
+HttpResponse controlNotFoundPage();
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/control/operator_answers.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "ledger_driver.hpp"
+
+#include <gentianramp/control/generated/operator.pb.h>
+#include <gentianramp/ledger/configuration_spread.hpp>
+
+namespace gentianramp {
+
+/// Status as this process knows it; @p ledger may be null. @p confirmed says that a majority has
+/// just confirmed that this process leads.
+proto::OperatorAnswer statusAnswer(const LedgerDriver *ledger, const ConfigurationSpread &spread,
+                                   bool confirmed, TimePoint now);
+proto::OperatorAnswer historyAnswer(const ConfigurationStore &store, std::uint32_t limit);
+proto::OperatorAnswer configurationAnswer(const ConfigurationStore &store, Revision revision);
+proto::OperatorAnswer membersAnswer(const ConfigurationSpread &spread, TimePoint now);
+proto::OperatorAnswer commandAnswer(const CommandAnswer &decided);
+proto::OperatorAnswer errorAnswer(proto::OperatorError error, const std::string &message);
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/ledger/configuration_spread_test.cpp
@@ -0,0 +1,248 @@
+#include <algorithm>
+#include <functional>
+#include <gentianramp/core/invariant.hpp>
+#include <gentianramp/ledger/configuration_spread.hpp>
+#include <map>
+#include <random>
+#include <set>
+
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration Step = 50ms;
+
+std::vector<SpreadMember> membersOf(std::size_t sites, std::size_t controls, std::size_t entries)
+{
+    std::vector<SpreadMember> members;
+    for (std::size_t site = 0; site < sites; ++site) {
+        const DataCentreId dataCentre("site-" + std::to_string(site));
+        const auto name = [&](const char *kind, std::size_t number) {
+            return InstanceId(std::string(kind) + "-" + std::to_string(site) + "-"
+                              + std::to_string(number));
+        };
+        for (std::size_t i = 0; i < controls; ++i)
+            members.push_back({name("control", i), dataCentre, true, i == 0 && site < 3});
+        for (std::size_t i = 0; i < entries; ++i)
+            members.push_back({name("entry", i), dataCentre, false, false});
+    }
+    return members;
+}
+
+/// All processes in memory; the first voter leads and accepts configurations.
+class SpreadRun
+{
+public:
+    SpreadRun(std::vector<SpreadMember> members, double dropShare, std::uint64_t seed)
+        : m_members(std::move(members))
+        , m_dropShare(dropShare)
+        , m_random(seed)
+    {
+        for (const SpreadMember &member : m_members)
+            restart(member.instance);
+    }
+
+    void restart(const InstanceId &instance)
+    {
+        m_processes[instance] = std::make_unique<ConfigurationSpread>(
+            SpreadOptions{.self = instance, .members = m_members}, m_now);
+        m_seen[instance] = Revision(0);
+    }
+
+    void accept(const std::string &bytes)
+    {
+        ++m_revision;
+        m_bytes = bytes;
+    }
+
+    void run(Duration time)
+    {
+        for (const TimePoint end = m_now + time; m_now < end; m_now += Step) {
+            while (!m_network.empty() && m_network.begin()->first <= m_now)
+                deliverFirst();
+            for (auto &[instance, process] : m_processes)
+                step(instance, *process);
+        }
+    }
+
+    bool everywhere() const
+    {
+        return std::all_of(m_processes.begin(), m_processes.end(), [&](const auto &item) {
+            return item.second->current() == AcceptedConfiguration{Revision(m_revision), m_bytes};
+        });
+    }
+
+    ConfigurationSpread &at(const std::string &instance)
+    {
+        return *m_processes.at(InstanceId(instance));
+    }
+    ConfigurationSpread &leader() { return at("control-0-0"); }
+    TimePoint now() const { return m_now; }
+    void cutSite(const std::string &site, bool isCut) { m_cut[DataCentreId(site)] = isCut; }
+    std::size_t messages() const { return m_messages; }
+
+private:
+    struct Flight
+    {
+        InstanceId from;
+        SpreadOutgoing message;
+    };
+
+    const SpreadMember &member(const InstanceId &instance) const
+    {
+        return *std::find_if(m_members.begin(), m_members.end(),
+                             [&](const auto &each) { return each.instance == instance; });
+    }
+
+    void step(const InstanceId &instance, ConfigurationSpread &process)
+    {
+        const bool voter = member(instance).voter;
+        if (voter && !m_cut[member(instance).dataCentre]) {
+            process.noteLeader(InstanceId("control-0-0"), m_now);
+            if (m_revision > 0)
+                perform(instance, process.offer({Revision(m_revision), m_bytes}, m_now));
+        }
+        perform(instance, process.tick(m_now));
+    }
+
+    void perform(const InstanceId &instance, SpreadOutput output)
+    {
+        if (output.accepted) {
+            cr_assert(output.accepted->revision > m_seen[instance], "revisions only grow");
+            m_seen[instance] = output.accepted->revision;
+        }
+        for (SpreadOutgoing &message : output.messages) {
+            ++m_messages;
+            std::uniform_int_distribution<int> delay(1, 120);
+            if (std::uniform_real_distribution<double>(0, 1)(m_random) >= m_dropShare)
+                m_network.emplace(m_now + std::chrono::milliseconds(delay(m_random)),
+                                  Flight{instance, std::move(message)});
+        }
+    }
+
+    void deliverFirst()
+    {
+        const Flight flight = m_network.begin()->second;
+        m_network.erase(m_network.begin());
+        const bool apart
+            = m_cut[member(flight.from).dataCentre] || m_cut[member(flight.message.to).dataCentre];
+        if (apart && member(flight.from).dataCentre != member(flight.message.to).dataCentre)
+            return;
+        perform(flight.message.to,
+                m_processes.at(flight.message.to)
+                    ->onMessage(flight.from, flight.message.payload, m_now));
+    }
+
+    std::vector<SpreadMember> m_members;
+    double m_dropShare;
+    std::mt19937_64 m_random;
+    TimePoint m_now{1s};
+    std::map<InstanceId, std::unique_ptr<ConfigurationSpread>> m_processes;
+    std::map<InstanceId, Revision> m_seen;
+    std::multimap<TimePoint, Flight> m_network;
+    std::map<DataCentreId, bool> m_cut;
+    std::uint64_t m_revision = 0;
+    std::string m_bytes;
+    std::size_t m_messages = 0;
+};
+
+} // namespace
+
+Test(ConfigurationSpread, NoProcessOfALargeSiteHasManyBelowIt)
+{
+    const std::vector<SpreadMember> members = membersOf(12, 34, 34);
+    std::map<InstanceId, std::size_t> below;
+    for (const SpreadMember &member : members) {
+        const auto parents = spreadParents(member.instance, members);
+        cr_assert_not(parents.empty());
+        ++below[parents.front()];
+    }
+    for (const auto &[instance, count] : below)
+        cr_assert_leq(count, SpreadFanOut + 12, "%s", instance.value().c_str());
+}
+
+Test(ConfigurationSpread, ReachesEveryProcessAndReportsExactly)
+{
+    SpreadRun run(membersOf(3, 12, 5), 0, 1);
+    run.run(3s);
+    for (int change = 1; change <= 5; ++change) {
+        run.accept("configuration " + std::to_string(change));
+        run.run(1s);
+        cr_assert(run.everywhere(), "change %d", change);
+    }
+    run.run(1s);
+    for (const MemberRevision &each : run.leader().members(run.now()))
+        cr_assert(each.revision == Revision(5), "%s", each.member.instance.value().c_str());
+}
+
+Test(ConfigurationSpread, ReachesEveryProcessOverALossyNetwork)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        SpreadRun run(membersOf(3, 4, 3), 0.2, seed);
+        for (int change = 1; change <= 20; ++change) {
+            run.accept(std::string(200, 'a') + std::to_string(change));
+            run.run(300ms);
+        }
+        run.run(10s);
+        cr_assert(run.everywhere(), "seed %lu", static_cast<unsigned long>(seed));
+    }
+}
+
+Test(ConfigurationSpread, SiteThatIsCutOffSaysHowOldItsConfigurationIs)
+{
+    SpreadRun run(membersOf(3, 2, 2), 0, 2);
+    run.accept("before");
+    run.run(5s);
+    run.cutSite("site-2", true);
+    run.accept("during");
+    run.run(20s);
+    cr_assert_eq(run.at("entry-2-1").current().bytes, "before");
+    cr_assert_geq(toMilliseconds(*run.at("entry-2-1").age(run.now())), 19000);
+    cr_assert_leq(toMilliseconds(*run.at("entry-1-1").age(run.now())), 5000);
+    for (const MemberRevision &each : run.leader().members(run.now())) {
+        const bool cut = each.member.dataCentre == DataCentreId("site-2");
+        cr_assert_eq(each.revision.has_value(), !cut);
+    }
+    run.cutSite("site-2", false);
+    run.run(10s);
+    cr_assert(run.everywhere());
+}
+
+Test(ConfigurationSpread, RestartedProcessCatchesUpAfterManyChanges)
+{
+    SpreadRun run(membersOf(3, 2, 2), 0, 3);
+    run.cutSite("site-1", true);
+    for (int change = 0; change < 500; ++change) {
+        run.accept(std::to_string(change));
+        run.run(Step);
+    }
+    run.restart(InstanceId("entry-1-0"));
+    run.restart(InstanceId("control-1-1"));
+    run.cutSite("site-1", false);
+    run.run(10s);
+    cr_assert(run.everywhere());
+}
+
+Test(ConfigurationSpread, NeverGoesBack)
+{
+    SpreadRun newer(membersOf(1, 2, 0), 0, 4);
+    newer.accept("one");
+    newer.run(3s);
+    SpreadOutput older = newer.at("control-0-1").offer({Revision(1), "other"}, newer.now());
+    cr_assert_not(older.accepted.has_value());
+    cr_assert_eq(newer.at("control-0-1").current().bytes, "one");
+}
+
+Test(ConfigurationSpread, IsQuietWithoutChanges)
+{
+    SpreadRun run(membersOf(3, 4, 4), 0, 5);
+    run.accept("one");
+    run.run(10s);
+    const std::size_t before = run.messages();
+    run.run(20s);
+    const double eachSecond = static_cast<double>(run.messages() - before) / 20 / 24;
+    cr_assert_leq(eachSecond, 1.2, "messages a second for each process: %f", eachSecond);
+}
--- a/src/gentianramp/ledger/ledger_run.cpp
+++ b/src/gentianramp/ledger/ledger_run.cpp
@@ -80,6 +80,10 @@
     voter.paused = false;
     voter.held.clear();
     voter.replica = std::make_unique<Replica>(options, std::move(stored).value(), m_now);
+    perform(index, voter.replica->tick(m_now));
+    if (voter.identityInForce == voter.replica->identity() && voter.oldCopy.empty())
+        require(voter.configuration.revision() >= voter.inForce,
+                "a restart does not bring an older configuration back");
 }
 
 void LedgerRun::crash(std::size_t index)
@@ -193,6 +197,8 @@
         command.ParseFromString(entry.command());
         noteAnswer(command.command_id(), answer);
     }
+    voter.inForce = voter.configuration.revision();
+    voter.identityInForce = voter.replica->identity();
     noteState(index);
 }
 
--- a/src/gentianramp/ledger/ledger_run.hpp
+++ b/src/gentianramp/ledger/ledger_run.hpp
@@ -50,6 +50,8 @@
     bool paused = false;
     std::vector<HeldMessage> held;
     std::uint64_t waitingRead = 0;
+    Revision inForce;
+    std::uint64_t identityInForce = 0; ///< Folder that `inForce` was read from.
     MemoryFiles oldCopy;
     std::uint64_t rolledBackIdentity = 0; ///< Never counts again; 0 when there is none.
 };
--- a/src/gentianramp/ledger/replica.cpp
+++ b/src/gentianramp/ledger/replica.cpp
@@ -122,6 +122,13 @@
     return InstanceId(m_state->leader);
 }
 
+std::optional<TimePoint> Replica::leaderContact() const
+{
+    if (m_state->role == ReplicaRole::Leader)
+        return m_state->majorityContact();
+    return m_state->leaderContact;
+}
+
 Term Replica::term() const
 {
     return Term(m_state->hard.term());
@@ -198,6 +205,8 @@
     for (const proto::Witness &witness : hard.witnesses())
         witnesses.merge(witness);
     resetElectionTimer();
+    // What was in force before the restart is in force again at once.
+    advanceCommit(hard.commit());
 }
 
 void Replica::State::receive(const std::string &from, const proto::LedgerMessage &message)
@@ -346,6 +355,10 @@
 void Replica::State::advanceCommit(std::uint64_t index)
 {
     commit = std::max(commit, std::min(index, log.lastIndex()));
+    if (commit > hard.commit()) {
+        hard.set_commit(commit);
+        persistHardState();
+    }
     while (emitted < commit)
         output.committed.push_back(log.at(++emitted));
 }
--- a/src/gentianramp/ledger/replica_follower.cpp
+++ b/src/gentianramp/ledger/replica_follower.cpp
@@ -33,6 +33,7 @@
     if (request.snapshot().index() > commit) {
         log.install(request.snapshot());
         commit = emitted = request.snapshot().index();
+        hard.set_commit(commit);
         persistSnapshot();
         output.restored = true;
         output.committed.clear();
--- a/src/gentianramp/ledger/replica_leader.cpp
+++ b/src/gentianramp/ledger/replica_leader.cpp
@@ -150,6 +150,16 @@
         handOverUntil.reset();
 }
 
+/// Time since which a majority, this voter included, has been heard of.
+std::optional<TimePoint> Replica::State::majorityContact() const
+{
+    std::vector<TimePoint> contacts{now};
+    for (const auto &[instance, peer] : peers)
+        contacts.push_back(peer.lastContact.value_or(TimePoint{}));
+    std::sort(contacts.begin(), contacts.end(), std::greater<>());
+    return contacts[majority() - 1];
+}
+
 /// Replaces the data folders of voters, one step at a time: each step waits until the one before
 /// it is committed, so that any two majorities in force at once share a voter.
 void Replica::State::repairVoters()
--- a/src/gentianramp/ledger/replica_state.hpp
+++ b/src/gentianramp/ledger/replica_state.hpp
@@ -83,6 +83,7 @@
     void answerReads();
     void failReads();
     void checkQuorum();
+    std::optional<TimePoint> majorityContact() const;
     void repairVoters();
     void retireFolder(const std::string &instance);
     void admitFolder(const std::string &instance, std::uint64_t folder);
--- /dev/null
+++ b/src/gentianramp/ledger/spread_tree.cpp
@@ -0,0 +1,86 @@
+#include <algorithm>
+#include <gentianramp/ledger/configuration_spread.hpp>
+#include <tuple>
+
+namespace gentianramp {
+
+namespace {
+
+constexpr std::size_t AlternateParents = 4; ///< Tried besides the first one.
+
+std::vector<SpreadMember> controlsOf(const DataCentreId &dataCentre,
+                                     const std::vector<SpreadMember> &members)
+{
+    std::vector<SpreadMember> controls;
+    std::copy_if(members.begin(), members.end(), std::back_inserter(controls),
+                 [&](const SpreadMember &member) {
+                     return member.control && member.dataCentre == dataCentre;
+                 });
+    std::sort(controls.begin(), controls.end(), [](const auto &left, const auto &right) {
+        return std::tuple(!left.voter, left.instance) < std::tuple(!right.voter, right.instance);
+    });
+    return controls;
+}
+
+std::size_t placeOf(const InstanceId &instance, const std::vector<SpreadMember> &members)
+{
+    const auto found = std::find_if(members.begin(), members.end(), [&](const auto &member) {
+        return member.instance == instance;
+    });
+    return static_cast<std::size_t>(found - members.begin());
+}
+
+/// Entry instances take the control processes in turn, so that each has about as many below it.
+std::vector<InstanceId> parentsOfLeaf(const SpreadMember &self,
+                                      const std::vector<SpreadMember> &controls,
+                                      const std::vector<SpreadMember> &members)
+{
+    std::vector<SpreadMember> leaves;
+    std::copy_if(members.begin(), members.end(), std::back_inserter(leaves),
+                 [&](const SpreadMember &member) {
+                     return !member.control && member.dataCentre == self.dataCentre;
+                 });
+    std::sort(leaves.begin(), leaves.end());
+    const std::size_t place = placeOf(self.instance, leaves);
+    std::vector<InstanceId> parents;
+    for (std::size_t i = 0; i < std::min(controls.size(), AlternateParents + 1); ++i)
+        parents.push_back(controls[(place + i) % controls.size()].instance);
+    return parents;
+}
+
+std::vector<InstanceId> parentsOfControl(const SpreadMember &self,
+                                         const std::vector<SpreadMember> &controls)
+{
+    const std::size_t place = placeOf(self.instance, controls);
+    std::vector<InstanceId> parents;
+    if (place == 0)
+        return parents;
+    const std::size_t first = (place - 1) / SpreadFanOut;
+    parents.push_back(controls[first].instance);
+    for (std::size_t i = 0; i < place && parents.size() <= AlternateParents; ++i) {
+        if (i != first)
+            parents.push_back(controls[i].instance);
+    }
+    return parents;
+}
+
+} // namespace
+
+std::vector<InstanceId> spreadParents(const InstanceId &self,
+                                      const std::vector<SpreadMember> &members)
+{
+    const std::size_t place = placeOf(self, members);
+    if (place == members.size())
+        return {};
+    const SpreadMember &own = members[place];
+    const std::vector<SpreadMember> controls = controlsOf(own.dataCentre, members);
+    std::vector<InstanceId> parents
+        = own.control ? parentsOfControl(own, controls) : parentsOfLeaf(own, controls, members);
+    for (const SpreadMember &member : members) {
+        if (member.voter && member.instance != self && member.dataCentre != own.dataCentre)
+            parents.push_back(member.instance);
+    }
+    return parents;
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/programs/control/main.cpp
@@ -0,0 +1,139 @@
+#include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <gentianramp/config/key_files.hpp>
+#include <gentianramp/config/program_options.hpp>
+#include <gentianramp/config/settings_file.hpp>
+#include <gentianramp/control/control_node.hpp>
+#include <gentianramp/control/declared_rules.hpp>
+#include <gentianramp/core/log.hpp>
+#include <iostream>
+#include <random>
+
+using namespace gentianramp;
+namespace po = boost::program_options;
+
+namespace {
+
+const ProgramDescription Description{
+    .name = "gentianramp-control",
+    .summary = "Keeps the declared configuration and orders the engines of a data centre."};
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32) | device();
+}
+
+ExitCode initialise(const NodeSettings &settings)
+{
+    if (!settings.voter) {
+        std::cerr << "this instance is no voter: it has no data folder\n";
+        return ExitCode::Usage;
+    }
+    if (const std::error_code error = initialiseDataFolder(settings, randomSeed())) {
+        std::cerr << "cannot initialise " << settings.dataFolder << ": " << error.message()
+                  << "; the folder must be empty\n";
+        return ExitCode::Failed;
+    }
+    return ExitCode::Ok;
+}
+
+Result<std::vector<std::string>> operatorKeysOf(const NodeSettings &settings)
+{
+    if (settings.operatorKeysFile.empty())
+        return std::vector<std::string>{};
+    return readPublicKeysFile(settings.operatorKeysFile);
+}
+
+Result<ControlOptions> controlOptions(const NodeSettings &settings)
+{
+    ControlOptions options;
+    const Result<KeyPairFile> keys = readKeyPairFile(settings.secretKeyFile);
+    if (!keys)
+        return {keys.error(), "cannot read the key file: " + keys.message()};
+    Result<std::vector<std::string>> operators = operatorKeysOf(settings);
+    if (!operators)
+        return {operators.error(), "cannot read the operators' keys: " + operators.message()};
+    options.settings = settings;
+    options.keys = {keys->publicKey, keys->secretKey};
+    options.operatorKeys = std::move(operators).value();
+    options.incarnation = Incarnation(static_cast<std::uint64_t>(wallClockMs()));
+    options.seed = randomSeed();
+    options.rules = declaredRules();
+    return options;
+}
+
+/// Reads the settings again and takes over keys and addresses of the other processes.
+void reloadPeers(ControlNode &node, const std::string &settingsFile)
+{
+    const auto settings = loadNodeSettings(settingsFile);
+    const auto operators = operatorKeysOf(node.settings());
+    if (!settings || !operators) {
+        logError("reload_failed",
+                 {{"reason", settings ? operators.message() : settings.message()}});
+        return;
+    }
+    node.setPeers(settings->peers, operators.value());
+    logInfo("peers_reloaded", {{"peers", settings->peers.size()}});
+}
+
+void waitForSignals(boost::asio::signal_set &signals, ControlNode &node,
+                    const std::string &settingsFile)
+{
+    signals.async_wait([&](const boost::system::error_code &error, int signal) {
+        if (error)
+            return;
+        if (signal == SIGHUP)
+            reloadPeers(node, settingsFile);
+        else
+            node.shutdown();
+        waitForSignals(signals, node, settingsFile);
+    });
+}
+
+ExitCode run(const NodeSettings &settings, const std::string &settingsFile)
+{
+    Result<ControlOptions> options = controlOptions(settings);
+    if (!options) {
+        std::cerr << options.message() << "\n";
+        return ExitCode::BadSettings;
+    }
+    startLogging(Description.name);
+    ControlNode node(std::move(options).value());
+    const Result<std::uint16_t> port = node.start();
+    if (!port) {
+        logError("start_failed", {{"error", port.error().message()}, {"reason", port.message()}});
+        return ExitCode::Failed;
+    }
+    logInfo("listening", {{"host", settings.httpHost}, {"port", *port}});
+    boost::asio::signal_set signals(node.executor(), SIGTERM, SIGINT, SIGHUP);
+    waitForSignals(signals, node, settingsFile);
+    return node.run() ? ExitCode::Ok : ExitCode::Failed;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    CommandLine line(Description);
+    std::string file;
+    bool initialiseOnly = false;
+    line.options().add_options()("config", po::value(&file)->required()->value_name("FILE"),
+                                 "settings of this process (YAML)")(
+        "check-config", "check the settings, then exit")(
+        "initialise", po::bool_switch(&initialiseOnly),
+        "make the empty data folder one of a new deployment, then exit; once for each voter, "
+        "never when a voter is replaced");
+    if (const std::optional<ExitCode> code = line.parse(argc, argv, std::cout, std::cerr))
+        return static_cast<int>(*code);
+    const auto settings = loadNodeSettings(file);
+    if (!settings || settings->kind != ProcessKind::Control) {
+        std::cerr << (settings ? "expected settings of a control process" : settings.message())
+                  << "\n";
+        return static_cast<int>(ExitCode::BadSettings);
+    }
+    if (line.values().count("check-config") != 0)
+        return static_cast<int>(ExitCode::Ok);
+    return static_cast<int>(initialiseOnly ? initialise(*settings) : run(*settings, file));
+}
