Build under the sanitizers without false warnings from Boost

Cause: g++ 12 warns about uninitialised values inside Beast when it instruments it. Change: that warning is off in sanitizer builds only. Before: the AddressSanitizer build failed in http. Conclusion: the plain build keeps the warning.

--- a/cmake/gentianramp_options.cmake
+++ b/cmake/gentianramp_options.cmake
@@ -26,9 +26,11 @@
     BOOST_ASIO_HAS_CO_AWAIT=1 BOOST_ASIO_HAS_STD_COROUTINE=1)
 if(GENTIANRAMP_SANITIZE STREQUAL "address")
     target_compile_options(gentianramp_options INTERFACE -fsanitize=address,undefined
+        -Wno-maybe-uninitialized # g++ 12 warns about Boost headers when it instruments them
         -fno-sanitize-recover=all -fno-omit-frame-pointer)
     target_link_options(gentianramp_options INTERFACE -fsanitize=address,undefined)
 elseif(GENTIANRAMP_SANITIZE STREQUAL "thread")
-    target_compile_options(gentianramp_options INTERFACE -fsanitize=thread -Wno-tsan)
+    target_compile_options(gentianramp_options INTERFACE -fsanitize=thread -Wno-tsan
+        -Wno-maybe-uninitialized)
     target_link_options(gentianramp_options INTERFACE -fsanitize=thread)
 endif()
