--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -125,74 +125,18 @@
             return None
 
 
-class Deployment:
-    """Processes of a layout, with settings, keys, data and logs in one folder."""
+class System:
+    """Processes of a layout whose settings stand in one folder."""
 
     def __init__(self, layout, folder, binaries=ROOT / "build" / "bin"):
         self.layout = layout
         self.folder = pathlib.Path(folder)
         self.binaries = pathlib.Path(binaries)
-        ports = iter(free_ports(2 * len(layout.nodes) + len(layout.backends)))
-        self.http_ports = {node.instance: next(ports) for node in layout.nodes}
-        self.endpoints = {node.instance: f"tcp://127.0.0.1:{next(ports)}"
-                          for node in layout.nodes}
-        self.backend_ports = {backend.id: next(ports) for backend in layout.backends}
+        self.http_ports = {}
+        self.backend_ports = {}
         self.processes = {}
         self._cut_sites = set()
         self._cut_lock = threading.Lock()
-        self._prepare()
-
-    # Settings
-
-    def _prepare(self):
-        shutil.rmtree(self.folder, ignore_errors=True)
-        for name in ("nodes", "keys", "declared", "logs", "timeline", "data", "faults"):
-            (self.folder / name).mkdir(parents=True)
-        names = [word for node in self.layout.nodes for word in ("--name", node.instance)]
-        subprocess.run([self.binaries / "gentianctl", "keys", "make", "--dir",
-                        self.folder / "keys", *names, "--operator", "operator"],
-                       check=True, stdout=subprocess.DEVNULL)
-        shutil.copy(self.folder / "keys" / "operators.pub", self.folder / "operators.txt")
-        self._write("peers.yaml", {"peers": [self._peer(node) for node in self.layout.nodes]})
-        self._write("declared/base.yaml", {"sites": list(self.layout.sites), **self.layout.base})
-        for site in self.layout.sites:
-            self._write(f"declared/{site}.yaml", {
-                "site": site,
-                "backends": [self._backend(one) for one in self.layout.backends
-                             if one.site == site]})
-        for node in self.layout.nodes:
-            self._write(f"nodes/{node.instance}.yaml", self._node(node))
-        self._write("operator.yaml", {
-            "name": "operator", "secret_key_file": "keys/operator.key", "key_folder": "keys",
-            "peers_file": "peers.yaml"})
-
-    def _write(self, name, content):
-        # JSON is YAML too.
-        (self.folder / name).write_text(json.dumps(content, indent=1) + "\n")
-
-    def _peer(self, node):
-        peer = {"instance": node.instance, "data_centre": node.data_centre, "kind": node.kind,
-                "endpoint": self.endpoints[node.instance]}
-        return {**peer, "voter": True} if node.voter else peer
-
-    def _backend(self, backend):
-        return {"id": backend.id, "service": backend.service, "host": "127.0.0.1",
-                "port": self.backend_ports[backend.id], "role": backend.role,
-                "slots": backend.slots, "checks_fencing": backend.checks_fencing}
-
-    def _node(self, node):
-        settings = {
-            "instance": node.instance, "data_centre": node.data_centre, "kind": node.kind,
-            "http_port": self.http_ports[node.instance],
-            "endpoint": self.endpoints[node.instance], "key_folder": "../keys",
-            "operator_keys_file": "../operators.txt", "peers_file": "../peers.yaml",
-            "timeline_file": f"../timeline/{node.instance}.jsonl",
-            "fault_file": f"../faults/{node.instance}",
-            "configuration_file": "../declared/base.yaml",
-            "overlay_files": [f"../declared/{site}.yaml" for site in self.layout.sites]}
-        if node.voter:
-            settings.update(voter=True, data_folder=f"../data/{node.instance}")
-        return settings
 
     # Processes
 
@@ -326,6 +270,69 @@
 
     def ctl(self, *arguments, timeout=30):
         """Runs gentianctl as the operator; returns the finished process."""
-        return subprocess.run([self.binaries / "gentianctl", "--config",
+        return subprocess.run([self.binaries / "gentianctl", "--settings",
                                self.folder / "operator.yaml", *arguments], timeout=timeout,
                               capture_output=True, text=True, check=False)
+
+
+class Deployment(System):
+    """A system with generated settings, keys, data and logs, on free ports."""
+
+    def __init__(self, layout, folder, binaries=ROOT / "build" / "bin"):
+        super().__init__(layout, folder, binaries)
+        ports = iter(free_ports(2 * len(layout.nodes) + len(layout.backends)))
+        self.http_ports = {node.instance: next(ports) for node in layout.nodes}
+        self.endpoints = {node.instance: f"tcp://127.0.0.1:{next(ports)}"
+                          for node in layout.nodes}
+        self.backend_ports = {backend.id: next(ports) for backend in layout.backends}
+        self._prepare()
+
+    def _prepare(self):
+        shutil.rmtree(self.folder, ignore_errors=True)
+        for name in ("nodes", "keys", "declared", "logs", "timeline", "data", "faults"):
+            (self.folder / name).mkdir(parents=True)
+        names = [word for node in self.layout.nodes for word in ("--name", node.instance)]
+        subprocess.run([self.binaries / "gentianctl", "keys", "make", "--dir",
+                        self.folder / "keys", *names, "--operator", "operator"],
+                       check=True, stdout=subprocess.DEVNULL)
+        shutil.copy(self.folder / "keys" / "operators.pub", self.folder / "operators.txt")
+        self._write("peers.yaml", {"peers": [self._peer(node) for node in self.layout.nodes]})
+        self._write("declared/base.yaml", {"sites": list(self.layout.sites), **self.layout.base})
+        for site in self.layout.sites:
+            self._write(f"declared/{site}.yaml", {
+                "site": site,
+                "backends": [self._backend(one) for one in self.layout.backends
+                             if one.site == site]})
+        for node in self.layout.nodes:
+            self._write(f"nodes/{node.instance}.yaml", self._node(node))
+        self._write("operator.yaml", {
+            "name": "operator", "secret_key_file": "keys/operator.key", "key_folder": "keys",
+            "peers_file": "peers.yaml"})
+
+    def _write(self, name, content):
+        # JSON is YAML too.
+        (self.folder / name).write_text(json.dumps(content, indent=1) + "\n")
+
+    def _peer(self, node):
+        peer = {"instance": node.instance, "data_centre": node.data_centre, "kind": node.kind,
+                "endpoint": self.endpoints[node.instance]}
+        return {**peer, "voter": True} if node.voter else peer
+
+    def _backend(self, backend):
+        return {"id": backend.id, "service": backend.service, "host": "127.0.0.1",
+                "port": self.backend_ports[backend.id], "role": backend.role,
+                "slots": backend.slots, "checks_fencing": backend.checks_fencing}
+
+    def _node(self, node):
+        settings = {
+            "instance": node.instance, "data_centre": node.data_centre, "kind": node.kind,
+            "http_port": self.http_ports[node.instance],
+            "endpoint": self.endpoints[node.instance], "key_folder": "../keys",
+            "operator_keys_file": "../operators.txt", "peers_file": "../peers.yaml",
+            "timeline_file": f"../timeline/{node.instance}.jsonl",
+            "fault_file": f"../faults/{node.instance}",
+            "configuration_file": "../declared/base.yaml",
+            "overlay_files": [f"../declared/{site}.yaml" for site in self.layout.sites]}
+        if node.voter:
+            settings.update(voter=True, data_folder=f"../data/{node.instance}")
+        return settings
