--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -116,6 +116,10 @@
         """Asks for a graceful stop; returns the exit code, or None when it had to be killed."""
         self.send(signal.SIGCONT)
         self.send(signal.SIGTERM)
+        return self.wait(timeout)
+
+    def wait(self, timeout=STOP_TIMEOUT_S):
+        """Waits for the end; returns the exit code, or None when it had to be killed."""
         if not self.child:
             return None
         try:
@@ -209,12 +213,13 @@
     def stop(self):
         """Stops everything gracefully, entries first; returns names that had to be killed."""
         killed = []
-        order = {"entry": 0, "control": 1}
-        kinds = {node.instance: order[node.kind] for node in self.layout.nodes}
-        for name in sorted(self.processes, key=lambda one: kinds.get(one, 2)):
-            process = self.processes[name]
-            if process.running() and process.terminate() is None:
-                killed.append(name)
+        kinds = {node.instance: node.kind for node in self.layout.nodes}
+        for kind in ("entry", "control", "backend"):
+            names = [name for name in self.processes if kinds.get(name, "backend") == kind]
+            for name in names:
+                self.processes[name].send(signal.SIGCONT)
+                self.processes[name].send(signal.SIGTERM)
+            killed += [name for name in names if self.processes[name].wait() is None]
         return killed
 
     # Faults
--- a/src/gentianramp/replay/trace_generator.cpp
+++ b/src/gentianramp/replay/trace_generator.cpp
@@ -124,9 +124,10 @@
 std::vector<Stream> kyushuStreams(double length, double load, Random &random)
 {
     const auto share = std::make_shared<NoteShare>(length, random);
-    const CustomerId firm("kyushu-plumbing");
+    const CustomerId desk("call-desk");
+    const CustomerId plumbers("member-plumbers");
     Stream notes{.service = ServiceId("desk-lm"),
-                 .customer = firm,
+                 .customer = desk,
                  .priority = 2,
                  .prompt = {150, 450},
                  .prefixTokens = {800, 1600},
@@ -137,7 +138,7 @@
                  .highestRate = NotesPerSecond * load,
                  .rate = [=](double at) { return NotesPerSecond * load * share->at(at); }};
     Stream triage{.service = ServiceId("desk-lm"),
-                  .customer = firm,
+                  .customer = desk,
                   .priority = 1,
                   .prompt = {1500, 3500},
                   .output = {20, 60},
@@ -145,7 +146,7 @@
                   .highestRate = TriagePerSecond * load,
                   .rate = [=](double at) { return TriagePerSecond * load * (1 - share->at(at)); }};
     Stream cards{.service = ServiceId("desk-app"),
-                 .customer = firm,
+                 .customer = plumbers,
                  .priority = 0,
                  .prompt = {20, 80},
                  .output = {1, 1},
@@ -170,7 +171,8 @@
 
 std::vector<Stream> zilinaStreams(double length, double load, Random &random)
 {
-    const CustomerId firm("zilina-wash");
+    const CustomerId desk("subscriber-desk");
+    const CustomerId bayControllers("wash-bays");
     const double wobble = std::uniform_real_distribution<double>(0, 6.28)(random);
     // Members come with their histories first; later the same members ask again.
     const auto height = [=](double at) { return morningQueue(at / length); };
@@ -178,7 +180,7 @@
         return std::clamp(0.9 - 0.75 * at / length + 0.1 * std::sin(at / 25 + wobble), 0.0, 1.0);
     };
     Stream first{.service = ServiceId("desk-assistant"),
-                 .customer = firm,
+                 .customer = desk,
                  .priority = 1,
                  .prompt = {3000, 9000},
                  .output = {40, 140},
@@ -188,7 +190,7 @@
                      return FirstQuestionsPerSecond * load * height(at) * firstShare(at);
                  }};
     Stream followUp{.service = ServiceId("desk-assistant"),
-                    .customer = firm,
+                    .customer = desk,
                     .priority = 1,
                     .prompt = {50, 250},
                     .prefixTokens = {3000, 6000},
@@ -201,7 +203,7 @@
                         return FollowUpsPerSecond * load * height(at) * (1 - firstShare(at));
                     }};
     Stream bays{.service = ServiceId("bay-control"),
-                .customer = firm,
+                .customer = bayControllers,
                 .priority = 0,
                 .prompt = {20, 80},
                 .output = {1, 1},
