--- a/src/gentianramp/entry/entry_service.cpp
+++ b/src/gentianramp/entry/entry_service.cpp
@@ -110,7 +110,7 @@
 
 } // namespace
 
-struct EntryService::State : std::enable_shared_from_this<EntryService::State>
+struct EntryService::State
 {
     explicit State(EntryOptions wanted)
         : options(std::move(wanted))
@@ -313,8 +313,7 @@
     void publish(const FleetView &fleet)
     {
         router.publishFleet(fleet, RuntimeClock::now());
-        asio::post(background.executor(),
-                   [self = shared_from_this(), fleet] { self->watch->setFleet(fleet); });
+        asio::post(background.executor(), [this, fleet] { watch->setFleet(fleet); });
     }
 
     /// Publishes the declared backend servers of each data centre that no fleet table came for.
