--- a/src/gentianramp/engine/backend_client_test.cpp
+++ b/src/gentianramp/engine/backend_client_test.cpp
@@ -18,10 +18,11 @@
 public:
     explicit Bench(HttpResponse answer)
         : m_answer(std::move(answer))
-        , m_server(m_context.get_executor(), {}, [this](HttpRequest, ResponseWriter &writer) {
-            ++m_calls;
-            return answerWith(writer, m_answer);
-        })
+        , m_server(m_context.get_executor(), {},
+                   [this](const HttpRequest &, ResponseWriter &writer) {
+                       ++m_calls;
+                       return answerWith(writer, m_answer);
+                   })
         , m_port(m_server.start().value())
     { }
 
@@ -67,9 +68,7 @@
 
 HttpResponse answerTo(const std::string &request, const std::string &attempt, unsigned status = 200)
 {
-    return {status,
-            {{"Gentianramp-Request-Id", request}, {"Gentianramp-Attempt", attempt}},
-            "{}"};
+    return {status, {{"Gentianramp-Request-Id", request}, {"Gentianramp-Attempt", attempt}}, "{}"};
 }
 
 HttpResponse refusal(unsigned status)
@@ -88,7 +87,8 @@
 
 Test(BackendClient, DropsAnswersThatBelongElsewhere)
 {
-    for (const HttpResponse &answer : {answerTo("other", "7"), answerTo("r", "6"), HttpResponse{}}) {
+    for (const HttpResponse &answer :
+         {answerTo("other", "7"), answerTo("r", "6"), HttpResponse{}}) {
         Bench bench(answer);
         cr_assert(bench.start() == CallStart::Crossed);
         cr_assert(bench.exchange().mayHaveRun());
