Put accepted configurations in force at entry instances

Cause: entry instances kept the configuration of their files for good. Change: ConfigurationLink takes the ledger's configurations as control processes spread them and gives newer revisions to the entry service.

--- a/src/programs/entry/main.cpp
+++ b/src/programs/entry/main.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <gentianramp/config/key_files.hpp>
 #include <gentianramp/config/program_options.hpp>
+#include <gentianramp/control_link/configuration_link.hpp>
 #include <gentianramp/control_link/fleet_link.hpp>
 #include <gentianramp/core/log.hpp>
 #include <gentianramp/entry/entry_service.hpp>
@@ -77,6 +78,7 @@
     const NodeSettings settings = options.settings;
     asio::io_context context;
     EntryService service(std::move(options));
+    const ConfigurationLink configurationLink(service, settings, context.get_executor());
     const FleetLink fleetLink(service, settings, context.get_executor());
     const Result<std::uint16_t> port = service.start();
     if (!port) {
