Make drains on a named revision

Cause: the control process takes a drain only on a named revision, so that a resend asks for the same change; gentianctl sent 0 and was refused. Change: apply, rollback and drain take the revision of --on or the current one; a resend has to name it.

--- a/src/gentianramp/client/command_support.cpp
+++ b/src/gentianramp/client/command_support.cpp
@@ -105,4 +105,21 @@
     return use(result.answer);
 }
 
+ExitCode chooseBase(CommandContext &context, Revision &base)
+{
+    if (context.options.baseRevision) {
+        base = Revision(*context.options.baseRevision);
+        return ExitCode::Ok;
+    }
+    if (!context.options.commandId.empty())
+        return fail(context, ExitCode::Usage,
+                    "a resend with --command-id needs --on with the revision of the first try");
+    proto::OperatorRequest request;
+    request.mutable_status();
+    return callAndUse(context, request, [&base](const proto::OperatorAnswer &answer) {
+        base = Revision(answer.status().revision());
+        return ExitCode::Ok;
+    });
+}
+
 } // namespace gentianramp
--- a/src/gentianramp/client/command_support.hpp
+++ b/src/gentianramp/client/command_support.hpp
@@ -4,6 +4,7 @@
 
 #include <gentianramp/client/commands.hpp>
 #include <gentianramp/config/settings_error.hpp>
+#include <gentianramp/core/ids.hpp>
 #include <nlohmann/json.hpp>
 
 namespace gentianramp {
@@ -27,6 +28,10 @@
 ExitCode callAndUse(CommandContext &context, const proto::OperatorRequest &request,
                     const std::function<ExitCode(const proto::OperatorAnswer &)> &use);
 
+/// Revision that a change is made on: that of --on, else the current one. A resend must name it,
+/// so that it asks for the same change.
+ExitCode chooseBase(CommandContext &context, Revision &base);
+
 ExitCode runConfigCheck(CommandContext &context);
 ExitCode runConfigDiff(CommandContext &context);
 ExitCode runConfigApply(CommandContext &context);
--- a/src/gentianramp/client/commands_test.cpp
+++ b/src/gentianramp/client/commands_test.cpp
@@ -142,13 +142,31 @@
     OperatorClient client(oneControl(), answering(answer, sent));
     Runner runner;
     runner.client = &client;
+    runner.options.baseRevision = 11;
     cr_assert(runner.run({"drain", "engine-1"}) == ExitCode::Ok);
     cr_assert(sent.front().set_drained().backend() == "engine-1");
     cr_assert(sent.front().set_drained().drained());
     cr_assert(sent.front().set_drained().command_id() == "made-1");
+    cr_assert_eq(sent.front().set_drained().base_revision(), 11U);
     cr_assert(runner.out.str().find("revision 12") != std::string::npos);
 }
 
+Test(Commands, DrainIsMadeOnTheCurrentRevision)
+{
+    RuntimeClock::pause();
+    std::vector<proto::OperatorRequest> sent;
+    proto::OperatorAnswer answer;
+    answer.mutable_status()->set_revision(41);
+    OperatorClient client(oneControl(), answering(answer, sent));
+    Runner runner;
+    runner.client = &client;
+    runner.run({"drain", "engine-1"});
+    cr_assert(sent.front().has_status());
+    cr_assert_eq(sent.back().set_drained().base_revision(), 41U);
+    runner.options.commandId = "again";
+    cr_assert(runner.run({"drain", "engine-1"}) == ExitCode::Usage);
+}
+
 Test(Commands, ConflictHasItsOwnExitCode)
 {
     RuntimeClock::pause();
--- a/src/gentianramp/client/config_commands.cpp
+++ b/src/gentianramp/client/config_commands.cpp
@@ -160,17 +160,10 @@
     const auto loaded = loadNamedConfiguration(context.options);
     if (!loaded)
         return reportSettings(context, loaded.errors());
-    if (!context.options.baseRevision && !context.options.commandId.empty())
-        return fail(context, ExitCode::Usage,
-                    "a resend with --command-id needs --on with the revision of the first try");
-    Revision base(context.options.baseRevision.value_or(0));
-    if (!context.options.baseRevision) {
-        AcceptedConfiguration current;
-        const ExitCode code = fetch(context, 0, current);
-        if (code != ExitCode::Ok)
-            return code;
-        base = current.revision;
-    }
+    Revision base;
+    const ExitCode code = chooseBase(context, base);
+    if (code != ExitCode::Ok)
+        return code;
     return propose(context, base, encodeConfiguration(*loaded));
 }
 
@@ -182,17 +175,15 @@
     if (!revision || *revision == 0)
         return fail(context, ExitCode::Usage, "expected the revision to go back to");
     AcceptedConfiguration wanted;
-    AcceptedConfiguration current;
+    Revision base;
     ExitCode code = fetch(context, *revision, wanted);
-    if (code == ExitCode::Ok && !context.options.baseRevision)
-        code = fetch(context, 0, current);
+    if (code == ExitCode::Ok)
+        code = chooseBase(context, base);
     if (code != ExitCode::Ok)
         return code;
     if (context.options.comment.empty())
         context.options.comment = "as revision " + std::to_string(*revision);
-    return propose(context,
-                   Revision(context.options.baseRevision.value_or(current.revision.value())),
-                   wanted.bytes);
+    return propose(context, base, wanted.bytes);
 }
 
 ExitCode runConfigStatus(CommandContext &context)
--- a/src/gentianramp/client/fleet_commands.cpp
+++ b/src/gentianramp/client/fleet_commands.cpp
@@ -45,6 +45,10 @@
 {
     if (context.options.arguments.size() != 1)
         return fail(context, ExitCode::Usage, "expected the id of one backend server");
+    Revision base;
+    const ExitCode code = chooseBase(context, base);
+    if (code != ExitCode::Ok)
+        return code;
     OperatorClient *client = context.client();
     if (!client)
         return ExitCode::BadSettings;
@@ -53,13 +57,13 @@
     proto::OperatorRequest request;
     proto::SetDrainedRequest &change = *request.mutable_set_drained();
     change.set_command_id(command);
-    change.set_base_revision(context.options.baseRevision.value_or(0));
+    change.set_base_revision(base.value());
     change.set_backend(context.options.arguments.front());
     change.set_drained(drained);
     const CallResult result = client->call(request);
     if (result.outcome == CallOutcome::Answered)
         return finishChange(context, *client, command, result.answer.apply());
-    context.errors << "command id " << command << '\n';
+    context.errors << "command id " << command << ", made on revision " << base << '\n';
     return reportFailure(context, result);
 }
 
