--- a/src/programs/control/main.cpp
+++ b/src/programs/control/main.cpp
@@ -4,7 +4,9 @@
 #include <gentianramp/config/key_files.hpp>
 #include <gentianramp/config/program_options.hpp>
 #include <gentianramp/config/settings_file.hpp>
+#include <gentianramp/control/authority_attachment.hpp>
 #include <gentianramp/control/control_node.hpp>
+#include <gentianramp/control/membership_attachment.hpp>
 #include <gentianramp/control/declared_rules.hpp>
 #include <gentianramp/core/log.hpp>
 #include <iostream>
@@ -100,7 +102,11 @@
         return ExitCode::BadSettings;
     }
     startLogging(Description.name);
+    const Incarnation incarnation = options->incarnation;
     ControlNode node(std::move(options).value());
+    const MembershipAttachment membership(node);
+    const AuthorityAttachment authority(node, incarnation, randomSeed(),
+                                        [] { return makePredictivePolicy(); });
     const Result<std::uint16_t> port = node.start();
     if (!port) {
         logError("start_failed", {{"error", port.error().message()}, {"reason", port.message()}});
