Assert the invariants of the request path

A claim is settled once, a request that must not run twice is not dispatched after an attempt that may have run, and revisions grow. Broken ones are counted in /metrics, stand on the time line and abort the tests.

--- a/src/gentianramp/control_link/configuration_link.cpp
+++ b/src/gentianramp/control_link/configuration_link.cpp
@@ -25,8 +25,8 @@
     options.members.push_back({settings.instance, settings.dataCentre, false, false});
     for (const PeerSettings &peer : settings.peers) {
         if (peer.instance != settings.instance)
-            options.members.push_back({peer.instance, peer.dataCentre,
-                                       peer.kind == ProcessKind::Control, peer.voter});
+            options.members.push_back(
+                {peer.instance, peer.dataCentre, peer.kind == ProcessKind::Control, peer.voter});
     }
     return options;
 }
@@ -85,8 +85,8 @@
             return;
         }
         malformed.add();
-        logError("malformed_configuration", {{"revision", accepted.revision.value()},
-                                             {"error", decoded.message()}});
+        logError("malformed_configuration",
+                 {{"revision", accepted.revision.value()}, {"error", decoded.message()}});
     }
 
     EntryService &service;
@@ -101,10 +101,9 @@
                                      const asio::any_io_executor &executor)
     : m_state(std::make_shared<State>(service, settings))
 {
-    service.setMessageHook(PayloadKind::Configuration,
-                           [state = m_state](const ReceivedMessage &message) {
-                               state->onMessage(message);
-                           });
+    service.setMessageHook(
+        PayloadKind::Configuration,
+        [state = m_state](const ReceivedMessage &message) { state->onMessage(message); });
     asio::co_spawn(executor, m_state->run(), asio::detached);
 }
 
--- a/src/gentianramp/entry/deduplicate.cpp
+++ b/src/gentianramp/entry/deduplicate.cpp
@@ -3,6 +3,7 @@
 #include "digest.hpp"
 
 #include <algorithm>
+#include <gentianramp/core/invariant.hpp>
 
 namespace gentianramp {
 
@@ -80,6 +81,7 @@
 
 void HeldClaim::settle(ClaimOutcome outcome)
 {
+    checkInvariant(!m_settled, "claim_settled_once", m_ticket.scope.key.value());
     m_settled = true;
     m_gate->settle(m_ticket, std::move(outcome));
 }
--- a/src/gentianramp/entry/entry_service.cpp
+++ b/src/gentianramp/entry/entry_service.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <gentianramp/core/invariant.hpp>
 #include <gentianramp/core/log.hpp>
 #include <map>
 #include <set>
@@ -333,6 +334,9 @@
         router.configure(configuration, now);
         auto next
             = std::make_shared<const ServiceDirectory>(std::move(configuration), revision, now);
+        const auto old = directory.load();
+        checkInvariant(!old || old->revision() < revision, "revision_grows",
+                       std::to_string(revision.value()));
         directory.store(next);
         metrics.gauge("gentianramp_revision", "Revision of the configuration in force")
             .set(static_cast<double>(revision.value()));
--- a/src/gentianramp/entry/entry_test_support.cpp
+++ b/src/gentianramp/entry/entry_test_support.cpp
@@ -5,7 +5,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_future.hpp>
+#include <cstdlib>
 #include <future>
+#include <gentianramp/core/invariant.hpp>
 #include <gentianramp/http/sse.hpp>
 #include <optional>
 
@@ -69,6 +71,7 @@
         addBackend(fakeOptions(number, true), "desk");
     for (unsigned number = 0; number < services; ++number)
         addBackend(fakeOptions(number, false), "bay");
+    setInvariantHook([](std::string_view, std::string_view) { std::abort(); });
     m_thread.start();
     EntryOptions options;
     options.settings.instance = InstanceId("entry-1");
--- a/src/gentianramp/entry/request_run.cpp
+++ b/src/gentianramp/entry/request_run.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
+#include <gentianramp/core/invariant.hpp>
 #include <gentianramp/core/log.hpp>
 #include <nlohmann/json.hpp>
 
@@ -125,6 +126,7 @@
 
 bool RequestRun::beginDispatch()
 {
+    checkInvariant(mayRepeat() || !m_mayHaveRun, "never_dispatched_twice", caller().id.value());
     return !m_input.claim || m_input.claim->startDispatch();
 }
 
--- a/src/programs/entry/main.cpp
+++ b/src/programs/entry/main.cpp
@@ -8,6 +8,7 @@
 #include <gentianramp/config/program_options.hpp>
 #include <gentianramp/control_link/configuration_link.hpp>
 #include <gentianramp/control_link/fleet_link.hpp>
+#include <gentianramp/core/invariant.hpp>
 #include <gentianramp/core/log.hpp>
 #include <gentianramp/entry/entry_service.hpp>
 #include <iostream>
@@ -73,6 +74,18 @@
     return std::nullopt;
 }
 
+/// Counts broken invariants and puts them on the time line.
+void reportInvariants(EntryService &service)
+{
+    Counter &broken = service.metrics().counter("gentianramp_broken_invariants_total",
+                                                "Invariants that were found broken");
+    setInvariantHook([&service, &broken](std::string_view name, std::string_view detail) {
+        broken.add();
+        service.timeline().record({.kind = EventKind::InvariantBroken,
+                                   .detail = std::string(name) + ' ' + std::string(detail)});
+    });
+}
+
 ExitCode serve(EntryOptions options)
 {
     const NodeSettings settings = options.settings;
@@ -85,6 +98,7 @@
         logError("start_failed", {{"error", port.message()}});
         return ExitCode::Failed;
     }
+    reportInvariants(service);
     logInfo("listening", {{"host", settings.httpHost}, {"port", *port}});
     const auto stop = [&context](const std::exception_ptr &) { context.stop(); };
     asio::co_spawn(context, runUntilSignal(service, std::chrono::seconds(settings.drainSeconds)),
@@ -92,6 +106,7 @@
     context.run();
     service.timeline().record({.kind = EventKind::ProcessStopped});
     service.timeline().flush();
+    setInvariantHook({});
     return ExitCode::Ok;
 }
 
