Change keys of processes without a stop (not yet run through all tests)

A process had one public key, so a new key cut it off until all others were restarted. Files of public keys now hold several, the mesh accepts all of them and tries them in turn, SIGHUP takes them over, and gentianctl has keys rotate and keys finish. Sent messages keep the time of their envelope on the time line.

Not built completely and no test run at this commit.

--- a/include/gentianramp/config/key_files.hpp
+++ b/include/gentianramp/config/key_files.hpp
@@ -22,6 +22,14 @@
 /// Reads a file with one public key. Errors: StorageFailed, Malformed.
 Result<std::string> readPublicKeyFile(const std::filesystem::path &file);
 
+/// Reads the public keys of one process, at least one, the newest first.
+/// Errors: StorageFailed, Malformed.
+Result<std::vector<std::string>> readPeerKeysFile(const std::filesystem::path &file);
+
+/// Replaces @p file by @p keys at once or not at all. Error: StorageFailed.
+Result<std::filesystem::path> replacePublicKeys(const std::filesystem::path &file,
+                                                const std::vector<std::string> &keys);
+
 /// Reads a file with public keys, one a line; blank lines and lines from '#' are skipped.
 /// Errors: StorageFailed, Malformed.
 Result<std::vector<std::string>> readPublicKeysFile(const std::filesystem::path &file);
@@ -30,6 +38,10 @@
 /// others than its owner. Errors: StorageFailed, Malformed, Unauthorised.
 Result<KeyPairFile> readKeyPairFile(const std::filesystem::path &file);
 
+/// Writes @p keys to a new @p file, readable by the owner only. Error: StorageFailed.
+Result<std::filesystem::path> writeKeyPairFile(const std::filesystem::path &file,
+                                               const KeyPairFile &keys);
+
 /// Writes @p keys to "<folder>/<name>.key", readable by the owner only, and the public key to
 /// "<folder>/<name>.pub". Existing files are kept. Errors: InvalidArgument, StorageFailed.
 Result<std::filesystem::path> writeKeyFiles(const std::filesystem::path &folder,
--- a/include/gentianramp/config/node_settings.hpp
+++ b/include/gentianramp/config/node_settings.hpp
@@ -23,6 +23,7 @@
     std::string endpoint;  ///< ZeroMQ endpoint, "tcp://127.0.0.1:7001".
     std::string publicKey; ///< CURVE public key, 40 characters of Z85.
     bool voter = false;    ///< Votes in the ledger; only control processes with a disk.
+    std::vector<std::string> furtherKeys = {}; ///< Older public keys, still accepted.
     bool operator==(const PeerSettings &) const = default;
 };
 
--- a/include/gentianramp/core/timeline.hpp
+++ b/include/gentianramp/core/timeline.hpp
@@ -85,7 +85,8 @@
     TimelineWriter(const TimelineWriter &) = delete;
     TimelineWriter &operator=(const TimelineWriter &) = delete;
 
-    /// Stamps @p event with times and the instance's name and queues it.
+    /// Stamps @p event with times and the instance's name and queues it; a monotonicNs other than
+    /// 0 is kept.
     void record(TimelineEvent event);
     /// Blocks until all queued events are in the file.
     void flush();
--- a/include/gentianramp/entry/entry_service.hpp
+++ b/include/gentianramp/entry/entry_service.hpp
@@ -38,6 +38,8 @@
 
     /// Starts all threads; returns the callers' port.
     Result<std::uint16_t> start();
+    /// Takes over keys and addresses of other processes; which instances there are stays.
+    void setPeers(const std::vector<PeerSettings> &peers);
     /// Refuses new work with NotRun; answers under way go on.
     void beginShutdown();
     /// Closes the listening socket; open connections stay.
--- a/include/gentianramp/wire/mesh.hpp
+++ b/include/gentianramp/wire/mesh.hpp
@@ -46,7 +46,9 @@
 {
     InstanceId instance;
     std::string endpoint;  ///< "tcp://127.0.0.1:7001"; empty for peers that only connect here.
-    std::string publicKey; ///< Messages of this peer are taken only under this key.
+    std::string publicKey; ///< Newest key of this peer.
+    /// Older keys, accepted and tried like the newest one while the peer changes its key.
+    std::vector<std::string> furtherKeys = {};
     bool operator==(const MeshPeer &) const = default;
 };
 
@@ -96,7 +98,8 @@
     void send(const InstanceId &to, PayloadKind kind, std::string payload, Duration ttl);
     /// Answers on the connection that @p route names.
     void reply(const std::string &route, PayloadKind kind, std::string payload, Duration ttl);
-    /// Replaces the known peers and operators; connections to unchanged peers stay.
+    /// Replaces the known peers and operators; a connection stays while its
+    /// peer keeps the address and the key that the connection was made with.
     void setPeers(std::vector<MeshPeer> peers, std::vector<std::string> operatorKeys);
     /// Fault injection: drops all traffic with these peers.
     void setBlocked(std::vector<InstanceId> peers);
--- a/src/gentianramp/client/command_support.hpp
+++ b/src/gentianramp/client/command_support.hpp
@@ -46,6 +46,8 @@
 ExitCode runRoles(CommandContext &context);
 ExitCode runKeysMake(CommandContext &context);
 ExitCode runKeysShow(CommandContext &context);
+ExitCode runKeysRotate(CommandContext &context);
+ExitCode runKeysFinish(CommandContext &context);
 
 /// Prints what came of an accepted change, waits when asked to, and gives the exit code.
 ExitCode finishChange(CommandContext &context, OperatorClient &client, const std::string &command,
--- a/src/gentianramp/client/commands.cpp
+++ b/src/gentianramp/client/commands.cpp
@@ -24,6 +24,8 @@
         {"keys make", "", "make key files in --dir for --peers-file, --name and --operator",
          runKeysMake},
         {"keys show", "FILE", "print the public key of a key file", runKeysShow},
+        {"keys rotate", "", "make the next key pair of --name in --dir", runKeysRotate},
+        {"keys finish", "", "drop the old keys of --name in --dir", runKeysFinish},
     };
     return commands;
 }
--- a/src/gentianramp/client/commands_test.cpp
+++ b/src/gentianramp/client/commands_test.cpp
@@ -133,6 +133,31 @@
     std::filesystem::remove_all(folder);
 }
 
+Test(Commands, KeyRotationKeepsTheOldKeyUntilTheNewOneIsInUse)
+{
+    const auto folder = scratch("rotation");
+    Runner runner;
+    runner.options.folder = folder;
+    runner.options.names = {"entry-1"};
+    const auto keys = [&folder] { return *readPeerKeysFile(folder / "entry-1.pub"); };
+    cr_assert(runner.run({"keys", "make"}) == ExitCode::Ok);
+    const auto before = keys();
+    cr_assert(runner.run({"keys", "rotate"}) == ExitCode::Ok);
+    const auto during = keys();
+    cr_assert_eq(during.size(), 2U);
+    cr_assert(during[1] == before[0]);
+    cr_assert(runner.run({"keys", "rotate"}) == ExitCode::Ok);
+    cr_assert(runner.run({"keys", "make"}) == ExitCode::Ok);
+    cr_assert(keys() == during);
+    cr_assert(runner.run({"keys", "finish"}) == ExitCode::Refused);
+    cr_assert(keys() == during);
+    std::filesystem::rename(folder / "entry-1.key.next", folder / "entry-1.key");
+    cr_assert(runner.run({"keys", "rotate"}) == ExitCode::Refused);
+    cr_assert(runner.run({"keys", "finish"}) == ExitCode::Ok);
+    cr_assert(keys() == std::vector<std::string>{during[0]});
+    std::filesystem::remove_all(folder);
+}
+
 Test(Commands, DrainSendsOneCommandAndSaysTheRevision)
 {
     RuntimeClock::pause();
--- a/src/gentianramp/client/key_commands.cpp
+++ b/src/gentianramp/client/key_commands.cpp
@@ -5,6 +5,7 @@
 #include <gentianramp/config/key_files.hpp>
 #include <gentianramp/config/settings_file.hpp>
 #include <gentianramp/wire/mesh.hpp>
+#include <optional>
 
 namespace gentianramp {
 
@@ -24,7 +25,10 @@
             return {written.error(), written.message()};
         ++made;
     }
-    return readPublicKeyFile(publicFile);
+    const auto keys = readPeerKeysFile(publicFile);
+    if (!keys)
+        return {keys.error(), keys.message()};
+    return keys->front();
 }
 
 /// Adds @p key to the operators' public keys unless it is there.
@@ -43,6 +47,35 @@
     return out.flush().good();
 }
 
+/// Key files of the process whose key is changed.
+struct RotatedFiles
+{
+    std::filesystem::path publicFile;
+    std::filesystem::path currentPair;
+    std::filesystem::path nextPair;
+};
+
+std::optional<RotatedFiles> rotatedFiles(const CommandOptions &options)
+{
+    if (options.folder.empty() || options.names.size() != 1)
+        return std::nullopt;
+    const std::filesystem::path stem = options.folder / options.names.front();
+    return RotatedFiles{stem.string() + ".pub", stem.string() + ".key",
+                        stem.string() + ".key.next"};
+}
+
+/// The next key pair; made unless an earlier try got that far.
+Result<KeyPairFile> ensureNextPair(const std::filesystem::path &file)
+{
+    if (std::filesystem::exists(file))
+        return readKeyPairFile(file);
+    const CurveKeyPair made = makeCurveKeyPair();
+    KeyPairFile pair{made.publicKey, made.secretKey};
+    if (const auto written = writeKeyPairFile(file, pair); !written)
+        return {written.error(), written.message()};
+    return pair;
+}
+
 } // namespace
 
 ExitCode runKeysMake(CommandContext &context)
@@ -91,13 +124,62 @@
             return fail(context, ExitCode::Failed, pair.message());
         publicKey = pair->publicKey;
     } else {
-        const auto key = readPublicKeyFile(file);
-        if (!key)
-            return fail(context, ExitCode::Failed, key.message());
-        publicKey = *key;
+        const auto keys = readPeerKeysFile(file);
+        if (!keys)
+            return fail(context, ExitCode::Failed, keys.message());
+        publicKey = keys->front();
     }
     print(context, {{"public_key", publicKey}}, publicKey + "\n");
     return ExitCode::Ok;
 }
 
+ExitCode runKeysRotate(CommandContext &context)
+{
+    const auto files = rotatedFiles(context.options);
+    if (!files)
+        return fail(context, ExitCode::Usage, "expected --dir and one --name");
+    const auto keys = readPeerKeysFile(files->publicFile);
+    if (!keys)
+        return fail(context, ExitCode::Failed, keys.message());
+    const bool begun = std::filesystem::exists(files->nextPair);
+    if (keys->size() > 1 && !begun)
+        return fail(context, ExitCode::Refused,
+                    "an earlier rotation is not finished; see keys finish");
+    const auto next = ensureNextPair(files->nextPair);
+    if (!next)
+        return fail(context, ExitCode::Failed, next.message());
+    if (keys->front() != next->publicKey) {
+        std::vector<std::string> both{next->publicKey};
+        both.insert(both.end(), keys->begin(), keys->end());
+        if (const auto written = replacePublicKeys(files->publicFile, both); !written)
+            return fail(context, ExitCode::Failed, written.message());
+    }
+    print(context, {{"public_key", next->publicKey}, {"file", files->nextPair.string()}},
+          "next key pair in " + files->nextPair.string() + "\n");
+    return ExitCode::Ok;
+}
+
+ExitCode runKeysFinish(CommandContext &context)
+{
+    const auto files = rotatedFiles(context.options);
+    if (!files)
+        return fail(context, ExitCode::Usage, "expected --dir and one --name");
+    const auto keys = readPeerKeysFile(files->publicFile);
+    if (!keys)
+        return fail(context, ExitCode::Failed, keys.message());
+    const auto pair = readKeyPairFile(files->currentPair);
+    if (!pair)
+        return fail(context, ExitCode::Failed, pair.message());
+    if (std::filesystem::exists(files->nextPair) || pair->publicKey != keys->front())
+        return fail(context, ExitCode::Refused,
+                    "the next key pair is not in use: move " + files->nextPair.string() + " to "
+                        + files->currentPair.string() + " and restart the process first");
+    if (const auto written = replacePublicKeys(files->publicFile, {keys->front()}); !written)
+        return fail(context, ExitCode::Failed, written.message());
+    const std::size_t dropped = keys->size() - 1;
+    print(context, {{"public_key", keys->front()}, {"dropped", dropped}},
+          std::to_string(dropped) + " old keys dropped\n");
+    return ExitCode::Ok;
+}
+
 } // namespace gentianramp
--- a/src/gentianramp/client/mesh_link.cpp
+++ b/src/gentianramp/client/mesh_link.cpp
@@ -60,7 +60,8 @@
     options.incarnation = Incarnation(static_cast<std::uint64_t>(wallClockMs()));
     options.keys = {keys.publicKey, keys.secretKey};
     for (const PeerSettings &control : settings.controls)
-        options.peers.push_back({control.instance, control.endpoint, control.publicKey});
+        options.peers.push_back(
+            {control.instance, control.endpoint, control.publicKey, control.furtherKeys});
     return options;
 }
 
--- a/src/gentianramp/config/key_files.cpp
+++ b/src/gentianramp/config/key_files.cpp
@@ -75,6 +75,39 @@
     return keys->front();
 }
 
+Result<std::vector<std::string>> readPeerKeysFile(const std::filesystem::path &file)
+{
+    auto keys = readKeys(file);
+    if (keys && keys->empty())
+        return {Error::Malformed, file.string() + ": expected at least one public key"};
+    return keys;
+}
+
+Result<std::filesystem::path> replacePublicKeys(const std::filesystem::path &file,
+                                                const std::vector<std::string> &keys)
+{
+    std::string text;
+    for (const std::string &key : keys)
+        text += key + "\n";
+    const std::filesystem::path draft = file.string() + ".draft";
+    std::error_code failure;
+    std::filesystem::remove(draft, failure);
+    if (!writeNewFile(draft, text, PublicMode))
+        return {Error::StorageFailed, "cannot write " + draft.string()};
+    std::filesystem::rename(draft, file, failure);
+    if (failure)
+        return {Error::StorageFailed, "cannot replace " + file.string() + ": " + failure.message()};
+    return file;
+}
+
+Result<std::filesystem::path> writeKeyPairFile(const std::filesystem::path &file,
+                                               const KeyPairFile &keys)
+{
+    if (!writeNewFile(file, keys.publicKey + "\n" + keys.secretKey + "\n", SecretMode))
+        return {Error::StorageFailed, "cannot write " + file.string() + ", does it exist?"};
+    return file;
+}
+
 Result<std::vector<std::string>> readPublicKeysFile(const std::filesystem::path &file)
 {
     return readKeys(file);
@@ -106,8 +139,8 @@
         return {Error::StorageFailed, "cannot make " + folder.string() + ": " + failure.message()};
     const std::filesystem::path secretFile = folder / (name + ".key");
     const std::filesystem::path publicFile = folder / (name + ".pub");
-    if (!writeNewFile(secretFile, keys.publicKey + "\n" + keys.secretKey + "\n", SecretMode))
-        return {Error::StorageFailed, "cannot write " + secretFile.string() + ", does it exist?"};
+    if (auto written = writeKeyPairFile(secretFile, keys); !written)
+        return written;
     if (!writeNewFile(publicFile, keys.publicKey + "\n", PublicMode))
         return {Error::StorageFailed, "cannot write " + publicFile.string() + ", does it exist?"};
     return secretFile;
--- a/src/gentianramp/config/peer_fields.cpp
+++ b/src/gentianramp/config/peer_fields.cpp
@@ -57,11 +57,13 @@
     }
     const auto file = named ? besideFile(entry.file, entry.value.publicKeyFile)
                             : keyFolder / (peer.instance.value() + ".pub");
-    const auto key = readPublicKeyFile(file);
-    if (key)
-        peer.publicKey = *key;
-    else
-        errors.push_back(entry.problem("public_key_file", key.message()));
+    const auto keys = readPeerKeysFile(file);
+    if (!keys) {
+        errors.push_back(entry.problem("public_key_file", keys.message()));
+        return;
+    }
+    peer.publicKey = keys->front();
+    peer.furtherKeys.assign(std::next(keys->begin()), keys->end());
 }
 
 } // namespace
--- a/src/gentianramp/control/control_node.cpp
+++ b/src/gentianramp/control/control_node.cpp
@@ -29,7 +29,7 @@
     std::vector<MeshPeer> mesh;
     mesh.reserve(peers.size());
     for (const PeerSettings &peer : peers)
-        mesh.push_back({peer.instance, peer.endpoint, peer.publicKey});
+        mesh.push_back({peer.instance, peer.endpoint, peer.publicKey, peer.furtherKeys});
     return mesh;
 }
 
--- a/src/gentianramp/core/timeline.cpp
+++ b/src/gentianramp/core/timeline.cpp
@@ -216,7 +216,8 @@
 {
     if (m_state->options.file.empty())
         return;
-    event.monotonicNs = RuntimeClock::now().time_since_epoch().count();
+    if (event.monotonicNs == 0)
+        event.monotonicNs = RuntimeClock::now().time_since_epoch().count();
     event.wallMs = wallClockMs();
     event.instance = m_state->options.instance;
     {
--- a/src/gentianramp/core/timeline_test.cpp
+++ b/src/gentianramp/core/timeline_test.cpp
@@ -40,6 +40,22 @@
     cr_assert_not(static_cast<bool>(decodeEvent("{\"kind\":3}")));
 }
 
+Test(Timeline, KeepsATimeThatTheEventHas)
+{
+    const auto file = scratchFile("time");
+    TimelineWriter writer({.file = file, .instance = "e1"});
+    writer.record({.kind = EventKind::MessageSent, .monotonicNs = 42});
+    writer.record({.kind = EventKind::MessageSent});
+    writer.flush();
+    std::ifstream in(file);
+    std::string line;
+    std::getline(in, line);
+    cr_assert_eq(decodeEvent(line)->monotonicNs, 42);
+    std::getline(in, line);
+    cr_assert_gt(decodeEvent(line)->monotonicNs, 42);
+    std::filesystem::remove_all(file.parent_path());
+}
+
 Test(Timeline, FileStaysBounded)
 {
     const auto file = scratchFile("bounded");
--- a/src/gentianramp/entry/entry_service.cpp
+++ b/src/gentianramp/entry/entry_service.cpp
@@ -73,6 +73,15 @@
     return keys;
 }
 
+std::vector<MeshPeer> meshPeers(const std::vector<PeerSettings> &peers)
+{
+    std::vector<MeshPeer> mesh;
+    mesh.reserve(peers.size());
+    for (const PeerSettings &peer : peers)
+        mesh.push_back({peer.instance, peer.endpoint, peer.publicKey, peer.furtherKeys});
+    return mesh;
+}
+
 MeshOptions meshOptions(const EntryOptions &options, MetricsRegistry &metrics,
                         TimelineWriter &timeline)
 {
@@ -81,8 +90,7 @@
     mesh.incarnation = options.incarnation;
     mesh.endpoint = options.settings.endpoint;
     mesh.keys = options.keys;
-    for (const PeerSettings &peer : options.settings.peers)
-        mesh.peers.push_back({peer.instance, peer.endpoint, peer.publicKey});
+    mesh.peers = meshPeers(options.settings.peers);
     mesh.faultFile = options.settings.faultFile;
     mesh.metrics = &metrics;
     mesh.timeline = &timeline;
@@ -411,6 +419,12 @@
     return port;
 }
 
+void EntryService::setPeers(const std::vector<PeerSettings> &peers)
+{
+    if (m_state->mesh)
+        m_state->mesh->setPeers(meshPeers(peers), {});
+}
+
 void EntryService::beginShutdown()
 {
     if (m_state->shuttingDown.exchange(true))
--- a/src/gentianramp/wire/mesh.cpp
+++ b/src/gentianramp/wire/mesh.cpp
@@ -1,6 +1,7 @@
 #include "message_filter.hpp"
 #include "peer_authenticator.hpp"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <deque>
@@ -31,6 +32,7 @@
 constexpr std::size_t MaxQueuedMessages = 4096;
 constexpr std::chrono::milliseconds PollInterval(100);
 constexpr Duration PauseThreshold = std::chrono::milliseconds(500);
+constexpr Duration KeyTrialTime = std::chrono::seconds(1); // before another key is tried
 constexpr std::uint64_t TimelineSampling = 16; // one message in so many stands on the time line
 
 /// A message on its way out, to a peer or to the connection of a received message.
@@ -41,6 +43,34 @@
     proto::Envelope envelope;
 };
 
+/// A connection made to a peer.
+struct PeerConnection
+{
+    zmq::socket_t socket;
+    std::string endpoint;
+    std::string serverKey;
+    TimePoint lastConnected; ///< Made then, or last message sent.
+};
+
+bool accepts(const MeshPeer &peer, const std::string &key)
+{
+    return key == peer.publicKey
+        || std::find(peer.furtherKeys.begin(), peer.furtherKeys.end(), key)
+        != peer.furtherKeys.end();
+}
+
+/// The key to try after @p key, round and round from the newest to the oldest.
+std::string keyAfter(const MeshPeer &peer, const std::string &key)
+{
+    if (peer.furtherKeys.empty())
+        return peer.publicKey;
+    if (key == peer.publicKey)
+        return peer.furtherKeys.front();
+    const auto found = std::find(peer.furtherKeys.begin(), peer.furtherKeys.end(), key);
+    const bool last = found == peer.furtherKeys.end() || std::next(found) == peer.furtherKeys.end();
+    return last ? peer.publicKey : *std::next(found);
+}
+
 std::string messageId(const proto::Envelope &envelope)
 {
     return envelope.sender() + '/' + std::to_string(envelope.incarnation()) + '/'
@@ -110,12 +140,14 @@
         }
         std::erase_if(dealers, [&](const auto &entry) {
             const auto next = wanted.find(entry.first);
-            return next == wanted.end() || next->second != knownPeers.at(entry.first);
+            const PeerConnection &connection = entry.second;
+            return next == wanted.end() || next->second.endpoint != connection.endpoint
+                || !accepts(next->second, connection.serverKey);
         });
         knownPeers = std::move(wanted);
     }
 
-    zmq::socket_t *dealerOf(const InstanceId &instance)
+    PeerConnection *dealerOf(const InstanceId &instance)
     {
         const auto existing = dealers.find(instance);
         if (existing != dealers.end())
@@ -123,16 +155,31 @@
         const auto peer = knownPeers.find(instance);
         if (peer == knownPeers.end() || peer->second.endpoint.empty())
             return nullptr;
+        return &connect(peer->second, peer->second.publicKey);
+    }
+
+    PeerConnection &connect(const MeshPeer &peer, const std::string &serverKey)
+    {
         zmq::socket_t dealer(context, zmq::socket_type::dealer);
         setCommonOptions(dealer);
         dealer.set(zmq::sockopt::immediate, true);
         dealer.set(zmq::sockopt::reconnect_ivl, ReconnectFirstMs);
         dealer.set(zmq::sockopt::reconnect_ivl_max, ReconnectLongestMs);
-        dealer.set(zmq::sockopt::curve_serverkey, peer->second.publicKey);
+        dealer.set(zmq::sockopt::curve_serverkey, serverKey);
         dealer.set(zmq::sockopt::curve_publickey, options.keys.publicKey);
         dealer.set(zmq::sockopt::curve_secretkey, options.keys.secretKey);
-        dealer.connect(peer->second.endpoint);
-        return &dealers.emplace(instance, std::move(dealer)).first->second;
+        dealer.connect(peer.endpoint);
+        PeerConnection made{std::move(dealer), peer.endpoint, serverKey, RuntimeClock::now()};
+        return dealers.insert_or_assign(peer.instance, std::move(made)).first->second;
+    }
+
+    /// A peer runs under one key at a time; which one is found out by trying.
+    void tryNextKey(const InstanceId &instance, const PeerConnection &connection)
+    {
+        const MeshPeer &peer = knownPeers.at(instance);
+        const Duration unconnected = RuntimeClock::now() - connection.lastConnected;
+        if (!peer.furtherKeys.empty() && unconnected > KeyTrialTime)
+            connect(peer, keyAfter(peer, connection.serverKey));
     }
 
     void run()
@@ -163,7 +210,7 @@
         if (!options.endpoint.empty())
             items.push_back({router.handle(), 0, ZMQ_POLLIN, 0});
         for (auto &[instance, dealer] : dealers)
-            items.push_back({dealer.handle(), 0, ZMQ_POLLIN, 0});
+            items.push_back({dealer.socket.handle(), 0, ZMQ_POLLIN, 0});
         zmq::poll(items, PollInterval);
         std::uint64_t ignored = 0;
         while (read(wakeFd, &ignored, sizeof ignored) > 0) {
@@ -218,8 +265,15 @@
 
     bool sendToPeer(const InstanceId &to, const std::string &bytes)
     {
-        zmq::socket_t *dealer = dealerOf(to);
-        return dealer && dealer->send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value();
+        PeerConnection *dealer = dealerOf(to);
+        if (!dealer)
+            return false;
+        if (!dealer->socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
+            tryNextKey(to, *dealer);
+            return false;
+        }
+        dealer->lastConnected = RuntimeClock::now();
+        return true;
     }
 
     bool sendToRoute(const std::string &route, const std::string &bytes)
@@ -239,7 +293,7 @@
         if (!options.endpoint.empty())
             receiveFromRouter();
         for (auto &[instance, dealer] : dealers)
-            receiveFromDealer(instance, dealer);
+            receiveFromDealer(instance, dealer.socket);
     }
 
     void receiveFromRouter()
@@ -350,7 +404,9 @@
     {
         if (!options.timeline || envelope.sequence() % TimelineSampling != 1)
             return;
+        const bool sent = kind == EventKind::MessageSent;
         options.timeline->record({.kind = kind,
+                                  .monotonicNs = sent ? envelope.sent_monotonic_ns() : 0,
                                   .request = messageId(envelope),
                                   .peer = peer.value(),
                                   .detail = proto::PayloadKind_Name(envelope.kind())});
@@ -402,7 +458,7 @@
     PeerAuthenticator authenticator;
     zmq::socket_t router;
     std::unordered_map<InstanceId, MeshPeer> knownPeers;
-    std::unordered_map<InstanceId, zmq::socket_t> dealers;
+    std::unordered_map<InstanceId, PeerConnection> dealers;
     MessageFilter directFilter;
     MessageFilter replyFilter;
     std::set<InstanceId> blocked;
--- a/src/gentianramp/wire/mesh_test.cpp
+++ b/src/gentianramp/wire/mesh_test.cpp
@@ -196,3 +196,71 @@
     meshB.setBlocked({});
     cr_assert(sendUntilReceived(meshA, InstanceId("b"), b.inbox, before + 1));
 }
+
+Test(Mesh, BothKeysOfAPeerWorkUntilOneIsDropped)
+{
+    Node a{"a"};
+    Node b{"b"};
+    const CurveKeyPair oldKeys = a.keys;
+    const CurveKeyPair newKeys = makeCurveKeyPair();
+    MeshPeer both = a.peer();
+    both.publicKey = newKeys.publicKey;
+    both.furtherKeys = {oldKeys.publicKey};
+    Mesh meshB(b.options({a.peer()}), b.inbox.hook());
+    auto meshA = std::make_unique<Mesh>(a.options({b.peer()}), a.inbox.hook());
+    cr_assert(sendUntilReceived(*meshA, InstanceId("b"), b.inbox, 1));
+    cr_assert(sendUntilReceived(meshB, InstanceId("a"), a.inbox, 1));
+
+    meshB.setPeers({both}, {});
+    meshB.send(InstanceId("a"), PayloadKind::Notice, "on the old connection", Ttl);
+    cr_assert(a.inbox.waitFor(a.inbox.size() + 1));
+    cr_assert(sendUntilReceived(*meshA, InstanceId("b"), b.inbox, b.inbox.size() + 1));
+
+    meshA.reset();
+    a.keys = newKeys;
+    MeshOptions next = a.options({b.peer()});
+    next.incarnation = Incarnation(2);
+    meshA = std::make_unique<Mesh>(std::move(next), a.inbox.hook());
+    cr_assert(sendUntilReceived(*meshA, InstanceId("b"), b.inbox, b.inbox.size() + 1));
+    cr_assert(sendUntilReceived(meshB, InstanceId("a"), a.inbox, a.inbox.size() + 1));
+
+    both.furtherKeys.clear();
+    meshB.setPeers({both}, {});
+    cr_assert(sendUntilReceived(meshB, InstanceId("a"), a.inbox, a.inbox.size() + 1));
+    Node late{"a"};
+    late.keys = oldKeys;
+    Mesh meshLate(late.options({b.peer()}), late.inbox.hook());
+    const std::size_t received = b.inbox.size();
+    meshLate.send(InstanceId("b"), PayloadKind::Notice, "under a dropped key", Ttl);
+    cr_assert(metricReached(b.metrics, "gentianramp_mesh_strangers_total"));
+    cr_assert_eq(b.inbox.size(), received);
+}
+
+Test(Mesh, FindsTheKeyThatAPeerRunsUnder)
+{
+    Node a{"a"};
+    Node b{"b"};
+    MeshPeer rotated = a.peer();
+    rotated.furtherKeys = {rotated.publicKey};
+    rotated.publicKey = makeCurveKeyPair().publicKey;
+    Mesh meshA(a.options({b.peer()}), a.inbox.hook());
+    Mesh meshB(b.options({rotated}), b.inbox.hook());
+    cr_assert(sendUntilReceived(meshB, InstanceId("a"), a.inbox, 1));
+}
+
+Test(Mesh, MessagesUnderADroppedKeyAreRefusedOnOpenConnections)
+{
+    Node a{"a"};
+    Node b{"b"};
+    Mesh meshA(a.options({b.peer()}), a.inbox.hook());
+    Mesh meshB(b.options({a.peer()}), b.inbox.hook());
+    cr_assert(sendUntilReceived(meshA, InstanceId("b"), b.inbox, 1));
+    MeshPeer changed = a.peer();
+    changed.publicKey = makeCurveKeyPair().publicKey;
+    meshB.setPeers({changed}, {});
+    for (int round = 0; round < 500 && !hasMetric(b.metrics, "not_permitted"); ++round) {
+        meshA.send(InstanceId("b"), PayloadKind::Notice, "hello", Ttl);
+        usleep(10000);
+    }
+    cr_assert(hasMetric(b.metrics, "not_permitted"));
+}
--- a/src/gentianramp/wire/peer_authenticator.cpp
+++ b/src/gentianramp/wire/peer_authenticator.cpp
@@ -56,8 +56,11 @@
     m_owners.clear();
     for (const std::string &key : operatorKeys)
         m_owners[key] = KeyOwner{{}, true};
-    for (const MeshPeer &peer : peers)
+    for (const MeshPeer &peer : peers) {
         m_owners[peer.publicKey] = KeyOwner{peer.instance, false};
+        for (const std::string &key : peer.furtherKeys)
+            m_owners[key] = KeyOwner{peer.instance, false};
+    }
 }
 
 std::uint64_t PeerAuthenticator::answerPending()
--- a/src/programs/config_load/operator_link.cpp
+++ b/src/programs/config_load/operator_link.cpp
@@ -18,7 +18,8 @@
     options.keys = std::move(keys);
     for (const PeerSettings &control : settings.controls) {
         m_controls.push_back(control.instance);
-        options.peers.push_back({control.instance, control.endpoint, control.publicKey});
+        options.peers.push_back(
+            {control.instance, control.endpoint, control.publicKey, control.furtherKeys});
     }
     m_mesh = std::make_unique<Mesh>(std::move(options),
                                     [this](const ReceivedMessage &message) { onMessage(message); });
--- a/src/programs/control/main.cpp
+++ b/src/programs/control/main.cpp
@@ -2,6 +2,7 @@
 #include <boost/program_options.hpp>
 #include <csignal>
 #include <gentianramp/config/key_files.hpp>
+#include <gentianramp/config/peer_reload.hpp>
 #include <gentianramp/config/program_options.hpp>
 #include <gentianramp/config/settings_file.hpp>
 #include <gentianramp/control/authority_attachment.hpp>
@@ -66,18 +67,11 @@
     return options;
 }
 
-/// Reads the settings again and takes over keys and addresses of the other processes.
-void reloadPeers(ControlNode &node, const std::string &settingsFile)
+/// Takes over keys and addresses of the other processes.
+void takePeers(ControlNode &node, const std::string &settingsFile)
 {
-    const auto settings = loadNodeSettings(settingsFile);
-    const auto operators = operatorKeysOf(node.settings());
-    if (!settings || !operators) {
-        logError("reload_failed",
-                 {{"reason", settings ? operators.message() : settings.message()}});
-        return;
-    }
-    node.setPeers(settings->peers, operators.value());
-    logInfo("peers_reloaded", {{"peers", settings->peers.size()}});
+    if (auto reloaded = reloadPeers(settingsFile, node.settings().instance))
+        node.setPeers(reloaded->peers, std::move(reloaded->operatorKeys));
 }
 
 void waitForSignals(boost::asio::signal_set &signals, ControlNode &node,
@@ -87,7 +81,7 @@
         if (error)
             return;
         if (signal == SIGHUP)
-            reloadPeers(node, settingsFile);
+            takePeers(node, settingsFile);
         else
             node.shutdown();
         waitForSignals(signals, node, settingsFile);
--- a/src/programs/entry/main.cpp
+++ b/src/programs/entry/main.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <gentianramp/config/key_files.hpp>
+#include <gentianramp/config/peer_reload.hpp>
 #include <gentianramp/config/program_options.hpp>
 #include <gentianramp/control_link/configuration_link.hpp>
 #include <gentianramp/control_link/fleet_link.hpp>
@@ -57,11 +58,16 @@
     co_await waitWhile([&service] { return service.hasOpenSettlements(); }, SettlementTime);
 }
 
-asio::awaitable<void> runUntilSignal(EntryService &service, Duration longestDrain)
+/// Shuts down at SIGTERM or SIGINT; SIGHUP takes over keys and addresses of other processes.
+asio::awaitable<void> runUntilSignal(EntryService &service, const NodeSettings &settings,
+                                     std::filesystem::path settingsFile)
 {
-    asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT);
-    co_await signals.async_wait(asio::use_awaitable);
-    co_await shutDown(service, longestDrain);
+    asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT, SIGHUP);
+    while (co_await signals.async_wait(asio::use_awaitable) == SIGHUP) {
+        if (const auto reloaded = reloadPeers(settingsFile, settings.instance))
+            service.setPeers(reloaded->peers);
+    }
+    co_await shutDown(service, std::chrono::seconds(settings.drainSeconds));
 }
 
 /// Reads the key pair of the mesh; prints what is wrong with it.
@@ -86,7 +92,7 @@
     });
 }
 
-ExitCode serve(EntryOptions options)
+ExitCode serve(EntryOptions options, const std::filesystem::path &settingsFile)
 {
     const NodeSettings settings = options.settings;
     asio::io_context context;
@@ -101,8 +107,7 @@
     reportInvariants(service);
     logInfo("listening", {{"host", settings.httpHost}, {"port", *port}});
     const auto stop = [&context](const std::exception_ptr &) { context.stop(); };
-    asio::co_spawn(context, runUntilSignal(service, std::chrono::seconds(settings.drainSeconds)),
-                   stop);
+    asio::co_spawn(context, runUntilSignal(service, settings, settingsFile), stop);
     context.run();
     service.timeline().record({.kind = EventKind::ProcessStopped});
     service.timeline().flush();
@@ -132,7 +137,7 @@
     options.seed = values.count("seed") > 0 ? values["seed"].as<std::uint64_t>()
                                             : options.incarnation.value();
     startLogging("gentianramp-entry");
-    return serve(std::move(options));
+    return serve(std::move(options), settingsFileOf(line));
 }
 
 } // namespace
