--- a/src/programs/config_load/main.cpp
+++ b/src/programs/config_load/main.cpp
@@ -31,6 +31,7 @@
     std::string output;
     std::string declared;
     std::vector<std::filesystem::path> overlays;
+    std::string avoid;
     unsigned operators = 4;
     double seconds = 10;
     double pause = 0.1;
@@ -47,6 +48,7 @@
     add("output", po::value(&arguments.output)->required(), "file for the results (JSON)");
     add("declared", po::value(&arguments.declared)->required(), "base file to make changes of");
     add("overlay", po::value(&arguments.overlays), "overlay that goes with it; repeatable");
+    add("avoid", po::value(&arguments.avoid), "control process that is not asked");
     add("operators", po::value(&arguments.operators), "operators that race");
     add("seconds", po::value(&arguments.seconds), "longest duration");
     add("pause", po::value(&arguments.pause), "seconds between two commands of an operator");
@@ -107,7 +109,7 @@
 
 int run(const Arguments &arguments)
 {
-    const auto settings = loadOperatorSettings(arguments.settings);
+    auto settings = loadOperatorSettings(arguments.settings);
     if (!settings) {
         std::cerr << settings.message();
         return ExitFailed;
@@ -117,7 +119,11 @@
         std::cerr << keys.message();
         return ExitFailed;
     }
-    OperatorLink link(*settings, {keys->publicKey, keys->secretKey});
+    OperatorSettings used = std::move(settings).value();
+    std::erase_if(used.controls, [&](const PeerSettings &control) {
+        return control.instance.value() == arguments.avoid;
+    });
+    OperatorLink link(used, {keys->publicKey, keys->secretKey});
     const auto declared = loadDeclaredConfiguration(arguments.declared, arguments.overlays);
     if (!declared || declared->customers.empty()) {
         std::cerr << (declared ? "no customer is declared" : declared.message());
@@ -129,7 +135,8 @@
     std::vector<std::unique_ptr<RacingOperator>> operators;
     for (unsigned i = 0; i < arguments.operators; ++i)
         operators.push_back(std::make_unique<RacingOperator>(
-            "operator-" + std::to_string(i), link, race, source, arguments.seed * 1000 + i));
+            "operator-" + std::to_string(arguments.seed) + "-" + std::to_string(i), link, race,
+            source, arguments.seed * 1000 + i));
     std::vector<std::thread> threads;
     threads.reserve(operators.size());
     const auto pause
--- a/src/programs/control/main.cpp
+++ b/src/programs/control/main.cpp
@@ -7,8 +7,8 @@
 #include <gentianramp/config/settings_file.hpp>
 #include <gentianramp/control/authority_attachment.hpp>
 #include <gentianramp/control/control_node.hpp>
-#include <gentianramp/control/membership_attachment.hpp>
 #include <gentianramp/control/declared_rules.hpp>
+#include <gentianramp/control/membership_attachment.hpp>
 #include <gentianramp/core/log.hpp>
 #include <iostream>
 #include <random>
