--- a/src/programs/slopes/main.cpp
+++ b/src/programs/slopes/main.cpp
@@ -22,6 +22,8 @@
         gentianramp::measureRouter(seed);
         gentianramp::measureLimits(seed);
         gentianramp::measureDemand();
+        gentianramp::measureConfiguration();
+        gentianramp::measureFleet();
         gentianramp::measureKeys(seed);
         return 0;
     } catch (const po::error &problem) {
--- a/src/programs/slopes/slopes.hpp
+++ b/src/programs/slopes/slopes.hpp
@@ -12,6 +12,8 @@
 void measureDemand();
 /// Size of the declared configuration and cost of reading it, over its backend servers.
 void measureConfiguration();
+/// Size of the fleet table of a data centre, over its backend servers.
+void measureFleet();
 /// Claims of idempotency keys, over the number of remembered keys.
 void measureKeys(std::uint64_t seed);
 
