Let the fake backend server go with its last connection

Cause: under AddressSanitizer the tests of the entry instance ended with indirect leaks: the server of a fake backend server held the state that owns it. Before: about 7 kB leaked in the test of the entry instance. After: http, engine, fakes and entry pass under AddressSanitizer. Conclusion: no leak is left in those four.

--- a/src/gentianramp/fakes/fake_backend.cpp
+++ b/src/gentianramp/fakes/fake_backend.cpp
@@ -229,7 +229,7 @@
     HttpServerOptions options;
     options.host = m_state->context->options.host;
     options.port = m_state->context->options.port;
-    options.connectionExecutor = [state = m_state] { return state->context->executor; };
+    options.connectionExecutor = [executor = m_state->context->executor] { return executor; };
     m_state->server = std::make_unique<HttpServer>(
         m_state->context->executor, options,
         [state = m_state.get()](HttpRequest request, ResponseWriter &writer) {
