--- a/scripts/lib/daemon_check.py
+++ b/scripts/lib/daemon_check.py
@@ -78,6 +78,7 @@
         outcomes = collections.Counter()
         try:
             deployment.start()
+            deployment.apply_declared()
             threads = [threading.Thread(target=send, args=(deployment, seed, outcomes))
                        for seed in range(CALLERS)]
             for thread in threads:
--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -273,6 +273,13 @@
         except (OSError, urllib.error.URLError):
             return None
 
+    def apply_declared(self):
+        """Accepts the declared configuration; returns what gentianctl printed once in force."""
+        done = self.ctl("--wait", "config", "apply", str(self.folder / "declared"), timeout=60)
+        if done.returncode != 0:
+            raise RuntimeError(f"config apply ended with {done.returncode}: {done.stderr}")
+        return done.stdout
+
     def ctl(self, *arguments, timeout=30):
         """Runs gentianctl as the operator; returns the finished process."""
         return subprocess.run([self.binaries / "gentianctl", "--settings",
--- a/scripts/lib/fault_schedule.py
+++ b/scripts/lib/fault_schedule.py
@@ -120,9 +120,13 @@
         self.deployment.fault(target, "lose_answer", count=3)
 
     def _drain(self, target, length):
-        self.deployment.ctl("drain", target)
+        self._operate("drain", target)
         time.sleep(length)
-        self.deployment.ctl("undrain", target)
+        self._operate("undrain", target)
+
+    def _operate(self, command, target):
+        done = self.deployment.ctl(command, target)
+        self.log(f"gentianctl {command} {target} ended with {done.returncode}")
 
     def _leave(self, target, length):
         with self._lock:
--- a/scripts/lib/quickstart.py
+++ b/scripts/lib/quickstart.py
@@ -80,6 +80,7 @@
         print(f"Starting {len(system.layout.nodes)} processes of the system and "
               f"{len(system.layout.backends)} fake backend servers")
         system.start()
+        print(system.apply_declared())
         status = replay(binaries, trace, system, out / "result.txt", speed=1)
         print(system.ctl("status").stdout)
         killed = system.stop()
--- a/src/gentianramp/wire/mesh.cpp
+++ b/src/gentianramp/wire/mesh.cpp
@@ -23,8 +23,8 @@
 namespace {
 
 constexpr int HighWaterMark = 512; // messages for each connection
-constexpr int HeartbeatIntervalMs = 500;
-constexpr int HeartbeatTimeoutMs = 2000;
+constexpr int HeartbeatIntervalMs = 1000;
+constexpr int HeartbeatTimeoutMs = 3000;
 constexpr int HandshakeTimeoutMs = 2000;
 constexpr int ReconnectFirstMs = 50;
 constexpr int ReconnectLongestMs = 500;
