--- a/cmake/gentianramp_library.cmake
+++ b/cmake/gentianramp_library.cmake
@@ -13,7 +13,7 @@
         set_source_files_properties(${ARG_GENERATED} PROPERTIES COMPILE_OPTIONS "-w")
         target_link_libraries(${target} PUBLIC protobuf::libprotobuf)
     endif()
-    if(ARG_TESTS AND NOT GENTIANRAMP_SANITIZE STREQUAL "thread")
+    if(ARG_TESTS AND GENTIANRAMP_TESTS AND NOT GENTIANRAMP_SANITIZE STREQUAL "thread")
         add_executable(${target}_test ${ARG_TESTS})
         target_link_libraries(${target}_test PRIVATE ${target} ${ARG_TEST_DEPENDS}
             gentianramp_criterion)
--- a/include/gentianramp/core/log.hpp
+++ b/include/gentianramp/core/log.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -22,8 +24,28 @@
     std::string value;
 };
 
-/// Starts glog for the program @p name; lines go to standard error.
-void startLogging(const std::string &name);
+/// Where log lines go.
+enum class LogTarget {
+    StandardError,  ///< As glog writes them, at once.
+    StandardOutput, ///< One "key=value" line each, bounded in rate and memory, never waiting.
+};
+
+/// Bounds of LogTarget::StandardOutput.
+struct LogBounds
+{
+    unsigned linesPerSecond = 400; ///< Over a few seconds; errors and warnings count too.
+    unsigned burst = 2000;         ///< Lines at once.
+    std::size_t bufferBytes = 256 * 1024; ///< Held while the reader is slow; then lines are dropped.
+};
+
+/// Starts glog for the program @p name.
+void startLogging(const std::string &name, LogTarget target = LogTarget::StandardError,
+                  const LogBounds &bounds = {});
+/// Writes what is held for standard output as far as that takes it without waiting. To be called
+/// several times a second and at the end.
+void flushLog();
+/// Lines that were dropped so far.
+std::uint64_t droppedLogLines();
 
 /// Writes "event key=value ..." at the level of the function; values are quoted when needed.
 void logInfo(std::string_view event, std::initializer_list<LogField> fields = {});
--- a/include/gentianramp/http/client.hpp
+++ b/include/gentianramp/http/client.hpp
@@ -31,6 +31,9 @@
     /// Never take a pooled connection; needed for requests that must not be repeated, since a
     /// pooled connection may be half dead.
     bool freshConnection = false;
+    /// Header that the server echoes: an answer with another value belongs to an earlier request
+    /// on the connection and is passed over. An empty name switches it off.
+    HttpHeader echo;
     /// Asked directly before the first byte is sent; false ends with Error::ConnectionRefused.
     std::function<bool()> mayStart;
 };
--- a/include/gentianramp/http/server.hpp
+++ b/include/gentianramp/http/server.hpp
@@ -72,6 +72,10 @@
 
     /// Binds and accepts; returns the port, or Error::Unavailable when it cannot be bound.
     Result<std::uint16_t> start();
+    /// Changes the bounds of what callers send and how long they take, for the requests that
+    /// follow. Only where all connections share one thread.
+    void setCallerBounds(std::uint32_t maxHeaderBytes, std::uint64_t maxBodyBytes,
+                         Duration headerTimeout, Duration idleTimeout);
     /// Closes every connection after the answer that it carries now or next.
     void closeAfterAnswers();
     /// Accepts what already waits, then closes the listening socket; open connections stay.
--- /dev/null
+++ b/include/gentianramp/registry/backend_listing.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstdint>
+#include <gentianramp/core/clock.hpp>
+#include <gentianramp/core/ids.hpp>
+#include <string>
+#include <vector>
+
+namespace gentianramp {
+
+/// A backend server as the platform lists it.
+struct ListedServer
+{
+    BackendId id;
+    std::string service;
+    std::string host;
+    std::uint16_t port = 0;
+    DataCentreId dataCentre;
+    std::uint32_t slots = 0; ///< Requests that it works on at once; 0: unknown.
+    bool draining = false;   ///< It leaves; it takes nothing new.
+    bool prefillOnly = false;
+    std::int64_t bornMs = 0; ///< Wall-clock start of its process; 0: unknown. Tells lives apart.
+    std::uint32_t coldMs = 0; ///< For how much longer it is slow after its start.
+    auto operator<=>(const ListedServer &) const = default;
+};
+
+/// The platform's list at one time.
+struct BackendListing
+{
+    std::uint64_t digest = 0; ///< Of the content; equal lists have equal digests. 0: no list.
+    TimePoint takenAt{};      ///< On the clock of this process.
+    std::vector<ListedServer> servers;
+    bool operator==(const BackendListing &) const = default;
+};
+
+/// Digest of @p servers, in any order; never 0.
+std::uint64_t listingDigest(std::vector<ListedServer> servers);
+
+} // namespace gentianramp
--- /dev/null
+++ b/include/gentianramp/registry/registry_feed.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <gentianramp/core/clock.hpp>
+#include <gentianramp/core/ids.hpp>
+#include <gentianramp/registry/backend_listing.hpp>
+#include <gentianramp/registry/declaration_ledger.hpp>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace gentianramp {
+
+/// Options of a RegistryFeed.
+struct FeedOptions
+{
+    DataCentreId dataCentre;
+    std::vector<InstanceId> seeds;
+    std::uint64_t seed = 1;
+    /// Between two questions. With the list's own lag it bounds how long a backend server that
+    /// leaves still gets work.
+    Duration interval = std::chrono::milliseconds(250);
+    /// A question without an answer is sent again, since messages are not queued for a connection
+    /// that is still being made.
+    Duration resendInterval = std::chrono::milliseconds(100);
+    /// A registry process that doesn't answer for it is left for another one.
+    Duration silence = std::chrono::milliseconds(400);
+    /// What an answer knows must have been confirmed that lately, or another process is asked;
+    /// below the time in which a declaration has to be in force (2 s on the smallest deployments).
+    Duration staleAfter = std::chrono::milliseconds(1000);
+    Duration listStaleAfter = std::chrono::milliseconds(2600);
+    /// The data centre's own registry process is tried again after it.
+    Duration returnInterval = std::chrono::seconds(2);
+};
+
+/// What a step of the feed brings.
+struct FeedOutput
+{
+    std::optional<InstanceId> askTo; ///< Send `question` there.
+    std::string question;            ///< For PayloadKind::Registry.
+    std::optional<InstanceId> reconnect; ///< The connection to it may have gone silent.
+    std::optional<StoredContent> declaration; ///< A higher number than before.
+    std::optional<BackendListing> listing;    ///< Another content than before.
+};
+
+/// An entry process's view of the registry: the newest declaration and the platform's list.
+/// Pure: asks one registry process at a time, its own data centre's first, and goes on to others
+/// when that one is silent or behind.
+class RegistryFeed
+{
+public:
+    RegistryFeed(FeedOptions options, TimePoint now);
+
+    /// Call about ten times a second.
+    FeedOutput tick(TimePoint now);
+    FeedOutput onMessage(const InstanceId &sender, std::string_view payload, TimePoint now);
+    void setSeeds(std::vector<InstanceId> seeds);
+
+    /// Entry processes in the system, this one included.
+    std::uint32_t entries() const { return m_entries; }
+    /// Time since a majority is known to have confirmed the held declaration; empty: never.
+    std::optional<Duration> declarationAge(TimePoint now) const;
+    std::optional<Duration> listingAge(TimePoint now) const;
+
+private:
+    struct Source
+    {
+        DataCentreId dataCentre;
+        TimePoint avoidUntil{};
+        bool answered = false; ///< Since its connection was made.
+    };
+
+    InstanceId choose(TimePoint now);
+    void avoid(const InstanceId &source, TimePoint now);
+
+    FeedOptions m_options;
+    std::map<InstanceId, Source> m_sources;
+    std::optional<InstanceId> m_current;
+    std::uint64_t m_call;
+    std::optional<TimePoint> m_askedAt; ///< Empty: no question is open.
+    TimePoint m_askDue{};
+    TimePoint m_resendDue{};
+    std::string m_question;
+    std::uint64_t m_number = 0;
+    std::optional<TimePoint> m_confirmedAt;
+    std::uint64_t m_digest = 0;
+    std::optional<TimePoint> m_listedAt;
+    std::uint32_t m_entries = 1;
+    std::uint64_t m_random;
+};
+
+} // namespace gentianramp
--- /dev/null
+++ b/include/gentianramp/relay/backend_table.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <gentianramp/http/client.hpp>
+#include <gentianramp/registry/backend_listing.hpp>
+#include <gentianramp/relay/backend_protocol.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace gentianramp {
+
+/// What placement needs to know of a request.
+struct PlacementRequest
+{
+    std::string service;
+    const PromptShape *prompt = nullptr; ///< Null for calls without a prompt.
+    bool repeatable = false;
+    std::span<const BackendId> excluded; ///< Tried before.
+};
+
+/// A backend server that a request is sent to.
+struct PlacedRequest
+{
+    BackendId backend;
+    HttpAddress address;
+    std::uint32_t unreadTokens = 0; ///< Prompt tokens that it is expected to read.
+    Duration expectedWait{};        ///< Until the first event, as estimated.
+    std::uint64_t life = 0;         ///< Of the backend server, as the table counts lives.
+    bool operator==(const PlacedRequest &) const = default;
+};
+
+/// How a request at a backend server ended.
+enum class SendOutcome {
+    Served,
+    Rejected, ///< Did not run; the backend server is well but full or leaving.
+    Failed,   ///< Broken, silent or malformed.
+    Abandoned ///< The caller left or the time was over.
+};
+
+/// Options of a BackendTable.
+struct BackendTableOptions
+{
+    DataCentreId dataCentre;
+    std::uint64_t seed = 1;
+};
+
+/// What one entry instance knows about backend servers, and its choice among them. Pure.
+class BackendTable
+{
+public:
+    explicit BackendTable(BackendTableOptions options);
+    ~BackendTable();
+
+    /// Replaces the list. A backend server that started anew begins without history.
+    void publish(const BackendListing &listing);
+    /// The backend server for a request, or none when none may take it now.
+    std::optional<PlacedRequest> choose(const PlacementRequest &request, TimePoint now);
+    /// Sends that are open at once, over all instances, may not go over @p connections.
+    void setConnectionBound(const std::string &service, std::uint32_t connections);
+    /// Entry instances in the system, which share each backend server.
+    void setInstances(std::uint32_t instances) { m_instances = std::max(instances, 1U); }
+
+    /// The request leaves for its backend server.
+    void sent(const PlacedRequest &placed, const PromptShape *prompt, TimePoint now);
+    /// The first event or the whole answer came.
+    void answered(const PlacedRequest &placed, TimePoint now);
+    /// Every sent() is followed by one ended().
+    void ended(const PlacedRequest &placed, bool wasAnswered, SendOutcome outcome, TimePoint now);
+    void noteLoad(const BackendId &backend, const StatedLoad &load, TimePoint now);
+    /// A check found that the backend server does not answer, or that it does again.
+    void noteSilent(const BackendId &backend, bool silent, TimePoint now);
+
+    /// The last check got no answer.
+    bool isSilent(const BackendId &backend) const;
+    /// Ready backend servers of a service; for refusals and metrics.
+    std::size_t readyServers(const std::string &service) const;
+    /// The address of a listed backend server.
+    std::optional<HttpAddress> addressOf(const BackendId &backend) const;
+
+private:
+    struct Backend;
+
+    Backend *find(const PlacedRequest &placed);
+    bool usable(const Backend &backend, const PlacementRequest &request, TimePoint now) const;
+    double promptCost(const Backend &backend, const PlacementRequest &request, bool home,
+                      std::uint32_t &unread, TimePoint now) const;
+    double plainCost(const Backend &backend, TimePoint now) const;
+
+    BackendTableOptions m_options;
+    std::map<BackendId, std::unique_ptr<Backend>> m_backends;
+    std::map<std::string, std::uint32_t> m_connectionBounds;
+    std::uint32_t m_instances = 1;
+    std::uint64_t m_lives = 0;
+    std::uint64_t m_random;
+};
+
+} // namespace gentianramp
--- /dev/null
+++ b/include/gentianramp/relay/relay_node.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <functional>
+#include <gentianramp/core/error.hpp>
+#include <gentianramp/http/client.hpp>
+#include <gentianramp/registry/registry_feed.hpp>
+#include <gentianramp/relay/relay_service.hpp>
+#include <memory>
+#include <vector>
+
+namespace gentianramp {
+
+/// Options of a RelayNode.
+struct RelayNodeOptions
+{
+    InstanceId self; ///< Address under which the mesh knows it.
+    HttpAddress callers;
+    HttpAddress readiness;
+    std::string readinessPath;
+    HttpAddress metricsAddress; ///< Port 0: metrics are not served.
+    std::vector<InstanceId> seeds;
+    Duration grace = std::chrono::seconds(8); ///< From SIGTERM until the process is killed.
+    /// Reads a declaration in the form in which the registry keeps it.
+    std::function<Result<Declaration>(const StoredContent &)> parseDeclaration;
+    RelayOptions relay;
+};
+
+/// An entry process on declared routes: callers' and readiness servers, the relay, and its feed
+/// from the registry. Used on one thread.
+class RelayNode
+{
+public:
+    RelayNode(boost::asio::any_io_executor executor, RelayNodeOptions options);
+    ~RelayNode();
+    RelayNode(const RelayNode &) = delete;
+    RelayNode &operator=(const RelayNode &) = delete;
+
+    /// Binds the servers; an error when an address can't be bound.
+    Result<bool> start();
+    void setSeeds(std::vector<InstanceId> seeds);
+    /// Stops being ready, answers what comes, and calls @p done before the grace is over.
+    void drain(std::function<void()> done);
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace gentianramp
--- a/include/gentianramp/wire/mesh.hpp
+++ b/include/gentianramp/wire/mesh.hpp
@@ -28,6 +28,7 @@
     Notice = 9,
     Operator = 10,
     OperatorAnswer = 11,
+    Registry = 12,
 };
 
 /// CURVE key pair, both parts 40 characters of Z85.
@@ -71,6 +72,10 @@
     InstanceId instance;
     Incarnation incarnation; ///< Larger than in any earlier life, for example wall-clock ms.
     std::string endpoint;    ///< Bound; empty for processes that only connect.
+    /// False where the platform hands out no keys: nothing is encrypted, `keys`, `peers` and
+    /// `operatorKeys` are not used, and a peer's name is its address ("10.0.0.1:7380"). The
+    /// incarnation is then a random number.
+    bool keyed = true;
     CurveKeyPair keys;
     std::vector<MeshPeer> peers;
     /// Public keys that may send PayloadKind::Operator and nothing else.
@@ -101,6 +106,9 @@
     /// Replaces the known peers and operators; a connection stays while its
     /// peer keeps the address and the key that the connection was made with.
     void setPeers(std::vector<MeshPeer> peers, std::vector<std::string> operatorKeys);
+    /// Drops the connection to @p peer, which may have gone silent; the next message makes a new
+    /// one.
+    void reconnect(const InstanceId &peer);
     /// Fault injection: drops all traffic with these peers.
     void setBlocked(std::vector<InstanceId> peers);
 
--- a/src/gentianramp/control/control_node.cpp
+++ b/src/gentianramp/control/control_node.cpp
@@ -1,7 +1,7 @@
 #include <gentianramp/control/control_node.hpp>
 
 #include "control_pages.hpp"
-#include "ledger_driver.hpp"
+#include <gentianramp/control/ledger_driver.hpp>
 #include "operator_service.hpp"
 
 #include <boost/asio/co_spawn.hpp>
--- a/src/gentianramp/control/ledger_driver.cpp
+++ b/src/gentianramp/control/ledger_driver.cpp
@@ -1,4 +1,4 @@
-#include "ledger_driver.hpp"
+#include <gentianramp/control/ledger_driver.hpp>
 
 #include <utility>
 
--- a/src/gentianramp/control/operator_answers.hpp
+++ b/src/gentianramp/control/operator_answers.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ledger_driver.hpp"
+#include <gentianramp/control/ledger_driver.hpp>
 
 #include <gentianramp/control/generated/operator.pb.h>
 #include <gentianramp/ledger/configuration_spread.hpp>
--- a/src/gentianramp/control/operator_service.hpp
+++ b/src/gentianramp/control/operator_service.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ledger_driver.hpp"
+#include <gentianramp/control/ledger_driver.hpp>
 
 #include <functional>
 #include <gentianramp/control/control_node.hpp>
--- a/src/gentianramp/core/log.cpp
+++ b/src/gentianramp/core/log.cpp
@@ -1,7 +1,13 @@
 #include <gentianramp/core/log.hpp>
 
+#include "log_buffer.hpp"
+
 #include <ctime>
+#include <fcntl.h>
+#include <gentianramp/core/clock.hpp>
 #include <glog/logging.h>
+#include <memory>
+#include <unistd.h>
 
 namespace gentianramp {
 
@@ -80,7 +86,62 @@
     , value(std::to_string(value))
 { }
 
-void startLogging(const std::string &name)
+namespace {
+
+/// Writes to standard output without waiting; returns the bytes taken.
+std::size_t writeStandardOutput(std::string_view bytes)
+{
+    const ssize_t written = ::write(STDOUT_FILENO, bytes.data(), bytes.size());
+    return written > 0 ? static_cast<std::size_t>(written) : 0;
+}
+
+/// glog's way to the bounded buffer.
+class BufferSink : public google::LogSink
+{
+public:
+    explicit BufferSink(const LogBounds &bounds)
+        : m_buffer(bounds, writeStandardOutput)
+    { }
+
+    void send(google::LogSeverity severity, const char *, const char *, int,
+              const google::LogMessageTime &, const char *message, std::size_t length) override
+    {
+        const TimePoint now = RuntimeClock::now();
+        std::string line = "time_ms=" + std::to_string(wallClockMs())
+            + " mono_ms=" + std::to_string(toMilliseconds(now.time_since_epoch()))
+            + " level=" + google::GetLogSeverityName(severity)[0] + " event=";
+        line.append(message, length);
+        line += '\n';
+        m_buffer.add(std::move(line), now);
+    }
+
+    LogBuffer &buffer() { return m_buffer; }
+
+private:
+    LogBuffer m_buffer;
+};
+
+std::unique_ptr<BufferSink> &bufferSink()
+{
+    static std::unique_ptr<BufferSink> sink;
+    return sink;
+}
+
+void sendToStandardOutput(const LogBounds &bounds)
+{
+    FLAGS_logtostderr = false;
+    FLAGS_stderrthreshold = google::NUM_SEVERITIES;
+    for (int severity = 0; severity < google::NUM_SEVERITIES; ++severity)
+        google::SetLogDestination(severity, "");
+    // A reader that stops must not stop this process.
+    fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+    bufferSink() = std::make_unique<BufferSink>(bounds);
+    google::AddLogSink(bufferSink().get());
+}
+
+} // namespace
+
+void startLogging(const std::string &name, LogTarget target, const LogBounds &bounds)
 {
     static std::string programName;
     programName = name;
@@ -88,6 +149,19 @@
     // The C library sets up its time zone at the first use; do it before other threads log.
     tzset();
     google::InitGoogleLogging(programName.c_str());
+    if (target == LogTarget::StandardOutput)
+        sendToStandardOutput(bounds);
+}
+
+void flushLog()
+{
+    if (bufferSink())
+        bufferSink()->buffer().flush();
+}
+
+std::uint64_t droppedLogLines()
+{
+    return bufferSink() ? bufferSink()->buffer().dropped() : 0;
 }
 
 void logInfo(std::string_view event, std::initializer_list<LogField> fields)
--- /dev/null
+++ b/src/gentianramp/declaration/declaration.cpp
@@ -0,0 +1,49 @@
+#include <gentianramp/declaration/declaration.hpp>
+
+#include <set>
+#include <utility>
+
+namespace gentianramp {
+
+namespace {
+
+void checkRoute(const Route &route, const std::set<std::string> &services,
+                std::vector<std::string> &faults)
+{
+    if (route.timeout <= Duration::zero())
+        faults.push_back("route " + route.name + " has no timeout");
+    if (!route.pathPrefix.starts_with('/') || !route.pathPrefix.ends_with('/'))
+        faults.push_back("the path prefix of route " + route.name
+                         + " does not begin and end with a slash");
+    double weights = 0;
+    for (const ServiceShare &share : route.shares) {
+        weights += share.weight;
+        if (!services.contains(share.service))
+            faults.push_back("route " + route.name + " names the unknown service " + share.service);
+        if (share.weight < 0)
+            faults.push_back("route " + route.name + " has a negative weight");
+    }
+    if (weights <= 0)
+        faults.push_back("the weights of route " + route.name + " add up to 0");
+}
+
+} // namespace
+
+std::vector<std::string> declarationFaults(const Declaration &declaration)
+{
+    std::vector<std::string> faults;
+    std::set<std::string> services;
+    for (const DeclaredService &service : declaration.services) {
+        if (!services.insert(service.name).second)
+            faults.push_back("service " + service.name + " is declared twice");
+    }
+    std::set<std::pair<std::string, std::string>> places;
+    for (const Route &route : declaration.routes) {
+        checkRoute(route, services, faults);
+        if (!places.emplace(route.host, route.pathPrefix).second)
+            faults.push_back("route " + route.name + " has the host and prefix of another route");
+    }
+    return faults;
+}
+
+} // namespace gentianramp
--- a/src/gentianramp/http/client_exchange.cpp
+++ b/src/gentianramp/http/client_exchange.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 
 namespace gentianramp {
 
@@ -14,14 +15,44 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 
+namespace {
+
+/// A longer request is sent beside reading, since servers may answer before they have read it.
+constexpr std::size_t WholeWriteBytes = 16 * 1024;
+constexpr int MaxSkippedAnswers = 3;
+constexpr Duration KeepAliveMargin = std::chrono::milliseconds(500);
+
+/// Time that "Keep-Alive: timeout=N" grants an idle connection.
+std::optional<Duration> keepAliveTime(std::string_view value)
+{
+    const std::size_t at = value.find("timeout=");
+    int seconds = 0;
+    if (at == std::string_view::npos
+        || std::from_chars(value.data() + at + 8, value.data() + value.size(), seconds).ec
+            != std::errc{})
+        return std::nullopt;
+    return std::chrono::seconds(seconds) - KeepAliveMargin;
+}
+
+} // namespace
+
 ClientExchange::ClientExchange(HttpCall call, const HttpClientOptions &options,
                                std::shared_ptr<ConnectionPool> pool)
     : m_call(std::move(call))
     , m_pool(std::move(pool))
+    , m_maxHeaderBytes(options.maxHeaderBytes)
 {
-    m_parser.header_limit(options.maxHeaderBytes);
-    m_parser.body_limit(m_call.maxBodyBytes);
-    m_parser.eager(true);
+    newParser();
+}
+
+void ClientExchange::newParser()
+{
+    m_parser.emplace();
+    m_parser->header_limit(m_maxHeaderBytes);
+    m_parser->body_limit(m_call.maxBodyBytes);
+    m_parser->eager(true);
+    if (m_call.request.method == "HEAD")
+        m_parser->skip(true);
 }
 
 ClientExchange::~ClientExchange()
@@ -70,9 +101,11 @@
 
 asio::awaitable<std::error_code> ClientExchange::writeRequest()
 {
-    const std::string text = requestText();
+    std::string text = requestText();
     if (m_call.mayStart && !m_call.mayStart())
         co_return make_error_code(Error::ConnectionRefused);
+    if (text.size() > WholeWriteBytes)
+        co_return co_await writeBeside(std::move(text));
     boost::system::error_code error;
     m_watchdog->expireAfter(m_call.silenceTimeout);
     m_bytesWritten = true;
@@ -84,44 +117,106 @@
     co_return m_bytesWritten ? failure(error) : make_error_code(Error::ConnectionRefused);
 }
 
+asio::awaitable<std::error_code> ClientExchange::writeBeside(std::string text)
+{
+    const auto kept = std::make_shared<std::string>(std::move(text));
+    m_bytesWritten = true;
+    m_writing = true;
+    asio::async_write(*m_socket, asio::buffer(*kept),
+                      [self = shared_from_this(), kept](const boost::system::error_code &error,
+                                                        std::size_t) {
+                          self->m_writing = false;
+                          self->m_writeFailed = static_cast<bool>(error);
+                      });
+    co_return std::error_code();
+}
+
 asio::awaitable<std::error_code> ClientExchange::readHead()
+{
+    for (int skipped = 0; skipped <= MaxSkippedAnswers; ++skipped) {
+        std::error_code error = co_await readOneHead();
+        if (error)
+            co_return error;
+        if (!answersEarlierRequest()) {
+            if (m_parser->is_done())
+                finish();
+            co_return std::error_code();
+        }
+        error = co_await skipBody();
+        if (error)
+            co_return error;
+        newParser();
+    }
+    co_return failure(asio::error::make_error_code(asio::error::invalid_argument));
+}
+
+asio::awaitable<std::error_code> ClientExchange::readOneHead()
 {
     boost::system::error_code error;
     m_watchdog->expireAfter(m_call.headTimeout);
-    if (m_call.request.method == "HEAD")
-        m_parser.skip(true);
-    co_await http::async_read_header(*m_socket, m_buffer, m_parser,
+    co_await http::async_read_header(*m_socket, m_buffer, *m_parser,
                                      asio::redirect_error(asio::use_awaitable, error));
     m_watchdog->pause();
     if (error)
         co_return failure(error);
-    m_status = m_parser.get().result_int();
-    for (const auto &field : m_parser.get())
+    m_status = m_parser->get().result_int();
+    m_headers = {};
+    for (const auto &field : m_parser->get())
         m_headers.add(std::string(field.name_string()), std::string(field.value()));
-    if (m_parser.is_done())
-        finish();
     co_return std::error_code();
 }
 
+/// True for a late answer to a request that was sent before on the same connection.
+bool ClientExchange::answersEarlierRequest() const
+{
+    if (m_call.echo.name.empty())
+        return false;
+    const std::string_view echoed = m_headers.find(m_call.echo.name);
+    return !echoed.empty() && echoed != m_call.echo.value;
+}
+
+asio::awaitable<std::error_code> ClientExchange::skipBody()
+{
+    while (!m_parser->is_done()) {
+        std::size_t got = 0;
+        const boost::system::error_code error = co_await readSome(got);
+        if (error)
+            co_return failure(error);
+    }
+    if (!m_parser->get().keep_alive())
+        co_return failure(asio::error::make_error_code(asio::error::eof));
+    co_return std::error_code();
+}
+
+/// Reads the next bytes of the body into m_piece.
+asio::awaitable<boost::system::error_code> ClientExchange::readSome(std::size_t &got)
+{
+    m_piece.resize(PieceBytes);
+    auto &body = m_parser->get().body();
+    body.data = m_piece.data();
+    body.size = m_piece.size();
+    boost::system::error_code error;
+    m_watchdog->expireAfter(m_call.silenceTimeout);
+    co_await http::async_read_some(*m_socket, m_buffer, *m_parser,
+                                   asio::redirect_error(asio::use_awaitable, error));
+    m_watchdog->pause();
+    if (error == http::error::need_buffer)
+        error = {};
+    got = m_piece.size() - body.size;
+    co_return error;
+}
+
 asio::awaitable<Result<std::string_view>> ClientExchange::readPiece()
 {
     const auto self = shared_from_this();
-    m_piece.resize(PieceBytes);
     while (!m_complete) {
         if (m_cancelled || !m_socket || !m_socket->is_open())
             co_return Result<std::string_view>(failure(asio::error::operation_aborted));
-        auto &body = m_parser.get().body();
-        body.data = m_piece.data();
-        body.size = m_piece.size();
-        boost::system::error_code error;
-        m_watchdog->expireAfter(m_call.silenceTimeout);
-        co_await http::async_read_some(*m_socket, m_buffer, m_parser,
-                                       asio::redirect_error(asio::use_awaitable, error));
-        m_watchdog->pause();
-        if (error && error != http::error::need_buffer)
+        std::size_t got = 0;
+        const boost::system::error_code error = co_await readSome(got);
+        if (error)
             co_return Result<std::string_view>(failure(error));
-        const std::size_t got = m_piece.size() - body.size;
-        if (m_parser.is_done())
+        if (m_parser->is_done())
             finish();
         if (got > 0)
             co_return Result<std::string_view>(std::string_view(m_piece.data(), got));
@@ -155,8 +250,9 @@
     const HttpRequest &request = m_call.request;
     std::string text;
     text.reserve(512 + request.body.size());
-    text += request.method + " " + request.target + " HTTP/1.1\r\nHost: " + m_call.address.host
-        + ":" + std::to_string(m_call.address.port) + "\r\n";
+    text += request.method + " " + request.target + " HTTP/1.1\r\n";
+    if (!request.headers.contains("Host"))
+        text += "Host: " + m_call.address.host + ":" + std::to_string(m_call.address.port) + "\r\n";
     for (const HttpHeader &field : request.headers.fields())
         text += field.name + ": " + field.value + "\r\n";
     if (!request.body.empty() || request.method != "GET")
@@ -187,9 +283,11 @@
 {
     m_complete = true;
     m_watchdog->stop();
-    const bool reusable = m_parser.get().keep_alive() && m_buffer.size() == 0;
+    const bool reusable = m_parser->get().keep_alive() && m_buffer.size() == 0 && !m_writing
+        && !m_writeFailed;
     if (reusable && m_socket->is_open())
-        m_pool->put(m_call.address, std::move(*m_socket));
+        m_pool->put(m_call.address, std::move(*m_socket),
+                    keepAliveTime(m_headers.find("Keep-Alive")));
     m_socket.reset();
 }
 
--- a/src/gentianramp/http/client_exchange.hpp
+++ b/src/gentianramp/http/client_exchange.hpp
@@ -37,7 +37,13 @@
 
     boost::asio::awaitable<std::error_code> connect();
     boost::asio::awaitable<std::error_code> writeRequest();
+    boost::asio::awaitable<std::error_code> writeBeside(std::string text);
     boost::asio::awaitable<std::error_code> readHead();
+    boost::asio::awaitable<std::error_code> readOneHead();
+    boost::asio::awaitable<std::error_code> skipBody();
+    boost::asio::awaitable<boost::system::error_code> readSome(std::size_t &got);
+    bool answersEarlierRequest() const;
+    void newParser();
     std::string requestText() const;
     std::error_code failure(const boost::system::error_code &error);
     void finish();
@@ -47,13 +53,16 @@
     std::optional<boost::asio::ip::tcp::socket> m_socket;
     std::shared_ptr<Watchdog> m_watchdog;
     boost::beast::flat_buffer m_buffer;
-    Parser m_parser;
+    std::optional<Parser> m_parser;
+    std::uint32_t m_maxHeaderBytes = 0;
     std::string m_piece;
     unsigned m_status = 0;
     HttpHeaders m_headers;
     bool m_cancelled = false;
     bool m_bytesWritten = false;
     bool m_complete = false;
+    bool m_writing = false; ///< A long request is being sent while its answer is awaited.
+    bool m_writeFailed = false;
 };
 
 } // namespace gentianramp
--- a/src/gentianramp/http/connection_pool.cpp
+++ b/src/gentianramp/http/connection_pool.cpp
@@ -25,7 +25,8 @@
 std::optional<tcp::socket> ConnectionPool::take(const asio::any_io_executor &executor,
                                                 const HttpAddress &address)
 {
-    const TimePoint oldest = RuntimeClock::now() - m_options.maxIdleAge;
+    const TimePoint now = RuntimeClock::now();
+    const TimePoint oldest = now - m_options.maxIdleAge;
     const std::lock_guard lock(m_mutex);
     const auto found = m_idle.find({contextOf(executor), address});
     if (found == m_idle.end())
@@ -34,21 +35,24 @@
     while (!idle.empty()) {
         Idle last = std::move(idle.back());
         idle.pop_back();
-        if (last.since >= oldest && quietAndOpen(last.socket))
+        if (last.since >= oldest && now < last.until && quietAndOpen(last.socket))
             return std::move(last.socket);
     }
     return std::nullopt;
 }
 
-void ConnectionPool::put(const HttpAddress &address, tcp::socket socket)
+void ConnectionPool::put(const HttpAddress &address, tcp::socket socket,
+                         std::optional<Duration> keepAlive)
 {
     if (!quietAndOpen(socket))
         return;
+    const TimePoint now = RuntimeClock::now();
+    const TimePoint until = keepAlive ? now + *keepAlive : TimePoint::max();
     const Key key{contextOf(socket.get_executor()), address};
     const std::lock_guard lock(m_mutex);
     std::vector<Idle> &idle = m_idle[key];
     if (idle.size() < m_options.maxIdlePerAddress)
-        idle.push_back({std::move(socket), RuntimeClock::now()});
+        idle.push_back({std::move(socket), now, until});
 }
 
 void ConnectionPool::closeOlderThan(TimePoint oldest)
--- a/src/gentianramp/http/connection_pool.hpp
+++ b/src/gentianramp/http/connection_pool.hpp
@@ -19,7 +19,9 @@
     /// An open connection of @p executor's context, or none.
     std::optional<boost::asio::ip::tcp::socket> take(const boost::asio::any_io_executor &executor,
                                                      const HttpAddress &address);
-    void put(const HttpAddress &address, boost::asio::ip::tcp::socket socket);
+    /// Keeps @p socket; @p keepAlive is how long the server says that it keeps it.
+    void put(const HttpAddress &address, boost::asio::ip::tcp::socket socket,
+             std::optional<Duration> keepAlive = std::nullopt);
     void closeOlderThan(TimePoint oldest);
 
 private:
@@ -33,6 +35,7 @@
     {
         boost::asio::ip::tcp::socket socket;
         TimePoint since;
+        TimePoint until; ///< The server may close it afterwards.
     };
 
     HttpClientOptions m_options;
--- a/src/gentianramp/http/server.cpp
+++ b/src/gentianramp/http/server.cpp
@@ -120,6 +120,16 @@
     return port;
 }
 
+void HttpServer::setCallerBounds(std::uint32_t maxHeaderBytes, std::uint64_t maxBodyBytes,
+                                 Duration headerTimeout, Duration idleTimeout)
+{
+    HttpServerOptions &options = m_state->shared->options;
+    options.maxHeaderBytes = maxHeaderBytes;
+    options.maxBodyBytes = maxBodyBytes;
+    options.headerTimeout = headerTimeout;
+    options.idleTimeout = idleTimeout;
+}
+
 void HttpServer::closeAfterAnswers()
 {
     m_state->shared->closing = true;
--- /dev/null
+++ b/src/gentianramp/registry/backend_listing.cpp
@@ -0,0 +1,23 @@
+#include <gentianramp/registry/backend_listing.hpp>
+
+#include <algorithm>
+#include <gentianramp/ledger/configuration_delta.hpp>
+#include <sstream>
+
+namespace gentianramp {
+
+std::uint64_t listingDigest(std::vector<ListedServer> servers)
+{
+    std::sort(servers.begin(), servers.end());
+    std::ostringstream text;
+    for (const ListedServer &server : servers)
+        text << server.id << '\n'
+             << server.service << '\n'
+             << server.host << ':' << server.port << '\n'
+             << server.dataCentre << '\n'
+             << server.slots << ' ' << server.draining << ' ' << server.prefillOnly << ' '
+             << server.bornMs << ' ' << (server.coldMs > 0) << '\n';
+    return std::max<std::uint64_t>(contentDigest(text.str()), 1);
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/registry/registry_codec.hpp
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <gentianramp/registry/backend_listing.hpp>
+
+#include "gentianramp/registry/generated/registry.pb.h"
+
+namespace gentianramp {
+
+proto::BackendList toProto(const std::vector<ListedServer> &servers);
+/// Entries without a usable address are left out.
+std::vector<ListedServer> fromProto(const proto::BackendList &list);
+
+/// Splits "10.0.0.1:8080"; an empty host when the text is no address.
+std::pair<std::string, std::uint16_t> splitAddress(std::string_view text);
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -0,0 +1,169 @@
+#include <gentianramp/registry/registry_feed.hpp>
+
+#include "registry_codec.hpp"
+
+#include <algorithm>
+#include <gentianramp/core/log.hpp>
+#include <limits>
+
+namespace gentianramp {
+
+namespace {
+
+/// Registry processes that nobody heard for longer are not tried, unless they are seeds.
+constexpr Duration SourceSilence = std::chrono::seconds(10);
+constexpr std::uint32_t NeverConfirmed = std::numeric_limits<std::uint32_t>::max();
+
+} // namespace
+
+RegistryFeed::RegistryFeed(FeedOptions options, TimePoint now)
+    : m_options(std::move(options))
+    , m_call(m_options.seed)
+    , m_askDue(now)
+    , m_random(m_options.seed)
+{
+    setSeeds(m_options.seeds);
+}
+
+void RegistryFeed::setSeeds(std::vector<InstanceId> seeds)
+{
+    m_options.seeds = std::move(seeds);
+    for (const InstanceId &seed : m_options.seeds)
+        m_sources.try_emplace(seed);
+}
+
+/// The data centre's own sources first, those that failed lately last, in random order otherwise.
+InstanceId RegistryFeed::choose(TimePoint now)
+{
+    m_random = m_random * 6364136223846793005ULL + 1442695040888963407ULL;
+    const std::size_t start = m_sources.empty() ? 0 : (m_random >> 33) % m_sources.size();
+    const auto rankOf = [&](const Source &source) {
+        const TimePoint avoided = source.avoidUntil > now ? source.avoidUntil : TimePoint{};
+        return std::pair(avoided, source.dataCentre != m_options.dataCentre);
+    };
+    const InstanceId *best = nullptr;
+    std::pair<TimePoint, bool> bestRank;
+    for (std::size_t step = 0; step < m_sources.size(); ++step) {
+        auto entry = std::next(m_sources.begin(),
+                               static_cast<std::ptrdiff_t>((start + step) % m_sources.size()));
+        const auto rank = rankOf(entry->second);
+        const bool keeps = m_current == entry->first && rank == bestRank;
+        if (!best || rank < bestRank || keeps) {
+            best = &entry->first;
+            bestRank = rank;
+        }
+    }
+    return best ? *best : InstanceId();
+}
+
+void RegistryFeed::avoid(const InstanceId &source, TimePoint now)
+{
+    m_sources[source].avoidUntil = now + m_options.returnInterval;
+    m_current.reset();
+    m_askDue = now;
+}
+
+FeedOutput RegistryFeed::tick(TimePoint now)
+{
+    FeedOutput output;
+    if (m_askedAt && now - *m_askedAt >= m_options.silence) {
+        logWarning("registry_silent", {{"source", m_current->value()}});
+        Source &source = m_sources[*m_current];
+        if (std::exchange(source.answered, false))
+            output.reconnect = m_current;
+        m_askedAt.reset();
+        avoid(InstanceId(*m_current), now);
+    }
+    if (m_askedAt && now >= m_resendDue) {
+        output.askTo = m_current;
+        output.question = m_question;
+        m_resendDue = now + m_options.resendInterval;
+    }
+    if (m_askedAt || now < m_askDue || m_sources.empty())
+        return output;
+    const InstanceId target = choose(now);
+    if (m_current != target)
+        logInfo("registry_source", {{"source", target.value()}});
+    m_current = target;
+    m_askedAt = now;
+    m_askDue = now + m_options.interval;
+    proto::RegistryMessage message;
+    proto::FeedRequest &request = *message.mutable_feed();
+    request.set_call(++m_call);
+    request.set_number(m_number);
+    request.set_list_digest(m_digest);
+    output.askTo = target;
+    output.question = m_question = message.SerializeAsString();
+    m_resendDue = now + m_options.resendInterval;
+    return output;
+}
+
+FeedOutput RegistryFeed::onMessage(const InstanceId &sender, std::string_view payload,
+                                   TimePoint now)
+{
+    FeedOutput output;
+    proto::RegistryMessage message;
+    if (!message.ParseFromArray(payload.data(), static_cast<int>(payload.size()))
+        || !message.has_feed_answer()) {
+        logWarning("feed_unreadable", {{"sender", sender.value()}});
+        return output;
+    }
+    proto::FeedAnswer &answer = *message.mutable_feed_answer();
+    if (answer.call() != m_call || !m_askedAt)
+        return output; // An answer to a question that was given up.
+    const TimePoint askedAt = *m_askedAt;
+    m_askedAt.reset();
+    m_sources[sender].answered = true;
+    m_entries = std::max<std::uint32_t>(answer.entries(), 1);
+    for (const proto::RegistryMember &member : answer.known()) {
+        Source &source = m_sources[InstanceId(member.instance())];
+        source.dataCentre = DataCentreId(member.data_centre());
+    }
+    std::erase_if(m_sources, [&](const auto &entry) {
+        if (entry.first == sender
+            || std::find(m_options.seeds.begin(), m_options.seeds.end(), entry.first)
+                != m_options.seeds.end())
+            return false;
+        for (const proto::RegistryMember &member : answer.known()) {
+            if (InstanceId(member.instance()) == entry.first)
+                return std::chrono::milliseconds(member.heard_ms()) > SourceSilence;
+        }
+        return true;
+    });
+    if (answer.number() > m_number && !answer.content().empty()) {
+        m_number = answer.number();
+        output.declaration = StoredContent{answer.number(), std::move(*answer.mutable_content())};
+    }
+    const bool confirmed = answer.confirmed_ms() != NeverConfirmed && answer.number() >= m_number;
+    if (confirmed) {
+        const TimePoint at = askedAt - std::chrono::milliseconds(answer.confirmed_ms());
+        m_confirmedAt = std::max(m_confirmedAt.value_or(at), at);
+    }
+    const Duration listAge = std::chrono::milliseconds(answer.list_age_ms());
+    const TimePoint listedAt = askedAt - listAge;
+    if (answer.list_digest() != 0 && (!m_listedAt || listedAt >= *m_listedAt)) {
+        m_listedAt = listedAt;
+        if (answer.list_digest() != m_digest && answer.has_list()) {
+            m_digest = answer.list_digest();
+            output.listing = BackendListing{m_digest, listedAt, fromProto(answer.list())};
+        }
+    }
+    const bool behind = !confirmed
+        || std::chrono::milliseconds(answer.confirmed_ms()) > m_options.staleAfter
+        || answer.list_digest() == 0 || listAge > m_options.listStaleAfter;
+    if (behind)
+        avoid(sender, now);
+    return output;
+}
+
+std::optional<Duration> RegistryFeed::declarationAge(TimePoint now) const
+{
+    return m_confirmedAt ? std::optional<Duration>(now - *m_confirmedAt) : std::nullopt;
+}
+
+std::optional<Duration> RegistryFeed::listingAge(TimePoint now) const
+{
+    return m_listedAt ? std::optional<Duration>(now - *m_listedAt) : std::nullopt;
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -0,0 +1,672 @@
+#include <gentianramp/registry/registry_node.hpp>
+
+#include "registry_codec.hpp"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <gentianramp/core/log.hpp>
+#include <gentianramp/registry/member_directory.hpp>
+#include <gentianramp/registry/voter_folder.hpp>
+#include <gentianramp/wire/mesh.hpp>
+#include <limits>
+#include <random>
+
+namespace gentianramp {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// The ledger's clock; a quarter of its heartbeat.
+constexpr Duration TickInterval = std::chrono::milliseconds(60);
+constexpr Duration PresenceInterval = std::chrono::milliseconds(300);
+/// A leader that is gone is noticed after one to two of these. Operators' changes have to be
+/// acknowledged within 4 s of a stable core.
+constexpr Duration ElectionTimeout = std::chrono::milliseconds(900);
+constexpr Duration LedgerHeartbeat = std::chrono::milliseconds(225);
+/// Operators' clients give a call up after 1 s without an answer.
+constexpr Duration CallTimeout = std::chrono::milliseconds(850);
+constexpr Duration MessageTtl = std::chrono::seconds(1);
+/// Between two tries to open a data folder whose disk is full or does not answer.
+constexpr Duration FolderRetryInterval = std::chrono::milliseconds(400);
+/// A leader knows all claims after two rounds of presence.
+constexpr Duration ClaimsSettleTime = std::chrono::milliseconds(1200);
+constexpr Duration OfferInterval = std::chrono::milliseconds(500);
+/// Each process reads the list that often per known registry process, so that all together read it
+/// at a rate that does not depend on how many there are.
+constexpr Duration ListingShare = std::chrono::milliseconds(250);
+constexpr Duration ListingShortestInterval = std::chrono::milliseconds(600);
+/// For the chosen successor to win its election, one round trip and a sync.
+constexpr Duration HandOverTime = std::chrono::milliseconds(300);
+constexpr Duration LogFlushInterval = std::chrono::milliseconds(250);
+constexpr Duration EntryMemory = std::chrono::seconds(3);
+constexpr std::uint32_t NeverConfirmed = std::numeric_limits<std::uint32_t>::max();
+
+std::string seatName(unsigned number)
+{
+    return "seat-" + std::to_string(number);
+}
+
+std::uint32_t clampedMs(Duration value)
+{
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(toMilliseconds(value), 0, NeverConfirmed - 1));
+}
+
+/// Answer to a call that waits for another process.
+struct WaitingCall
+{
+    std::shared_ptr<Timer> timer;
+    std::optional<proto::RegistryMessage> answer;
+};
+
+} // namespace
+
+struct RegistryNode::State : std::enable_shared_from_this<RegistryNode::State>
+{
+    State(asio::any_io_executor given, RegistryOptions chosen)
+        : executor(std::move(given))
+        , options(std::move(chosen))
+        , directory(options.self)
+        , nextCall(options.seed)
+    {
+        directory.setSeeds(options.seeds);
+        for (unsigned number = 1; number <= options.seats; ++number)
+            seats.push_back(seatName(number));
+    }
+
+    void start()
+    {
+        MeshOptions mesh;
+        mesh.instance = options.self;
+        mesh.incarnation = Incarnation(options.seed);
+        mesh.endpoint = "tcp://" + options.self.value();
+        mesh.keyed = false;
+        mesh.metrics = options.metrics;
+        link = std::make_unique<Mesh>(std::move(mesh), [this](ReceivedMessage message) {
+            asio::post(executor, [weak = weak_from_this(), message = std::move(message)]() mutable {
+                if (const auto self = weak.lock())
+                    self->receive(std::move(message));
+            });
+        });
+        openFolderWhenDue(RuntimeClock::now());
+        asio::co_spawn(executor, run(), asio::detached);
+        asio::co_spawn(executor, pollListing(), asio::detached);
+    }
+
+    asio::awaitable<void> run()
+    {
+        const auto self = shared_from_this();
+        while (!stopping) {
+            const TimePoint now = RuntimeClock::now();
+            dropFailedLedger();
+            openFolderWhenDue(now);
+            if (ledger)
+                ledger->tick(now);
+            if (now >= presenceDue) {
+                presenceDue = now + PresenceInterval;
+                sendPresence(now);
+            }
+            if (leads() && now >= offersDue) {
+                offersDue = now + OfferInterval;
+                assign(now);
+            }
+            if (now >= flushDue) {
+                flushDue = now + LogFlushInterval;
+                flushLog();
+            }
+            co_await sleepFor(TickInterval);
+        }
+    }
+
+    // Data folder and ledger
+
+    void openFolderWhenDue(TimePoint now)
+    {
+        if (ledger || now < folderDue)
+            return;
+        folderDue = now + FolderRetryInterval;
+        Result<Disk> opened = openFolder(options.dataFolder);
+        if (!opened)
+            return logWarning("data_folder_unusable", {{"reason", opened.message()}});
+        disk = std::move(opened).value();
+        Result<std::string> found = readSeat(*disk);
+        if (!found)
+            return logWarning("data_folder_unreadable", {{"reason", found.message()}});
+        seat = std::move(found).value();
+        if (seat.empty())
+            foundSeat();
+        if (!seat.empty())
+            startLedger(now);
+        else
+            folderDue = TimePoint::max(); // A spare has nothing to open until it gets a seat.
+    }
+
+    /// At the first start of the system the seeds take the first seats, in the order of their names.
+    void foundSeat()
+    {
+        if (!options.firstStart || everSeated)
+            return;
+        std::vector<InstanceId> founders = options.seeds;
+        std::sort(founders.begin(), founders.end());
+        const auto own = std::find(founders.begin(), founders.end(), options.self);
+        const std::size_t index = own - founders.begin();
+        if (own == founders.end() || index >= seats.size())
+            return;
+        takeSeat(seats[index], true);
+    }
+
+    void takeSeat(const std::string &name, bool founding)
+    {
+        if (const std::error_code error = prepareSeat(*disk, name, founding, newSeed())) {
+            logWarning("seat_not_prepared", {{"seat", name}, {"error", error.message()}});
+            return;
+        }
+        seat = name;
+        everSeated = true;
+        logInfo("seat_taken", {{"seat", name}, {"founding", founding ? "yes" : "no"}});
+    }
+
+    void startLedger(TimePoint now)
+    {
+        everSeated = true;
+        ReplicaOptions replica;
+        replica.self = InstanceId(seat);
+        replica.heartbeatInterval = LedgerHeartbeat;
+        replica.electionTimeout = ElectionTimeout;
+        replica.seed = newSeed();
+        for (const std::string &name : seats)
+            replica.voters.emplace_back(name);
+        DeclarationHooks hooks;
+        hooks.send = [this](const InstanceId &to, std::string payload) {
+            sendToSeat(to.value(), std::move(payload));
+        };
+        hooks.inForce = [](const StoredContent &declaration) {
+            logInfo("declaration_in_force", {{"number", declaration.number}});
+        };
+        hooks.leadership = [this](bool nowLeads, Term term) {
+            logInfo(nowLeads ? "leadership_gained" : "leadership_lost",
+                    {{"seat", seat}, {"term", term.value()}});
+            claimsDue = RuntimeClock::now() + ClaimsSettleTime;
+            presenceDue = {};
+        };
+        hooks.storageFailed = [this](const std::string &reason) {
+            logError("storage_failed", {{"seat", seat}, {"reason", reason}});
+            storageFailed = true;
+        };
+        storageFailed = false;
+        auto started = std::make_unique<DeclarationLedger>(replica, *disk, hooks);
+        const Result<bool> result = started->start(now);
+        if (!result || storageFailed) {
+            logWarning("ledger_not_opened", {{"seat", seat}, {"reason", result.message()}});
+            storageFailed = false;
+            return;
+        }
+        ledger = std::move(started);
+        logInfo("ledger_opened",
+                {{"seat", seat},
+                 {"number", ledger->held().number},
+                 {"last_index", ledger->replica().lastIndex().value()}});
+    }
+
+    /// The disk is tried again later; what was written before is read again from it.
+    void dropFailedLedger()
+    {
+        if (!storageFailed)
+            return;
+        storageFailed = false;
+        ledger.reset();
+        folderDue = RuntimeClock::now() + FolderRetryInterval;
+    }
+
+    void releaseSeat()
+    {
+        logInfo("seat_released", {{"seat", seat}});
+        ledger.reset();
+        seat.clear();
+        folderDue = TimePoint::max();
+        if (const std::error_code error = emptyFolder(*disk)) {
+            logWarning("data_folder_not_emptied", {{"error", error.message()}});
+            folderDue = RuntimeClock::now() + FolderRetryInterval;
+        }
+    }
+
+    bool leads() const { return ledger && ledger->leads(); }
+
+    // Messages
+
+    void send(const InstanceId &to, const proto::RegistryMessage &message)
+    {
+        link->send(to, PayloadKind::Registry, message.SerializeAsString(), MessageTtl);
+    }
+
+    void answer(const ReceivedMessage &received, const proto::RegistryMessage &message)
+    {
+        link->reply(received.replyRoute, PayloadKind::Registry, message.SerializeAsString(),
+                    MessageTtl);
+    }
+
+    void receive(ReceivedMessage received)
+    {
+        proto::RegistryMessage message;
+        if (received.kind != PayloadKind::Registry || !message.ParseFromString(received.payload)) {
+            logWarning("message_unreadable", {{"sender", received.sender.value()}});
+            return;
+        }
+        const TimePoint now = RuntimeClock::now();
+        switch (message.body_case()) {
+        case proto::RegistryMessage::kPresence:
+            return notePresence(received.sender, message.presence(), now);
+        case proto::RegistryMessage::kSeat:
+            return receiveSeatMessage(received.sender, message.seat(), now);
+        case proto::RegistryMessage::kOffer:
+            return receiveOffer(message.offer(), now);
+        case proto::RegistryMessage::kRelease:
+            return receiveRelease(message.release());
+        case proto::RegistryMessage::kDeclare:
+            return receiveDeclare(received, message.declare());
+        case proto::RegistryMessage::kRead:
+            return receiveRead(received, message.read());
+        case proto::RegistryMessage::kFeed:
+            return receiveFeed(received, message.feed(), now);
+        case proto::RegistryMessage::kDeclareAnswer:
+            return finishCall(message.declare_answer().call(), message);
+        case proto::RegistryMessage::kReadAnswer:
+            return finishCall(message.read_answer().call(), message);
+        case proto::RegistryMessage::kFeedAnswer:
+        case proto::RegistryMessage::BODY_NOT_SET:
+            return;
+        }
+    }
+
+    // Members and seats
+
+    void sendPresence(TimePoint now)
+    {
+        directory.expire(now);
+        std::erase_if(entries, [&](const auto &entry) { return now - entry.second > EntryMemory; });
+        proto::RegistryMessage message;
+        proto::Presence &presence = *message.mutable_presence();
+        presence.set_data_centre(options.dataCentre.value());
+        presence.set_seat(ledger ? seat : std::string());
+        presence.set_folder(ledger ? ledger->replica().identity() : 0);
+        presence.set_entries(static_cast<std::uint32_t>(entries.size()));
+        presence.set_leads(leads());
+        presence.set_term(ledger ? ledger->replica().term().value() : 0);
+        addKnown(*presence.mutable_known(), now);
+        for (const InstanceId &member : directory.contacts())
+            send(member, message);
+    }
+
+    void addKnown(google::protobuf::RepeatedPtrField<proto::RegistryMember> &list,
+                  TimePoint now) const
+    {
+        for (const KnownMember &member : directory.known(now)) {
+            proto::RegistryMember &entry = *list.Add();
+            entry.set_instance(member.instance.value());
+            entry.set_data_centre(member.dataCentre.value());
+            entry.set_heard_ms(clampedMs(member.silence));
+        }
+    }
+
+    void notePresence(const InstanceId &sender, const proto::Presence &presence, TimePoint now)
+    {
+        directory.noteState(sender,
+                            {.dataCentre = DataCentreId(presence.data_centre()),
+                             .seat = presence.seat(),
+                             .folder = presence.folder(),
+                             .leads = presence.leads(),
+                             .term = presence.term(),
+                             .entries = presence.entries()},
+                            now);
+        for (const proto::RegistryMember &member : presence.known())
+            directory.noteKnown(InstanceId(member.instance()), DataCentreId(member.data_centre()),
+                                std::chrono::milliseconds(member.heard_ms()), now);
+    }
+
+    std::vector<SeatView> seatViews() const
+    {
+        std::vector<SeatView> views;
+        for (const VoterView &voter : ledger->replica().voters())
+            views.push_back({voter.instance.value(), voter.identity});
+        return views;
+    }
+
+    SeatView seatView(const std::string &name) const
+    {
+        for (const SeatView &view : seatViews()) {
+            if (view.seat == name)
+                return view;
+        }
+        return {name, 0};
+    }
+
+    void sendToSeat(const std::string &to, std::string payload)
+    {
+        const std::vector<SeatClaim> claims = directory.claims(RuntimeClock::now());
+        const SeatClaim *holder = holderOf(ledger ? seatView(to) : SeatView{to, 0}, claims);
+        if (!holder)
+            return;
+        proto::RegistryMessage message;
+        message.mutable_seat()->set_from_seat(seat);
+        message.mutable_seat()->set_to_seat(to);
+        message.mutable_seat()->set_ledger(std::move(payload));
+        send(holder->instance, message);
+    }
+
+    void receiveSeatMessage(const InstanceId &sender, const proto::SeatMessage &message,
+                            TimePoint now)
+    {
+        if (!ledger || message.to_seat() != seat)
+            return;
+        const std::vector<SeatClaim> claims = directory.claims(now);
+        const SeatClaim *holder = holderOf(seatView(message.from_seat()), claims);
+        if (holder && holder->instance == sender)
+            ledger->onMessage(InstanceId(message.from_seat()), message.ledger(), now);
+    }
+
+    void assign(TimePoint now)
+    {
+        std::vector<SeatClaim> claims = directory.claims(now);
+        for (const SeatClaim &claim : claims) {
+            if (!claim.seat.empty() && claim.folder == seatView(claim.seat).admittedFolder)
+                lastHolders[claim.seat] = claim.instance;
+        }
+        if (now < claimsDue)
+            return;
+        claims.push_back({options.self, options.dataCentre, seat, ledger->replica().identity(), {}});
+        const SeatChanges changes = assignSeats(seatViews(), claims, lastHolders);
+        for (const SeatChange &change : changes.offers) {
+            logInfo("seat_offered", {{"seat", change.seat}, {"to", change.instance.value()}});
+            proto::RegistryMessage message;
+            message.mutable_offer()->set_seat(change.seat);
+            send(change.instance, message);
+        }
+        for (const SeatChange &change : changes.releases) {
+            const auto claim
+                = std::find_if(claims.begin(), claims.end(), [&](const SeatClaim &entry) {
+                      return entry.instance == change.instance;
+                  });
+            proto::RegistryMessage message;
+            message.mutable_release()->set_seat(change.seat);
+            message.mutable_release()->set_folder(claim->folder);
+            send(change.instance, message);
+        }
+    }
+
+    void receiveOffer(const proto::SeatOffer &offer, TimePoint now)
+    {
+        if (!seat.empty() || !disk
+            || std::find(seats.begin(), seats.end(), offer.seat()) == seats.end())
+            return;
+        takeSeat(offer.seat(), false);
+        if (!seat.empty())
+            startLedger(now);
+        folderDue = now + FolderRetryInterval;
+        presenceDue = {};
+    }
+
+    void receiveRelease(const proto::SeatRelease &release)
+    {
+        if (ledger && release.seat() == seat && release.folder() == ledger->replica().identity())
+            releaseSeat();
+    }
+
+    // Declarations
+
+    std::optional<InstanceId> leader(TimePoint now) const { return directory.leader(now); }
+
+    void receiveDeclare(const ReceivedMessage &received, const proto::DeclareRequest &request)
+    {
+        declareHere({request.number(), request.content()},
+                    [this, received, call = request.call()](bool accepted) {
+                        proto::RegistryMessage message;
+                        message.mutable_declare_answer()->set_call(call);
+                        message.mutable_declare_answer()->set_accepted(accepted);
+                        answer(received, message);
+                    });
+    }
+
+    void declareHere(StoredContent declaration, DeclareHook done)
+    {
+        if (!ledger)
+            return done(false);
+        ledger->declare(std::move(declaration), std::move(done), RuntimeClock::now());
+    }
+
+    void receiveRead(const ReceivedMessage &received, const proto::ReadRequest &request)
+    {
+        readHere([this, received, call = request.call()](std::optional<StoredContent> newest) {
+            proto::RegistryMessage message;
+            proto::ReadAnswer &read = *message.mutable_read_answer();
+            read.set_call(call);
+            read.set_certain(newest.has_value());
+            if (newest) {
+                read.set_number(newest->number);
+                read.set_content(newest->content);
+            }
+            answer(received, message);
+        });
+    }
+
+    void readHere(std::function<void(std::optional<StoredContent>)> done)
+    {
+        if (!leads())
+            return done(std::nullopt);
+        ledger->readNewest(std::move(done), RuntimeClock::now());
+    }
+
+    asio::awaitable<bool> declare(StoredContent declaration)
+    {
+        const auto self = shared_from_this();
+        if (leads() || (ledger && declaration.number <= ledger->held().number)) {
+            const auto accepted = std::make_shared<std::optional<bool>>();
+            const auto done = std::make_shared<Timer>(executor, CallTimeout);
+            declareHere(std::move(declaration), [accepted, done](bool value) {
+                *accepted = value;
+                done->cancel();
+            });
+            if (!*accepted)
+                co_await waitFor(*done);
+            co_return accepted->value_or(false);
+        }
+        proto::RegistryMessage message;
+        const std::uint64_t call = ++nextCall;
+        message.mutable_declare()->set_call(call);
+        message.mutable_declare()->set_number(declaration.number);
+        message.mutable_declare()->set_content(std::move(declaration.content));
+        const std::optional<proto::RegistryMessage> answered
+            = co_await callLeader(call, std::move(message));
+        co_return answered && answered->declare_answer().accepted();
+    }
+
+    asio::awaitable<std::optional<StoredContent>> readNewest()
+    {
+        const auto self = shared_from_this();
+        if (leads()) {
+            struct Read
+            {
+                bool answered = false;
+                std::optional<StoredContent> newest;
+            };
+            const auto read = std::make_shared<Read>();
+            const auto done = std::make_shared<Timer>(executor, CallTimeout);
+            readHere([read, done](std::optional<StoredContent> newest) {
+                *read = {true, std::move(newest)};
+                done->cancel();
+            });
+            if (!read->answered)
+                co_await waitFor(*done);
+            co_return read->newest;
+        }
+        proto::RegistryMessage message;
+        const std::uint64_t call = ++nextCall;
+        message.mutable_read()->set_call(call);
+        const auto answered = co_await callLeader(call, std::move(message));
+        if (!answered || !answered->read_answer().certain())
+            co_return std::nullopt;
+        StoredContent newest{answered->read_answer().number(), answered->read_answer().content()};
+        co_return newest;
+    }
+
+    static asio::awaitable<void> waitFor(Timer &timer)
+    {
+        boost::system::error_code cancelled; // Cancelling is how an answer ends the wait.
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+    }
+
+    asio::awaitable<std::optional<proto::RegistryMessage>> callLeader(std::uint64_t call,
+                                                                     proto::RegistryMessage message)
+    {
+        const std::optional<InstanceId> to = leader(RuntimeClock::now());
+        if (!to)
+            co_return std::nullopt;
+        const auto waiting = std::make_shared<WaitingCall>();
+        waiting->timer = std::make_shared<Timer>(executor, CallTimeout);
+        calls[call] = waiting;
+        send(*to, message);
+        co_await waitFor(*waiting->timer);
+        calls.erase(call);
+        if (!waiting->answer)
+            logWarning("leader_silent", {{"leader", to->value()}});
+        co_return std::move(waiting->answer);
+    }
+
+    void finishCall(std::uint64_t call, proto::RegistryMessage &message)
+    {
+        const auto found = calls.find(call);
+        if (found == calls.end())
+            return;
+        found->second->answer = std::move(message);
+        found->second->timer->cancel();
+    }
+
+    // Feed
+
+    void receiveFeed(const ReceivedMessage &received, const proto::FeedRequest &request,
+                     TimePoint now)
+    {
+        entries[received.sender] = now;
+        proto::RegistryMessage message;
+        proto::FeedAnswer &feed = *message.mutable_feed_answer();
+        feed.set_call(request.call());
+        feed.set_confirmed_ms(confirmedMs(now));
+        if (ledger) {
+            feed.set_number(ledger->held().number);
+            if (ledger->held().number > request.number())
+                feed.set_content(ledger->held().content);
+        }
+        feed.set_list_digest(listing.digest);
+        if (listing.digest != 0) {
+            feed.set_list_age_ms(clampedMs(now - listing.takenAt));
+            if (listing.digest != request.list_digest())
+                *feed.mutable_list() = toProto(listing.servers);
+        }
+        addKnown(*feed.mutable_known(), now);
+        feed.set_entries(static_cast<std::uint32_t>(entries.size())
+                         + directory.entriesElsewhere(now));
+        answer(received, message);
+    }
+
+    std::uint32_t confirmedMs(TimePoint now) const
+    {
+        if (!ledger)
+            return NeverConfirmed;
+        const std::optional<TimePoint> contact = ledger->replica().leaderContact();
+        return contact && ledger->replica().leader() ? clampedMs(now - *contact) : NeverConfirmed;
+    }
+
+    asio::awaitable<void> pollListing()
+    {
+        const auto self = shared_from_this();
+        while (!stopping) {
+            const TimePoint began = RuntimeClock::now();
+            Result<std::vector<ListedServer>> servers = co_await options.listing();
+            if (servers) {
+                const std::uint64_t digest = listingDigest(*servers);
+                if (digest != listing.digest)
+                    logInfo("backend_list_changed",
+                            {{"servers", servers->size()}, {"digest", digest}});
+                listing = {digest, began, std::move(servers).value()};
+            } else {
+                logWarning("backend_list_unavailable", {{"error", servers.error().message()},
+                                                        {"reason", servers.message()}});
+            }
+            const Duration interval = std::max<Duration>(
+                ListingShare * (directory.contacts().size() + 1), ListingShortestInterval);
+            co_await sleepFor(interval - std::min(interval, RuntimeClock::now() - began));
+        }
+    }
+
+    std::uint64_t newSeed() const
+    {
+        std::random_device device;
+        return (static_cast<std::uint64_t>(device()) << 32) | device();
+    }
+
+    asio::any_io_executor executor;
+    RegistryOptions options;
+    std::vector<std::string> seats;
+    MemberDirectory directory;
+    std::map<InstanceId, TimePoint> entries; ///< Entry processes and when they asked last.
+    std::optional<Disk> disk;
+    std::string seat; ///< Empty: a spare.
+    bool everSeated = false;
+    std::unique_ptr<DeclarationLedger> ledger;
+    bool storageFailed = false;
+    TimePoint folderDue{};
+    TimePoint presenceDue{};
+    TimePoint flushDue{};
+    TimePoint offersDue{};
+    TimePoint claimsDue{};
+    std::map<std::string, InstanceId> lastHolders;
+    BackendListing listing;
+    std::uint64_t nextCall;
+    std::map<std::uint64_t, std::shared_ptr<WaitingCall>> calls;
+    bool stopping = false;
+    std::unique_ptr<Mesh> link; ///< Last, so that its thread ends first.
+};
+
+RegistryNode::RegistryNode(asio::any_io_executor executor, RegistryOptions options)
+    : m_state(std::make_shared<State>(std::move(executor), std::move(options)))
+{ }
+
+RegistryNode::~RegistryNode()
+{
+    m_state->stopping = true;
+    m_state->link.reset();
+}
+
+void RegistryNode::start()
+{
+    m_state->start();
+}
+
+void RegistryNode::setSeeds(std::vector<InstanceId> seeds)
+{
+    m_state->directory.setSeeds(std::move(seeds));
+}
+
+asio::awaitable<bool> RegistryNode::declare(StoredContent declaration)
+{
+    return m_state->declare(std::move(declaration));
+}
+
+asio::awaitable<std::optional<StoredContent>> RegistryNode::readNewest()
+{
+    return m_state->readNewest();
+}
+
+void RegistryNode::shutdown(std::function<void()> done)
+{
+    if (m_state->ledger)
+        m_state->ledger->handOver(RuntimeClock::now());
+    const auto timer = std::make_shared<Timer>(m_state->executor, HandOverTime);
+    timer->async_wait([timer, done = std::move(done)](const boost::system::error_code &) { done(); });
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -0,0 +1,143 @@
+#include "relay_state.hpp"
+
+#include "relay_run.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <gentianramp/core/log.hpp>
+
+namespace gentianramp {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// An engine answers the question for its state without a slot, in a few milliseconds.
+constexpr Duration VerifyTimeout = std::chrono::milliseconds(250);
+/// A silent backend server is asked again that often until it answers or is no longer listed.
+constexpr Duration VerifyInterval = std::chrono::milliseconds(500);
+/// Idle connections to backend servers: below the shortest idle time-out that they were seen with.
+constexpr Duration IdleAge = std::chrono::seconds(4);
+
+HttpClientOptions clientOptions()
+{
+    HttpClientOptions options;
+    options.maxIdleAge = IdleAge;
+    options.maxIdlePerAddress = 8;
+    return options;
+}
+
+} // namespace
+
+RelayMetrics::RelayMetrics(MetricsRegistry &registry)
+    : requests(registry.counter("gentianramp_relay_requests_total", "Requests read"))
+    , served(registry.counter("gentianramp_relay_served_total", "Answers of backend servers"))
+    , refused(registry.counter("gentianramp_relay_refused_total", "Refused, not run"))
+    , failed(registry.counter("gentianramp_relay_failed_total", "Failed, may have run"))
+    , repeats(registry.counter("gentianramp_relay_repeats_total", "Sent again"))
+    , resumes(registry.counter("gentianramp_relay_resumes_total", "Streams gone on with"))
+    , callersGone(registry.counter("gentianramp_relay_callers_gone_total", "Callers that left"))
+    , firstEvent(registry.latency("gentianramp_relay_first_event_seconds",
+                                  "From the request to its answer's first event"))
+    , whole(registry.latency("gentianramp_relay_answer_seconds", "From the request to its end"))
+{ }
+
+RelayState::RelayState(asio::any_io_executor given, RelayOptions chosen)
+    : executor(std::move(given))
+    , options(std::move(chosen))
+    , ownMetrics(options.metrics ? nullptr : std::make_unique<MetricsRegistry>())
+    , metrics(options.metrics ? *options.metrics : *ownMetrics)
+    , client(clientOptions())
+    , table({.dataCentre = options.dataCentre, .seed = options.seed})
+    , random(options.seed)
+{ }
+
+RetryAllowance &RelayState::allowance(const std::string &service)
+{
+    return allowances.try_emplace(service, options.retries).first->second;
+}
+
+double RelayState::draw()
+{
+    return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
+void RelayState::verify(const BackendId &backend, const std::string &service)
+{
+    if (!routes || !verifying.insert(backend).second)
+        return;
+    const DeclaredService *declared = routes->service(service);
+    const std::string path = declared && !declared->engine && !declared->healthPath.empty()
+        ? declared->healthPath
+        : options.protocol.reportPath;
+    asio::co_spawn(executor, verifyOnce(backend, path), asio::detached);
+}
+
+asio::awaitable<void> RelayState::verifyOnce(BackendId backend, std::string path)
+{
+    const auto self = shared_from_this();
+    while (const std::optional<HttpAddress> address = table.addressOf(backend)) {
+        HttpCall call;
+        call.address = *address;
+        call.request.target = path;
+        call.connectTimeout = VerifyTimeout;
+        call.headTimeout = VerifyTimeout;
+        call.silenceTimeout = VerifyTimeout;
+        call.freshConnection = true;
+        const Result<HttpResponse> answer = co_await client.request(std::move(call));
+        // Any answer shows that the process runs; a full one may refuse the question.
+        table.noteSilent(backend, !answer, RuntimeClock::now());
+        if (answer)
+            break;
+        co_await sleepFor(VerifyInterval);
+    }
+    verifying.erase(backend);
+}
+
+RelayService::RelayService(asio::any_io_executor executor, RelayOptions options)
+    : m_state(std::make_shared<RelayState>(std::move(executor), std::move(options)))
+{ }
+
+RelayService::~RelayService() = default;
+
+void RelayService::publish(Declaration declaration)
+{
+    if (m_state->routes && declaration.number < m_state->routes->declaration().number)
+        return;
+    for (const DeclaredService &service : declaration.services)
+        m_state->table.setConnectionBound(service.name, service.maxConnections);
+    m_state->routes = std::make_shared<const RouteTable>(std::move(declaration));
+}
+
+void RelayService::publish(const BackendListing &listing)
+{
+    m_state->table.publish(listing);
+    m_state->listed = true;
+}
+
+void RelayService::setInstances(std::uint32_t instances)
+{
+    m_state->instances = instances;
+    m_state->table.setInstances(instances);
+}
+
+std::uint64_t RelayService::declarationNumber() const
+{
+    return m_state->routes ? m_state->routes->declaration().number : 0;
+}
+
+bool RelayService::supplied() const
+{
+    return m_state->routes && m_state->listed;
+}
+
+HttpHandler RelayService::handler()
+{
+    return [state = m_state](HttpRequest request,
+                             ResponseWriter &writer) -> asio::awaitable<void> {
+        const auto run = std::make_shared<RelayRun>(state, std::move(request), writer);
+        co_await run->serve();
+    };
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/relay/relay_state.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <gentianramp/core/metrics.hpp>
+#include <gentianramp/relay/backend_table.hpp>
+#include <gentianramp/relay/relay_service.hpp>
+#include <map>
+#include <random>
+#include <set>
+
+namespace gentianramp {
+
+/// Counters of the relay, made once.
+struct RelayMetrics
+{
+    explicit RelayMetrics(MetricsRegistry &registry);
+
+    Counter &requests;
+    Counter &served;
+    Counter &refused;
+    Counter &failed;
+    Counter &repeats;
+    Counter &resumes;
+    Counter &callersGone;
+    Distribution &firstEvent;
+    Distribution &whole;
+};
+
+/// What all requests of a RelayService share.
+struct RelayState : std::enable_shared_from_this<RelayState>
+{
+    RelayState(boost::asio::any_io_executor executor, RelayOptions options);
+
+    /// Asks a silent engine for its state, at most one question at a time for each.
+    void verify(const BackendId &backend, const std::string &service);
+    boost::asio::awaitable<void> verifyOnce(BackendId backend, std::string path);
+    RetryAllowance &allowance(const std::string &service);
+    double draw();
+
+    boost::asio::any_io_executor executor;
+    RelayOptions options;
+    std::unique_ptr<MetricsRegistry> ownMetrics; ///< When the options name none.
+    RelayMetrics metrics;
+    HttpClient client;
+    BackendTable table;
+    std::shared_ptr<const RouteTable> routes;
+    bool listed = false;
+    std::uint32_t instances = 1;
+    std::map<std::string, RetryAllowance> allowances; ///< By service.
+    std::set<BackendId> verifying;
+    std::mt19937_64 random;
+};
+
+} // namespace gentianramp
--- a/src/gentianramp/wire/mesh.cpp
+++ b/src/gentianramp/wire/mesh.cpp
@@ -32,6 +32,8 @@
 constexpr std::size_t MaxQueuedMessages = 4096;
 constexpr std::chrono::milliseconds PollInterval(100);
 constexpr Duration PauseThreshold = std::chrono::milliseconds(500);
+constexpr int ConnectTimeoutMs = 1000;      // a silent address is tried again after it
+constexpr int UnacknowledgedTimeoutMs = 2000; // TCP_USER_TIMEOUT; below the silence of heartbeats
 constexpr Duration KeyTrialTime = std::chrono::seconds(1); // before another key is tried
 constexpr std::uint64_t TimelineSampling = 16; // one message in so many stands on the time line
 
@@ -98,6 +100,7 @@
     socket.set(zmq::sockopt::heartbeat_ttl, HeartbeatTimeoutMs);
     socket.set(zmq::sockopt::handshake_ivl, HandshakeTimeoutMs);
     socket.set(zmq::sockopt::maxmsgsize, MaxMessageBytes);
+    socket.set(zmq::sockopt::tcp_maxrt, UnacknowledgedTimeoutMs);
 }
 
 } // namespace
@@ -124,9 +127,11 @@
             return;
         setCommonOptions(router);
         router.set(zmq::sockopt::router_mandatory, true);
-        router.set(zmq::sockopt::curve_server, true);
-        router.set(zmq::sockopt::curve_secretkey, options.keys.secretKey);
-        router.set(zmq::sockopt::zap_domain, "gentianramp");
+        if (options.keyed) {
+            router.set(zmq::sockopt::curve_server, true);
+            router.set(zmq::sockopt::curve_secretkey, options.keys.secretKey);
+            router.set(zmq::sockopt::zap_domain, "gentianramp");
+        }
         router.bind(options.endpoint);
     }
 
@@ -152,6 +157,10 @@
         const auto existing = dealers.find(instance);
         if (existing != dealers.end())
             return &existing->second;
+        if (!options.keyed) {
+            const MeshPeer named{.instance = instance, .endpoint = "tcp://" + instance.value()};
+            return &connect(named, {});
+        }
         const auto peer = knownPeers.find(instance);
         if (peer == knownPeers.end() || peer->second.endpoint.empty())
             return nullptr;
@@ -165,9 +174,12 @@
         dealer.set(zmq::sockopt::immediate, true);
         dealer.set(zmq::sockopt::reconnect_ivl, ReconnectFirstMs);
         dealer.set(zmq::sockopt::reconnect_ivl_max, ReconnectLongestMs);
-        dealer.set(zmq::sockopt::curve_serverkey, serverKey);
-        dealer.set(zmq::sockopt::curve_publickey, options.keys.publicKey);
-        dealer.set(zmq::sockopt::curve_secretkey, options.keys.secretKey);
+        dealer.set(zmq::sockopt::connect_timeout, ConnectTimeoutMs);
+        if (options.keyed) {
+            dealer.set(zmq::sockopt::curve_serverkey, serverKey);
+            dealer.set(zmq::sockopt::curve_publickey, options.keys.publicKey);
+            dealer.set(zmq::sockopt::curve_secretkey, options.keys.secretKey);
+        }
         dealer.connect(peer.endpoint);
         PeerConnection made{std::move(dealer), peer.endpoint, serverKey, RuntimeClock::now()};
         return dealers.insert_or_assign(peer.instance, std::move(made)).first->second;
@@ -176,6 +188,8 @@
     /// A peer runs under one key at a time; which one is found out by trying.
     void tryNextKey(const InstanceId &instance, const PeerConnection &connection)
     {
+        if (!options.keyed)
+            return;
         const MeshPeer &peer = knownPeers.at(instance);
         const Duration unconnected = RuntimeClock::now() - connection.lastConnected;
         if (!peer.furtherKeys.empty() && unconnected > KeyTrialTime)
@@ -306,7 +320,8 @@
                 drop(DropReason::Malformed, {});
                 continue;
             }
-            const KeyOwner *owner = authenticator.owner(userId(frames[1]));
+            const KeyOwner *owner
+                = options.keyed ? authenticator.owner(userId(frames[1])) : &unkeyedOwner;
             if (!owner) {
                 drop(DropReason::NotPermitted, {});
                 continue;
@@ -350,11 +365,16 @@
             const bool permitted = envelope.kind() == proto::PAYLOAD_OPERATOR;
             return permitted ? std::nullopt : std::optional(DropReason::NotPermitted);
         }
-        if (sender != owner.instance)
+        if (options.keyed && sender != owner.instance)
             return DropReason::ForgedSender;
         if (isBlocked(sender))
             return DropReason::Blocked;
-        const MessageStamp stamp{sender, Incarnation(envelope.incarnation()), envelope.sequence(),
+        // Without keys incarnations are random, so that no two lives can be put in order: each
+        // life is a sender of its own.
+        const InstanceId life = options.keyed
+            ? sender
+            : InstanceId(sender.value() + '#' + std::to_string(envelope.incarnation()));
+        const MessageStamp stamp{life, Incarnation(envelope.incarnation()), envelope.sequence(),
                                  envelope.sent_monotonic_ns(),
                                  std::chrono::milliseconds(envelope.ttl_ms())};
         return (isReply ? replyFilter : directFilter).check(stamp, RuntimeClock::now());
@@ -466,6 +486,8 @@
     TimePoint lastFaultRead;
     std::uint64_t lastSequence = 0;
 
+    const KeyOwner unkeyedOwner; ///< Of every message when the mesh has no keys.
+
     const int wakeFd;
     std::mutex mutex;
     std::deque<OutgoingMessage> outgoing;
@@ -506,6 +528,11 @@
                              keys = std::move(operatorKeys)] { state->installPeers(peers, keys); });
 }
 
+void Mesh::reconnect(const InstanceId &peer)
+{
+    m_state->enqueueCommand([state = m_state.get(), peer] { state->dealers.erase(peer); });
+}
+
 void Mesh::setBlocked(std::vector<InstanceId> peers)
 {
     m_state->enqueueCommand([state = m_state.get(), peers = std::move(peers)] {
