--- a/include/gentianramp/declaration/declaration.hpp
+++ b/include/gentianramp/declaration/declaration.hpp
@@ -53,6 +53,7 @@
     std::uint32_t slots = 1;
     std::uint64_t memoryTokens = 0; ///< KV cache of one engine.
     std::uint64_t tokenBytes = 0;   ///< KV cache of one token.
+    double linkBitsPerSecond = 0;   ///< Of moves of KV cache between engines; 0: unknown.
     Duration handleLifetime{};      ///< For which a prefilled prompt is kept for its decoder.
     bool operator==(const EngineTraits &) const = default;
 };
--- a/include/gentianramp/relay/backend_table.hpp
+++ b/include/gentianramp/relay/backend_table.hpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <gentianramp/declaration/declaration.hpp>
 #include <gentianramp/http/client.hpp>
 #include <gentianramp/registry/backend_listing.hpp>
 #include <gentianramp/relay/backend_protocol.hpp>
@@ -34,6 +35,14 @@
     bool operator==(const PlacedRequest &) const = default;
 };
 
+/// Where a request goes: at once to a backend server, or first to an engine that reads its prompt.
+struct RequestPlacement
+{
+    PlacedRequest runner;                ///< Gives the answer.
+    std::optional<PlacedRequest> reader; ///< Reads the prompt before, and hands it over.
+    bool operator==(const RequestPlacement &) const = default;
+};
+
 /// How a request at a backend server ended.
 enum class SendOutcome {
     Served,
@@ -59,9 +68,10 @@
     /// Replaces the list. A backend server that started anew begins without history.
     void publish(const BackendListing &listing);
     /// The backend server for a request, or none when none may take it now.
-    std::optional<PlacedRequest> choose(const PlacementRequest &request, TimePoint now);
-    /// Sends that are open at once, over all instances, may not go over @p connections.
-    void setConnectionBound(const std::string &service, std::uint32_t connections);
+    std::optional<RequestPlacement> choose(const PlacementRequest &request, TimePoint now);
+    /// What is declared of a service: its engines, and the connections that each backend server
+    /// takes from all instances together.
+    void setService(const DeclaredService &service);
     /// Entry instances in the system, which share each backend server.
     void setInstances(std::uint32_t instances) { m_instances = std::max(instances, 1U); }
 
@@ -75,6 +85,10 @@
     /// A check found that the backend server does not answer, or that it does again.
     void noteSilent(const BackendId &backend, bool silent, TimePoint now);
 
+    /// Time since anything came from the backend server; empty: never.
+    std::optional<Duration> silenceOf(const BackendId &backend, TimePoint now) const;
+    /// Something came from the backend server.
+    void noteHeard(const BackendId &backend, TimePoint now);
     /// The last check got no answer.
     bool isSilent(const BackendId &backend) const;
     /// Ready backend servers of a service; for refusals and metrics.
@@ -87,13 +101,22 @@
 
     Backend *find(const PlacedRequest &placed);
     bool usable(const Backend &backend, const PlacementRequest &request, TimePoint now) const;
-    double promptCost(const Backend &backend, const PlacementRequest &request, bool home,
-                      std::uint32_t &unread, TimePoint now) const;
+    std::optional<RequestPlacement> choosePlain(const std::vector<Backend *> &usable,
+                                                const PlacementRequest &request, TimePoint now);
+    std::optional<RequestPlacement> chooseEngines(const std::vector<Backend *> &usable,
+                                                  const PlacementRequest &request, TimePoint now);
+    const Backend *homeOf(const std::vector<Backend *> &usable, std::uint64_t key) const;
+    std::uint32_t unreadTokens(const Backend &backend, const PromptShape &prompt, bool home,
+                               TimePoint now) const;
+    double readingMs(const Backend &backend, std::uint32_t unread, TimePoint now) const;
+    double runningMs(const Backend &backend, TimePoint now) const;
+    double moveMs(const std::string &service, std::uint32_t tokens) const;
     double plainCost(const Backend &backend, TimePoint now) const;
+    static PlacedRequest place(const Backend &backend, std::uint32_t unread, double waitMs);
 
     BackendTableOptions m_options;
     std::map<BackendId, std::unique_ptr<Backend>> m_backends;
-    std::map<std::string, std::uint32_t> m_connectionBounds;
+    std::map<std::string, DeclaredService> m_services;
     std::uint32_t m_instances = 1;
     std::uint64_t m_lives = 0;
     std::uint64_t m_random;
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -11,9 +11,12 @@
 
 namespace {
 
-/// Prompt tokens that an engine reads in a millisecond between the tokens of other requests; the
-/// start value of what is learnt. Half of the 64 that the engines' sheet gives for reading alone.
-constexpr double ReadTokensPerMs = 32;
+/// Prompt tokens that an engine reads in a millisecond, by the engines' sheet: alone, and between
+/// the tokens of other requests at half the speed.
+constexpr double PrefillTokensPerMs = 64;
+constexpr double MixedTokensPerMs = 32;
+/// A prompt that is read apart takes one more call.
+constexpr double SecondCallMs = 3;
 /// A stated load says little about the present after it.
 constexpr Duration LoadMemory = std::chrono::milliseconds(1500);
 /// Reading time that a request waiting at an engine stands for.
@@ -51,6 +54,7 @@
     double unreadTokens = 0;    ///< Of requests of this instance without a first event.
     StatedLoad load;
     TimePoint loadAt{};
+    TimePoint heardAt{};
     std::unordered_map<std::uint64_t, TimePoint> parts; ///< Sent there, with the last use.
 
     bool fresh(TimePoint now) const { return loadAt != TimePoint{} && now - loadAt < LoadMemory; }
@@ -110,9 +114,9 @@
     m_backends = std::move(next);
 }
 
-void BackendTable::setConnectionBound(const std::string &service, std::uint32_t connections)
+void BackendTable::setService(const DeclaredService &service)
 {
-    m_connectionBounds[service] = connections;
+    m_services[service.name] = service;
 }
 
 bool BackendTable::usable(const Backend &backend, const PlacementRequest &request,
@@ -121,11 +125,9 @@
     if (backend.server.service != request.service || backend.server.draining || backend.silent
         || !backend.breaker.mayAllow(request.repeatable, now))
         return false;
-    if (request.prompt && backend.server.prefillOnly)
-        return false;
-    const auto bound = m_connectionBounds.find(request.service);
-    if (bound != m_connectionBounds.end() && bound->second > 0) {
-        const double share = ConnectionShare * bound->second / m_instances;
+    const auto declared = m_services.find(request.service);
+    if (declared != m_services.end() && declared->second.maxConnections > 0) {
+        const double share = ConnectionShare * declared->second.maxConnections / m_instances;
         if (backend.open + 1 > std::max(share, 1.0))
             return false;
     }
@@ -133,27 +135,71 @@
         == request.excluded.end();
 }
 
-/// Expected milliseconds until the first event.
-double BackendTable::promptCost(const Backend &backend, const PlacementRequest &request, bool home,
-                                std::uint32_t &unread, TimePoint now) const
+/// Engine on which all instances keep the prompts with these shared parts, by rendezvous hashing
+/// in which engines that read faster have more of them.
+const BackendTable::Backend *BackendTable::homeOf(const std::vector<Backend *> &usable,
+                                                  std::uint64_t key) const
+{
+    const Backend *home = nullptr;
+    double highest = 0;
+    for (const Backend *backend : usable) {
+        const double draw
+            = (static_cast<double>(mix(key ^ backend->hash) >> 11) + 0.5) / 9007199254740992.0;
+        const double weight = backend->server.prefillOnly ? PrefillTokensPerMs : MixedTokensPerMs;
+        const double score = -weight / std::log(draw);
+        if (!home || score > highest) {
+            home = backend;
+            highest = score;
+        }
+    }
+    return home;
+}
+
+std::uint32_t BackendTable::unreadTokens(const Backend &backend, const PromptShape &prompt,
+                                         bool home, TimePoint now) const
 {
-    const std::vector<PromptPart> &parts = request.prompt->parts;
     std::size_t cached = 0;
-    while (cached < parts.size() && backend.holds(parts[cached].id, now))
+    while (cached < prompt.parts.size() && backend.holds(prompt.parts[cached].id, now))
         ++cached;
     // Other instances send there what this one would, so its shared parts are probably cached.
-    if (home && parts.size() > 1)
-        cached = std::max(cached, parts.size() - 1);
-    unread = 0;
-    for (std::size_t index = cached; index < parts.size(); ++index)
-        unread += parts[index].tokens;
-    const double weight = backend.loadWeight(now);
-    double cost = (unread + backend.unreadTokens) / ReadTokensPerMs;
-    cost += weight
-        * (backend.load.waiting * WaitingRequestMs + backend.load.running * RunningRequestMs);
+    if (home && prompt.parts.size() > 1)
+        cached = std::max(cached, prompt.parts.size() - 1);
+    std::uint32_t unread = 0;
+    for (std::size_t index = cached; index < prompt.parts.size(); ++index)
+        unread += prompt.parts[index].tokens;
+    return unread;
+}
+
+/// Expected milliseconds until the engine has read a prompt with @p unread tokens.
+double BackendTable::readingMs(const Backend &backend, std::uint32_t unread, TimePoint now) const
+{
+    const double rate = backend.server.prefillOnly ? PrefillTokensPerMs : MixedTokensPerMs;
+    double ms = (unread + backend.unreadTokens) / rate;
+    ms += backend.loadWeight(now) * backend.load.waiting * WaitingRequestMs;
     if (backend.server.dataCentre != m_options.dataCentre)
-        cost += OtherSiteMs;
-    return cost;
+        ms += OtherSiteMs;
+    return ms;
+}
+
+/// Expected milliseconds that the work running at an engine costs a new request.
+double BackendTable::runningMs(const Backend &backend, TimePoint now) const
+{
+    double ms = backend.open * RunningRequestMs
+        + backend.loadWeight(now)
+            * (backend.load.running * RunningRequestMs + backend.load.waiting * WaitingRequestMs);
+    if (backend.server.dataCentre != m_options.dataCentre)
+        ms += OtherSiteMs;
+    return ms;
+}
+
+double BackendTable::moveMs(const std::string &service, std::uint32_t tokens) const
+{
+    const auto declared = m_services.find(service);
+    if (declared == m_services.end() || !declared->second.engine
+        || declared->second.engine->linkBitsPerSecond <= 0)
+        return 0;
+    const EngineTraits &engine = *declared->second.engine;
+    return 8000.0 * tokens * engine.tokenBytes / engine.linkBitsPerSecond;
 }
 
 /// Share of a backend server's slots that is taken.
@@ -167,46 +213,93 @@
     return cost;
 }
 
-std::optional<PlacedRequest> BackendTable::choose(const PlacementRequest &request, TimePoint now)
+PlacedRequest BackendTable::place(const Backend &backend, std::uint32_t unread, double waitMs)
+{
+    PlacedRequest placed;
+    placed.backend = backend.server.id;
+    placed.address = {backend.server.host, backend.server.port};
+    placed.unreadTokens = unread;
+    placed.expectedWait = std::chrono::microseconds(static_cast<std::int64_t>(waitMs * 1000));
+    placed.life = backend.life;
+    return placed;
+}
+
+std::optional<RequestPlacement> BackendTable::choose(const PlacementRequest &request, TimePoint now)
 {
-    const std::uint64_t key = request.prompt ? request.prompt->sharedKey() : 0;
-    const Backend *home = nullptr;
     std::vector<Backend *> usableBackends;
     for (const auto &[id, backend] : m_backends) {
-        if (!usable(*backend, request, now))
-            continue;
-        usableBackends.push_back(backend.get());
-        if (!home || mix(key ^ backend->hash) > mix(key ^ home->hash))
-            home = backend.get();
+        if (usable(*backend, request, now))
+            usableBackends.push_back(backend.get());
     }
     if (usableBackends.empty())
         return std::nullopt;
     m_random = mix(m_random + MixA);
+    std::rotate(usableBackends.begin(),
+                usableBackends.begin()
+                    + static_cast<std::ptrdiff_t>(m_random % usableBackends.size()),
+                usableBackends.end());
+    return request.prompt ? chooseEngines(usableBackends, request, now)
+                          : choosePlain(usableBackends, request, now);
+}
+
+std::optional<RequestPlacement> BackendTable::choosePlain(const std::vector<Backend *> &usable,
+                                                          const PlacementRequest &request,
+                                                          TimePoint now)
+{
     Backend *best = nullptr;
     double bestCost = 0;
-    std::uint32_t bestUnread = 0;
-    for (std::size_t step = 0; step < usableBackends.size(); ++step) {
-        Backend *backend = usableBackends[(m_random + step) % usableBackends.size()];
-        std::uint32_t unread = 0;
-        const double cost = request.prompt
-            ? promptCost(*backend, request, backend == home, unread, now)
-            : plainCost(*backend, now);
+    for (Backend *backend : usable) {
+        const double cost = plainCost(*backend, now);
         if (!best || cost < bestCost) {
             best = backend;
             bestCost = cost;
-            bestUnread = unread;
         }
     }
     if (!best->breaker.allow(request.repeatable, now))
         return std::nullopt;
-    PlacedRequest placed;
-    placed.backend = best->server.id;
-    placed.address = {best->server.host, best->server.port};
-    placed.unreadTokens = bestUnread;
-    placed.life = best->life;
-    if (request.prompt)
-        placed.expectedWait = std::chrono::microseconds(static_cast<std::int64_t>(bestCost * 1000));
-    return placed;
+    return RequestPlacement{place(*best, 0, 0), std::nullopt};
+}
+
+/// The engine that reads the prompt soonest, and the one that decodes when that doesn't.
+std::optional<RequestPlacement> BackendTable::chooseEngines(const std::vector<Backend *> &usable,
+                                                            const PlacementRequest &request,
+                                                            TimePoint now)
+{
+    Backend *runner = nullptr;
+    double runnerMs = 0;
+    for (Backend *backend : usable) {
+        const double ms = runningMs(*backend, now);
+        if (!backend->server.prefillOnly && (!runner || ms < runnerMs)) {
+            runner = backend;
+            runnerMs = ms;
+        }
+    }
+    if (!runner)
+        return std::nullopt;
+    const Backend *home = homeOf(usable, request.prompt->sharedKey());
+    const double handOverMs
+        = SecondCallMs + runnerMs + moveMs(request.service, request.prompt->tokens());
+    Backend *reader = nullptr;
+    double readerMs = 0;
+    std::uint32_t readerUnread = 0;
+    for (Backend *backend : usable) {
+        const std::uint32_t unread = unreadTokens(*backend, *request.prompt, backend == home, now);
+        const double ms = readingMs(*backend, unread, now)
+            + (backend->server.prefillOnly ? handOverMs : runningMs(*backend, now));
+        if (!reader || ms < readerMs) {
+            reader = backend;
+            readerMs = ms;
+            readerUnread = unread;
+        }
+    }
+    const bool apart = reader->server.prefillOnly;
+    Backend *answering = apart ? runner : reader;
+    if (!answering->breaker.allow(request.repeatable, now)
+        || (apart && !reader->breaker.allow(true, now)))
+        return std::nullopt;
+    if (!apart)
+        return RequestPlacement{place(*reader, readerUnread, readerMs), std::nullopt};
+    return RequestPlacement{place(*runner, 0, readerMs), place(*reader, readerUnread, readerMs)};
 }
 
 BackendTable::Backend *BackendTable::find(const PlacedRequest &placed)
@@ -277,6 +370,21 @@
                                                    : toMilliseconds(now - found->second->loadAt)}});
 }
 
+std::optional<Duration> BackendTable::silenceOf(const BackendId &backend, TimePoint now) const
+{
+    const auto found = m_backends.find(backend);
+    if (found == m_backends.end() || found->second->heardAt == TimePoint{})
+        return std::nullopt;
+    return now - found->second->heardAt;
+}
+
+void BackendTable::noteHeard(const BackendId &backend, TimePoint now)
+{
+    const auto found = m_backends.find(backend);
+    if (found != m_backends.end())
+        found->second->heardAt = now;
+}
+
 bool BackendTable::isSilent(const BackendId &backend) const
 {
     const auto found = m_backends.find(backend);
--- a/src/gentianramp/relay/relay_run.cpp
+++ b/src/gentianramp/relay/relay_run.cpp
@@ -1,6 +1,8 @@
 #include "relay_run.hpp"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <charconv>
 #include <gentianramp/core/log.hpp>
 
@@ -19,6 +21,8 @@
 constexpr Duration SilenceCheckInterval = std::chrono::milliseconds(200);
 /// Sends that found no listener cost nothing; that many are tried.
 constexpr std::uint32_t MaxUnreached = 4;
+/// Engines that are asked to read a prompt, one after the other; it does not run there.
+constexpr std::uint32_t MaxReads = 2;
 /// A request with less time left is not worth a send.
 constexpr Duration ShortestSend = std::chrono::milliseconds(5);
 /// Callers honour up to a third of the time that they have left.
@@ -180,33 +184,38 @@
             co_return;
         if (m_expired || left() < ShortestSend)
             co_return co_await fail();
-        const std::optional<PlacedRequest> placed = place();
-        if (!placed && m_sends == 0)
+        const std::optional<RequestPlacement> placement = place();
+        if (!placement && m_sends == 0)
             co_return co_await refuse("no_backend");
-        if (!placed)
+        if (!placement)
             co_return co_await fail();
-        const Step step = co_await sendOnce(*placed);
+        const bool apart = placement->reader.has_value();
+        const PlacedRequest &first = apart ? *placement->reader : placement->runner;
+        Step step = Step::Done;
+        if (apart)
+            step = co_await readPrompt(first);
+        const bool readFailed = step != Step::Done;
+        if (!readFailed)
+            step = co_await sendOnce(placement->runner);
         if (step == Step::Done || m_callerGone)
             co_return;
-        m_tried.push_back(placed->backend);
-        if (step == Step::Unreached) {
-            if (++unreached >= MaxUnreached)
-                co_return co_await fail();
+        m_tried.push_back(readFailed ? first.backend : placement->runner.backend);
+        if (step == Step::Unreached && ++unreached < MaxUnreached)
             continue;
-        }
-        if (!mayRepeat(step) || !takeRepeat())
+        const bool again = readFailed ? m_reads < MaxReads : mayRepeat(step);
+        if (!again || !takeRepeat())
             co_return co_await fail();
     }
 }
 
-std::optional<PlacedRequest> RelayRun::place()
+std::optional<RequestPlacement> RelayRun::place()
 {
     PlacementRequest request;
     request.service = m_service;
     request.prompt = m_prompt ? &*m_prompt : nullptr;
     request.repeatable = m_route->repeatable();
     request.excluded = m_tried;
-    std::optional<PlacedRequest> placed = m_state->table.choose(request, RuntimeClock::now());
+    std::optional<RequestPlacement> placed = m_state->table.choose(request, RuntimeClock::now());
     if (!placed && !m_tried.empty()) {
         // One that failed before is better than none.
         request.excluded = {};
@@ -258,6 +267,11 @@
                                  std::to_string(std::min<std::uint32_t>(m_route->priority, 9)));
     if (m_route->kind == CallKind::Stream && m_lastEvent)
         call.request.headers.set(protocol.lastEventId, std::to_string(*m_lastEvent));
+    if (m_source)
+        call.request.headers.set(protocol.takeFrom,
+                                 m_source->address.host + ':'
+                                     + std::to_string(m_source->address.port) + '/'
+                                     + m_source->handle);
     call.echo = {protocol.requestId, m_id};
     call.connectTimeout = std::min<Duration>(ConnectTimeout, left());
     call.headTimeout = left() + std::chrono::seconds(1);
@@ -296,20 +310,88 @@
     }
     m_exchange.reset();
     settle(send, step);
+    if (step == Step::Unreached)
+        freeSource();
+    m_source.reset(); // Taken, or gone with the failed send.
+    if (step != Step::Done && !m_callerGone)
+        logSendFailed(placed, "send_failed", step, error, send.exchange->status(), send.sentAt);
+    co_return step;
+}
+
+asio::awaitable<RelayRun::Step> RelayRun::readPrompt(const PlacedRequest &reader)
+{
+    const BackendProtocol &protocol = m_state->options.protocol;
+    HttpCall call = makeCall(reader);
+    call.freshConnection = false; // Reading may be repeated; it runs nothing.
+    call.request.headers.set(protocol.prefillOnly, protocol.prefillValue);
+    Send send;
+    send.placed = reader;
+    send.exchange = m_state->client.exchange(std::move(call));
+    send.sentAt = RuntimeClock::now();
+    m_exchange = send.exchange;
+    m_backend = reader.backend;
+    ++m_reads;
+    m_state->table.sent(reader, &*m_prompt, send.sentAt);
+    noteProgress();
+    watchSilence();
+    std::error_code error = co_await send.exchange->open();
+    Step step = Step::NotRun;
+    if (!error) {
+        noteLoad(send);
+        const Result<std::string> body = co_await send.exchange->readAll();
+        error = body.error();
+        const std::string handle
+            = body && send.exchange->status() == Ok ? protocol.handle(*body) : std::string();
+        if (!handle.empty()) {
+            m_source = Source{reader.address, handle};
+            step = Step::Done;
+        }
+    } else if (!send.exchange->bytesWritten()) {
+        step = Step::Unreached;
+    }
+    m_silenceTimer.cancel();
+    send.answered = step == Step::Done;
+    if (step != Step::Done)
+        send.exchange->cancel();
+    m_exchange.reset();
+    settle(send, error && step == Step::NotRun ? Step::MayHaveRun : step);
+    if (step == Step::Done && over()) {
+        freeSource();
+        co_return Step::NotRun;
+    }
     if (step != Step::Done && !m_callerGone)
-        logWarning("send_failed",
-                   {{"request", m_id},
-                    {"backend", placed.backend.value()},
-                    {"step", step == Step::NotRun        ? "not_run"
-                         : step == Step::Unreached       ? "unreached"
-                                                         : "may_have_run"},
-                    {"error", error ? error.message() : "answer"},
-                    {"status", send.exchange->status()},
-                    {"after_ms", toMilliseconds(RuntimeClock::now() - send.sentAt)},
-                    {"expired", m_expired ? 1 : 0}});
+        logSendFailed(reader, "read_failed", step, error, send.exchange->status(), send.sentAt);
     co_return step;
 }
 
+/// Lets the engine forget a prompt that nobody will take.
+void RelayRun::freeSource()
+{
+    if (!m_source)
+        return;
+    asio::co_spawn(m_state->executor, m_state->freeHandle(m_source->address, m_source->handle),
+                   asio::detached);
+    m_source.reset();
+}
+
+void RelayRun::logSendFailed(const PlacedRequest &placed, std::string_view what, Step step,
+                             const std::error_code &error, unsigned status, TimePoint sentAt) const
+{
+    std::string_view how = "may_have_run";
+    if (step == Step::NotRun)
+        how = "not_run";
+    else if (step == Step::Unreached)
+        how = "unreached";
+    logWarning(what, {{"request", m_id},
+                      {"backend", placed.backend.value()},
+                      {"step", how},
+                      {"error", error ? error.message() : "answer"},
+                      {"status", status},
+                      {"expected_ms", toMilliseconds(placed.expectedWait)},
+                      {"after_ms", toMilliseconds(RuntimeClock::now() - sentAt)},
+                      {"expired", m_expired ? 1 : 0}});
+}
+
 void RelayRun::settle(Send &send, Step step)
 {
     const TimePoint now = RuntimeClock::now();
@@ -332,10 +414,7 @@
     const BackendProtocol &protocol = m_state->options.protocol;
     HttpExchange &exchange = *send.exchange;
     noteProgress();
-    if (protocol.parseLoad && exchange.headers().contains(protocol.load)) {
-        if (const auto load = protocol.parseLoad(exchange.headers().find(protocol.load)))
-            m_state->table.noteLoad(send.placed.backend, *load, RuntimeClock::now());
-    }
+    noteLoad(send);
     if (exchange.status() == protocol.wrongTargetStatus
         || exchange.headers().contains(protocol.notRun))
         co_return Step::NotRun;
@@ -347,6 +426,18 @@
     co_return co_await relayWhole(send);
 }
 
+/// Notes the load that an answer states.
+void RelayRun::noteLoad(const Send &send)
+{
+    const BackendProtocol &protocol = m_state->options.protocol;
+    const HttpHeaders &headers = send.exchange->headers();
+    m_state->table.noteHeard(send.placed.backend, RuntimeClock::now());
+    if (!protocol.parseLoad || !headers.contains(protocol.load))
+        return;
+    if (const auto load = protocol.parseLoad(headers.find(protocol.load)))
+        m_state->table.noteLoad(send.placed.backend, *load, RuntimeClock::now());
+}
+
 bool RelayRun::isEventStream(const HttpExchange &exchange) const
 {
     return exchange.headers().find("Content-Type").starts_with("text/event-stream");
@@ -387,6 +478,7 @@
         if (piece->empty())
             break;
         noteProgress();
+        m_state->table.noteHeard(send.placed.backend, m_progressAt);
         const std::string whole = events.feed(*piece);
         m_lastEvent = events.lastId();
         if (!whole.empty() && !co_await deliver(send, whole))
@@ -554,7 +646,10 @@
             if (cancelled || !run || run->m_ended || !run->m_exchange)
                 return;
             const TimePoint now = RuntimeClock::now();
-            if (now - run->m_progressAt >= SilenceBeforeCheck) {
+            const auto silence = run->m_state->table.silenceOf(run->m_backend, now);
+            const bool quiet = now - run->m_progressAt >= SilenceBeforeCheck
+                && (!silence || *silence >= SilenceBeforeCheck);
+            if (quiet) {
                 if (run->m_state->table.isSilent(run->m_backend) && run->m_route->repeatable()
                     && run->m_sends < run->m_route->attempts)
                     return run->m_exchange->cancel();
--- a/src/gentianramp/relay/relay_run.hpp
+++ b/src/gentianramp/relay/relay_run.hpp
@@ -41,9 +41,14 @@
 
     // Choose and send
     boost::asio::awaitable<void> sendUntilDone();
-    std::optional<PlacedRequest> place();
+    std::optional<RequestPlacement> place();
     boost::asio::awaitable<Step> sendOnce(const PlacedRequest &placed);
+    /// Has the prompt read; sets m_source. NotRun when the engine didn't.
+    boost::asio::awaitable<Step> readPrompt(const PlacedRequest &reader);
+    void freeSource();
     HttpCall makeCall(const PlacedRequest &placed) const;
+    void logSendFailed(const PlacedRequest &placed, std::string_view what, Step step,
+                       const std::error_code &error, unsigned status, TimePoint sentAt) const;
     bool mayRepeat(Step step) const;
     bool takeRepeat();
 
@@ -53,6 +58,7 @@
     boost::asio::awaitable<Step> relayStream(Send &send);
     boost::asio::awaitable<bool> deliver(Send &send, std::string_view events);
     HttpResponse callerHead(const HttpExchange &exchange) const;
+    void noteLoad(const Send &send);
     bool isEventStream(const HttpExchange &exchange) const;
     void noteAnswered(Send &send);
     void settle(Send &send, Step step);
@@ -89,7 +95,15 @@
 
     std::shared_ptr<HttpExchange> m_exchange; ///< The open one.
     BackendId m_backend;                      ///< Of the last send.
+    /// A prompt that an engine has read and keeps until it is taken.
+    struct Source
+    {
+        HttpAddress address;
+        std::string handle;
+    };
+    std::optional<Source> m_source;
     std::uint32_t m_sends = 0;
+    std::uint32_t m_reads = 0; ///< Engines asked to read the prompt.
     std::vector<BackendId> m_tried;
     Verdict m_verdict = Verdict::NotRun;
     std::optional<std::uint64_t> m_lastEvent; ///< Delivered, or had by the caller.
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -14,6 +14,7 @@
 
 /// An engine answers the question for its state without a slot, in a few milliseconds.
 constexpr Duration VerifyTimeout = std::chrono::milliseconds(250);
+constexpr Duration FreeTimeout = std::chrono::milliseconds(500);
 /// A silent backend server is asked again that often until it answers or is no longer listed.
 constexpr Duration VerifyInterval = std::chrono::milliseconds(500);
 /// Idle connections to backend servers: below the shortest idle time-out that they were seen with.
@@ -87,6 +88,8 @@
         const Result<HttpResponse> answer = co_await client.request(std::move(call));
         // Any answer shows that the process runs; a full one may refuse the question.
         table.noteSilent(backend, !answer, RuntimeClock::now());
+        if (answer)
+            table.noteHeard(backend, RuntimeClock::now());
         if (answer)
             break;
         co_await sleepFor(VerifyInterval);
@@ -94,6 +97,18 @@
     verifying.erase(backend);
 }
 
+asio::awaitable<void> RelayState::freeHandle(HttpAddress address, std::string handle)
+{
+    const auto self = shared_from_this();
+    HttpCall call;
+    call.address = std::move(address);
+    call.request = options.protocol.freeHandle(handle);
+    call.connectTimeout = call.headTimeout = call.silenceTimeout = FreeTimeout;
+    const Result<HttpResponse> answer = co_await client.request(std::move(call));
+    if (!answer)
+        logWarning("handle_not_freed", {{"error", answer.error().message()}});
+}
+
 RelayService::RelayService(asio::any_io_executor executor, RelayOptions options)
     : m_state(std::make_shared<RelayState>(std::move(executor), std::move(options)))
 { }
@@ -105,7 +120,7 @@
     if (m_state->routes && declaration.number < m_state->routes->declaration().number)
         return;
     for (const DeclaredService &service : declaration.services)
-        m_state->table.setConnectionBound(service.name, service.maxConnections);
+        m_state->table.setService(service);
     m_state->routes = std::make_shared<const RouteTable>(std::move(declaration));
 }
 
--- a/src/gentianramp/relay/relay_state.hpp
+++ b/src/gentianramp/relay/relay_state.hpp
@@ -34,6 +34,7 @@
     /// Asks a silent engine for its state, at most one question at a time for each.
     void verify(const BackendId &backend, const std::string &service);
     boost::asio::awaitable<void> verifyOnce(BackendId backend, std::string path);
+    boost::asio::awaitable<void> freeHandle(HttpAddress address, std::string handle);
     RetryAllowance &allowance(const std::string &service);
     double draw();
 
