--- a/include/gentianramp/registry/registry_node.hpp
+++ b/include/gentianramp/registry/registry_node.hpp
@@ -8,6 +8,7 @@
 #include <gentianramp/core/metrics.hpp>
 #include <gentianramp/registry/backend_listing.hpp>
 #include <gentianramp/registry/declaration_ledger.hpp>
+#include <gentianramp/registry/stage_keeper.hpp>
 #include <memory>
 
 namespace gentianramp {
@@ -15,6 +16,9 @@
 /// Reads the platform's list of backend servers once.
 using ListingSource = std::function<boost::asio::awaitable<Result<std::vector<ListedServer>>>()>;
 
+/// Orders an engine to change its stage; the numbers of holders only grow.
+using StageOrderHook = std::function<boost::asio::awaitable<bool>(StageOrder, std::uint64_t)>;
+
 /// Options of a RegistryNode.
 struct RegistryOptions
 {
@@ -27,6 +31,9 @@
     unsigned seats = 3; ///< Voters of the ledger; odd.
     std::uint64_t seed = 1;
     ListingSource listing;
+    StageOrderHook orderStage; ///< Empty: engines keep their stages.
+    /// Orders of two holders have to be that far apart.
+    Duration orderLease = std::chrono::seconds(3);
     MetricsRegistry *metrics = nullptr;
 };
 
--- a/src/gentianramp/registry/registry_codec.cpp
+++ b/src/gentianramp/registry/registry_codec.cpp
@@ -31,6 +31,7 @@
         backend.set_prefill(server.prefillOnly);
         backend.set_born_ms(server.bornMs);
         backend.set_cold_ms(server.coldMs);
+        backend.set_engine(server.engine);
     }
     return list;
 }
@@ -49,6 +50,7 @@
                            .dataCentre = DataCentreId(backend.data_centre()),
                            .slots = backend.slots(),
                            .draining = backend.draining(),
+                           .engine = backend.engine(),
                            .prefillOnly = backend.prefill(),
                            .bornMs = backend.born_ms(),
                            .coldMs = backend.cold_ms()});
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -42,6 +42,11 @@
 constexpr Duration ListingShortestInterval = std::chrono::milliseconds(600);
 /// For the chosen successor to win its election, one round trip and a sync.
 constexpr Duration HandOverTime = std::chrono::milliseconds(300);
+constexpr Duration OrderInterval = std::chrono::milliseconds(500);
+constexpr Duration OrderListAge = std::chrono::seconds(2);
+/// A leader that lost its majority may still believe in it for an election timeout, and its order
+/// may be on its way for a call's time.
+constexpr Duration OrderMargin = std::chrono::milliseconds(1200);
 constexpr Duration LogFlushInterval = std::chrono::milliseconds(250);
 constexpr Duration EntryMemory = std::chrono::seconds(3);
 constexpr std::uint32_t NeverConfirmed = std::numeric_limits<std::uint32_t>::max();
@@ -96,6 +101,8 @@
         openFolderWhenDue(RuntimeClock::now());
         asio::co_spawn(executor, run(), asio::detached);
         asio::co_spawn(executor, pollListing(), asio::detached);
+        if (options.orderStage)
+            asio::co_spawn(executor, orderStages(), asio::detached);
     }
 
     asio::awaitable<void> run()
@@ -192,6 +199,7 @@
             logInfo(nowLeads ? "leadership_gained" : "leadership_lost",
                     {{"seat", seat}, {"term", term.value()}});
             claimsDue = RuntimeClock::now() + ClaimsSettleTime;
+            ordersDue = RuntimeClock::now() + options.orderLease + OrderMargin;
             presenceDue = {};
         };
         hooks.storageFailed = [this](const std::string &reason) {
@@ -237,6 +245,35 @@
 
     bool leads() const { return ledger && ledger->leads(); }
 
+    // Orders to engines
+
+    /// Gives orders while this process leads. A new leader waits until the one before it can have
+    /// given its last order the lease ago; leadership is confirmed by a majority before each order.
+    asio::awaitable<void> orderStages()
+    {
+        const auto self = shared_from_this();
+        while (!stopping) {
+            co_await sleepFor(OrderInterval);
+            const TimePoint now = RuntimeClock::now();
+            if (!leads() || now < ordersDue || listing.digest == 0
+                || now - listing.takenAt > OrderListAge)
+                continue;
+            const std::vector<StageOrder> orders = stages.decide(listing, now);
+            for (const StageOrder &order : orders) {
+                const std::optional<StoredContent> confirmed = co_await readNewest();
+                if (!confirmed || !leads())
+                    break;
+                const std::uint64_t term = ledger->replica().term().value();
+                const bool accepted = co_await options.orderStage(order, term);
+                logInfo("stage_ordered", {{"backend", order.engine.id.value()},
+                                          {"stage", order.prefill ? "prefill" : "decode"},
+                                          {"term", term},
+                                          {"list_age_ms", toMilliseconds(now - listing.takenAt)},
+                                          {"accepted", accepted ? "yes" : "unknown"}});
+            }
+        }
+    }
+
     // Messages
 
     void send(const InstanceId &to, const proto::RegistryMessage &message)
@@ -623,6 +660,8 @@
     TimePoint flushDue{};
     TimePoint offersDue{};
     TimePoint claimsDue{};
+    TimePoint ordersDue{};
+    StageKeeper stages;
     std::map<std::string, InstanceId> lastHolders;
     BackendListing listing;
     std::uint64_t nextCall;
--- /dev/null
+++ b/src/gentianramp/registry/stage_keeper.cpp
@@ -0,0 +1,76 @@
+#include <gentianramp/registry/stage_keeper.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace gentianramp {
+
+namespace {
+
+/// With fewer engines each of them reads and decodes.
+constexpr std::size_t FewestEngines = 3;
+
+} // namespace
+
+StageKeeper::StageKeeper(StageOptions options)
+    : m_options(options)
+{ }
+
+bool StageKeeper::effectiveStage(const ListedServer &engine, TimePoint now) const
+{
+    const auto given = m_given.find(engine.id);
+    if (given != m_given.end() && now - given->second.at < m_options.settleTime)
+        return given->second.prefill;
+    return engine.prefillOnly;
+}
+
+std::vector<StageOrder> StageKeeper::decide(const BackendListing &listing, TimePoint now)
+{
+    std::erase_if(m_given, [&](const auto &entry) {
+        return now - entry.second.at >= m_options.engineInterval;
+    });
+    std::map<std::string, std::vector<const ListedServer *>> services;
+    for (const ListedServer &server : listing.servers) {
+        if (server.engine && !server.draining)
+            services[server.service].push_back(&server);
+    }
+    std::vector<StageOrder> orders;
+    for (auto &[service, engines] : services) {
+        if (engines.size() < FewestEngines)
+            continue;
+        std::map<DataCentreId, std::ptrdiff_t> prefillPerSite;
+        std::ptrdiff_t prefill = 0;
+        for (const ListedServer *engine : engines) {
+            const bool reads = effectiveStage(*engine, now);
+            prefillPerSite[engine->dataCentre] += reads ? 1 : 0;
+            prefill += reads ? 1 : 0;
+        }
+        const auto count = static_cast<double>(engines.size());
+        const std::ptrdiff_t wanted = std::clamp<std::ptrdiff_t>(
+            std::lround(count * m_options.prefillShare), 1,
+            static_cast<std::ptrdiff_t>(engines.size()) - 1);
+        if (std::abs(static_cast<double>(wanted - prefill)) <= count * m_options.tolerance)
+            continue;
+        const bool more = prefill < wanted;
+        for (std::ptrdiff_t left = std::abs(wanted - prefill); left > 0; --left) {
+            // The data centre with the fewest (or most) reading engines changes first.
+            const ListedServer *best = nullptr;
+            for (const ListedServer *engine : engines) {
+                if (effectiveStage(*engine, now) == more || m_given.contains(engine->id))
+                    continue;
+                const std::ptrdiff_t here = prefillPerSite[engine->dataCentre];
+                const std::ptrdiff_t there = best ? prefillPerSite[best->dataCentre] : 0;
+                if (!best || (more ? here < there : here > there))
+                    best = engine;
+            }
+            if (!best)
+                break;
+            m_given[best->id] = {more, now};
+            prefillPerSite[best->dataCentre] += more ? 1 : -1;
+            orders.push_back({*best, more});
+        }
+    }
+    return orders;
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/registry/stage_keeper_test.cpp
@@ -0,0 +1,65 @@
+#include <gentianramp/registry/stage_keeper.hpp>
+
+#include <algorithm>
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+
+namespace {
+
+TimePoint at(int seconds)
+{
+    return TimePoint(std::chrono::seconds(1000 + seconds));
+}
+
+BackendListing engines(int count, int prefill)
+{
+    BackendListing listing;
+    for (int number = 0; number < count; ++number)
+        listing.servers.push_back({.id = BackendId("e" + std::to_string(number)),
+                                   .service = "s",
+                                   .dataCentre = DataCentreId("site" + std::to_string(number % 3)),
+                                   .engine = true,
+                                   .prefillOnly = number < prefill});
+    return listing;
+}
+
+} // namespace
+
+Test(stage_keeper, ordersUntilTheShareIsReachedAndNotAgain)
+{
+    StageKeeper keeper;
+    const BackendListing listing = engines(18, 6);
+    const std::vector<StageOrder> orders = keeper.decide(listing, at(0));
+    cr_assert_eq(orders.size(), 6U);
+    for (const StageOrder &order : orders)
+        cr_assert(order.prefill && !order.engine.prefillOnly);
+    for (const char *site : {"site0", "site1", "site2"})
+        cr_assert_eq(std::count_if(orders.begin(), orders.end(),
+                                   [&](const StageOrder &order) {
+                                       return order.engine.dataCentre == DataCentreId(site);
+                                   }),
+                     2);
+    // The list still shows the old stages.
+    cr_assert(keeper.decide(listing, at(1)).empty());
+    cr_assert(keeper.decide(engines(18, 12), at(9)).empty());
+}
+
+Test(stage_keeper, smallDeviationsAreLeftAlone)
+{
+    StageKeeper keeper;
+    cr_assert(keeper.decide(engines(18, 11), at(0)).empty());
+    cr_assert(keeper.decide(engines(18, 14), at(0)).empty());
+    cr_assert(keeper.decide(engines(2, 0), at(0)).empty());
+}
+
+Test(stage_keeper, anEngineIsNotOrderedBackAndForth)
+{
+    StageKeeper keeper;
+    cr_assert_eq(keeper.decide(engines(6, 0), at(0)).size(), 4U);
+    // Orders got lost: the list goes on showing no reading engine. The engines ordered are not
+    // ordered again before their interval is over.
+    const std::vector<StageOrder> again = keeper.decide(engines(6, 0), at(10));
+    cr_assert_leq(again.size(), 2U);
+    cr_assert_eq(keeper.decide(engines(6, 0), at(25)).size(), 4U);
+}
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -17,6 +17,10 @@
 constexpr double MixedTokensPerMs = 32;
 /// A prompt that is read apart takes one more call.
 constexpr double SecondCallMs = 3;
+/// Reading delays the requests behind it as long as its own; beside decoding it also stretches the
+/// pauses of all answers that run.
+constexpr double OthersDelayReading = 1;
+constexpr double OthersDelayMixed = 3;
 /// A stated load says little about the present after it.
 constexpr Duration LoadMemory = std::chrono::milliseconds(1500);
 /// Reading time that a request waiting at an engine stands for.
@@ -284,8 +288,11 @@
     std::uint32_t readerUnread = 0;
     for (Backend *backend : usable) {
         const std::uint32_t unread = unreadTokens(*backend, *request.prompt, backend == home, now);
+        const bool reads = backend->server.prefillOnly;
+        const double rate = reads ? PrefillTokensPerMs : MixedTokensPerMs;
         const double ms = readingMs(*backend, unread, now)
-            + (backend->server.prefillOnly ? handOverMs : runningMs(*backend, now));
+            + (reads ? handOverMs : runningMs(*backend, now))
+            + (reads ? OthersDelayReading : OthersDelayMixed) * unread / rate;
         if (!reader || ms < readerMs) {
             reader = backend;
             readerMs = ms;
