--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -280,7 +280,11 @@
     }
     if (!runner)
         return std::nullopt;
-    const Backend *home = homeOf(usable, request.prompt->sharedKey());
+    std::vector<Backend *> readers;
+    std::copy_if(usable.begin(), usable.end(), std::back_inserter(readers),
+                 [](const Backend *backend) { return backend->server.prefillOnly; });
+    const Backend *home
+        = homeOf(readers.empty() ? usable : readers, request.prompt->sharedKey());
     const double handOverMs
         = SecondCallMs + runnerMs + moveMs(request.service, request.prompt->tokens());
     Backend *reader = nullptr;
