--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -293,6 +293,8 @@
     for (Backend *backend : usable) {
         const std::uint32_t unread = unreadTokens(*backend, *request.prompt, backend == home, now);
         const bool reads = backend->server.prefillOnly;
+        if (!reads && !readers.empty())
+            continue;
         const double rate = reads ? PrefillTokensPerMs : MixedTokensPerMs;
         const double ms = readingMs(*backend, unread, now)
             + (reads ? handOverMs : runningMs(*backend, now))
