--- a/include/gentianramp/relay/backend_table.hpp
+++ b/include/gentianramp/relay/backend_table.hpp
@@ -21,6 +21,7 @@
     std::string service;
     const PromptShape *prompt = nullptr; ///< Null for calls without a prompt.
     bool repeatable = false;
+    bool promptRead = false; ///< An engine has read the prompt already and keeps it.
     std::span<const BackendId> excluded; ///< Tried before.
 };
 
@@ -82,6 +83,9 @@
     /// Every sent() is followed by one ended().
     void ended(const PlacedRequest &placed, bool wasAnswered, SendOutcome outcome, TimePoint now);
     void noteLoad(const BackendId &backend, const StatedLoad &load, TimePoint now);
+    /// It said that the request is not for it: the list is behind, and the backend server is left
+    /// alone until the list may have caught up.
+    void noteMisdirected(const BackendId &backend, TimePoint now);
     /// A check found that the backend server does not answer, or that it does again.
     void noteSilent(const BackendId &backend, bool silent, TimePoint now);
 
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -33,6 +33,8 @@
 constexpr std::size_t MaxParts = 2048;
 /// Of the connections that a backend server takes, to leave room for checks and other callers.
 constexpr double ConnectionShare = 0.85;
+/// The list is behind by its own lag, the interval in which it is read and the feed's.
+constexpr Duration MisdirectedPause = std::chrono::seconds(2);
 constexpr double OtherSiteMs = 3;
 constexpr double OtherSiteLoad = 0.5; ///< Plain calls cross to another data centre for this much.
 constexpr std::uint64_t MixA = 0xbf58476d1ce4e5b9ULL; // splitmix64
@@ -59,6 +61,7 @@
     StatedLoad load;
     TimePoint loadAt{};
     TimePoint heardAt{};
+    TimePoint avoidUntil{};
     std::unordered_map<std::uint64_t, TimePoint> parts; ///< Sent there, with the last use.
 
     bool fresh(TimePoint now) const { return loadAt != TimePoint{} && now - loadAt < LoadMemory; }
@@ -127,6 +130,7 @@
                           TimePoint now) const
 {
     if (backend.server.service != request.service || backend.server.draining || backend.silent
+        || now < backend.avoidUntil
         || !backend.breaker.mayAllow(request.repeatable, now))
         return false;
     const auto declared = m_services.find(request.service);
@@ -280,6 +284,11 @@
     }
     if (!runner)
         return std::nullopt;
+    if (request.promptRead) {
+        if (!runner->breaker.allow(request.repeatable, now))
+            return std::nullopt;
+        return RequestPlacement{place(*runner, 0, runnerMs), std::nullopt};
+    }
     std::vector<Backend *> readers;
     std::copy_if(usable.begin(), usable.end(), std::back_inserter(readers),
                  [](const Backend *backend) { return backend->server.prefillOnly; });
@@ -369,6 +378,16 @@
     found->second->loadAt = now;
 }
 
+void BackendTable::noteMisdirected(const BackendId &backend, TimePoint now)
+{
+    const auto found = m_backends.find(backend);
+    if (found == m_backends.end())
+        return;
+    found->second->avoidUntil = now + MisdirectedPause;
+    logInfo("backend_misdirected", {{"backend", backend.value()},
+                                    {"prefill", found->second->server.prefillOnly ? 1 : 0}});
+}
+
 void BackendTable::noteSilent(const BackendId &backend, bool silent, TimePoint now)
 {
     const auto found = m_backends.find(backend);
--- a/src/gentianramp/relay/relay_run.cpp
+++ b/src/gentianramp/relay/relay_run.cpp
@@ -114,6 +114,7 @@
     startDeadline();
     m_state->allowance(m_service).noteRequest(m_begunAt);
     co_await sendUntilDone();
+    freeSource();
     m_ended = true;
     m_deadlineTimer.cancel();
     m_silenceTimer.cancel();
@@ -203,7 +204,9 @@
         if (step == Step::Unreached && ++unreached < MaxUnreached)
             continue;
         const bool again = readFailed ? m_reads < MaxReads : mayRepeat(step);
-        if (!again || !takeRepeat())
+        // A prompt that has to be read once more takes a second call beside the run.
+        const bool readsMore = !readFailed && apart && !m_source;
+        if (!again || !takeRepeat() || (readsMore && !takeRepeat()))
             co_return co_await fail();
     }
 }
@@ -214,6 +217,7 @@
     request.service = m_service;
     request.prompt = m_prompt ? &*m_prompt : nullptr;
     request.repeatable = m_route->repeatable();
+    request.promptRead = m_source.has_value();
     request.excluded = m_tried;
     std::optional<RequestPlacement> placed = m_state->table.choose(request, RuntimeClock::now());
     if (!placed && !m_tried.empty()) {
@@ -310,9 +314,12 @@
     }
     m_exchange.reset();
     settle(send, step);
-    if (step == Step::Unreached)
-        freeSource();
-    m_source.reset(); // Taken, or gone with the failed send.
+    const bool misdirected
+        = step == Step::NotRun && send.exchange->status() == m_state->options.protocol.wrongTargetStatus;
+    if (misdirected)
+        m_state->table.noteMisdirected(placed.backend, RuntimeClock::now());
+    if (step != Step::Unreached && !misdirected)
+        m_source.reset(); // Taken, or gone with the failed send.
     if (step != Step::Done && !m_callerGone)
         logSendFailed(placed, "send_failed", step, error, send.exchange->status(), send.sentAt);
     co_return step;
@@ -350,6 +357,8 @@
         step = Step::Unreached;
     }
     m_silenceTimer.cancel();
+    if (!error && send.exchange->status() == protocol.wrongTargetStatus)
+        m_state->table.noteMisdirected(reader.backend, RuntimeClock::now());
     send.answered = step == Step::Done;
     if (step != Step::Done)
         send.exchange->cancel();
