--- a/include/gentianramp/relay/relay_service.hpp
+++ b/include/gentianramp/relay/relay_service.hpp
@@ -45,6 +45,8 @@
     void setInstances(std::uint32_t instances);
     /// Number of the declaration in force; 0: none.
     std::uint64_t declarationNumber() const;
+    /// The process ends at @p end: requests that may not be over by then are refused.
+    void setEnd(TimePoint end);
     /// A declaration and a list are there.
     bool supplied() const;
 
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -14,8 +14,10 @@
 
 constexpr Duration FeedTick = std::chrono::milliseconds(50);
 constexpr Duration MessageTtl = std::chrono::seconds(1);
+/// What is sent later than 3 s after the signal has to be answered before the process ends.
+constexpr Duration AnswerAllWhileLeaving = std::chrono::milliseconds(2800);
 /// New connections come until two questions in a row, a second apart, found it not ready.
-constexpr Duration AcceptWhileLeaving = std::chrono::milliseconds(3200);
+constexpr Duration AcceptWhileLeaving = std::chrono::milliseconds(4000);
 /// Answers in time before the process would be killed: a sixth of the grace is left over.
 constexpr int GraceSixths = 5;
 constexpr Duration LeaveCheckInterval = std::chrono::milliseconds(50);
@@ -164,8 +166,10 @@
         leaving = true;
         logInfo("leaving", {{"active", callers->activeRequests()},
                             {"connections", callers->connections()}});
-        co_await sleepFor(AcceptWhileLeaving);
+        co_await sleepFor(AnswerAllWhileLeaving);
+        relay.setEnd(latest);
         callers->closeAfterAnswers();
+        co_await sleepFor(AcceptWhileLeaving - AnswerAllWhileLeaving);
         callers->stopListening();
         do {
             co_await sleepFor(LeaveCheckInterval);
--- a/src/gentianramp/relay/relay_run.cpp
+++ b/src/gentianramp/relay/relay_run.cpp
@@ -29,6 +29,9 @@
 constexpr int RetryShareOfDeadline = 5;
 constexpr Duration LongestRetryAfter = std::chrono::milliseconds(800);
 
+/// Another instance can take the request at once.
+constexpr Duration LeavingRetryAfter = std::chrono::milliseconds(20);
+
 constexpr unsigned Ok = 200;
 
 bool isSuccess(unsigned status)
@@ -149,6 +152,11 @@
         budget = std::min<Duration>(
             budget, std::chrono::milliseconds(std::min<std::uint64_t>(*stated, 3'600'000)));
     m_deadline = m_begunAt + budget;
+    if (m_state->end && m_deadline > *m_state->end) {
+        m_writer->closeAfterwards();
+        co_await answerOwn(503, "leaving", LeavingRetryAfter);
+        co_return false;
+    }
     m_service = serviceOf(*m_route, m_state->draw());
     if (m_route->carriesPrompt && protocol.prompt)
         m_prompt = protocol.prompt(m_request.headers);
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -136,6 +136,11 @@
     m_state->table.setInstances(instances);
 }
 
+void RelayService::setEnd(TimePoint end)
+{
+    m_state->end = end;
+}
+
 std::uint64_t RelayService::declarationNumber() const
 {
     return m_state->routes ? m_state->routes->declaration().number : 0;
