--- a/include/gentianramp/registry/backend_listing.hpp
+++ b/include/gentianramp/registry/backend_listing.hpp
@@ -34,6 +34,24 @@
     bool operator==(const BackendListing &) const = default;
 };
 
+/// Load of an engine as it reported it itself.
+struct ReportedLoad
+{
+    BackendId engine;
+    std::uint32_t waiting = 0;
+    std::uint32_t running = 0;
+    bool silent = false; ///< It did not answer the last questions.
+    bool operator==(const ReportedLoad &) const = default;
+};
+
+/// Loads of all engines, as of about @p takenAt.
+struct LoadReports
+{
+    TimePoint takenAt{};
+    std::vector<ReportedLoad> engines;
+    bool operator==(const LoadReports &) const = default;
+};
+
 /// Digest of @p servers, in any order; never 0.
 std::uint64_t listingDigest(std::vector<ListedServer> servers);
 
--- a/include/gentianramp/registry/registry_feed.hpp
+++ b/include/gentianramp/registry/registry_feed.hpp
@@ -41,6 +41,7 @@
     std::optional<InstanceId> reconnect; ///< The connection to it may have gone silent.
     std::optional<StoredContent> declaration; ///< A higher number than before.
     std::optional<BackendListing> listing;    ///< Another content than before.
+    std::optional<LoadReports> loads;         ///< Newer than before.
 };
 
 /// An entry process's view of the registry: the newest declaration and the platform's list.
@@ -85,6 +86,7 @@
     std::optional<TimePoint> m_confirmedAt;
     std::uint64_t m_digest = 0;
     std::optional<TimePoint> m_listedAt;
+    TimePoint m_loadsAt{};
     std::uint32_t m_entries = 1;
     std::uint64_t m_random;
 };
--- a/include/gentianramp/registry/registry_node.hpp
+++ b/include/gentianramp/registry/registry_node.hpp
@@ -19,6 +19,10 @@
 /// Orders an engine to change its stage; the numbers of holders only grow.
 using StageOrderHook = std::function<boost::asio::awaitable<bool>(StageOrder, std::uint64_t)>;
 
+/// Asks an engine for its load; nothing when it doesn't answer.
+using EngineLoadHook
+    = std::function<boost::asio::awaitable<std::optional<ReportedLoad>>(ListedServer)>;
+
 /// Options of a RegistryNode.
 struct RegistryOptions
 {
@@ -31,6 +35,7 @@
     unsigned seats = 3; ///< Voters of the ledger; odd.
     std::uint64_t seed = 1;
     ListingSource listing;
+    EngineLoadHook engineLoad; ///< Empty: engines are not asked.
     StageOrderHook orderStage; ///< Empty: engines keep their stages.
     /// Orders of two holders have to be that far apart.
     Duration orderLease = std::chrono::seconds(3);
--- a/include/gentianramp/registry/stage_keeper.hpp
+++ b/include/gentianramp/registry/stage_keeper.hpp
@@ -19,13 +19,15 @@
 /// Options of a StageKeeper.
 struct StageOptions
 {
-    /// Share of a service's engines that read prompts for others to decode. Answers are a few
-    /// hundred tokens behind prompts of ten thousand: reading one takes an engine 20 to 80 ms,
-    /// while a decoding engine serves some 15 answers at once in less than a second.
-    double prefillShare = 0.67;
-    /// The share may be off by that much before engines are ordered to change; each change takes
-    /// an engine out for seconds.
-    double tolerance = 0.12;
+    /// Share of a service's engines that decode what others have read. Answers are a few hundred
+    /// tokens behind prompts of ten thousand: reading one takes an engine 20 to 80 ms, while a
+    /// decoding engine serves dozens of answers at once in less than a second each.
+    double decodeShare = 0.17;
+    /// Decoding engines that a service has at least, so that the loss of one is borne, as long as
+    /// they are no more than a third of its engines.
+    std::size_t fewestDecoding = 3;
+    /// Surplus decoding engines that are left alone; each change takes an engine out for seconds.
+    std::size_t surplus = 1;
     /// An order that was given counts as carried out for so long, until the list shows it.
     Duration settleTime = std::chrono::seconds(8);
     /// Least time between two orders to one engine.
--- a/include/gentianramp/relay/backend_table.hpp
+++ b/include/gentianramp/relay/backend_table.hpp
@@ -83,6 +83,8 @@
     /// Every sent() is followed by one ended().
     void ended(const PlacedRequest &placed, bool wasAnswered, SendOutcome outcome, TimePoint now);
     void noteLoad(const BackendId &backend, const StatedLoad &load, TimePoint now);
+    /// What an engine reported to the registry at @p takenAt.
+    void noteReport(const ReportedLoad &load, TimePoint takenAt);
     /// It said that the request is not for it: the list is behind, and the backend server is left
     /// alone until the list may have caught up.
     void noteMisdirected(const BackendId &backend, TimePoint now);
@@ -124,6 +126,7 @@
     std::uint32_t m_instances = 1;
     std::uint64_t m_lives = 0;
     std::uint64_t m_random;
+    double m_meanUnread; ///< Tokens of a prompt that an engine has to read, as seen lately.
 };
 
 } // namespace gentianramp
--- a/include/gentianramp/relay/relay_service.hpp
+++ b/include/gentianramp/relay/relay_service.hpp
@@ -42,6 +42,7 @@
     /// Puts a declaration in force unless its number is lower than the present one.
     void publish(Declaration declaration);
     void publish(const BackendListing &listing);
+    void publish(const LoadReports &loads);
     void setInstances(std::uint32_t instances);
     /// Number of the declaration in force; 0: none.
     std::uint64_t declarationNumber() const;
--- a/src/gentianramp/registry/registry_codec.cpp
+++ b/src/gentianramp/registry/registry_codec.cpp
@@ -1,5 +1,6 @@
 #include "registry_codec.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace gentianramp {
@@ -58,4 +59,29 @@
     return servers;
 }
 
+proto::LoadTable toProto(const LoadReports &reports, TimePoint now)
+{
+    proto::LoadTable table;
+    table.set_age_ms(static_cast<std::uint32_t>(
+        std::max<std::int64_t>(toMilliseconds(now - reports.takenAt), 0)));
+    for (const ReportedLoad &load : reports.engines) {
+        proto::EngineLoad &engine = *table.add_engines();
+        engine.set_id(load.engine.value());
+        engine.set_waiting(load.waiting);
+        engine.set_running(load.running);
+        engine.set_silent(load.silent);
+    }
+    return table;
+}
+
+LoadReports fromProto(const proto::LoadTable &table, TimePoint now)
+{
+    LoadReports reports;
+    reports.takenAt = now - std::chrono::milliseconds(table.age_ms());
+    for (const proto::EngineLoad &engine : table.engines())
+        reports.engines.push_back(
+            {BackendId(engine.id()), engine.waiting(), engine.running(), engine.silent()});
+    return reports;
+}
+
 } // namespace gentianramp
--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -148,6 +148,13 @@
             output.listing = BackendListing{m_digest, listedAt, fromProto(answer.list())};
         }
     }
+    if (answer.has_loads()) {
+        LoadReports loads = fromProto(answer.loads(), now);
+        if (loads.takenAt > m_loadsAt) {
+            m_loadsAt = loads.takenAt;
+            output.loads = std::move(loads);
+        }
+    }
     const bool behind = !confirmed
         || std::chrono::milliseconds(answer.confirmed_ms()) > m_options.staleAfter
         || answer.list_digest() == 0 || listAge > m_options.listStaleAfter;
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -42,6 +42,12 @@
 constexpr Duration ListingShortestInterval = std::chrono::milliseconds(600);
 /// For the chosen successor to win its election, one round trip and a sync.
 constexpr Duration HandOverTime = std::chrono::milliseconds(300);
+/// Engines' own figures are a tenth of a second old; four questions a second cost a third of a
+/// hundredth of the worth of a calm day.
+constexpr Duration LoadInterval = std::chrono::milliseconds(250);
+constexpr Duration LoadAnswerTime = std::chrono::milliseconds(30);
+constexpr Duration LoadMemory = std::chrono::seconds(2);
+constexpr unsigned MissesToSilence = 2;
 constexpr Duration OrderInterval = std::chrono::milliseconds(500);
 constexpr Duration OrderListAge = std::chrono::seconds(2);
 /// A leader that lost its majority may still believe in it for an election timeout, and its order
@@ -62,6 +68,14 @@
         std::clamp<std::int64_t>(toMilliseconds(value), 0, NeverConfirmed - 1));
 }
 
+/// What the leader knows of an engine's answers.
+struct EngineAnswer
+{
+    ReportedLoad load;
+    bool asking = false;
+    unsigned misses = 0; ///< Questions in a row without an answer.
+};
+
 /// Answer to a call that waits for another process.
 struct WaitingCall
 {
@@ -101,6 +115,8 @@
         openFolderWhenDue(RuntimeClock::now());
         asio::co_spawn(executor, run(), asio::detached);
         asio::co_spawn(executor, pollListing(), asio::detached);
+        if (options.engineLoad)
+            asio::co_spawn(executor, pollLoads(), asio::detached);
         if (options.orderStage)
             asio::co_spawn(executor, orderStages(), asio::detached);
     }
@@ -245,6 +261,73 @@
 
     bool leads() const { return ledger && ledger->leads(); }
 
+    // Loads of engines
+
+    /// The leader asks all engines and tells the other registry processes, so that entry processes
+    /// decide on one picture and engines are asked once.
+    asio::awaitable<void> pollLoads()
+    {
+        const auto self = shared_from_this();
+        while (!stopping) {
+            const TimePoint began = RuntimeClock::now();
+            if (leads() && listing.digest != 0) {
+                for (const ListedServer &server : listing.servers) {
+                    if (server.engine)
+                        asio::co_spawn(executor, askLoad(server), asio::detached);
+                }
+                co_await sleepFor(LoadAnswerTime);
+                publishLoads(began);
+            }
+            co_await sleepFor(LoadInterval - LoadAnswerTime);
+        }
+    }
+
+    asio::awaitable<void> askLoad(ListedServer engine)
+    {
+        const auto self = shared_from_this();
+        EngineAnswer &known = engineAnswers[engine.id];
+        if (known.asking)
+            co_return;
+        known.asking = true;
+        const std::optional<ReportedLoad> load = co_await options.engineLoad(engine);
+        EngineAnswer &answered = engineAnswers[engine.id];
+        answered.asking = false;
+        answered.misses = load ? 0 : answered.misses + 1;
+        if (load)
+            answered.load = *load;
+        answered.load.engine = engine.id;
+        answered.load.silent = answered.misses >= MissesToSilence;
+        if (answered.misses == MissesToSilence)
+            logWarning("engine_silent", {{"backend", engine.id.value()}});
+    }
+
+    void publishLoads(TimePoint takenAt)
+    {
+        loads.takenAt = takenAt;
+        loads.engines.clear();
+        for (const ListedServer &server : listing.servers) {
+            const auto known = engineAnswers.find(server.id);
+            if (known != engineAnswers.end() && !known->second.load.engine.value().empty())
+                loads.engines.push_back(known->second.load);
+        }
+        std::erase_if(engineAnswers, [&](const auto &entry) {
+            return !entry.second.asking
+                && std::none_of(listing.servers.begin(), listing.servers.end(),
+                                [&](const ListedServer &server) { return server.id == entry.first; });
+        });
+        proto::RegistryMessage message;
+        *message.mutable_loads() = toProto(loads, RuntimeClock::now());
+        for (const InstanceId &member : directory.contacts())
+            send(member, message);
+    }
+
+    void noteLoads(const proto::LoadTable &table, TimePoint now)
+    {
+        LoadReports received = fromProto(table, now);
+        if (received.takenAt > loads.takenAt)
+            loads = std::move(received);
+    }
+
     // Orders to engines
 
     /// Gives orders while this process leads. A new leader waits until the one before it can have
@@ -310,6 +393,8 @@
             return receiveRead(received, message.read());
         case proto::RegistryMessage::kFeed:
             return receiveFeed(received, message.feed(), now);
+        case proto::RegistryMessage::kLoads:
+            return noteLoads(message.loads(), now);
         case proto::RegistryMessage::kDeclareAnswer:
             return finishCall(message.declare_answer().call(), message);
         case proto::RegistryMessage::kReadAnswer:
@@ -603,6 +688,8 @@
             if (listing.digest != request.list_digest())
                 *feed.mutable_list() = toProto(listing.servers);
         }
+        if (now - loads.takenAt < LoadMemory)
+            *feed.mutable_loads() = toProto(loads, now);
         addKnown(*feed.mutable_known(), now);
         feed.set_entries(static_cast<std::uint32_t>(entries.size())
                          + directory.entriesElsewhere(now));
@@ -664,6 +751,8 @@
     StageKeeper stages;
     std::map<std::string, InstanceId> lastHolders;
     BackendListing listing;
+    LoadReports loads;
+    std::map<BackendId, EngineAnswer> engineAnswers;
     std::uint64_t nextCall;
     std::map<std::uint64_t, std::shared_ptr<WaitingCall>> calls;
     bool stopping = false;
--- a/src/gentianramp/registry/stage_keeper.cpp
+++ b/src/gentianramp/registry/stage_keeper.cpp
@@ -45,11 +45,11 @@
             prefillPerSite[engine->dataCentre] += reads ? 1 : 0;
             prefill += reads ? 1 : 0;
         }
-        const auto count = static_cast<double>(engines.size());
-        const std::ptrdiff_t wanted = std::clamp<std::ptrdiff_t>(
-            std::lround(count * m_options.prefillShare), 1,
-            static_cast<std::ptrdiff_t>(engines.size()) - 1);
-        if (std::abs(static_cast<double>(wanted - prefill)) <= count * m_options.tolerance)
+        const std::size_t decoding = std::max<std::size_t>(
+            std::lround(static_cast<double>(engines.size()) * m_options.decodeShare),
+            std::min(m_options.fewestDecoding, engines.size() / 3));
+        const auto wanted = static_cast<std::ptrdiff_t>(engines.size() - decoding);
+        if (prefill <= wanted && prefill + static_cast<std::ptrdiff_t>(m_options.surplus) >= wanted)
             continue;
         const bool more = prefill < wanted;
         for (std::ptrdiff_t left = std::abs(wanted - prefill); left > 0; --left) {
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -23,8 +23,13 @@
 constexpr double OthersDelayMixed = 3;
 /// A stated load says little about the present after it.
 constexpr Duration LoadMemory = std::chrono::milliseconds(1500);
-/// Reading time that a request waiting at an engine stands for.
+/// Reading time that a request waiting at a decoding engine stands for.
 constexpr double WaitingRequestMs = 40;
+/// Start value and weight of the mean length of what engines have to read of a prompt.
+constexpr double FirstMeanUnread = 3000;
+constexpr double MeanUnreadWeight = 0.02;
+/// A report is about that old when the registry gets it.
+constexpr Duration ReportLag = std::chrono::milliseconds(100);
 /// Running requests slow each other; a hundredth of a wait for each.
 constexpr double RunningRequestMs = 0.5;
 /// Engines keep a part for about that long when they are busy: the window in which users expect a
@@ -60,6 +65,7 @@
     double unreadTokens = 0;    ///< Of requests of this instance without a first event.
     StatedLoad load;
     TimePoint loadAt{};
+    double sentTokens = 0; ///< Unread tokens that this instance sent since loadAt.
     TimePoint heardAt{};
     TimePoint avoidUntil{};
     std::unordered_map<std::uint64_t, TimePoint> parts; ///< Sent there, with the last use.
@@ -94,6 +100,7 @@
 BackendTable::BackendTable(BackendTableOptions options)
     : m_options(std::move(options))
     , m_random(mix(m_options.seed))
+    , m_meanUnread(FirstMeanUnread)
 { }
 
 BackendTable::~BackendTable() = default;
@@ -182,8 +189,14 @@
 double BackendTable::readingMs(const Backend &backend, std::uint32_t unread, TimePoint now) const
 {
     const double rate = backend.server.prefillOnly ? PrefillTokensPerMs : MixedTokensPerMs;
-    double ms = (unread + backend.unreadTokens) / rate;
-    ms += backend.loadWeight(now) * backend.load.waiting * WaitingRequestMs;
+    double backlog = backend.unreadTokens;
+    if (backend.fresh(now)) {
+        // The report covers all instances; what came since then is known of this one only.
+        const double reported = (backend.load.waiting + backend.load.running) * m_meanUnread
+            + backend.sentTokens;
+        backlog = std::max(backlog, backend.loadWeight(now) * reported);
+    }
+    double ms = (unread + backlog) / rate;
     if (backend.server.dataCentre != m_options.dataCentre)
         ms += OtherSiteMs;
     return ms;
@@ -339,6 +352,9 @@
         return;
     ++backend->open;
     backend->unreadTokens += placed.unreadTokens;
+    backend->sentTokens += placed.unreadTokens;
+    if (prompt && placed.unreadTokens > 0)
+        m_meanUnread += MeanUnreadWeight * (placed.unreadTokens - m_meanUnread);
     if (prompt)
         backend->remember(*prompt, now);
 }
@@ -376,6 +392,23 @@
         return;
     found->second->load = load;
     found->second->loadAt = now;
+    found->second->sentTokens = 0;
+}
+
+void BackendTable::noteReport(const ReportedLoad &load, TimePoint takenAt)
+{
+    const auto found = m_backends.find(load.engine);
+    if (found == m_backends.end())
+        return;
+    Backend &backend = *found->second;
+    const TimePoint at = takenAt - ReportLag;
+    if (load.silent != backend.silent)
+        noteSilent(load.engine, load.silent, takenAt);
+    if (load.silent || at <= backend.loadAt)
+        return;
+    backend.load = {load.running, load.waiting, backend.server.slots};
+    backend.loadAt = at;
+    backend.sentTokens = 0;
 }
 
 void BackendTable::noteMisdirected(const BackendId &backend, TimePoint now)
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -137,6 +137,8 @@
                      {"age_ms", toMilliseconds(RuntimeClock::now() - output.listing->takenAt)}});
             relay.publish(*output.listing);
         }
+        if (output.loads)
+            relay.publish(*output.loads);
         relay.setInstances(feed.entries());
         if (!wasSupplied && relay.supplied())
             logInfo("ready", {{"declaration", relay.declarationNumber()}});
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -130,6 +130,12 @@
     m_state->listed = true;
 }
 
+void RelayService::publish(const LoadReports &loads)
+{
+    for (const ReportedLoad &load : loads.engines)
+        m_state->table.noteReport(load, loads.takenAt);
+}
+
 void RelayService::setInstances(std::uint32_t instances)
 {
     m_state->instances = instances;
