--- a/include/gentianramp/relay/backend_table.hpp
+++ b/include/gentianramp/relay/backend_table.hpp
@@ -32,6 +32,8 @@
     HttpAddress address;
     std::uint32_t unreadTokens = 0; ///< Prompt tokens that it is expected to read.
     Duration expectedWait{};        ///< Until the first event, as estimated.
+    double readingMs = 0;           ///< Of it, for reading at the engine's usual speed.
+    TimePoint placedAt{};
     std::uint64_t life = 0;         ///< Of the backend server, as the table counts lives.
     bool operator==(const PlacedRequest &) const = default;
 };
@@ -83,8 +85,11 @@
     /// Every sent() is followed by one ended().
     void ended(const PlacedRequest &placed, bool wasAnswered, SendOutcome outcome, TimePoint now);
     void noteLoad(const BackendId &backend, const StatedLoad &load, TimePoint now);
-    /// What an engine reported to the registry at @p takenAt.
-    void noteReport(const ReportedLoad &load, TimePoint takenAt);
+    /// What an engine reported to the registry at @p takenAt. True when it did not answer there and
+    /// nothing came from it here since: then it is worth a check.
+    bool noteReport(const ReportedLoad &load, TimePoint takenAt);
+    /// A prompt could not be handed over from @p reader to @p runner.
+    void noteHandOverFailed(const BackendId &reader, const BackendId &runner, TimePoint now);
     /// It said that the request is not for it: the list is behind, and the backend server is left
     /// alone until the list may have caught up.
     void noteMisdirected(const BackendId &backend, TimePoint now);
@@ -115,10 +120,12 @@
     std::uint32_t unreadTokens(const Backend &backend, const PromptShape &prompt, bool home,
                                TimePoint now) const;
     double readingMs(const Backend &backend, std::uint32_t unread, TimePoint now) const;
+    void noteReadingTime(Backend &backend, const PlacedRequest &placed, TimePoint now) const;
     double runningMs(const Backend &backend, TimePoint now) const;
     double moveMs(const std::string &service, std::uint32_t tokens) const;
     double plainCost(const Backend &backend, TimePoint now) const;
-    static PlacedRequest place(const Backend &backend, std::uint32_t unread, double waitMs);
+    static PlacedRequest place(const Backend &backend, std::uint32_t unread, double waitMs,
+                               TimePoint now);
 
     BackendTableOptions m_options;
     std::map<BackendId, std::unique_ptr<Backend>> m_backends;
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -38,9 +38,22 @@
 constexpr std::size_t MaxParts = 2048;
 /// Of the connections that a backend server takes, to leave room for checks and other callers.
 constexpr double ConnectionShare = 0.85;
+/// Engines differ in speed, and some turn slow: weight of one seen reading time, and bounds.
+constexpr double SlownessWeight = 0.15;
+constexpr double LeastSlowness = 0.7;
+constexpr double MostSlowness = 10;
+/// Shorter readings tell more about calls than about engines.
+constexpr double ShortestReadingMs = 10;
+/// A failed hand-over says that one of two engines moves prompts slowly; both are avoided by that
+/// much for a while, and the one at fault collects more.
+constexpr double HandOverFailureMs = 250;
+constexpr Duration HandOverMemory = std::chrono::seconds(3);
+constexpr double MostHandOverFailures = 6;
 /// The list is behind by its own lag, the interval in which it is read and the feed's.
 constexpr Duration MisdirectedPause = std::chrono::seconds(2);
 constexpr double OtherSiteMs = 3;
+/// Any decoding engine will do: one in the own data centre saves bytes between data centres.
+constexpr double OtherSiteRunMs = 10;
 constexpr double OtherSiteLoad = 0.5; ///< Plain calls cross to another data centre for this much.
 constexpr std::uint64_t MixA = 0xbf58476d1ce4e5b9ULL; // splitmix64
 constexpr std::uint64_t MixB = 0x94d049bb133111ebULL;
@@ -68,6 +81,9 @@
     double sentTokens = 0; ///< Unread tokens that this instance sent since loadAt.
     TimePoint heardAt{};
     TimePoint avoidUntil{};
+    double slowness = 1;         ///< Seen reading times over expected ones.
+    double handOverFailures = 0; ///< Fades out.
+    TimePoint handOverFailedAt{};
     std::unordered_map<std::uint64_t, TimePoint> parts; ///< Sent there, with the last use.
 
     bool fresh(TimePoint now) const { return loadAt != TimePoint{} && now - loadAt < LoadMemory; }
@@ -79,6 +95,12 @@
         return 1.0 - std::chrono::duration<double>(now - loadAt) / LoadMemory;
     }
 
+    double handOverPenaltyMs(TimePoint now) const
+    {
+        const double age = std::chrono::duration<double>(now - handOverFailedAt) / HandOverMemory;
+        return age < 1 ? handOverFailures * HandOverFailureMs * (1 - age) : 0;
+    }
+
     bool holds(std::uint64_t part, TimePoint now) const
     {
         const auto found = parts.find(part);
@@ -196,7 +218,7 @@
             + backend.sentTokens;
         backlog = std::max(backlog, backend.loadWeight(now) * reported);
     }
-    double ms = (unread + backlog) / rate;
+    double ms = (unread + backlog) / rate * backend.slowness;
     if (backend.server.dataCentre != m_options.dataCentre)
         ms += OtherSiteMs;
     return ms;
@@ -209,8 +231,8 @@
         + backend.loadWeight(now)
             * (backend.load.running * RunningRequestMs + backend.load.waiting * WaitingRequestMs);
     if (backend.server.dataCentre != m_options.dataCentre)
-        ms += OtherSiteMs;
-    return ms;
+        ms += OtherSiteRunMs;
+    return ms + backend.handOverPenaltyMs(now);
 }
 
 double BackendTable::moveMs(const std::string &service, std::uint32_t tokens) const
@@ -234,13 +256,17 @@
     return cost;
 }
 
-PlacedRequest BackendTable::place(const Backend &backend, std::uint32_t unread, double waitMs)
+PlacedRequest BackendTable::place(const Backend &backend, std::uint32_t unread, double waitMs,
+                                  TimePoint now)
 {
     PlacedRequest placed;
     placed.backend = backend.server.id;
     placed.address = {backend.server.host, backend.server.port};
     placed.unreadTokens = unread;
     placed.expectedWait = std::chrono::microseconds(static_cast<std::int64_t>(waitMs * 1000));
+    placed.readingMs = (unread + backend.unreadTokens)
+        / (backend.server.prefillOnly ? PrefillTokensPerMs : MixedTokensPerMs);
+    placed.placedAt = now;
     placed.life = backend.life;
     return placed;
 }
@@ -278,7 +304,7 @@
     }
     if (!best->breaker.allow(request.repeatable, now))
         return std::nullopt;
-    return RequestPlacement{place(*best, 0, 0), std::nullopt};
+    return RequestPlacement{place(*best, 0, 0, now), std::nullopt};
 }
 
 /// The engine that reads the prompt soonest, and the one that decodes when that doesn't.
@@ -300,7 +326,7 @@
     if (request.promptRead) {
         if (!runner->breaker.allow(request.repeatable, now))
             return std::nullopt;
-        return RequestPlacement{place(*runner, 0, runnerMs), std::nullopt};
+        return RequestPlacement{place(*runner, 0, runnerMs, now), std::nullopt};
     }
     std::vector<Backend *> readers;
     std::copy_if(usable.begin(), usable.end(), std::back_inserter(readers),
@@ -319,7 +345,7 @@
             continue;
         const double rate = reads ? PrefillTokensPerMs : MixedTokensPerMs;
         const double ms = readingMs(*backend, unread, now)
-            + (reads ? handOverMs : runningMs(*backend, now))
+            + (reads ? handOverMs + backend->handOverPenaltyMs(now) : runningMs(*backend, now))
             + (reads ? OthersDelayReading : OthersDelayMixed) * unread / rate;
         if (!reader || ms < readerMs) {
             reader = backend;
@@ -333,8 +359,8 @@
         || (apart && !reader->breaker.allow(true, now)))
         return std::nullopt;
     if (!apart)
-        return RequestPlacement{place(*reader, readerUnread, readerMs), std::nullopt};
-    return RequestPlacement{place(*runner, 0, readerMs), place(*reader, readerUnread, readerMs)};
+        return RequestPlacement{place(*reader, readerUnread, readerMs, now), std::nullopt};
+    return RequestPlacement{place(*runner, 0, readerMs, now), place(*reader, readerUnread, readerMs, now)};
 }
 
 BackendTable::Backend *BackendTable::find(const PlacedRequest &placed)
@@ -359,10 +385,28 @@
         backend->remember(*prompt, now);
 }
 
-void BackendTable::answered(const PlacedRequest &placed, TimePoint)
+void BackendTable::answered(const PlacedRequest &placed, TimePoint now)
+{
+    Backend *backend = find(placed);
+    if (!backend)
+        return;
+    backend->unreadTokens = std::max(backend->unreadTokens - placed.unreadTokens, 0.0);
+    if (placed.readingMs >= ShortestReadingMs)
+        noteReadingTime(*backend, placed, now);
+}
+
+/// Compares a reading time with what the known backlog let expect; work of other instances that
+/// was not known makes single times long, so that only the shortest ones tell about the engine.
+void BackendTable::noteReadingTime(Backend &backend, const PlacedRequest &placed,
+                                   TimePoint now) const
 {
-    if (Backend *backend = find(placed))
-        backend->unreadTokens = std::max(backend->unreadTokens - placed.unreadTokens, 0.0);
+    const double took = std::chrono::duration<double, std::milli>(now - placed.placedAt).count();
+    const double expected = std::max(
+        placed.readingMs,
+        std::chrono::duration<double, std::milli>(placed.expectedWait).count()
+            / std::max(backend.slowness, 1.0));
+    const double seen = std::clamp(took / expected, LeastSlowness, MostSlowness);
+    backend.slowness += SlownessWeight * (seen - backend.slowness);
 }
 
 void BackendTable::ended(const PlacedRequest &placed, bool wasAnswered, SendOutcome outcome,
@@ -395,20 +439,35 @@
     found->second->sentTokens = 0;
 }
 
-void BackendTable::noteReport(const ReportedLoad &load, TimePoint takenAt)
+void BackendTable::noteHandOverFailed(const BackendId &reader, const BackendId &runner,
+                                      TimePoint now)
+{
+    for (const BackendId &id : {reader, runner}) {
+        const auto found = m_backends.find(id);
+        if (found == m_backends.end())
+            continue;
+        Backend &backend = *found->second;
+        const double left = backend.handOverPenaltyMs(now) / HandOverFailureMs;
+        backend.handOverFailures = std::min(left + 1, MostHandOverFailures);
+        backend.handOverFailedAt = now;
+    }
+}
+
+bool BackendTable::noteReport(const ReportedLoad &load, TimePoint takenAt)
 {
     const auto found = m_backends.find(load.engine);
     if (found == m_backends.end())
-        return;
+        return false;
     Backend &backend = *found->second;
     const TimePoint at = takenAt - ReportLag;
-    if (load.silent != backend.silent)
-        noteSilent(load.engine, load.silent, takenAt);
-    if (load.silent || at <= backend.loadAt)
-        return;
+    if (load.silent)
+        return !backend.silent && backend.heardAt < takenAt;
+    if (at <= backend.loadAt)
+        return false;
     backend.load = {load.running, load.waiting, backend.server.slots};
     backend.loadAt = at;
     backend.sentTokens = 0;
+    return false;
 }
 
 void BackendTable::noteMisdirected(const BackendId &backend, TimePoint now)
--- a/src/gentianramp/relay/relay_run.cpp
+++ b/src/gentianramp/relay/relay_run.cpp
@@ -326,6 +326,8 @@
         = step == Step::NotRun && send.exchange->status() == m_state->options.protocol.wrongTargetStatus;
     if (misdirected)
         m_state->table.noteMisdirected(placed.backend, RuntimeClock::now());
+    if (step == Step::NotRun && !misdirected && m_source)
+        m_state->table.noteHandOverFailed(m_source->reader, placed.backend, RuntimeClock::now());
     if (step != Step::Unreached && !misdirected)
         m_source.reset(); // Taken, or gone with the failed send.
     if (step != Step::Done && !m_callerGone)
@@ -358,7 +360,7 @@
         const std::string handle
             = body && send.exchange->status() == Ok ? protocol.handle(*body) : std::string();
         if (!handle.empty()) {
-            m_source = Source{reader.address, handle};
+            m_source = Source{reader.backend, reader.address, handle};
             step = Step::Done;
         }
     } else if (!send.exchange->bytesWritten()) {
--- a/src/gentianramp/relay/relay_run.hpp
+++ b/src/gentianramp/relay/relay_run.hpp
@@ -98,6 +98,7 @@
     /// A prompt that an engine has read and keeps until it is taken.
     struct Source
     {
+        BackendId reader;
         HttpAddress address;
         std::string handle;
     };
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -133,7 +133,8 @@
 void RelayService::publish(const LoadReports &loads)
 {
     for (const ReportedLoad &load : loads.engines)
-        m_state->table.noteReport(load, loads.takenAt);
+        if (m_state->table.noteReport(load, loads.takenAt))
+            m_state->verify(load.engine, {});
 }
 
 void RelayService::setInstances(std::uint32_t instances)
