--- a/cmake/gentianramp_dependencies.cmake
+++ b/cmake/gentianramp_dependencies.cmake
@@ -7,6 +7,7 @@
 find_package(nlohmann_json REQUIRED)
 find_package(prometheus-cpp CONFIG REQUIRED COMPONENTS core)
 find_package(OpenSSL REQUIRED)
+find_package(ZLIB REQUIRED)
 
 set(plain_libraries zmq urcu-memb xxhash)
 if(GENTIANRAMP_TESTS)
--- a/include/gentianramp/relay/backend_table.hpp
+++ b/include/gentianramp/relay/backend_table.hpp
@@ -67,6 +67,8 @@
 public:
     explicit BackendTable(BackendTableOptions options);
     ~BackendTable();
+    BackendTable(BackendTable &&) noexcept;
+    BackendTable &operator=(BackendTable &&) noexcept;
 
     /// Replaces the list. A backend server that started anew begins without history.
     void publish(const BackendListing &listing);
--- /dev/null
+++ b/src/gentianramp/registry/declaration_ledger_test.cpp
@@ -0,0 +1,237 @@
+#include <gentianramp/registry/declaration_ledger.hpp>
+
+#include <deque>
+#include <gentianramp/registry/voter_folder.hpp>
+#include <map>
+
+#include "gentianramp/ledger/memory_disk.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+using gentianramp::testing::DiskFault;
+using gentianramp::testing::MemoryDisk;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const std::vector<InstanceId> Seats{InstanceId("seat-1"), InstanceId("seat-2"),
+                                    InstanceId("seat-3")};
+
+/// Three voters on disks in memory; messages arrive at once unless a seat is cut off.
+class Voters
+{
+public:
+    Voters()
+    {
+        for (const InstanceId &seat : Seats) {
+            cr_assert_not(prepareSeat(m_disks[seat].disk(), seat.value(), true, ++m_seed));
+            start(seat);
+        }
+    }
+
+    void start(const InstanceId &seat)
+    {
+        ReplicaOptions options;
+        options.self = seat;
+        options.voters = Seats;
+        options.seed = ++m_seed;
+        DeclarationHooks hooks;
+        hooks.send = [this, seat](const InstanceId &to, std::string payload) {
+            m_messages.push_back({seat, to, std::move(payload)});
+        };
+        hooks.inForce = [this, seat](const StoredContent &held) {
+            cr_assert_geq(held.number, m_shown[seat], "a voter showed an older declaration");
+            m_shown[seat] = held.number;
+        };
+        hooks.leadership = [](bool, Term) {};
+        hooks.storageFailed = [this, seat](const std::string &) { m_failed = seat; };
+        ledgers[seat] = std::make_unique<DeclarationLedger>(options, m_disks[seat].disk(), hooks);
+        cr_assert(ledgers[seat]->start(m_now));
+    }
+
+    void stop(const InstanceId &seat) { ledgers.erase(seat); }
+    MemoryDisk &disk(const InstanceId &seat) { return m_disks[seat]; }
+    bool failed(const InstanceId &seat) const { return m_failed == seat; }
+
+    void run(int ms)
+    {
+        for (int passed = 0; passed < ms; passed += 50) {
+            m_now += milliseconds(50);
+            for (const InstanceId &seat : Seats) {
+                if (ledgers.contains(seat))
+                    ledgers[seat]->tick(m_now);
+            }
+            deliver();
+        }
+    }
+
+    DeclarationLedger *leader()
+    {
+        for (auto &[seat, ledger] : ledgers) {
+            if (ledger->leads() && !m_cut.contains(seat))
+                return ledger.get();
+        }
+        return nullptr;
+    }
+
+    InstanceId leaderSeat()
+    {
+        for (auto &[seat, ledger] : ledgers) {
+            if (ledger->leads() && !m_cut.contains(seat))
+                return seat;
+        }
+        return {};
+    }
+
+    void cut(const InstanceId &seat) { m_cut[seat] = true; }
+    void join(const InstanceId &seat) { m_cut.erase(seat); }
+
+    std::optional<bool> declare(DeclarationLedger *ledger, std::uint64_t number,
+                                const std::string &content, int waitMs = 2000)
+    {
+        const auto answer = std::make_shared<std::optional<bool>>();
+        ledger->declare({number, content}, [answer](bool accepted) { *answer = accepted; }, m_now);
+        run(waitMs);
+        return *answer;
+    }
+
+    std::optional<StoredContent> read(DeclarationLedger *ledger)
+    {
+        const auto answer = std::make_shared<std::optional<StoredContent>>();
+        ledger->readNewest([answer](std::optional<StoredContent> newest) { *answer = newest; },
+                           m_now);
+        run(1000);
+        return *answer;
+    }
+
+    std::map<InstanceId, std::unique_ptr<DeclarationLedger>> ledgers;
+
+private:
+    struct Message
+    {
+        InstanceId from;
+        InstanceId to;
+        std::string payload;
+    };
+
+    void deliver()
+    {
+        while (!m_messages.empty()) {
+            const Message message = std::move(m_messages.front());
+            m_messages.pop_front();
+            const bool lost = m_cut.contains(message.from) || m_cut.contains(message.to);
+            if (!lost && ledgers.contains(message.to))
+                ledgers[message.to]->onMessage(message.from, message.payload, m_now);
+        }
+    }
+
+    TimePoint m_now{std::chrono::seconds(100)};
+    std::uint64_t m_seed = 0;
+    std::map<InstanceId, MemoryDisk> m_disks;
+    std::map<InstanceId, std::uint64_t> m_shown;
+    std::map<InstanceId, bool> m_cut;
+    std::deque<Message> m_messages;
+    InstanceId m_failed;
+};
+
+} // namespace
+
+Test(declaration_ledger, theHighestNumberWins)
+{
+    Voters voters;
+    voters.run(6000);
+    cr_assert_not_null(voters.leader());
+    cr_assert(voters.declare(voters.leader(), 7, "seven") == true);
+    cr_assert(voters.declare(voters.leader(), 30, "thirty") == true);
+    // An older one that arrives again is acknowledged and changes nothing.
+    cr_assert(voters.declare(voters.leader(), 7, "seven") == true);
+    cr_assert(voters.read(voters.leader()) == (StoredContent{30, "thirty"}));
+    for (auto &[seat, ledger] : voters.ledgers)
+        cr_assert(ledger->held() == (StoredContent{30, "thirty"}));
+}
+
+Test(declaration_ledger, otherContentUnderANumberNeverWins)
+{
+    Voters voters;
+    voters.run(6000);
+    DeclarationLedger *leader = voters.leader();
+    const auto accepted = std::make_shared<int>(0);
+    for (const char *content : {"first", "second", "third"})
+        leader->declare({5, content}, [accepted](bool inForce) { *accepted += inForce ? 1 : 0; },
+                        TimePoint(std::chrono::seconds(106)));
+    voters.run(3000);
+    cr_assert_eq(*accepted, 3);
+    cr_assert(voters.declare(leader, 5, "fourth") == true);
+    cr_assert(voters.read(leader) == (StoredContent{5, "first"}));
+}
+
+Test(declaration_ledger, whatWasAcknowledgedOutlivesTheLeaderAndItsDisk)
+{
+    Voters voters;
+    voters.run(6000);
+    const InstanceId first = voters.leaderSeat();
+    cr_assert(voters.declare(voters.leader(), 3, "three") == true);
+    voters.stop(first);
+    cr_assert_not(prepareSeat(voters.disk(first).disk(), first.value(), false, 4711));
+    voters.run(8000);
+    cr_assert_not_null(voters.leader());
+    cr_assert(voters.read(voters.leader()) == (StoredContent{3, "three"}));
+    voters.start(first);
+    voters.run(6000);
+    cr_assert(voters.ledgers[first]->held() == (StoredContent{3, "three"}));
+}
+
+Test(declaration_ledger, aMinorityNeitherAcceptsNorReads)
+{
+    Voters voters;
+    voters.run(6000);
+    const InstanceId old = voters.leaderSeat();
+    DeclarationLedger *cutOff = voters.leader();
+    cr_assert(voters.declare(cutOff, 3, "three") == true);
+    voters.cut(old);
+    cr_assert_neq(voters.declare(cutOff, 4, "four"), std::optional<bool>(true));
+    voters.run(6000);
+    cr_assert_not(voters.read(cutOff).has_value());
+    cr_assert(voters.declare(voters.leader(), 5, "five") == true);
+    voters.join(old);
+    voters.run(6000);
+    cr_assert(voters.ledgers[old]->held() == (StoredContent{5, "five"}));
+}
+
+Test(declaration_ledger, allAtOnceComeBackWithWhatWasAcknowledged)
+{
+    Voters voters;
+    voters.run(6000);
+    cr_assert(voters.declare(voters.leader(), 8, "eight") == true);
+    std::mt19937_64 random(5);
+    for (const InstanceId &seat : Seats) {
+        voters.stop(seat);
+        voters.disk(seat).crash(random);
+    }
+    for (const InstanceId &seat : Seats)
+        voters.start(seat);
+    voters.run(8000);
+    cr_assert_not_null(voters.leader());
+    cr_assert(voters.read(voters.leader()) == (StoredContent{8, "eight"}));
+}
+
+Test(declaration_ledger, aFullDiskIsToldAndTheOthersGoOn)
+{
+    Voters voters;
+    voters.run(6000);
+    const InstanceId first = voters.leaderSeat();
+    voters.disk(first).fault = DiskFault::FullDisk;
+    cr_assert_neq(voters.declare(voters.leader(), 2, "two", 500), std::optional<bool>(true));
+    cr_assert(voters.failed(first));
+    voters.stop(first);
+    voters.run(8000);
+    cr_assert_not_null(voters.leader());
+    cr_assert(voters.declare(voters.leader(), 3, "three") == true);
+    // The disk has room again: the process reads what it wrote before and catches up.
+    voters.disk(first).fault = DiskFault::None;
+    voters.start(first);
+    voters.run(6000);
+    cr_assert(voters.ledgers[first]->held() == (StoredContent{3, "three"}));
+}
--- /dev/null
+++ b/src/gentianramp/registry/member_directory_test.cpp
@@ -0,0 +1,63 @@
+#include <gentianramp/registry/member_directory.hpp>
+
+#include <algorithm>
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+
+namespace {
+
+TimePoint at(int seconds)
+{
+    return TimePoint(std::chrono::seconds(1000 + seconds));
+}
+
+const InstanceId A("a:1");
+const InstanceId B("b:1");
+const InstanceId C("c:1");
+
+} // namespace
+
+Test(member_directory, learnsOfMembersThatNoSeedNames)
+{
+    MemberDirectory directory(A);
+    directory.setSeeds({A, B});
+    cr_assert(directory.contacts() == std::vector<InstanceId>{B});
+    directory.noteKnown(C, DataCentreId("z"), std::chrono::seconds(1), at(0));
+    cr_assert(directory.contacts() == (std::vector<InstanceId>{B, C}));
+    // It was only heard of, so that it claims nothing.
+    cr_assert(directory.claims(at(0)).empty());
+    directory.expire(at(120));
+    cr_assert(directory.contacts() == std::vector<InstanceId>{B});
+}
+
+Test(member_directory, rumoursDoNotKeepAReplacedMemberAlive)
+{
+    MemberDirectory directory(A);
+    for (int second = 0; second < 200; ++second) {
+        directory.noteKnown(C, DataCentreId("z"), std::chrono::seconds(second), at(second));
+        directory.expire(at(second));
+    }
+    cr_assert(directory.contacts().empty());
+}
+
+Test(member_directory, theLeaderOfTheHighestTermCounts)
+{
+    MemberDirectory directory(A);
+    directory.noteState(B, {.seat = "seat-1", .leads = true, .term = 4}, at(0));
+    directory.noteState(C, {.seat = "seat-2", .leads = true, .term = 5}, at(0));
+    cr_assert(directory.leader(at(1)) == C);
+    directory.noteState(B, {.seat = "seat-1", .leads = true, .term = 4}, at(3));
+    cr_assert(directory.leader(at(3)) == B);
+    cr_assert_not(directory.leader(at(9)).has_value());
+}
+
+Test(member_directory, countsEntriesOfMembersHeardLately)
+{
+    MemberDirectory directory(A);
+    directory.noteState(B, {.entries = 4}, at(0));
+    directory.noteState(C, {.entries = 3}, at(0));
+    cr_assert_eq(directory.entriesElsewhere(at(1)), 7U);
+    directory.noteState(C, {.entries = 3}, at(5));
+    cr_assert_eq(directory.entriesElsewhere(at(6)), 3U);
+}
--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <gentianramp/core/log.hpp>
+#include <gentianramp/registry/packed_text.hpp>
 #include <limits>
 
 namespace gentianramp {
@@ -74,7 +75,8 @@
         m_askedAt.reset();
         avoid(InstanceId(*m_current), now);
     }
-    if (m_askedAt && now >= m_resendDue) {
+    // A question on a working connection is never lost, and a long answer must not be asked twice.
+    if (m_askedAt && now >= m_resendDue && !m_sources[*m_current].answered) {
         output.askTo = m_current;
         output.question = m_question;
         m_resendDue = now + m_options.resendInterval;
@@ -130,9 +132,16 @@
         }
         return true;
     });
-    if (answer.number() > m_number && !answer.content().empty()) {
+    if (answer.number() > m_number && !answer.packed_content().empty()) {
+        Result<std::string> content = unpackText(answer.packed_content());
+        if (!content) {
+            logError("declaration_damaged", {{"number", answer.number()},
+                                             {"reason", content.message()}});
+            avoid(sender, now);
+            return output;
+        }
         m_number = answer.number();
-        output.declaration = StoredContent{answer.number(), std::move(*answer.mutable_content())};
+        output.declaration = StoredContent{answer.number(), std::move(content).value()};
     }
     const bool confirmed = answer.confirmed_ms() != NeverConfirmed && answer.number() >= m_number;
     if (confirmed) {
--- /dev/null
+++ b/src/gentianramp/registry/registry_feed_test.cpp
@@ -0,0 +1,157 @@
+#include <gentianramp/registry/registry_feed.hpp>
+
+#include <gentianramp/registry/packed_text.hpp>
+
+#include "gentianramp/registry/generated/registry.pb.h"
+
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint at(int ms)
+{
+    return TimePoint(std::chrono::seconds(100) + milliseconds(ms));
+}
+
+const InstanceId Near("10.1.0.1:7000");
+const InstanceId Far("10.2.0.1:7000");
+
+RegistryFeed makeFeed()
+{
+    return RegistryFeed({.dataCentre = DataCentreId("a"), .seeds = {Near, Far}, .seed = 7}, at(0));
+}
+
+proto::FeedAnswer answerTo(const FeedOutput &output, std::uint64_t number)
+{
+    proto::RegistryMessage question;
+    question.ParseFromString(output.question);
+    proto::FeedAnswer answer;
+    answer.set_call(question.feed().call());
+    answer.set_number(number);
+    if (number > question.feed().number())
+        answer.set_packed_content(packText("declaration " + std::to_string(number)));
+    answer.set_confirmed_ms(50);
+    answer.set_list_digest(1);
+    for (const auto &[instance, site] : {std::pair(Near, "a"), std::pair(Far, "b")}) {
+        proto::RegistryMember &member = *answer.add_known();
+        member.set_instance(instance.value());
+        member.set_data_centre(site);
+    }
+    return answer;
+}
+
+FeedOutput deliver(RegistryFeed &feed, const InstanceId &from, const proto::FeedAnswer &answer,
+                   TimePoint now)
+{
+    proto::RegistryMessage message;
+    *message.mutable_feed_answer() = answer;
+    return feed.onMessage(from, message.SerializeAsString(), now);
+}
+
+/// Brings the feed to the state in which it asks the process of its own data centre.
+int settle(RegistryFeed &feed, std::uint64_t number)
+{
+    int ms = 0;
+    for (int round = 0; round < 6; ++round) {
+        const FeedOutput output = feed.tick(at(ms));
+        if (output.askTo)
+            deliver(feed, *output.askTo, answerTo(output, number), at(ms + 5));
+        ms += 260;
+    }
+    return ms;
+}
+
+} // namespace
+
+Test(registry_feed, asksItsOwnDataCentre)
+{
+    RegistryFeed feed = makeFeed();
+    const int ms = settle(feed, 3);
+    const FeedOutput output = feed.tick(at(ms));
+    cr_assert(output.askTo == Near);
+    cr_assert_lt(toMilliseconds(*feed.declarationAge(at(ms))), 400);
+}
+
+Test(registry_feed, questionIsRepeatedWhileTheConnectionIsMade)
+{
+    RegistryFeed feed = makeFeed();
+    const FeedOutput first = feed.tick(at(0));
+    cr_assert(first.askTo.has_value());
+    const FeedOutput again = feed.tick(at(110));
+    cr_assert(again.askTo == first.askTo);
+    cr_assert_eq(again.question, first.question);
+    cr_assert_not(feed.tick(at(150)).reconnect.has_value());
+}
+
+Test(registry_feed, aSlowAnswerIsNotAskedForTwice)
+{
+    // A declaration of hundreds of routes takes a while on a slow link.
+    RegistryFeed feed = makeFeed();
+    const int ms = settle(feed, 3);
+    cr_assert(feed.tick(at(ms)).askTo == Near);
+    for (int later = 50; later < 400; later += 50)
+        cr_assert_not(feed.tick(at(ms + later)).askTo.has_value());
+}
+
+Test(registry_feed, aDamagedDeclarationIsAskedForElsewhere)
+{
+    RegistryFeed feed = makeFeed();
+    const int ms = settle(feed, 3);
+    FeedOutput output = feed.tick(at(ms));
+    proto::FeedAnswer damaged = answerTo(output, 4);
+    damaged.mutable_packed_content()->back() ^= 1;
+    cr_assert_not(deliver(feed, Near, damaged, at(ms + 5)).declaration.has_value());
+    output = feed.tick(at(ms + 50));
+    cr_assert(output.askTo == Far);
+    cr_assert(deliver(feed, Far, answerTo(output, 4), at(ms + 60)).declaration.has_value());
+}
+
+Test(registry_feed, goesOnToAnotherWhenItsSourceFallsSilent)
+{
+    RegistryFeed feed = makeFeed();
+    int ms = settle(feed, 3);
+    cr_assert(feed.tick(at(ms)).askTo == Near);
+    ms += 410;
+    const FeedOutput output = feed.tick(at(ms));
+    cr_assert(output.reconnect == Near);
+    cr_assert(output.askTo == Far);
+}
+
+Test(registry_feed, leavesASourceThatIsBehind)
+{
+    // The near process is cut off from the leader: it answers, but nothing confirms what it has.
+    RegistryFeed feed = makeFeed();
+    int ms = settle(feed, 3);
+    FeedOutput output = feed.tick(at(ms));
+    proto::FeedAnswer stale = answerTo(output, 3);
+    stale.set_confirmed_ms(1500);
+    deliver(feed, Near, stale, at(ms + 5));
+    output = feed.tick(at(ms + 50));
+    cr_assert(output.askTo == Far);
+    const FeedOutput news = deliver(feed, Far, answerTo(output, 4), at(ms + 60));
+    cr_assert(news.declaration == (StoredContent{4, "declaration 4"}));
+}
+
+Test(registry_feed, neverShowsAnOlderDeclaration)
+{
+    RegistryFeed feed = makeFeed();
+    int ms = settle(feed, 9);
+    const FeedOutput output = feed.tick(at(ms));
+    proto::FeedAnswer older = answerTo(output, 8);
+    older.set_packed_content(packText("declaration 8"));
+    cr_assert_not(deliver(feed, *output.askTo, older, at(ms + 5)).declaration.has_value());
+}
+
+Test(registry_feed, lateAnswersAreDropped)
+{
+    RegistryFeed feed = makeFeed();
+    const int ms = settle(feed, 3);
+    const FeedOutput given = feed.tick(at(ms));
+    feed.tick(at(ms + 450));
+    cr_assert_not(
+        deliver(feed, Near, answerTo(given, 5), at(ms + 5000)).declaration.has_value());
+}
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <gentianramp/core/log.hpp>
 #include <gentianramp/registry/member_directory.hpp>
+#include <gentianramp/registry/packed_text.hpp>
 #include <gentianramp/registry/voter_folder.hpp>
 #include <gentianramp/wire/mesh.hpp>
 #include <limits>
@@ -680,7 +681,7 @@
         if (ledger) {
             feed.set_number(ledger->held().number);
             if (ledger->held().number > request.number())
-                feed.set_content(ledger->held().content);
+                feed.set_packed_content(packedDeclaration());
         }
         feed.set_list_digest(listing.digest);
         if (listing.digest != 0) {
@@ -696,6 +697,16 @@
         answer(received, message);
     }
 
+    /// The declaration held, packed once for all who ask.
+    const std::string &packedDeclaration()
+    {
+        if (packedNumber != ledger->held().number) {
+            packedNumber = ledger->held().number;
+            packed = packText(ledger->held().content);
+        }
+        return packed;
+    }
+
     std::uint32_t confirmedMs(TimePoint now) const
     {
         if (!ledger)
@@ -750,6 +761,8 @@
     TimePoint ordersDue{};
     StageKeeper stages;
     std::map<std::string, InstanceId> lastHolders;
+    std::uint64_t packedNumber = 0;
+    std::string packed;
     BackendListing listing;
     LoadReports loads;
     std::map<BackendId, EngineAnswer> engineAnswers;
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -126,6 +126,8 @@
 { }
 
 BackendTable::~BackendTable() = default;
+BackendTable::BackendTable(BackendTable &&) noexcept = default;
+BackendTable &BackendTable::operator=(BackendTable &&) noexcept = default;
 
 void BackendTable::publish(const BackendListing &listing)
 {
--- /dev/null
+++ b/src/gentianramp/relay/backend_table_test.cpp
@@ -0,0 +1,229 @@
+#include <gentianramp/relay/backend_table.hpp>
+
+#include <map>
+#include <random>
+#include <set>
+
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+
+namespace {
+
+TimePoint at(int ms)
+{
+    return TimePoint(std::chrono::seconds(900) + std::chrono::milliseconds(ms));
+}
+
+BackendListing engines(int count, int decoding, std::int64_t born = 1)
+{
+    BackendListing listing{.digest = 1};
+    for (int number = 0; number < count; ++number)
+        listing.servers.push_back({.id = BackendId("e" + std::to_string(number)),
+                                   .service = "lm",
+                                   .host = "10.0.0." + std::to_string(number + 1),
+                                   .port = 8000,
+                                   .dataCentre = DataCentreId("site" + std::to_string(number % 3)),
+                                   .slots = 64,
+                                   .engine = true,
+                                   .prefillOnly = number >= decoding,
+                                   .bornMs = born});
+    return listing;
+}
+
+DeclaredService service()
+{
+    DeclaredService declared{.name = "lm", .maxConnections = 400};
+    declared.engine = EngineTraits{.slots = 64,
+                                   .memoryTokens = 500'000,
+                                   .tokenBytes = 327'680,
+                                   .linkBitsPerSecond = 3.8e12};
+    return declared;
+}
+
+PromptShape prompt(std::uint64_t session, std::uint32_t shared = 13'000, std::uint32_t own = 3'700)
+{
+    static std::uint64_t last = 1'000'000;
+    return {.parts = {{session, shared}, {++last, own}}, .outputTokens = 120};
+}
+
+BackendTable table(int site = 0, int count = 12, int decoding = 3)
+{
+    BackendTable made({.dataCentre = DataCentreId("site" + std::to_string(site)),
+                       .seed = static_cast<std::uint64_t>(site + 1)});
+    made.publish(engines(count, decoding));
+    made.setService(service());
+    made.setInstances(9);
+    return made;
+}
+
+std::optional<RequestPlacement> choose(BackendTable &made, const PromptShape &shape, TimePoint now,
+                                       std::span<const BackendId> excluded = {})
+{
+    return made.choose({.service = "lm", .prompt = &shape, .repeatable = true, .excluded = excluded},
+                       now);
+}
+
+} // namespace
+
+Test(backend_table, allInstancesReadASessionAtOneEngine)
+{
+    BackendTable first = table(0);
+    BackendTable second = table(1);
+    std::set<BackendId> homes;
+    for (std::uint64_t session = 1; session <= 60; ++session) {
+        const auto one = choose(first, prompt(session), at(0));
+        const auto two = choose(second, prompt(session), at(0));
+        cr_assert_eq(one->reader->backend, two->reader->backend);
+        homes.insert(one->reader->backend);
+    }
+    cr_assert_eq(homes.size(), 9U);
+}
+
+Test(backend_table, decodingStaysInTheOwnDataCentre)
+{
+    BackendTable made = table(2);
+    for (std::uint64_t session = 1; session <= 20; ++session)
+        cr_assert_eq(choose(made, prompt(session), at(0))->runner.backend, BackendId("e2"));
+}
+
+Test(backend_table, aLostEngineMovesOnlyItsOwnSessions)
+{
+    BackendTable before = table();
+    BackendTable after = table();
+    after.noteSilent(BackendId("e7"), true, at(0));
+    for (std::uint64_t session = 1; session <= 60; ++session) {
+        const BackendId home = choose(before, prompt(session), at(0))->reader->backend;
+        const BackendId now = choose(after, prompt(session), at(0))->reader->backend;
+        if (home == BackendId("e7"))
+            cr_assert_neq(now, home);
+        else
+            cr_assert_eq(now, home);
+    }
+}
+
+Test(backend_table, aReportedQueueSendsPromptsElsewhere)
+{
+    // One engine is two seconds behind, as its report says; this instance sent nothing there.
+    BackendTable made = table();
+    std::uint64_t session = 1;
+    while (choose(made, prompt(session), at(0))->reader->backend != BackendId("e5"))
+        ++session;
+    made.noteReport({.engine = BackendId("e5"), .waiting = 40, .running = 4}, at(0));
+    cr_assert_neq(choose(made, prompt(session), at(10))->reader->backend, BackendId("e5"));
+    // A report that old says nothing any more.
+    cr_assert_eq(choose(made, prompt(session), at(5000))->reader->backend, BackendId("e5"));
+}
+
+Test(backend_table, aBurstIsSpreadOverTheEngines)
+{
+    // Load pattern of a cold start: many prompts at once, a few sessions far more often than others.
+    BackendTable made = table();
+    std::mt19937 random(3);
+    std::map<BackendId, double> tokens;
+    for (int count = 0; count < 300; ++count) {
+        const PromptShape shape = prompt(1 + (random() % 4 == 0 ? random() % 3 : random() % 90));
+        const auto placed = choose(made, shape, at(count));
+        made.sent(*placed->reader, &shape, at(count));
+        tokens[placed->reader->backend] += placed->reader->unreadTokens;
+    }
+    double most = 0;
+    double sum = 0;
+    for (const auto &[engine, read] : tokens) {
+        most = std::max(most, read);
+        sum += read;
+    }
+    cr_assert_eq(tokens.size(), 9U);
+    cr_assert_leq(most, 1.6 * sum / 9);
+}
+
+Test(backend_table, nothingIsReadBesideDecodingWhileAnEngineReads)
+{
+    BackendTable made = table();
+    for (std::uint64_t session = 1; session <= 40; ++session)
+        cr_assert(choose(made, prompt(session, 200, 900), at(0))->reader.has_value());
+    std::vector<BackendId> readers;
+    for (int number = 3; number < 12; ++number)
+        readers.emplace_back("e" + std::to_string(number));
+    const auto alone = choose(made, prompt(1), at(0), readers);
+    cr_assert_not(alone->reader.has_value());
+}
+
+Test(backend_table, failedHandOversAvoidTheEngineAtFault)
+{
+    // Engine e1 moves prompts eight times slower; it fails with whoever reads.
+    BackendTable made = table(1);
+    cr_assert_eq(choose(made, prompt(1), at(0))->runner.backend, BackendId("e1"));
+    for (const char *reader : {"e4", "e5", "e6"})
+        made.noteHandOverFailed(BackendId(reader), BackendId("e1"), at(0));
+    cr_assert_neq(choose(made, prompt(1), at(10))->runner.backend, BackendId("e1"));
+    cr_assert_eq(choose(made, prompt(1), at(4000))->runner.backend, BackendId("e1"));
+}
+
+Test(backend_table, aMisdirectedEngineIsLeftAloneForAWhile)
+{
+    BackendTable made = table(1);
+    made.noteMisdirected(BackendId("e1"), at(0));
+    cr_assert_neq(choose(made, prompt(1), at(10))->runner.backend, BackendId("e1"));
+    cr_assert_eq(choose(made, prompt(1), at(2500))->runner.backend, BackendId("e1"));
+}
+
+Test(backend_table, aDrainingServerGetsNothing)
+{
+    BackendTable made({.dataCentre = DataCentreId("site0"), .seed = 1});
+    BackendListing listing = engines(3, 3);
+    for (ListedServer &server : listing.servers)
+        server.draining = server.id != BackendId("e2");
+    made.publish(listing);
+    for (int count = 0; count < 10; ++count)
+        cr_assert_eq(choose(made, prompt(1), at(0))->runner.backend, BackendId("e2"));
+    listing.servers[2].draining = true;
+    made.publish(listing);
+    cr_assert_not(choose(made, prompt(1), at(0)).has_value());
+}
+
+Test(backend_table, aServerThatStartedAnewBeginsWithoutHistory)
+{
+    BackendTable made = table();
+    const PromptShape shape = prompt(1);
+    const auto placed = choose(made, shape, at(0));
+    made.sent(*placed->reader, &shape, at(0));
+    made.noteSilent(placed->reader->backend, true, at(0));
+    made.publish(engines(12, 3, 2));
+    cr_assert_not(made.isSilent(placed->reader->backend));
+    // The end of a request to the life before changes nothing.
+    made.ended(*placed->reader, false, SendOutcome::Failed, at(1));
+    cr_assert_eq(choose(made, shape, at(2))->reader->backend, placed->reader->backend);
+}
+
+Test(backend_table, aReportedSilenceIsOnlyAReasonToCheck)
+{
+    // The leader may be cut off from an engine that this instance reaches.
+    BackendTable made = table();
+    made.noteHeard(BackendId("e5"), at(100));
+    cr_assert_not(made.noteReport({.engine = BackendId("e5"), .silent = true}, at(50)));
+    cr_assert(made.noteReport({.engine = BackendId("e6"), .silent = true}, at(50)));
+    cr_assert_not(made.isSilent(BackendId("e6")));
+}
+
+Test(backend_table, plainCallsGoToTheLeastLoaded)
+{
+    BackendTable made({.dataCentre = DataCentreId("site0"), .seed = 1});
+    BackendListing listing;
+    for (int number = 0; number < 3; ++number)
+        listing.servers.push_back({.id = BackendId("p" + std::to_string(number)),
+                                   .service = "app",
+                                   .host = "10.0.1." + std::to_string(number),
+                                   .port = 80,
+                                   .dataCentre = DataCentreId("site0"),
+                                   .slots = 6});
+    made.publish(listing);
+    std::map<BackendId, int> open;
+    for (int count = 0; count < 9; ++count) {
+        const auto placed = made.choose({.service = "app"}, at(count));
+        made.sent(placed->runner, nullptr, at(count));
+        ++open[placed->runner.backend];
+    }
+    for (const auto &[server, requests] : open)
+        cr_assert_eq(requests, 3);
+}
--- /dev/null
+++ b/src/gentianramp/relay/event_assembler_test.cpp
@@ -0,0 +1,56 @@
+#include <gentianramp/relay/event_assembler.hpp>
+
+#include <random>
+
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+
+Test(event_assembler, handsOutWholeEventsOnly)
+{
+    EventAssembler events;
+    cr_assert_eq(events.feed("id: 1\ndata: a\n"), "");
+    cr_assert(events.hasPartial());
+    cr_assert_eq(events.feed("\nid: 2\nda"), "id: 1\ndata: a\n\n");
+    cr_assert(events.lastId() == 1U);
+    cr_assert_eq(events.feed("ta: b\r\n\r\n"), "id: 2\ndata: b\r\n\r\n");
+    cr_assert(events.lastId() == 2U);
+    cr_assert_not(events.hasPartial());
+}
+
+Test(event_assembler, leavesOutWhatWasDelivered)
+{
+    EventAssembler events(2);
+    cr_assert_eq(events.feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"),
+                 "id: 3\ndata: c\n\n");
+    cr_assert(events.lastId() == 3U);
+}
+
+Test(event_assembler, bytesStayTheSameHoweverTheyAreCut)
+{
+    std::string stream;
+    for (int id = 1; id <= 40; ++id)
+        stream += "id: " + std::to_string(id) + "\nversion: 3\ndata: " + std::string(id, 'x')
+            + "\n\n";
+    for (unsigned seed = 1; seed <= 50; ++seed) {
+        std::mt19937 random(seed);
+        EventAssembler events;
+        std::string out;
+        for (std::size_t at = 0; at < stream.size();) {
+            const std::size_t length = 1 + random() % 30;
+            out += events.feed(std::string_view(stream).substr(at, length));
+            at += length;
+        }
+        cr_assert_eq(out, stream, "seed %u", seed);
+        cr_assert(events.lastId() == 40U);
+    }
+}
+
+Test(event_assembler, anEndlessEventIsNotHeldForEver)
+{
+    EventAssembler events;
+    const std::string piece(64 * 1024, 'x');
+    for (int count = 0; count < 20 && !events.overflowed(); ++count)
+        events.feed(piece);
+    cr_assert(events.overflowed());
+}
