--- a/include/gentianramp/registry/backend_listing.hpp
+++ b/include/gentianramp/registry/backend_listing.hpp
@@ -40,7 +40,8 @@
     BackendId engine;
     std::uint32_t waiting = 0;
     std::uint32_t running = 0;
-    bool silent = false; ///< It did not answer the last questions.
+    bool silent = false;   ///< It did not answer the last questions.
+    bool changing = false; ///< It was ordered to change its stage and takes nothing meanwhile.
     bool operator==(const ReportedLoad &) const = default;
 };
 
--- a/include/gentianramp/registry/registry_feed.hpp
+++ b/include/gentianramp/registry/registry_feed.hpp
@@ -22,7 +22,9 @@
     Duration interval = std::chrono::milliseconds(250);
     /// A question without an answer is sent again, since messages are not queued for a connection
     /// that is still being made.
-    Duration resendInterval = std::chrono::milliseconds(100);
+    Duration resendInterval = std::chrono::milliseconds(50);
+    /// The same as `silence` while nothing was received yet: some seeds may not run.
+    Duration firstSilence = std::chrono::milliseconds(150);
     /// A registry process that doesn't answer for it is left for another one.
     Duration silence = std::chrono::milliseconds(400);
     /// What an answer knows must have been confirmed that lately, or another process is asked;
--- a/include/gentianramp/registry/stage_keeper.hpp
+++ b/include/gentianramp/registry/stage_keeper.hpp
@@ -41,8 +41,12 @@
 public:
     explicit StageKeeper(StageOptions options = {});
 
-    /// Orders to give now; each counts as given.
-    std::vector<StageOrder> decide(const BackendListing &listing, TimePoint now);
+    /// Orders to give now; each counts as given. Among the engines of a data centre those with the
+    /// least work, by @p loads, change first.
+    std::vector<StageOrder> decide(const BackendListing &listing, const LoadReports &loads,
+                                   TimePoint now);
+    /// An order was given to @p engine and the list does not show its effect yet.
+    bool changing(const ListedServer &engine, TimePoint now) const;
 
 private:
     struct Given
--- a/src/gentianramp/registry/registry_codec.cpp
+++ b/src/gentianramp/registry/registry_codec.cpp
@@ -70,6 +70,7 @@
         engine.set_waiting(load.waiting);
         engine.set_running(load.running);
         engine.set_silent(load.silent);
+        engine.set_changing(load.changing);
     }
     return table;
 }
@@ -80,7 +81,8 @@
     reports.takenAt = now - std::chrono::milliseconds(table.age_ms());
     for (const proto::EngineLoad &engine : table.engines())
         reports.engines.push_back(
-            {BackendId(engine.id()), engine.waiting(), engine.running(), engine.silent()});
+            {BackendId(engine.id()), engine.waiting(), engine.running(),
+                                   engine.silent(), engine.changing()});
     return reports;
 }
 
--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -67,7 +67,9 @@
 FeedOutput RegistryFeed::tick(TimePoint now)
 {
     FeedOutput output;
-    if (m_askedAt && now - *m_askedAt >= m_options.silence) {
+    const bool supplied = m_number != 0 && m_digest != 0;
+    const Duration silence = supplied ? m_options.silence : m_options.firstSilence;
+    if (m_askedAt && now - *m_askedAt >= silence) {
         logWarning("registry_silent", {{"source", m_current->value()}});
         Source &source = m_sources[*m_current];
         if (std::exchange(source.answered, false))
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -308,8 +308,10 @@
         loads.engines.clear();
         for (const ListedServer &server : listing.servers) {
             const auto known = engineAnswers.find(server.id);
-            if (known != engineAnswers.end() && !known->second.load.engine.value().empty())
-                loads.engines.push_back(known->second.load);
+            if (known == engineAnswers.end() || known->second.load.engine.value().empty())
+                continue;
+            loads.engines.push_back(known->second.load);
+            loads.engines.back().changing = stages.changing(server, takenAt);
         }
         std::erase_if(engineAnswers, [&](const auto &entry) {
             return !entry.second.asking
@@ -342,7 +344,7 @@
             if (!leads() || now < ordersDue || listing.digest == 0
                 || now - listing.takenAt > OrderListAge)
                 continue;
-            const std::vector<StageOrder> orders = stages.decide(listing, now);
+            const std::vector<StageOrder> orders = stages.decide(listing, loads, now);
             for (const StageOrder &order : orders) {
                 const std::optional<StoredContent> confirmed = co_await readNewest();
                 if (!confirmed || !leads())
--- a/src/gentianramp/registry/stage_keeper.cpp
+++ b/src/gentianramp/registry/stage_keeper.cpp
@@ -24,8 +24,24 @@
     return engine.prefillOnly;
 }
 
-std::vector<StageOrder> StageKeeper::decide(const BackendListing &listing, TimePoint now)
+bool StageKeeper::changing(const ListedServer &engine, TimePoint now) const
 {
+    const auto given = m_given.find(engine.id);
+    return given != m_given.end() && now - given->second.at < m_options.settleTime
+        && given->second.prefill != engine.prefillOnly;
+}
+
+std::vector<StageOrder> StageKeeper::decide(const BackendListing &listing, const LoadReports &loads,
+                                            TimePoint now)
+{
+    std::map<BackendId, std::uint32_t> work;
+    for (const ReportedLoad &load : loads.engines)
+        work[load.engine] = load.running + load.waiting;
+    const auto workOf = [&](const ListedServer &engine) {
+        const auto found = work.find(engine.id);
+        return found == work.end() ? 0U : found->second;
+    };
+
     std::erase_if(m_given, [&](const auto &entry) {
         return now - entry.second.at >= m_options.engineInterval;
     });
@@ -60,7 +76,8 @@
                     continue;
                 const std::ptrdiff_t here = prefillPerSite[engine->dataCentre];
                 const std::ptrdiff_t there = best ? prefillPerSite[best->dataCentre] : 0;
-                if (!best || (more ? here < there : here > there))
+                if (!best || (more ? here < there : here > there)
+                    || (here == there && workOf(*engine) < workOf(*best)))
                     best = engine;
             }
             if (!best)
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -38,6 +38,8 @@
 constexpr std::size_t MaxParts = 2048;
 /// Of the connections that a backend server takes, to leave room for checks and other callers.
 constexpr double ConnectionShare = 0.85;
+/// An engine that changes its stage is left alone until the next reports.
+constexpr Duration ChangingPause = std::chrono::milliseconds(800);
 /// Engines differ in speed, and some turn slow: weight of one seen reading time, and bounds.
 constexpr double SlownessWeight = 0.15;
 constexpr double LeastSlowness = 0.7;
@@ -464,6 +466,8 @@
     const TimePoint at = takenAt - ReportLag;
     if (load.silent)
         return !backend.silent && backend.heardAt < takenAt;
+    if (load.changing)
+        backend.avoidUntil = std::max(backend.avoidUntil, takenAt + ChangingPause);
     if (at <= backend.loadAt)
         return false;
     backend.load = {load.running, load.waiting, backend.server.slots};
--- a/src/gentianramp/relay/backend_table_test.cpp
+++ b/src/gentianramp/relay/backend_table_test.cpp
@@ -168,6 +168,14 @@
     cr_assert_eq(choose(made, prompt(1), at(2500))->runner.backend, BackendId("e1"));
 }
 
+Test(backend_table, anEngineThatChangesItsStageGetsNothing)
+{
+    BackendTable made = table(1);
+    made.noteReport({.engine = BackendId("e1"), .changing = true}, at(0));
+    cr_assert_neq(choose(made, prompt(1), at(10))->runner.backend, BackendId("e1"));
+    cr_assert_eq(choose(made, prompt(1), at(1000))->runner.backend, BackendId("e1"));
+}
+
 Test(backend_table, aDrainingServerGetsNothing)
 {
     BackendTable made({.dataCentre = DataCentreId("site0"), .seed = 1});
