--- a/src/gentianramp/authority/order_gate.cpp
+++ b/src/gentianramp/authority/order_gate.cpp
@@ -5,6 +5,17 @@
 
 namespace gentianramp {
 
+namespace {
+
+/// True for the numbers that go with @p lease.
+bool inBlock(FencingNumber number, const HeldLease &lease)
+{
+    return number >= lease.fencing
+        && number.value() < lease.fencing.value() + FencingBlock;
+}
+
+} // namespace
+
 std::string_view toString(OrderKind kind)
 {
     switch (kind) {
@@ -46,9 +57,7 @@
 
 void OrderGate::chooseNumber(Engine &engine, const HeldLease &lease)
 {
-    const bool ownBlock = engine.number >= lease.fencing
-        && engine.number.value() < lease.fencing.value() + FencingBlock;
-    if (!ownBlock)
+    if (!inBlock(engine.number, lease))
         engine.number = lease.fencing;
     else if (!engine.pendingOrder.empty())
         engine.number = FencingNumber(engine.number.value() + 1);
@@ -67,7 +76,8 @@
     if (!current)
         return Error::Unavailable;
     chooseNumber(engine, *lease);
-    const bool ownNumber = engine.ordered >= lease->fencing && engine.seen <= engine.ordered;
+    // Numbers of an earlier lease of this process count like those of any other holder.
+    const bool ownNumber = inBlock(engine.ordered, *lease) && engine.seen <= engine.ordered;
     if (engine.seen >= lease->fencing && !ownNumber) {
         m_hooks.raiseFencing(engine.seen);
         return Error::StaleAuthority;
@@ -113,7 +123,9 @@
     if (engine.pendingOrder != orderId)
         return;
     engine.pendingOrder.clear();
-    engine.settledAt = std::min(engine.settledAt, m_hooks.clock());
+    // Also after the flight: an order that arrived late took effect after reports that were asked
+    // for since then.
+    engine.settledAt = m_hooks.clock();
     if (seen <= engine.ordered)
         engine.fenced = engine.ordered;
 }
--- a/src/gentianramp/authority/order_gate_test.cpp
+++ b/src/gentianramp/authority/order_gate_test.cpp
@@ -124,3 +124,36 @@
     cr_assert_not(bench.error());
     cr_assert_eq(bench.sent.back().fencing, Own);
 }
+
+Test(OrderGate, ALateAnswerMakesEarlierReportsOld)
+{
+    // The order arrives after its flight; a report that was asked for before then shows the engine
+    // idle and comes after the answer (schedule 61909186026).
+    Bench bench;
+    bench.fence();
+    cr_assert_not(bench.error());
+    const std::string order = bench.sent.back().orderId;
+    const TimePoint requestedAt = bench.now + 700ms;
+    bench.now += 720ms;
+    bench.gate.onAnswer(Engine, order, Own);
+    bench.now += 5ms;
+    bench.gate.onReport(Engine, Own, requestedAt);
+    cr_assert_eq(bench.error(), make_error_code(Error::Unavailable));
+    bench.gate.onReport(Engine, Own, bench.now);
+    cr_assert_not(bench.error());
+}
+
+Test(OrderGate, NumbersOfItsOwnEarlierLeaseCountLikeThoseOfOthers)
+{
+    // All members forgot the numbers, and this process gets a lease with a lower one than it had
+    // (schedule 61909185752).
+    Bench bench;
+    bench.lease.fencing = FencingNumber(3 * FencingBlock);
+    bench.fence();
+    cr_assert_eq(bench.sent.size(), 1U);
+    bench.now += 1s;
+    bench.lease = HeldLease{Own, bench.now, bench.now + 2s};
+    bench.gate.onReport(Engine, FencingNumber(3 * FencingBlock), bench.now + 1ms);
+    cr_assert_eq(bench.sent.size(), 1U);
+    cr_assert_eq(bench.raisedAbove, FencingNumber(3 * FencingBlock));
+}
