--- a/include/gentianramp/core/log.hpp
+++ b/include/gentianramp/core/log.hpp
@@ -35,7 +35,8 @@
 {
     unsigned linesPerSecond = 400; ///< Over a few seconds; errors and warnings count too.
     unsigned burst = 2000;         ///< Lines at once.
-    std::size_t bufferBytes = 256 * 1024; ///< Held while the reader is slow; then lines are dropped.
+    std::size_t bufferBytes
+        = 256 * 1024; ///< Held while the reader is slow; then lines are dropped.
 };
 
 /// Starts glog for the program @p name.
--- a/include/gentianramp/declaration/declaration.hpp
+++ b/include/gentianramp/declaration/declaration.hpp
@@ -30,13 +30,13 @@
     std::string host;
     std::string pathPrefix; ///< Begins and ends with a slash.
     CallKind kind = CallKind::RunOnce;
-    Duration timeout{};          ///< Longest time that a request is kept waiting.
-    Duration target{};           ///< Time within which an answer, or its first event, is on time.
-    std::uint32_t priority = 0;  ///< 0 is the most urgent.
-    std::uint32_t attempts = 1;  ///< Most backend servers that one request is sent to.
-    bool carriesPrompt = false;  ///< Requests name the parts of their prompt.
-    bool resumable = false;      ///< A stream may go on at another backend server.
-    Duration eventGap{};         ///< Longest pause between events of a timely stream.
+    Duration timeout{};         ///< Longest time that a request is kept waiting.
+    Duration target{};          ///< Time within which an answer, or its first event, is on time.
+    std::uint32_t priority = 0; ///< 0 is the most urgent.
+    std::uint32_t attempts = 1; ///< Most backend servers that one request is sent to.
+    bool carriesPrompt = false; ///< Requests name the parts of their prompt.
+    bool resumable = false;     ///< A stream may go on at another backend server.
+    Duration eventGap{};        ///< Longest pause between events of a timely stream.
     std::vector<ServiceShare> shares;
     bool operator==(const Route &) const = default;
 
--- a/include/gentianramp/relay/backend_protocol.hpp
+++ b/include/gentianramp/relay/backend_protocol.hpp
@@ -43,21 +43,21 @@
 /// How callers and backend servers name things in headers. Empty names are not used.
 struct BackendProtocol
 {
-    std::string requestId;    ///< Echoed by backend servers.
-    std::string timeBudget;   ///< Milliseconds that the sender still waits.
-    std::string lastEventId;  ///< A stream goes on after this event.
-    std::string signature;    ///< Backend servers sign their answers with it.
-    std::string target;       ///< Only the backend server of that id may run the request.
-    std::string notRun;       ///< On an answer: the request did not run.
-    std::string priority;     ///< 0 to 9, 0 first.
-    std::string load;         ///< On an answer: StatedLoad.
-    std::string fetchFrom;    ///< Address of an engine whose cached prefix is fetched first.
-    std::string prefillOnly;  ///< With prefillValue: the prompt is read and kept under a handle.
+    std::string requestId;   ///< Echoed by backend servers.
+    std::string timeBudget;  ///< Milliseconds that the sender still waits.
+    std::string lastEventId; ///< A stream goes on after this event.
+    std::string signature;   ///< Backend servers sign their answers with it.
+    std::string target;      ///< Only the backend server of that id may run the request.
+    std::string notRun;      ///< On an answer: the request did not run.
+    std::string priority;    ///< 0 to 9, 0 first.
+    std::string load;        ///< On an answer: StatedLoad.
+    std::string fetchFrom;   ///< Address of an engine whose cached prefix is fetched first.
+    std::string prefillOnly; ///< With prefillValue: the prompt is read and kept under a handle.
     std::string prefillValue;
-    std::string takeFrom;     ///< ADDRESS/HANDLE of a prompt that another engine has read.
+    std::string takeFrom; ///< ADDRESS/HANDLE of a prompt that another engine has read.
     unsigned wrongTargetStatus = 421;
-    std::vector<std::string> own;  ///< Headers of callers that are never passed on.
-    std::string reportPath;        ///< State of an engine, answered without a slot.
+    std::vector<std::string> own; ///< Headers of callers that are never passed on.
+    std::string reportPath;       ///< State of an engine, answered without a slot.
     std::function<std::optional<PromptShape>(const HttpHeaders &)> prompt;
     std::function<std::optional<StatedLoad>(std::string_view)> parseLoad;
     /// Handle in the body of an answer to a prefill; empty when there is none.
--- a/include/gentianramp/relay/backend_table.hpp
+++ b/include/gentianramp/relay/backend_table.hpp
@@ -21,7 +21,7 @@
     std::string service;
     const PromptShape *prompt = nullptr; ///< Null for calls without a prompt.
     bool repeatable = false;
-    bool promptRead = false; ///< An engine has read the prompt already and keeps it.
+    bool promptRead = false;             ///< An engine has read the prompt already and keeps it.
     std::span<const BackendId> excluded; ///< Tried before.
 };
 
@@ -34,7 +34,7 @@
     Duration expectedWait{};        ///< Until the first event, as estimated.
     double readingMs = 0;           ///< Of it, for reading at the engine's usual speed.
     TimePoint placedAt{};
-    std::uint64_t life = 0;         ///< Of the backend server, as the table counts lives.
+    std::uint64_t life = 0; ///< Of the backend server, as the table counts lives.
     bool operator==(const PlacedRequest &) const = default;
 };
 
--- a/include/gentianramp/relay/retry_allowance.hpp
+++ b/include/gentianramp/relay/retry_allowance.hpp
@@ -9,8 +9,8 @@
 /// Bounds of repeated sends to a service, over all instances.
 struct RetryBounds
 {
-    double ratio = 0.2;         ///< Of the requests for the service.
-    double slack = 50;          ///< On top, for all instances together.
+    double ratio = 0.2; ///< Of the requests for the service.
+    double slack = 50;  ///< On top, for all instances together.
     Duration window = std::chrono::seconds(10);
     bool operator==(const RetryBounds &) const = default;
 };
--- a/src/gentianramp/authority/order_gate.cpp
+++ b/src/gentianramp/authority/order_gate.cpp
@@ -10,8 +10,7 @@
 /// True for the numbers that go with @p lease.
 bool inBlock(FencingNumber number, const HeldLease &lease)
 {
-    return number >= lease.fencing
-        && number.value() < lease.fencing.value() + FencingBlock;
+    return number >= lease.fencing && number.value() < lease.fencing.value() + FencingBlock;
 }
 
 } // namespace
--- a/src/gentianramp/control/control_node.cpp
+++ b/src/gentianramp/control/control_node.cpp
@@ -1,8 +1,8 @@
 #include <gentianramp/control/control_node.hpp>
 
 #include "control_pages.hpp"
-#include <gentianramp/control/ledger_driver.hpp>
 #include "operator_service.hpp"
+#include <gentianramp/control/ledger_driver.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/src/gentianramp/core/file_watch.cpp
+++ b/src/gentianramp/core/file_watch.cpp
@@ -20,7 +20,8 @@
     /// Size and time of the last change; reading the file at every look would cost more.
     std::pair<std::int64_t, std::int64_t> stamp() const
     {
-        struct stat status{};
+        struct stat status
+        { };
         if (stat(path.c_str(), &status) != 0)
             return {};
         return {status.st_size, status.st_mtim.tv_sec * 1'000'000'000LL + status.st_mtim.tv_nsec};
--- a/src/gentianramp/core/log_buffer_test.cpp
+++ b/src/gentianramp/core/log_buffer_test.cpp
@@ -41,12 +41,11 @@
 Test(log_buffer, rateIsBounded)
 {
     std::size_t lines = 0;
-    LogBuffer buffer({.linesPerSecond = 10, .burst = 5, .bufferBytes = 1 << 20},
-                     [&](std::string_view bytes) {
-                         lines += static_cast<std::size_t>(
-                             std::count(bytes.begin(), bytes.end(), '\n'));
-                         return bytes.size();
-                     });
+    LogBuffer buffer(
+        {.linesPerSecond = 10, .burst = 5, .bufferBytes = 1 << 20}, [&](std::string_view bytes) {
+            lines += static_cast<std::size_t>(std::count(bytes.begin(), bytes.end(), '\n'));
+            return bytes.size();
+        });
     for (int ms = 0; ms < 1000; ++ms)
         buffer.add("x\n", at(ms));
     buffer.flush();
--- a/src/gentianramp/http/client_exchange.cpp
+++ b/src/gentianramp/http/client_exchange.cpp
@@ -122,12 +122,12 @@
     const auto kept = std::make_shared<std::string>(std::move(text));
     m_bytesWritten = true;
     m_writing = true;
-    asio::async_write(*m_socket, asio::buffer(*kept),
-                      [self = shared_from_this(), kept](const boost::system::error_code &error,
-                                                        std::size_t) {
-                          self->m_writing = false;
-                          self->m_writeFailed = static_cast<bool>(error);
-                      });
+    asio::async_write(
+        *m_socket, asio::buffer(*kept),
+        [self = shared_from_this(), kept](const boost::system::error_code &error, std::size_t) {
+            self->m_writing = false;
+            self->m_writeFailed = static_cast<bool>(error);
+        });
     co_return std::error_code();
 }
 
@@ -283,8 +283,8 @@
 {
     m_complete = true;
     m_watchdog->stop();
-    const bool reusable = m_parser->get().keep_alive() && m_buffer.size() == 0 && !m_writing
-        && !m_writeFailed;
+    const bool reusable
+        = m_parser->get().keep_alive() && m_buffer.size() == 0 && !m_writing && !m_writeFailed;
     if (reusable && m_socket->is_open())
         m_pool->put(m_call.address, std::move(*m_socket),
                     keepAliveTime(m_headers.find("Keep-Alive")));
--- a/src/gentianramp/registry/declaration_ledger.cpp
+++ b/src/gentianramp/registry/declaration_ledger.cpp
@@ -91,8 +91,7 @@
     if (m_pending.empty() || m_proposed || !leads())
         return;
     ConfigurationProposal proposal;
-    proposal.command
-        = CommandId(std::to_string(m_life) + '.' + std::to_string(++m_proposals));
+    proposal.command = CommandId(std::to_string(m_life) + '.' + std::to_string(++m_proposals));
     proposal.base = m_driver.store().revision();
     proposal.configuration = encode(m_pending.front().declaration);
     m_proposed = proposal.command;
--- a/src/gentianramp/registry/declaration_ledger_test.cpp
+++ b/src/gentianramp/registry/declaration_ledger_test.cpp
@@ -92,7 +92,8 @@
                                 const std::string &content, int waitMs = 2000)
     {
         const auto answer = std::make_shared<std::optional<bool>>();
-        ledger->declare({number, content}, [answer](bool accepted) { *answer = accepted; }, m_now);
+        ledger->declare(
+            {number, content}, [answer](bool accepted) { *answer = accepted; }, m_now);
         run(waitMs);
         return *answer;
     }
@@ -159,8 +160,9 @@
     DeclarationLedger *leader = voters.leader();
     const auto accepted = std::make_shared<int>(0);
     for (const char *content : {"first", "second", "third"})
-        leader->declare({5, content}, [accepted](bool inForce) { *accepted += inForce ? 1 : 0; },
-                        TimePoint(std::chrono::seconds(106)));
+        leader->declare(
+            {5, content}, [accepted](bool inForce) { *accepted += inForce ? 1 : 0; },
+            TimePoint(std::chrono::seconds(106)));
     voters.run(3000);
     cr_assert_eq(*accepted, 3);
     cr_assert(voters.declare(leader, 5, "fourth") == true);
--- a/src/gentianramp/registry/member_directory.cpp
+++ b/src/gentianramp/registry/member_directory.cpp
@@ -74,8 +74,8 @@
     std::vector<SeatClaim> claims;
     for (const auto &[instance, member] : m_members) {
         if (member.state)
-            claims.push_back({instance, member.dataCentre, member.state->seat,
-                              member.state->folder, now - member.heardAt});
+            claims.push_back({instance, member.dataCentre, member.state->seat, member.state->folder,
+                              now - member.heardAt});
     }
     return claims;
 }
--- a/src/gentianramp/registry/packed_text.cpp
+++ b/src/gentianramp/registry/packed_text.cpp
@@ -32,7 +32,8 @@
         return {Error::Malformed, "the packed text is cut short"};
     std::uint64_t length = 0;
     for (std::size_t byte = 0; byte < LengthBytes; ++byte)
-        length |= static_cast<std::uint64_t>(static_cast<unsigned char>(packed[byte])) << (8 * byte);
+        length |= static_cast<std::uint64_t>(static_cast<unsigned char>(packed[byte]))
+            << (8 * byte);
     if (length > MaxTextBytes)
         return {Error::TooLarge, "the packed text is too long"};
     std::string text(length, '\0');
--- a/src/gentianramp/registry/packed_text_test.cpp
+++ b/src/gentianramp/registry/packed_text_test.cpp
@@ -10,7 +10,8 @@
 {
     std::string text;
     for (int route = 0; route < 400; ++route)
-        text += R"({"Name":"r-)" + std::to_string(route) + R"(","Host":"a.example","Timeout":3000},)";
+        text += R"({"Name":"r-)" + std::to_string(route)
+            + R"(","Host":"a.example","Timeout":3000},)";
     const std::string packed = packText(text);
     cr_assert_lt(packed.size(), text.size() / 5);
     cr_assert_eq(unpackText(packed).value(), text);
--- a/src/gentianramp/registry/registry_codec.cpp
+++ b/src/gentianramp/registry/registry_codec.cpp
@@ -80,8 +80,7 @@
     LoadReports reports;
     reports.takenAt = now - std::chrono::milliseconds(table.age_ms());
     for (const proto::EngineLoad &engine : table.engines())
-        reports.engines.push_back(
-            {BackendId(engine.id()), engine.waiting(), engine.running(),
+        reports.engines.push_back({BackendId(engine.id()), engine.waiting(), engine.running(),
                                    engine.silent(), engine.changing()});
     return reports;
 }
--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -137,8 +137,8 @@
     if (answer.number() > m_number && !answer.packed_content().empty()) {
         Result<std::string> content = unpackText(answer.packed_content());
         if (!content) {
-            logError("declaration_damaged", {{"number", answer.number()},
-                                             {"reason", content.message()}});
+            logError("declaration_damaged",
+                     {{"number", answer.number()}, {"reason", content.message()}});
             avoid(sender, now);
             return output;
         }
--- a/src/gentianramp/registry/registry_feed_test.cpp
+++ b/src/gentianramp/registry/registry_feed_test.cpp
@@ -162,6 +162,5 @@
     const int ms = settle(feed, 3);
     const FeedOutput given = feed.tick(at(ms));
     feed.tick(at(ms + 450));
-    cr_assert_not(
-        deliver(feed, Near, answerTo(given, 5), at(ms + 5000)).declaration.has_value());
+    cr_assert_not(deliver(feed, Near, answerTo(given, 5), at(ms + 5000)).declaration.has_value());
 }
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -170,7 +170,8 @@
             folderDue = TimePoint::max(); // A spare has nothing to open until it gets a seat.
     }
 
-    /// At the first start of the system the seeds take the first seats, in the order of their names.
+    /// At the first start of the system the seeds take the first seats, in the order of their
+    /// names.
     void foundSeat()
     {
         if (!options.firstStart || everSeated)
@@ -315,8 +316,9 @@
         }
         std::erase_if(engineAnswers, [&](const auto &entry) {
             return !entry.second.asking
-                && std::none_of(listing.servers.begin(), listing.servers.end(),
-                                [&](const ListedServer &server) { return server.id == entry.first; });
+                && std::none_of(
+                    listing.servers.begin(), listing.servers.end(),
+                    [&](const ListedServer &server) { return server.id == entry.first; });
         });
         proto::RegistryMessage message;
         *message.mutable_loads() = toProto(loads, RuntimeClock::now());
@@ -351,11 +353,12 @@
                     break;
                 const std::uint64_t term = ledger->replica().term().value();
                 const bool accepted = co_await options.orderStage(order, term);
-                logInfo("stage_ordered", {{"backend", order.engine.id.value()},
-                                          {"stage", order.prefill ? "prefill" : "decode"},
-                                          {"term", term},
-                                          {"list_age_ms", toMilliseconds(now - listing.takenAt)},
-                                          {"accepted", accepted ? "yes" : "unknown"}});
+                logInfo("stage_ordered",
+                        {{"backend", order.engine.id.value()},
+                         {"stage", order.prefill ? "prefill" : "decode"},
+                         {"term", term},
+                         {"list_age_ms", toMilliseconds(now - listing.takenAt)},
+                         {"accepted", accepted ? "yes" : "unknown"}});
             }
         }
     }
@@ -503,7 +506,8 @@
         }
         if (now < claimsDue)
             return;
-        claims.push_back({options.self, options.dataCentre, seat, ledger->replica().identity(), {}});
+        claims.push_back(
+            {options.self, options.dataCentre, seat, ledger->replica().identity(), {}});
         const SeatChanges changes = assignSeats(seatViews(), claims, lastHolders);
         for (const SeatChange &change : changes.offers) {
             logInfo("seat_offered", {{"seat", change.seat}, {"to", change.instance.value()}});
@@ -644,8 +648,8 @@
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
     }
 
-    asio::awaitable<std::optional<proto::RegistryMessage>> callLeader(std::uint64_t call,
-                                                                     proto::RegistryMessage message)
+    asio::awaitable<std::optional<proto::RegistryMessage>>
+    callLeader(std::uint64_t call, proto::RegistryMessage message)
     {
         const std::optional<InstanceId> to = leader(RuntimeClock::now());
         if (!to)
@@ -730,8 +734,8 @@
                             {{"servers", servers->size()}, {"digest", digest}});
                 listing = {digest, began, std::move(servers).value()};
             } else {
-                logWarning("backend_list_unavailable", {{"error", servers.error().message()},
-                                                        {"reason", servers.message()}});
+                logWarning("backend_list_unavailable",
+                           {{"error", servers.error().message()}, {"reason", servers.message()}});
             }
             const Duration interval = std::max<Duration>(
                 ListingShare * (directory.contacts().size() + 1), ListingShortestInterval);
@@ -809,7 +813,8 @@
     if (m_state->ledger)
         m_state->ledger->handOver(RuntimeClock::now());
     const auto timer = std::make_shared<Timer>(m_state->executor, HandOverTime);
-    timer->async_wait([timer, done = std::move(done)](const boost::system::error_code &) { done(); });
+    timer->async_wait(
+        [timer, done = std::move(done)](const boost::system::error_code &) { done(); });
 }
 
 } // namespace gentianramp
--- a/src/gentianramp/registry/seat_assignment_test.cpp
+++ b/src/gentianramp/registry/seat_assignment_test.cpp
@@ -20,16 +20,17 @@
 
 Test(seat_assignment, nothingChangesWhileAllAreFilled)
 {
-    const std::vector<SeatClaim> claims{claim("a", "x", "seat-1", 11), claim("b", "y", "seat-2", 12),
+    const std::vector<SeatClaim> claims{claim("a", "x", "seat-1", 11),
+                                        claim("b", "y", "seat-2", 12),
                                         claim("c", "z", "seat-3", 13), claim("d", "z", "", 0)};
     cr_assert(assignSeats(Seats, claims, {}) == SeatChanges{});
 }
 
 Test(seat_assignment, newInstanceFillsTheSeatOfASilentOne)
 {
-    const std::vector<SeatClaim> claims{claim("a", "x", "seat-1", 11), claim("b", "y", "seat-2", 12),
-                                        claim("c", "z", "seat-3", 13, 2500),
-                                        claim("d", "z", "", 0)};
+    const std::vector<SeatClaim> claims{
+        claim("a", "x", "seat-1", 11), claim("b", "y", "seat-2", 12),
+        claim("c", "z", "seat-3", 13, 2500), claim("d", "z", "", 0)};
     const SeatChanges changes = assignSeats(Seats, claims, {});
     cr_assert_eq(changes.offers.size(), 1U);
     cr_assert(changes.offers.front() == (SeatChange{InstanceId("d"), "seat-3"}));
@@ -38,8 +39,9 @@
 
 Test(seat_assignment, instanceThatLostItsFolderGetsItsSeatBack)
 {
-    const std::vector<SeatClaim> claims{claim("a", "x", "seat-1", 11), claim("b", "y", "seat-2", 12),
-                                        claim("d", "x", "", 0), claim("c", "z", "", 0)};
+    const std::vector<SeatClaim> claims{claim("a", "x", "seat-1", 11),
+                                        claim("b", "y", "seat-2", 12), claim("d", "x", "", 0),
+                                        claim("c", "z", "", 0)};
     const SeatChanges changes = assignSeats(Seats, claims, {{"seat-3", InstanceId("c")}});
     cr_assert(changes.offers.front() == (SeatChange{InstanceId("c"), "seat-3"}));
     cr_assert_eq(changes.offers.size(), 1U);
@@ -49,9 +51,9 @@
 {
     // c was cut off, d took its seat and its folder was admitted; then c came back.
     const std::vector<SeatView> seats{{"seat-1", 11}, {"seat-2", 12}, {"seat-3", 14}};
-    const std::vector<SeatClaim> claims{claim("a", "x", "seat-1", 11), claim("b", "y", "seat-2", 12),
-                                        claim("c", "z", "seat-3", 13),
-                                        claim("d", "z", "seat-3", 14)};
+    const std::vector<SeatClaim> claims{
+        claim("a", "x", "seat-1", 11), claim("b", "y", "seat-2", 12), claim("c", "z", "seat-3", 13),
+        claim("d", "z", "seat-3", 14)};
     const SeatChanges changes = assignSeats(seats, claims, {});
     cr_assert(changes.offers.empty());
     cr_assert_eq(changes.releases.size(), 1U);
@@ -63,9 +65,9 @@
 {
     const std::vector<SeatView> seats{
         {"seat-1", 11}, {"seat-2", 12}, {"seat-3", 13}, {"seat-4", 0}, {"seat-5", 0}};
-    const std::vector<SeatClaim> claims{claim("a", "x", "seat-1", 11), claim("b", "x", "seat-2", 12),
-                                        claim("c", "y", "seat-3", 13), claim("d", "y", "", 0),
-                                        claim("e", "z", "", 0),        claim("f", "z", "", 0)};
+    const std::vector<SeatClaim> claims{
+        claim("a", "x", "seat-1", 11), claim("b", "x", "seat-2", 12), claim("c", "y", "seat-3", 13),
+        claim("d", "y", "", 0),        claim("e", "z", "", 0),        claim("f", "z", "", 0)};
     const SeatChanges changes = assignSeats(seats, claims, {});
     cr_assert_eq(changes.offers.size(), 2U);
     cr_assert_eq(changes.offers[0].instance, InstanceId("e"));
@@ -74,7 +76,7 @@
 
 Test(seat_assignment, silentCandidateIsOfferedNothing)
 {
-    const std::vector<SeatClaim> claims{claim("a", "x", "seat-1", 11), claim("b", "y", "seat-2", 12),
-                                        claim("d", "z", "", 0, 1500)};
+    const std::vector<SeatClaim> claims{
+        claim("a", "x", "seat-1", 11), claim("b", "y", "seat-2", 12), claim("d", "z", "", 0, 1500)};
     cr_assert(assignSeats(Seats, claims, {}).offers.empty());
 }
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -76,8 +76,8 @@
     std::uint64_t hash = 0;
     CircuitBreaker breaker;
     bool silent = false;
-    std::uint32_t open = 0;     ///< Requests of this instance.
-    double unreadTokens = 0;    ///< Of requests of this instance without a first event.
+    std::uint32_t open = 0;  ///< Requests of this instance.
+    double unreadTokens = 0; ///< Of requests of this instance without a first event.
     StatedLoad load;
     TimePoint loadAt{};
     double sentTokens = 0; ///< Unread tokens that this instance sent since loadAt.
@@ -163,8 +163,7 @@
                           TimePoint now) const
 {
     if (backend.server.service != request.service || backend.server.draining || backend.silent
-        || now < backend.avoidUntil
-        || !backend.breaker.mayAllow(request.repeatable, now))
+        || now < backend.avoidUntil || !backend.breaker.mayAllow(request.repeatable, now))
         return false;
     const auto declared = m_services.find(request.service);
     if (declared != m_services.end() && declared->second.maxConnections > 0) {
@@ -218,8 +217,8 @@
     double backlog = backend.unreadTokens;
     if (backend.fresh(now)) {
         // The report covers all instances; what came since then is known of this one only.
-        const double reported = (backend.load.waiting + backend.load.running) * m_meanUnread
-            + backend.sentTokens;
+        const double reported
+            = (backend.load.waiting + backend.load.running) * m_meanUnread + backend.sentTokens;
         backlog = std::max(backlog, backend.loadWeight(now) * reported);
     }
     double ms = (unread + backlog) / rate * backend.slowness;
@@ -253,7 +252,8 @@
 double BackendTable::plainCost(const Backend &backend, TimePoint now) const
 {
     const double slots = std::max(backend.server.slots, 1U);
-    const double stated = backend.loadWeight(now) * (backend.load.running + 2 * backend.load.waiting);
+    const double stated
+        = backend.loadWeight(now) * (backend.load.running + 2 * backend.load.waiting);
     double cost = (backend.open + stated) / slots;
     if (backend.server.dataCentre != m_options.dataCentre)
         cost += OtherSiteLoad;
@@ -335,8 +335,7 @@
     std::vector<Backend *> readers;
     std::copy_if(usable.begin(), usable.end(), std::back_inserter(readers),
                  [](const Backend *backend) { return backend->server.prefillOnly; });
-    const Backend *home
-        = homeOf(readers.empty() ? usable : readers, request.prompt->sharedKey());
+    const Backend *home = homeOf(readers.empty() ? usable : readers, request.prompt->sharedKey());
     const double handOverMs
         = SecondCallMs + runnerMs + moveMs(request.service, request.prompt->tokens());
     Backend *reader = nullptr;
@@ -364,7 +363,8 @@
         return std::nullopt;
     if (!apart)
         return RequestPlacement{place(*reader, readerUnread, readerMs, now), std::nullopt};
-    return RequestPlacement{place(*runner, 0, readerMs, now), place(*reader, readerUnread, readerMs, now)};
+    return RequestPlacement{place(*runner, 0, readerMs, now),
+                            place(*reader, readerUnread, readerMs, now)};
 }
 
 BackendTable::Backend *BackendTable::find(const PlacedRequest &placed)
@@ -405,10 +405,10 @@
                                    TimePoint now) const
 {
     const double took = std::chrono::duration<double, std::milli>(now - placed.placedAt).count();
-    const double expected = std::max(
-        placed.readingMs,
-        std::chrono::duration<double, std::milli>(placed.expectedWait).count()
-            / std::max(backend.slowness, 1.0));
+    const double expected
+        = std::max(placed.readingMs,
+                   std::chrono::duration<double, std::milli>(placed.expectedWait).count()
+                       / std::max(backend.slowness, 1.0));
     const double seen = std::clamp(took / expected, LeastSlowness, MostSlowness);
     backend.slowness += SlownessWeight * (seen - backend.slowness);
 }
@@ -482,8 +482,8 @@
     if (found == m_backends.end())
         return;
     found->second->avoidUntil = now + MisdirectedPause;
-    logInfo("backend_misdirected", {{"backend", backend.value()},
-                                    {"prefill", found->second->server.prefillOnly ? 1 : 0}});
+    logInfo("backend_misdirected",
+            {{"backend", backend.value()}, {"prefill", found->second->server.prefillOnly ? 1 : 0}});
 }
 
 void BackendTable::noteSilent(const BackendId &backend, bool silent, TimePoint now)
--- a/src/gentianramp/relay/backend_table_test.cpp
+++ b/src/gentianramp/relay/backend_table_test.cpp
@@ -34,10 +34,8 @@
 DeclaredService service()
 {
     DeclaredService declared{.name = "lm", .maxConnections = 400};
-    declared.engine = EngineTraits{.slots = 64,
-                                   .memoryTokens = 500'000,
-                                   .tokenBytes = 327'680,
-                                   .linkBitsPerSecond = 3.8e12};
+    declared.engine = EngineTraits{
+        .slots = 64, .memoryTokens = 500'000, .tokenBytes = 327'680, .linkBitsPerSecond = 3.8e12};
     return declared;
 }
 
@@ -60,8 +58,8 @@
 std::optional<RequestPlacement> choose(BackendTable &made, const PromptShape &shape, TimePoint now,
                                        std::span<const BackendId> excluded = {})
 {
-    return made.choose({.service = "lm", .prompt = &shape, .repeatable = true, .excluded = excluded},
-                       now);
+    return made.choose(
+        {.service = "lm", .prompt = &shape, .repeatable = true, .excluded = excluded}, now);
 }
 
 } // namespace
@@ -117,7 +115,8 @@
 
 Test(backend_table, aBurstIsSpreadOverTheEngines)
 {
-    // Load pattern of a cold start: many prompts at once, a few sessions far more often than others.
+    // Load pattern of a cold start: many prompts at once, a few sessions far more often than
+    // others.
     BackendTable made = table();
     std::mt19937 random(3);
     std::map<BackendId, double> tokens;
--- a/src/gentianramp/relay/event_assembler_test.cpp
+++ b/src/gentianramp/relay/event_assembler_test.cpp
@@ -30,8 +30,8 @@
 {
     std::string stream;
     for (int id = 1; id <= 40; ++id)
-        stream += "id: " + std::to_string(id) + "\nversion: 3\ndata: " + std::string(id, 'x')
-            + "\n\n";
+        stream
+            += "id: " + std::to_string(id) + "\nversion: 3\ndata: " + std::string(id, 'x') + "\n\n";
     for (unsigned seed = 1; seed <= 50; ++seed) {
         std::mt19937 random(seed);
         EventAssembler events;
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -77,8 +77,8 @@
         link = std::make_unique<Mesh>(std::move(mesh), [this](ReceivedMessage message) {
             asio::post(executor, [weak = weak_from_this(), message = std::move(message)] {
                 if (const auto self = weak.lock())
-                    self->perform(self->feed.onMessage(message.sender, message.payload,
-                                                       RuntimeClock::now()));
+                    self->perform(
+                        self->feed.onMessage(message.sender, message.payload, RuntimeClock::now()));
             });
         });
         asio::co_spawn(executor, runFeed(), asio::detached);
@@ -166,8 +166,8 @@
         const TimePoint began = RuntimeClock::now();
         const TimePoint latest = began + options.grace / (GraceSixths + 1) * GraceSixths;
         leaving = true;
-        logInfo("leaving", {{"active", callers->activeRequests()},
-                            {"connections", callers->connections()}});
+        logInfo("leaving",
+                {{"active", callers->activeRequests()}, {"connections", callers->connections()}});
         co_await sleepFor(AnswerAllWhileLeaving);
         relay.setEnd(latest);
         callers->closeAfterAnswers();
@@ -176,8 +176,9 @@
         do {
             co_await sleepFor(LeaveCheckInterval);
         } while (RuntimeClock::now() < latest && callers->activeRequests() > 0);
-        logInfo("left", {{"active", callers->activeRequests()},
-                         {"after_ms", toMilliseconds(RuntimeClock::now() - began)}});
+        logInfo("left",
+                {{"active", callers->activeRequests()},
+                 {"after_ms", toMilliseconds(RuntimeClock::now() - began)}});
         stopping = true;
         done();
     }
--- a/src/gentianramp/relay/relay_run.cpp
+++ b/src/gentianramp/relay/relay_run.cpp
@@ -42,10 +42,17 @@
 /// Fields that concern one connection only.
 bool isHopByHop(std::string_view name)
 {
-    static constexpr std::string_view Names[]
-        = {"Connection", "Keep-Alive",        "Proxy-Connection", "TE",            "Trailer",
-           "Upgrade",    "Transfer-Encoding", "Content-Length",   "Proxy-Authenticate", "Expect",
-           "Proxy-Authorization"};
+    static constexpr std::string_view Names[] = {"Connection",
+                                                 "Keep-Alive",
+                                                 "Proxy-Connection",
+                                                 "TE",
+                                                 "Trailer",
+                                                 "Upgrade",
+                                                 "Transfer-Encoding",
+                                                 "Content-Length",
+                                                 "Proxy-Authenticate",
+                                                 "Expect",
+                                                 "Proxy-Authorization"};
     return std::any_of(std::begin(Names), std::end(Names),
                        [&](std::string_view hop) { return sameHeaderName(hop, name); });
 }
@@ -90,8 +97,7 @@
 
 } // namespace
 
-RelayRun::RelayRun(std::shared_ptr<RelayState> state, HttpRequest request,
-                   ResponseWriter &writer)
+RelayRun::RelayRun(std::shared_ptr<RelayState> state, HttpRequest request, ResponseWriter &writer)
     : m_state(std::move(state))
     , m_request(std::move(request))
     , m_writer(&writer)
@@ -265,10 +271,10 @@
     call.request.body = m_request.body;
     const std::string_view connection = m_request.headers.find("Connection");
     for (const HttpHeader &field : m_request.headers.fields()) {
-        const bool own = std::any_of(protocol.own.begin(), protocol.own.end(),
-                                     [&](const std::string &name) {
-                                         return sameHeaderName(name, field.name);
-                                     });
+        const bool own
+            = std::any_of(protocol.own.begin(), protocol.own.end(), [&](const std::string &name) {
+                  return sameHeaderName(name, field.name);
+              });
         if (!own && !isHopByHop(field.name) && !namedIn(connection, field.name))
             call.request.headers.add(field.name, field.value);
     }
@@ -322,8 +328,8 @@
     }
     m_exchange.reset();
     settle(send, step);
-    const bool misdirected
-        = step == Step::NotRun && send.exchange->status() == m_state->options.protocol.wrongTargetStatus;
+    const bool misdirected = step == Step::NotRun
+        && send.exchange->status() == m_state->options.protocol.wrongTargetStatus;
     if (misdirected)
         m_state->table.noteMisdirected(placed.backend, RuntimeClock::now());
     if (step == Step::NotRun && !misdirected && m_source)
@@ -401,14 +407,15 @@
         how = "not_run";
     else if (step == Step::Unreached)
         how = "unreached";
-    logWarning(what, {{"request", m_id},
-                      {"backend", placed.backend.value()},
-                      {"step", how},
-                      {"error", error ? error.message() : "answer"},
-                      {"status", status},
-                      {"expected_ms", toMilliseconds(placed.expectedWait)},
-                      {"after_ms", toMilliseconds(RuntimeClock::now() - sentAt)},
-                      {"expired", m_expired ? 1 : 0}});
+    logWarning(what,
+               {{"request", m_id},
+                {"backend", placed.backend.value()},
+                {"step", how},
+                {"error", error ? error.message() : "answer"},
+                {"status", status},
+                {"expected_ms", toMilliseconds(placed.expectedWait)},
+                {"after_ms", toMilliseconds(RuntimeClock::now() - sentAt)},
+                {"expired", m_expired ? 1 : 0}});
 }
 
 void RelayRun::settle(Send &send, Step step)
--- a/src/gentianramp/relay/relay_run.hpp
+++ b/src/gentianramp/relay/relay_run.hpp
@@ -11,8 +11,7 @@
 class RelayRun : public std::enable_shared_from_this<RelayRun>
 {
 public:
-    RelayRun(std::shared_ptr<RelayState> state, HttpRequest request,
-             ResponseWriter &writer);
+    RelayRun(std::shared_ptr<RelayState> state, HttpRequest request, ResponseWriter &writer);
     ~RelayRun();
 
     boost::asio::awaitable<void> serve();
@@ -107,7 +106,7 @@
     std::uint32_t m_reads = 0; ///< Engines asked to read the prompt.
     std::vector<BackendId> m_tried;
     Verdict m_verdict = Verdict::NotRun;
-    std::optional<std::uint64_t> m_lastEvent; ///< Delivered, or had by the caller.
+    std::optional<std::uint64_t> m_lastEvent;    ///< Delivered, or had by the caller.
     std::optional<HttpResponse> m_workerFailure; ///< A whole answer that says failure, kept.
     bool m_callerGone = false;
     bool m_expired = false;
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -160,8 +160,7 @@
 
 HttpHandler RelayService::handler()
 {
-    return [state = m_state](HttpRequest request,
-                             ResponseWriter &writer) -> asio::awaitable<void> {
+    return [state = m_state](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
         const auto run = std::make_shared<RelayRun>(state, std::move(request), writer);
         co_await run->serve();
     };
--- a/src/gentianramp/relay/relay_service_test.cpp
+++ b/src/gentianramp/relay/relay_service_test.cpp
@@ -1,8 +1,8 @@
 #include <gentianramp/relay/relay_service.hpp>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <map>
 
@@ -53,8 +53,8 @@
         : relay(m_context.get_executor(),
                 {.dataCentre = DataCentreId("a"), .protocol = protocol(), .seed = 1})
     {
-        m_front = std::make_unique<HttpServer>(m_context.get_executor(), options(),
-                                               relay.handler());
+        m_front
+            = std::make_unique<HttpServer>(m_context.get_executor(), options(), relay.handler());
         m_port = m_front->start().value();
     }
 
@@ -71,8 +71,7 @@
     {
         auto server = std::make_unique<HttpServer>(
             m_context.get_executor(), options(),
-            [this, id, handler = std::move(handler)](HttpRequest request,
-                                                     ResponseWriter &writer) {
+            [this, id, handler = std::move(handler)](HttpRequest request, ResponseWriter &writer) {
                 seen.push_back({id, request});
                 return handler(std::move(request), writer);
             });
@@ -131,10 +130,9 @@
 
     int runsAt(const std::string &id) const
     {
-        return static_cast<int>(std::count_if(
-            seen.begin(), seen.end(), [&](const auto &entry) {
-                return entry.first == id && entry.second.path().starts_with("/p/");
-            }));
+        return static_cast<int>(std::count_if(seen.begin(), seen.end(), [&](const auto &entry) {
+            return entry.first == id && entry.second.path().starts_with("/p/");
+        }));
     }
 
     std::vector<std::pair<std::string, HttpRequest>> seen;
@@ -388,7 +386,8 @@
     ReaderCalls calls;
     site.addServer("reader", readsPrompts(calls), true);
     site.addServer("changed", answers(421));
-    site.declare({.kind = CallKind::Stream, .attempts = 2, .carriesPrompt = true, .resumable = true});
+    site.declare(
+        {.kind = CallKind::Stream, .attempts = 2, .carriesPrompt = true, .resumable = true});
     HttpRequest request{.method = "POST"};
     request.headers.add("X-Prompt", "yes");
     cr_assert_eq(site.call(request)->status, 503U);
--- a/src/gentianramp/relay/relay_state.hpp
+++ b/src/gentianramp/relay/relay_state.hpp
@@ -47,7 +47,7 @@
     std::shared_ptr<const RouteTable> routes;
     bool listed = false;
     std::uint32_t instances = 1;
-    std::optional<TimePoint> end; ///< Of the process, while it leaves.
+    std::optional<TimePoint> end;                     ///< Of the process, while it leaves.
     std::map<std::string, RetryAllowance> allowances; ///< By service.
     std::set<BackendId> verifying;
     std::mt19937_64 random;
--- a/src/gentianramp/relay/retry_allowance.cpp
+++ b/src/gentianramp/relay/retry_allowance.cpp
@@ -35,7 +35,8 @@
     std::uint32_t requests = 0;
     std::uint32_t repeats = 0;
     for (const Bucket &bucket : m_buckets) {
-        if (bucket.number < 0 || bucket.number + static_cast<std::int64_t>(Buckets) <= current.number)
+        if (bucket.number < 0
+            || bucket.number + static_cast<std::int64_t>(Buckets) <= current.number)
             continue;
         requests += bucket.requests;
         repeats += bucket.repeats;
--- a/src/gentianramp/wire/mesh.cpp
+++ b/src/gentianramp/wire/mesh.cpp
@@ -32,7 +32,7 @@
 constexpr std::size_t MaxQueuedMessages = 4096;
 constexpr std::chrono::milliseconds PollInterval(100);
 constexpr Duration PauseThreshold = std::chrono::milliseconds(500);
-constexpr int ConnectTimeoutMs = 1000;      // a silent address is tried again after it
+constexpr int ConnectTimeoutMs = 1000;        // a silent address is tried again after it
 constexpr int UnacknowledgedTimeoutMs = 2000; // TCP_USER_TIMEOUT; below the silence of heartbeats
 constexpr Duration KeyTrialTime = std::chrono::seconds(1); // before another key is tried
 constexpr std::uint64_t TimelineSampling = 16; // one message in so many stands on the time line
