--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -339,6 +339,7 @@
     const double handOverMs
         = SecondCallMs + runnerMs + moveMs(request.service, request.prompt->tokens());
     Backend *reader = nullptr;
+    double readerCost = 0;
     double readerMs = 0;
     std::uint32_t readerUnread = 0;
     for (Backend *backend : usable) {
@@ -348,10 +349,11 @@
             continue;
         const double rate = reads ? PrefillTokensPerMs : MixedTokensPerMs;
         const double ms = readingMs(*backend, unread, now)
-            + (reads ? handOverMs + backend->handOverPenaltyMs(now) : runningMs(*backend, now))
-            + (reads ? OthersDelayReading : OthersDelayMixed) * unread / rate;
-        if (!reader || ms < readerMs) {
+            + (reads ? handOverMs + backend->handOverPenaltyMs(now) : runningMs(*backend, now));
+        const double cost = ms + (reads ? OthersDelayReading : OthersDelayMixed) * unread / rate;
+        if (!reader || cost < readerCost) {
             reader = backend;
+            readerCost = cost;
             readerMs = ms;
             readerUnread = unread;
         }
--- a/src/gentianramp/relay/relay_run.cpp
+++ b/src/gentianramp/relay/relay_run.cpp
@@ -27,11 +27,15 @@
 constexpr Duration ShortestSend = std::chrono::milliseconds(5);
 /// Callers honour up to a third of the time that they have left.
 constexpr int RetryShareOfDeadline = 5;
+constexpr int RetryShareOfLongWait = 3;
 constexpr Duration LongestRetryAfter = std::chrono::milliseconds(800);
 
 /// Another instance can take the request at once.
 constexpr Duration LeavingRetryAfter = std::chrono::milliseconds(20);
 
+/// Estimates of waits are off by a factor of two when work of other priorities waits too.
+constexpr int HopelessWait = 2;
+
 constexpr unsigned Ok = 200;
 
 bool isSuccess(unsigned status)
@@ -204,6 +208,10 @@
             co_return co_await refuse("no_backend");
         if (!placement)
             co_return co_await fail();
+        if (m_sends == 0 && m_reads == 0 && placement->runner.expectedWait > HopelessWait * left()) {
+            m_expectedWait = placement->runner.expectedWait;
+            co_return co_await refuse("too_late");
+        }
         const bool apart = placement->reader.has_value();
         const PlacedRequest &first = apart ? *placement->reader : placement->runner;
         Step step = Step::Done;
@@ -597,7 +605,10 @@
 /// Spreads callers that come back over a part of the time that they have left.
 Duration RelayRun::retryAfter() const
 {
-    const Duration longest = std::min<Duration>(left() / RetryShareOfDeadline, LongestRetryAfter);
+    Duration longest = std::min<Duration>(left() / RetryShareOfDeadline, LongestRetryAfter);
+    // Work that was known to wait longer has to drain first.
+    if (m_expectedWait > Duration::zero())
+        longest = std::min<Duration>(left() / RetryShareOfLongWait, m_expectedWait);
     const double part = 0.5 + 0.5 * m_state->draw();
     return std::chrono::duration_cast<Duration>(longest * part);
 }
@@ -622,6 +633,7 @@
              {"left_ms", m_route ? toMilliseconds(left()) : -1},
              {"declaration", m_routes ? m_routes->declaration().number : 0},
              {"declaration_age_ms", ageMs(m_state->options.declarationAge())},
+             {"expected_ms", toMilliseconds(m_expectedWait)},
              {"list_age_ms", ageMs(m_state->options.listingAge())}});
 }
 
--- a/src/gentianramp/relay/relay_run.hpp
+++ b/src/gentianramp/relay/relay_run.hpp
@@ -93,6 +93,7 @@
     std::optional<TimePoint> m_firstEventAt;
 
     std::shared_ptr<HttpExchange> m_exchange; ///< The open one.
+    Duration m_expectedWait{};                ///< For which a request was refused.
     BackendId m_backend;                      ///< Of the last send.
     /// A prompt that an engine has read and keeps until it is taken.
     struct Source
--- a/src/gentianramp/relay/relay_service_test.cpp
+++ b/src/gentianramp/relay/relay_service_test.cpp
@@ -398,6 +398,26 @@
     cr_assert_eq(calls.freed, 1);
 }
 
+Test(relay_service, whatEnginesAreFarBehindForIsRefusedAtOnce)
+{
+    // Load pattern of an outage: the only reading engine has minutes of prompts waiting.
+    Site site;
+    ReaderCalls calls;
+    site.addServer("reader", readsPrompts(calls), true);
+    site.addServer("runner", streams(1, 3, true));
+    site.declare({.kind = CallKind::Stream, .timeout = std::chrono::seconds(2),
+                  .carriesPrompt = true});
+    site.relay.publish(LoadReports{
+        RuntimeClock::now(), {{.engine = BackendId("reader"), .waiting = 2000, .running = 64}}});
+    HttpRequest request{.method = "POST"};
+    request.headers.add("X-Prompt", "yes");
+    const Result<HttpResponse> answer = site.call(request);
+    cr_assert_eq(answer->status, 503U);
+    cr_assert(answer->headers.contains("Retry-After"));
+    cr_assert_eq(calls.reads, 0);
+    cr_assert_eq(site.runsAt("runner"), 0);
+}
+
 Test(relay_service, aLeavingInstanceRefusesWhatMayOutlastIt)
 {
     Site site;
