--- a/include/gentianramp/registry/stage_keeper.hpp
+++ b/include/gentianramp/registry/stage_keeper.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <gentianramp/core/clock.hpp>
 #include <gentianramp/core/ids.hpp>
 #include <gentianramp/registry/backend_listing.hpp>
@@ -55,7 +56,16 @@
         TimePoint at{};
     };
 
+    using Engines = std::vector<const ListedServer *>;
+    using WorkHook = std::function<std::uint32_t(const ListedServer &)>;
+
     bool effectiveStage(const ListedServer &engine, TimePoint now) const;
+    void keepShare(const Engines &engines, const WorkHook &workOf, TimePoint now,
+                   std::vector<StageOrder> &orders);
+    void keepEachSiteDecoding(const Engines &engines, const WorkHook &workOf, TimePoint now,
+                              std::vector<StageOrder> &orders);
+    void order(const ListedServer &engine, bool prefill, TimePoint now,
+               std::vector<StageOrder> &orders);
 
     StageOptions m_options;
     std::map<BackendId, Given> m_given;
--- a/include/gentianramp/relay/backend_table.hpp
+++ b/include/gentianramp/relay/backend_table.hpp
@@ -35,6 +35,8 @@
     double readingMs = 0;           ///< Of it, for reading at the engine's usual speed.
     TimePoint placedAt{};
     std::uint64_t life = 0; ///< Of the backend server, as the table counts lives.
+    /// Engine that probably keeps shared parts which this one lacks; they are fetched from it.
+    std::optional<HttpAddress> fetchFrom;
     bool operator==(const PlacedRequest &) const = default;
 };
 
@@ -119,6 +121,8 @@
     std::optional<RequestPlacement> chooseEngines(const std::vector<Backend *> &usable,
                                                   const PlacementRequest &request, TimePoint now);
     const Backend *homeOf(const std::vector<Backend *> &usable, std::uint64_t key) const;
+    const Backend *formerHome(const PlacementRequest &request, const Backend &home,
+                              TimePoint now) const;
     std::uint32_t unreadTokens(const Backend &backend, const PromptShape &prompt, bool home,
                                TimePoint now) const;
     double readingMs(const Backend &backend, std::uint32_t unread, TimePoint now) const;
--- a/src/gentianramp/registry/stage_keeper_test.cpp
+++ b/src/gentianramp/registry/stage_keeper_test.cpp
@@ -53,6 +53,19 @@
     cr_assert(keeper.decide(engines(2, 0), {}, at(0)).empty());
 }
 
+Test(stage_keeper, eachDataCentreCanDecodeByItself)
+{
+    // Enough engines decode, but all of them in two of the three data centres.
+    StageKeeper keeper;
+    BackendListing listing = engines(12, 12);
+    for (int number : {0, 3, 1})
+        listing.servers[static_cast<std::size_t>(number)].prefillOnly = false;
+    const std::vector<StageOrder> orders = keeper.decide(listing, {}, at(0));
+    cr_assert_eq(orders.size(), 1U);
+    cr_assert_not(orders.front().prefill);
+    cr_assert_eq(orders.front().engine.dataCentre, DataCentreId("site2"));
+}
+
 Test(stage_keeper, newEnginesChangeBeforeBusyOnes)
 {
     // A release starts new engines that decode; those that serve answers must not be taken out.
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -83,6 +83,7 @@
     double sentTokens = 0; ///< Unread tokens that this instance sent since loadAt.
     TimePoint heardAt{};
     TimePoint avoidUntil{};
+    TimePoint readsSince{};      ///< When it was first listed as reading; empty: it decodes.
     double slowness = 1;         ///< Seen reading times over expected ones.
     double handOverFailures = 0; ///< Fades out.
     TimePoint handOverFailedAt{};
@@ -148,6 +149,10 @@
             backend->life = ++m_lives;
             backend->hash = mix(std::hash<std::string>{}(server.id.value()));
         }
+        if (!server.prefillOnly)
+            backend->readsSince = {};
+        else if (backend->readsSince == TimePoint{})
+            backend->readsSince = listing.takenAt;
         backend->server = server;
         next.emplace(server.id, std::move(backend));
     }
@@ -195,6 +200,22 @@
     return home;
 }
 
+/// Engine that was the home of these shared parts until engines came or began to leave lately, when
+/// it isn't the home now: it probably still keeps them.
+const BackendTable::Backend *BackendTable::formerHome(const PlacementRequest &request,
+                                                      const Backend &home, TimePoint now) const
+{
+    std::vector<Backend *> settled;
+    for (const auto &[id, backend] : m_backends) {
+        const bool reads = backend->server.service == request.service && !backend->silent
+            && backend->readsSince != TimePoint{} && now - backend->readsSince >= PartMemory;
+        if (reads)
+            settled.push_back(backend.get());
+    }
+    const Backend *former = homeOf(settled, request.prompt->sharedKey());
+    return former == &home ? nullptr : former;
+}
+
 std::uint32_t BackendTable::unreadTokens(const Backend &backend, const PromptShape &prompt,
                                          bool home, TimePoint now) const
 {
@@ -365,8 +386,11 @@
         return std::nullopt;
     if (!apart)
         return RequestPlacement{place(*reader, readerUnread, readerMs, now), std::nullopt};
-    return RequestPlacement{place(*runner, 0, readerMs, now),
-                            place(*reader, readerUnread, readerMs, now)};
+    PlacedRequest reading = place(*reader, readerUnread, readerMs, now);
+    const Backend *former = reader == home ? formerHome(request, *home, now) : nullptr;
+    if (former)
+        reading.fetchFrom = HttpAddress{former->server.host, former->server.port};
+    return RequestPlacement{place(*runner, 0, readerMs, now), reading};
 }
 
 BackendTable::Backend *BackendTable::find(const PlacedRequest &placed)
--- a/src/gentianramp/relay/backend_table_test.cpp
+++ b/src/gentianramp/relay/backend_table_test.cpp
@@ -175,6 +175,42 @@
     cr_assert_eq(choose(made, prompt(1), at(1000))->runner.backend, BackendId("e1"));
 }
 
+Test(backend_table, aNewHomeFetchesFromTheFormerOne)
+{
+    // Load pattern of a release: half a minute into the day an engine drains and a new one comes.
+    BackendTable made({.dataCentre = DataCentreId("site0"), .seed = 1});
+    made.setService(service());
+    BackendListing listing = engines(12, 3);
+    listing.takenAt = at(0);
+    made.publish(listing);
+    for (std::uint64_t session = 1; session <= 40; ++session)
+        cr_assert_not(choose(made, prompt(session), at(20'000))->reader->fetchFrom.has_value());
+    listing.servers[5].draining = true;
+    ListedServer fresh = listing.servers[5];
+    fresh.id = BackendId("fresh");
+    fresh.host = "10.0.0.99";
+    fresh.draining = false;
+    listing.servers.push_back(fresh);
+    listing.takenAt = at(20'000);
+    made.publish(listing);
+    int moved = 0;
+    for (std::uint64_t session = 1; session <= 60; ++session) {
+        const auto placed = choose(made, prompt(session), at(20'100));
+        cr_assert_neq(placed->reader->backend, BackendId("e5"));
+        if (!placed->reader->fetchFrom)
+            continue;
+        ++moved;
+        cr_assert(placed->reader->backend == BackendId("fresh")
+                  || placed->reader->fetchFrom->host == "10.0.0.6");
+    }
+    cr_assert_gt(moved, 5);
+    // The old one is gone and the new one is settled.
+    listing.servers.erase(listing.servers.begin() + 5);
+    made.publish(listing);
+    for (std::uint64_t session = 1; session <= 40; ++session)
+        cr_assert_not(choose(made, prompt(session), at(30'000))->reader->fetchFrom.has_value());
+}
+
 Test(backend_table, aDrainingServerGetsNothing)
 {
     BackendTable made({.dataCentre = DataCentreId("site0"), .seed = 1});
--- a/src/gentianramp/relay/relay_run.cpp
+++ b/src/gentianramp/relay/relay_run.cpp
@@ -208,7 +208,8 @@
             co_return co_await refuse("no_backend");
         if (!placement)
             co_return co_await fail();
-        if (m_sends == 0 && m_reads == 0 && placement->runner.expectedWait > HopelessWait * left()) {
+        if (m_sends == 0 && m_reads == 0
+            && placement->runner.expectedWait > HopelessWait * left()) {
             m_expectedWait = placement->runner.expectedWait;
             co_return co_await refuse("too_late");
         }
@@ -293,6 +294,10 @@
                                  std::to_string(std::min<std::uint32_t>(m_route->priority, 9)));
     if (m_route->kind == CallKind::Stream && m_lastEvent)
         call.request.headers.set(protocol.lastEventId, std::to_string(*m_lastEvent));
+    if (placed.fetchFrom)
+        call.request.headers.set(protocol.fetchFrom,
+                                 placed.fetchFrom->host + ':'
+                                     + std::to_string(placed.fetchFrom->port));
     if (m_source)
         call.request.headers.set(protocol.takeFrom,
                                  m_source->address.host + ':'
--- a/src/gentianramp/relay/relay_service_test.cpp
+++ b/src/gentianramp/relay/relay_service_test.cpp
@@ -405,8 +405,8 @@
     ReaderCalls calls;
     site.addServer("reader", readsPrompts(calls), true);
     site.addServer("runner", streams(1, 3, true));
-    site.declare({.kind = CallKind::Stream, .timeout = std::chrono::seconds(2),
-                  .carriesPrompt = true});
+    site.declare(
+        {.kind = CallKind::Stream, .timeout = std::chrono::seconds(2), .carriesPrompt = true});
     site.relay.publish(LoadReports{
         RuntimeClock::now(), {{.engine = BackendId("reader"), .waiting = 2000, .running = 64}}});
     HttpRequest request{.method = "POST"};
