--- a/src/gentianramp/core/log.cpp
+++ b/src/gentianramp/core/log.cpp
@@ -112,7 +112,7 @@
             + " level=" + google::GetLogSeverityName(severity)[0] + " event=";
         line.append(message, length);
         line += '\n';
-        m_buffer.add(std::move(line), now);
+        m_buffer.add(line, now);
     }
 
     LogBuffer &buffer() { return m_buffer; }
--- a/src/gentianramp/core/log_buffer.cpp
+++ b/src/gentianramp/core/log_buffer.cpp
@@ -31,7 +31,7 @@
     return true;
 }
 
-void LogBuffer::add(std::string line, TimePoint now)
+void LogBuffer::add(const std::string &line, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
     if (m_held.size() + line.size() > m_bounds.bufferBytes)
--- a/src/gentianramp/core/log_buffer.hpp
+++ b/src/gentianramp/core/log_buffer.hpp
@@ -16,7 +16,7 @@
     /// @p write takes bytes without waiting and returns how many it took.
     LogBuffer(LogBounds bounds, std::function<std::size_t(std::string_view)> write);
 
-    void add(std::string line, TimePoint now);
+    void add(const std::string &line, TimePoint now);
     void flush();
     std::uint64_t dropped() const;
 
--- a/src/gentianramp/registry/declaration_ledger_test.cpp
+++ b/src/gentianramp/registry/declaration_ledger_test.cpp
@@ -101,8 +101,8 @@
     std::optional<StoredContent> read(DeclarationLedger *ledger)
     {
         const auto answer = std::make_shared<std::optional<StoredContent>>();
-        ledger->readNewest([answer](std::optional<StoredContent> newest) { *answer = newest; },
-                           m_now);
+        ledger->readNewest(
+            [answer](const std::optional<StoredContent> &newest) { *answer = newest; }, m_now);
         run(1000);
         return *answer;
     }
--- a/src/gentianramp/registry/member_directory.cpp
+++ b/src/gentianramp/registry/member_directory.cpp
@@ -64,6 +64,7 @@
 std::vector<KnownMember> MemberDirectory::known(TimePoint now) const
 {
     std::vector<KnownMember> members;
+    members.reserve(m_members.size());
     for (const auto &[instance, member] : m_members)
         members.push_back({instance, member.dataCentre, now - member.knownAt});
     return members;
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -50,6 +50,8 @@
 constexpr Duration LoadMemory = std::chrono::seconds(2);
 constexpr unsigned MissesToSilence = 2;
 constexpr Duration OrderInterval = std::chrono::milliseconds(500);
+/// For the next reports to reach all entry instances: one interval of the reports, one of the feed.
+constexpr Duration AnnounceTime = std::chrono::milliseconds(600);
 constexpr Duration OrderListAge = std::chrono::seconds(2);
 /// A leader that lost its majority may still believe in it for an election timeout, and its order
 /// may be on its way for a call's time.
@@ -108,9 +110,9 @@
         mesh.keyed = false;
         mesh.metrics = options.metrics;
         link = std::make_unique<Mesh>(std::move(mesh), [this](ReceivedMessage message) {
-            asio::post(executor, [weak = weak_from_this(), message = std::move(message)]() mutable {
+            asio::post(executor, [weak = weak_from_this(), message = std::move(message)] {
                 if (const auto self = weak.lock())
-                    self->receive(std::move(message));
+                    self->receive(message);
             });
         });
         openFolderWhenDue(RuntimeClock::now());
@@ -347,6 +349,9 @@
                 || now - listing.takenAt > OrderListAge)
                 continue;
             const std::vector<StageOrder> orders = stages.decide(listing, loads, now);
+            // Entry instances learn from the reports which engines change before these refuse work.
+            if (!orders.empty())
+                co_await sleepFor(AnnounceTime);
             for (const StageOrder &order : orders) {
                 const std::optional<StoredContent> confirmed = co_await readNewest();
                 if (!confirmed || !leads())
@@ -376,7 +381,7 @@
                     MessageTtl);
     }
 
-    void receive(ReceivedMessage received)
+    void receive(const ReceivedMessage &received)
     {
         proto::RegistryMessage message;
         if (received.kind != PayloadKind::Registry || !message.ParseFromString(received.payload)) {
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -51,6 +51,13 @@
 constexpr double HandOverFailureMs = 250;
 constexpr Duration HandOverMemory = std::chrono::seconds(3);
 constexpr double MostHandOverFailures = 6;
+/// A server that fails part of its requests while its health is good: weight of one request in the
+/// share of failures, how long that is remembered, and what it counts like in slots taken (plain
+/// calls) and in a wait (prompts).
+constexpr double FailureWeight = 0.3;
+constexpr Duration FailureMemory = std::chrono::seconds(4);
+constexpr double FailureLoad = 3;
+constexpr double FailureMs = 600;
 /// The list is behind by its own lag, the interval in which it is read and the feed's.
 constexpr Duration MisdirectedPause = std::chrono::seconds(2);
 constexpr double OtherSiteMs = 3;
@@ -83,7 +90,9 @@
     double sentTokens = 0; ///< Unread tokens that this instance sent since loadAt.
     TimePoint heardAt{};
     TimePoint avoidUntil{};
-    TimePoint readsSince{};      ///< When it was first listed as reading; empty: it decodes.
+    TimePoint readsSince{};  ///< When it was first listed as reading; empty: it decodes.
+    double failureShare = 0; ///< As of failedAt.
+    TimePoint failedAt{};
     double slowness = 1;         ///< Seen reading times over expected ones.
     double handOverFailures = 0; ///< Fades out.
     TimePoint handOverFailedAt{};
@@ -98,6 +107,19 @@
         return 1.0 - std::chrono::duration<double>(now - loadAt) / LoadMemory;
     }
 
+    /// Share of recent requests that failed, which fades while nothing is sent.
+    double failing(TimePoint now) const
+    {
+        return failureShare
+            * std::exp(-std::chrono::duration<double>(now - failedAt) / FailureMemory);
+    }
+
+    void noteOutcome(bool failed, TimePoint now)
+    {
+        failureShare = failing(now) + FailureWeight * ((failed ? 1 : 0) - failing(now));
+        failedAt = now;
+    }
+
     double handOverPenaltyMs(TimePoint now) const
     {
         const double age = std::chrono::duration<double>(now - handOverFailedAt) / HandOverMemory;
@@ -242,7 +264,7 @@
             = (backend.load.waiting + backend.load.running) * m_meanUnread + backend.sentTokens;
         backlog = std::max(backlog, backend.loadWeight(now) * reported);
     }
-    double ms = (unread + backlog) / rate * backend.slowness;
+    double ms = (unread + backlog) / rate * backend.slowness + FailureMs * backend.failing(now);
     if (backend.server.dataCentre != m_options.dataCentre)
         ms += OtherSiteMs;
     return ms;
@@ -256,7 +278,7 @@
             * (backend.load.running * RunningRequestMs + backend.load.waiting * WaitingRequestMs);
     if (backend.server.dataCentre != m_options.dataCentre)
         ms += OtherSiteRunMs;
-    return ms + backend.handOverPenaltyMs(now);
+    return ms + backend.handOverPenaltyMs(now) + FailureMs * backend.failing(now);
 }
 
 double BackendTable::moveMs(const std::string &service, std::uint32_t tokens) const
@@ -275,7 +297,7 @@
     const double slots = std::max(backend.server.slots, 1U);
     const double stated
         = backend.loadWeight(now) * (backend.load.running + 2 * backend.load.waiting);
-    double cost = (backend.open + stated) / slots;
+    double cost = (backend.open + stated) / slots + FailureLoad * backend.failing(now);
     if (backend.server.dataCentre != m_options.dataCentre)
         cost += OtherSiteLoad;
     return cost;
@@ -448,6 +470,8 @@
     backend->open -= std::min(backend->open, 1U);
     if (!wasAnswered)
         answered(placed, now);
+    if (outcome == SendOutcome::Served || outcome == SendOutcome::Failed)
+        backend->noteOutcome(outcome == SendOutcome::Failed, now);
     switch (outcome) {
     case SendOutcome::Served:
         return backend->breaker.succeeded();
--- a/src/gentianramp/relay/backend_table_test.cpp
+++ b/src/gentianramp/relay/backend_table_test.cpp
@@ -270,3 +270,30 @@
     for (const auto &[server, requests] : open)
         cr_assert_eq(requests, 3);
 }
+
+Test(backend_table, aServerThatFailsPartOfItsRequestsGetsFewer)
+{
+    // Load pattern of a grey failure: one of three servers breaks off every second request.
+    BackendTable made({.dataCentre = DataCentreId("site0"), .seed = 1});
+    BackendListing listing;
+    for (int number = 0; number < 3; ++number)
+        listing.servers.push_back({.id = BackendId("p" + std::to_string(number)),
+                                   .service = "app",
+                                   .host = "10.0.1." + std::to_string(number),
+                                   .port = 80,
+                                   .dataCentre = DataCentreId("site" + std::to_string(number)),
+                                   .slots = 6});
+    made.publish(listing);
+    int toGrey = 0;
+    for (int count = 0; count < 100; ++count) {
+        const TimePoint now = at(250 * count);
+        const auto placed = made.choose({.service = "app"}, now);
+        const bool grey = placed->runner.backend == BackendId("p0");
+        made.sent(placed->runner, nullptr, now);
+        made.ended(placed->runner, true,
+                   grey && toGrey % 2 == 0 ? SendOutcome::Failed : SendOutcome::Served, now);
+        toGrey += grey ? 1 : 0;
+    }
+    cr_assert_leq(toGrey, 20, "%d of 100 went to the server that fails", toGrey);
+    cr_assert_geq(toGrey, 3, "it has to be tried again");
+}
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -85,7 +85,7 @@
         return true;
     }
 
-    HttpHandler pages(std::string readyPath)
+    HttpHandler pages(const std::string &readyPath)
     {
         return [weak = weak_from_this(),
                 readyPath](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
--- a/src/gentianramp/relay/relay_run.cpp
+++ b/src/gentianramp/relay/relay_run.cpp
@@ -44,20 +44,21 @@
 }
 
 /// Fields that concern one connection only.
+constexpr std::string_view HopByHopNames[] = {"Connection",
+                                              "Keep-Alive",
+                                              "Proxy-Connection",
+                                              "TE",
+                                              "Trailer",
+                                              "Upgrade",
+                                              "Transfer-Encoding",
+                                              "Content-Length",
+                                              "Proxy-Authenticate",
+                                              "Expect",
+                                              "Proxy-Authorization"};
+
 bool isHopByHop(std::string_view name)
 {
-    static constexpr std::string_view Names[] = {"Connection",
-                                                 "Keep-Alive",
-                                                 "Proxy-Connection",
-                                                 "TE",
-                                                 "Trailer",
-                                                 "Upgrade",
-                                                 "Transfer-Encoding",
-                                                 "Content-Length",
-                                                 "Proxy-Authenticate",
-                                                 "Expect",
-                                                 "Proxy-Authorization"};
-    return std::any_of(std::begin(Names), std::end(Names),
+    return std::any_of(std::begin(HopByHopNames), std::end(HopByHopNames),
                        [&](std::string_view hop) { return sameHeaderName(hop, name); });
 }
 
--- a/src/gentianramp/relay/retry_allowance_test.cpp
+++ b/src/gentianramp/relay/retry_allowance_test.cpp
@@ -18,9 +18,9 @@
 
 Test(retry_allowance, everyWindowKeepsToTheBoundsOverAllInstances)
 {
-    constexpr int Instances = 9;
+    constexpr int instances = 9;
     std::vector<RetryAllowance> shares(
-        Instances, RetryAllowance({.ratio = 0.2, .slack = 58, .window = std::chrono::seconds(10)}));
+        instances, RetryAllowance({.ratio = 0.2, .slack = 58, .window = std::chrono::seconds(10)}));
     std::deque<std::pair<int, int>> perStep; // requests and repeats
     int requests = 0;
     int repeats = 0;
@@ -34,7 +34,7 @@
                 share.noteRequest(at(step * 100));
                 ++newRequests;
             }
-            for (int count = 0; count < 10 && share.take(Instances, at(step * 100)); ++count)
+            for (int count = 0; count < 10 && share.take(instances, at(step * 100)); ++count)
                 ++newRepeats;
         }
         requests += newRequests;
