--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -57,7 +57,7 @@
 constexpr double FailureWeight = 0.3;
 constexpr Duration FailureMemory = std::chrono::seconds(4);
 constexpr double FailureLoad = 3;
-constexpr double FailureMs = 600;
+constexpr double FailureMs = 80;
 /// The list is behind by its own lag, the interval in which it is read and the feed's.
 constexpr Duration MisdirectedPause = std::chrono::seconds(2);
 constexpr double OtherSiteMs = 3;
