--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -17,9 +17,9 @@
 constexpr double MixedTokensPerMs = 32;
 /// A prompt that is read apart takes one more call.
 constexpr double SecondCallMs = 3;
-/// Reading delays the requests behind it as long as its own; beside decoding it also stretches the
-/// pauses of all answers that run.
-constexpr double OthersDelayReading = 1;
+/// Reading delays all requests behind it, and shared parts that are read at a second engine push
+/// others out there; beside decoding it also stretches the pauses of all answers that run.
+constexpr double OthersDelayReading = 10;
 constexpr double OthersDelayMixed = 3;
 /// A stated load says little about the present after it.
 constexpr Duration LoadMemory = std::chrono::milliseconds(1500);
