--- a/include/gentianramp/relay/backend_table.hpp
+++ b/include/gentianramp/relay/backend_table.hpp
@@ -82,6 +82,8 @@
     /// Entry instances in the system, which share each backend server.
     void setInstances(std::uint32_t instances) { m_instances = std::max(instances, 1U); }
 
+    /// A chosen backend server gets no request after all.
+    void notSent(const PlacedRequest &placed);
     /// The request leaves for its backend server.
     void sent(const PlacedRequest &placed, const PromptShape *prompt, TimePoint now);
     /// The first event or the whole answer came.
@@ -115,9 +117,11 @@
     struct Backend;
 
     Backend *find(const PlacedRequest &placed);
-    bool usable(const Backend &backend, const PlacementRequest &request, TimePoint now) const;
+    /// Fits and may be tried; servers that keep failing only when @p failing ones will do.
+    bool usable(const Backend &backend, const PlacementRequest &request, bool failing,
+                TimePoint now) const;
     std::optional<RequestPlacement> choosePlain(const std::vector<Backend *> &usable,
-                                                const PlacementRequest &request, TimePoint now);
+                                                TimePoint now);
     std::optional<RequestPlacement> chooseEngines(const std::vector<Backend *> &usable,
                                                   const PlacementRequest &request, TimePoint now);
     const Backend *homeOf(const std::vector<Backend *> &usable, std::uint64_t key) const;
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -186,11 +186,11 @@
     m_services[service.name] = service;
 }
 
-bool BackendTable::usable(const Backend &backend, const PlacementRequest &request,
+bool BackendTable::usable(const Backend &backend, const PlacementRequest &request, bool failing,
                           TimePoint now) const
 {
     if (backend.server.service != request.service || backend.server.draining || backend.silent
-        || now < backend.avoidUntil || !backend.breaker.mayAllow(request.repeatable, now))
+        || now < backend.avoidUntil || (!failing && !backend.breaker.mayAllow(true, now)))
         return false;
     const auto declared = m_services.find(request.service);
     if (declared != m_services.end() && declared->second.maxConnections > 0) {
@@ -321,9 +321,14 @@
 std::optional<RequestPlacement> BackendTable::choose(const PlacementRequest &request, TimePoint now)
 {
     std::vector<Backend *> usableBackends;
-    for (const auto &[id, backend] : m_backends) {
-        if (usable(*backend, request, now))
-            usableBackends.push_back(backend.get());
+    // A server that keeps failing is better than none.
+    for (const bool failing : {false, true}) {
+        for (const auto &[id, backend] : m_backends) {
+            if (usable(*backend, request, failing, now))
+                usableBackends.push_back(backend.get());
+        }
+        if (!usableBackends.empty())
+            break;
     }
     if (usableBackends.empty())
         return std::nullopt;
@@ -333,11 +338,10 @@
                     + static_cast<std::ptrdiff_t>(m_random % usableBackends.size()),
                 usableBackends.end());
     return request.prompt ? chooseEngines(usableBackends, request, now)
-                          : choosePlain(usableBackends, request, now);
+                          : choosePlain(usableBackends, now);
 }
 
 std::optional<RequestPlacement> BackendTable::choosePlain(const std::vector<Backend *> &usable,
-                                                          const PlacementRequest &request,
                                                           TimePoint now)
 {
     Backend *best = nullptr;
@@ -349,8 +353,7 @@
             bestCost = cost;
         }
     }
-    if (!best->breaker.allow(request.repeatable, now))
-        return std::nullopt;
+    best->breaker.allow(true, now);
     return RequestPlacement{place(*best, 0, 0, now), std::nullopt};
 }
 
@@ -371,8 +374,7 @@
     if (!runner)
         return std::nullopt;
     if (request.promptRead) {
-        if (!runner->breaker.allow(request.repeatable, now))
-            return std::nullopt;
+        runner->breaker.allow(true, now);
         return RequestPlacement{place(*runner, 0, runnerMs, now), std::nullopt};
     }
     std::vector<Backend *> readers;
@@ -403,9 +405,9 @@
     }
     const bool apart = reader->server.prefillOnly;
     Backend *answering = apart ? runner : reader;
-    if (!answering->breaker.allow(request.repeatable, now)
-        || (apart && !reader->breaker.allow(true, now)))
-        return std::nullopt;
+    answering->breaker.allow(true, now);
+    if (apart)
+        reader->breaker.allow(true, now);
     if (!apart)
         return RequestPlacement{place(*reader, readerUnread, readerMs, now), std::nullopt};
     PlacedRequest reading = place(*reader, readerUnread, readerMs, now);
@@ -423,6 +425,12 @@
     return found->second.get();
 }
 
+void BackendTable::notSent(const PlacedRequest &placed)
+{
+    if (Backend *backend = find(placed))
+        backend->breaker.probeAbandoned();
+}
+
 void BackendTable::sent(const PlacedRequest &placed, const PromptShape *prompt, TimePoint now)
 {
     Backend *backend = find(placed);
--- a/src/gentianramp/relay/backend_table_test.cpp
+++ b/src/gentianramp/relay/backend_table_test.cpp
@@ -300,3 +300,54 @@
     cr_assert_leq(toGrey, 20, "%d of 100 went to the server that fails", toGrey);
     cr_assert_geq(toGrey, 3, "it has to be tried again");
 }
+
+namespace {
+
+/// One plain server that has just failed three times in a row.
+BackendTable tableWithFailedServer()
+{
+    BackendTable made({.dataCentre = DataCentreId("site0"), .seed = 1});
+    BackendListing listing;
+    listing.servers.push_back({.id = BackendId("p0"),
+                               .service = "app",
+                               .host = "10.0.1.1",
+                               .port = 80,
+                               .dataCentre = DataCentreId("site0"),
+                               .slots = 6});
+    made.publish(listing);
+    for (int count = 0; count < 3; ++count) {
+        const auto placed = made.choose({.service = "app"}, at(count));
+        made.sent(placed->runner, nullptr, at(count));
+        made.ended(placed->runner, false, SendOutcome::Failed, at(count));
+    }
+    return made;
+}
+
+} // namespace
+
+Test(backend_table, aFailingServerIsBetterThanNone)
+{
+    // All calls of the service may run once only, so that none of them is a safe probe.
+    BackendTable made = tableWithFailedServer();
+    for (int ms = 10; ms < 20'000; ms += 500)
+        cr_assert(made.choose({.service = "app", .repeatable = false}, at(ms)).has_value());
+}
+
+Test(backend_table, aChoiceThatIsNotSentTakesNoProbe)
+{
+    BackendTable made = tableWithFailedServer();
+    BackendListing listing;
+    for (const char *id : {"p0", "p1"})
+        listing.servers.push_back(
+            {.id = BackendId(id),
+             .service = "app",
+             .host = "10.0.1.1",
+             .port = 80,
+             .dataCentre = DataCentreId(std::string(id) == "p0" ? "site0" : "site1"),
+             .slots = 6});
+    made.publish(listing);
+    const auto probe = made.choose({.service = "app"}, at(20'000));
+    cr_assert_eq(probe->runner.backend, BackendId("p0"));
+    made.notSent(probe->runner);
+    cr_assert_eq(made.choose({.service = "app"}, at(20'001))->runner.backend, BackendId("p0"));
+}
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -21,6 +21,8 @@
 /// Answers in time before the process would be killed: a sixth of the grace is left over.
 constexpr int GraceSixths = 5;
 constexpr Duration LeaveCheckInterval = std::chrono::milliseconds(50);
+/// Of the 4,100 descriptors of the smallest instances; the rest is for backend servers and files.
+constexpr std::size_t MaxCallerConnections = 2500;
 constexpr Duration LogFlushInterval = std::chrono::milliseconds(250);
 
 } // namespace
@@ -50,6 +52,7 @@
         HttpServerOptions server;
         server.host = address.host;
         server.port = address.port;
+        server.maxConnections = MaxCallerConnections;
         // All work of the process is on one thread: connections need no strand of their own.
         server.connectionExecutor = [executor = executor] { return executor; };
         return std::make_unique<HttpServer>(executor, std::move(server), std::move(handler));
--- a/src/gentianramp/relay/relay_run.cpp
+++ b/src/gentianramp/relay/relay_run.cpp
@@ -212,6 +212,9 @@
         if (m_sends == 0 && m_reads == 0
             && placement->runner.expectedWait > HopelessWait * left()) {
             m_expectedWait = placement->runner.expectedWait;
+            m_state->table.notSent(placement->runner);
+            if (placement->reader)
+                m_state->table.notSent(*placement->reader);
             co_return co_await refuse("too_late");
         }
         const bool apart = placement->reader.has_value();
@@ -220,7 +223,9 @@
         if (apart)
             step = co_await readPrompt(first);
         const bool readFailed = step != Step::Done;
-        if (!readFailed)
+        if (readFailed)
+            m_state->table.notSent(placement->runner);
+        else
             step = co_await sendOnce(placement->runner);
         if (step == Step::Done || m_callerGone)
             co_return;
