Order no engine before all of the data centre were read or given up

Change: OrderGate knows the engines of the data centre; under a lease it sends nothing before each was read since the lease began, or gave no answer to three polls under it, and raises its number above the largest that any of them saw.

--- a/include/gentianramp/authority/order_gate.hpp
+++ b/include/gentianramp/authority/order_gate.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace gentianramp {
 
@@ -43,11 +44,17 @@
 public:
     OrderGate(DataCentreId dataCentre, Duration orderFlight, OrderGateHooks hooks);
 
+    /// Sets the engines of the data centre. Nothing is sent under a lease before each of them was
+    /// read or given up since the lease began: any may have seen a number that all lease members
+    /// forgot.
+    void setEngines(const std::vector<BackendId> &engines);
+    /// @p backend gave no answer to requests up to @p requestedAt and isn't waited for.
+    void onUnreachable(const BackendId &backend, TimePoint requestedAt);
     /// Takes a report of @p backend that was asked for at @p requestedAt; fences the engine when
     /// that is due.
     void onReport(const BackendId &backend, FencingNumber seen, TimePoint requestedAt);
     /// Sends @p order and returns its id. Error::StaleAuthority without a certain lease,
-    /// Error::Unavailable until the engine is fenced and its state has been read since,
+    /// Error::Unavailable until all engines were read and this one is fenced and read again,
     /// Error::Overloaded while another order is on its way to the engine.
     Result<std::string> trySend(const PlannedOrder &order);
     /// The engine answered the order @p orderId; @p seen is the fencing number it named.
@@ -69,10 +76,14 @@
         FencingNumber fenced;  ///< Number that the engine confirmed.
         TimePoint readAt;      ///< Time of the request for the newest report.
         bool read = false;
-        std::string pendingOrder; ///< Not yet answered; empty when none.
-        TimePoint settledAt;      ///< The last order has arrived or is lost by then.
+        std::optional<TimePoint> gaveUpAt; ///< Time of the newest request without an answer.
+        std::string pendingOrder;          ///< Not yet answered; empty when none.
+        TimePoint settledAt;               ///< The last order has arrived or is lost by then.
     };
 
+    bool knowsAllEngines(const HeldLease &lease) const;
+    /// Largest number of another lease that an engine saw and that reaches into @p lease.
+    std::optional<FencingNumber> foreignNumber(const HeldLease &lease) const;
     void chooseNumber(Engine &engine, const HeldLease &lease);
     std::error_code checkSend(Engine &engine, const std::optional<HeldLease> &lease, TimePoint now);
     std::string send(Engine &engine, const PlannedOrder &order, TimePoint now);
--- a/src/gentianramp/authority/order_gate.cpp
+++ b/src/gentianramp/authority/order_gate.cpp
@@ -40,6 +40,42 @@
     , m_hooks(std::move(hooks))
 { }
 
+void OrderGate::setEngines(const std::vector<BackendId> &engines)
+{
+    std::map<BackendId, Engine> kept;
+    for (const BackendId &backend : engines)
+        kept[backend] = m_engines[backend];
+    m_engines = std::move(kept);
+}
+
+void OrderGate::onUnreachable(const BackendId &backend, TimePoint requestedAt)
+{
+    const auto found = m_engines.find(backend);
+    if (found != m_engines.end())
+        found->second.gaveUpAt = requestedAt;
+}
+
+bool OrderGate::knowsAllEngines(const HeldLease &lease) const
+{
+    return std::all_of(m_engines.begin(), m_engines.end(), [&lease](const auto &named) {
+        const Engine &engine = named.second;
+        const bool read = engine.read && engine.readAt >= lease.acquiredAt;
+        return read || (engine.gaveUpAt && *engine.gaveUpAt >= lease.acquiredAt);
+    });
+}
+
+std::optional<FencingNumber> OrderGate::foreignNumber(const HeldLease &lease) const
+{
+    std::optional<FencingNumber> largest;
+    for (const auto &[backend, engine] : m_engines) {
+        // Numbers of an earlier lease of this process count like those of any other holder.
+        const bool own = inBlock(engine.ordered, lease) && engine.seen <= engine.ordered;
+        if (engine.seen >= lease.fencing && !own)
+            largest = std::max(largest.value_or(engine.seen), engine.seen);
+    }
+    return largest;
+}
+
 void OrderGate::onReport(const BackendId &backend, FencingNumber seen, TimePoint requestedAt)
 {
     Engine &engine = m_engines[backend];
@@ -72,13 +108,11 @@
         return Error::Overloaded;
     const bool current
         = engine.read && engine.readAt >= lease->acquiredAt && engine.readAt >= engine.settledAt;
-    if (!current)
+    if (!current || !knowsAllEngines(*lease))
         return Error::Unavailable;
     chooseNumber(engine, *lease);
-    // Numbers of an earlier lease of this process count like those of any other holder.
-    const bool ownNumber = inBlock(engine.ordered, *lease) && engine.seen <= engine.ordered;
-    if (engine.seen >= lease->fencing && !ownNumber) {
-        m_hooks.raiseFencing(engine.seen);
+    if (const std::optional<FencingNumber> foreign = foreignNumber(*lease)) {
+        m_hooks.raiseFencing(*foreign);
         return Error::StaleAuthority;
     }
     if (engine.number.value() >= lease->fencing.value() + FencingBlock) {
--- a/src/gentianramp/authority/order_gate_test.cpp
+++ b/src/gentianramp/authority/order_gate_test.cpp
@@ -157,3 +157,33 @@
     cr_assert_eq(bench.sent.size(), 1U);
     cr_assert_eq(bench.raisedAbove, FencingNumber(3 * FencingBlock));
 }
+
+Test(OrderGate, SendsNothingBeforeAllEnginesWereReadOrGivenUp)
+{
+    // All members forgot the numbers, and only the other engine knows the largest one (schedules
+    // 5000121 and 777003171).
+    const BackendId other("e2");
+    Bench bench;
+    bench.gate.setEngines({Engine, other});
+    bench.gate.onReport(Engine, FencingNumber(4), Start + 1ms);
+    cr_assert(bench.sent.empty());
+    cr_assert_eq(bench.error(), make_error_code(Error::Unavailable));
+    bench.gate.onReport(other, FencingNumber(2 * FencingBlock), Start + 2ms);
+    cr_assert(bench.sent.empty());
+    cr_assert_eq(bench.raisedAbove, FencingNumber(2 * FencingBlock));
+    cr_assert_eq(bench.error(), make_error_code(Error::StaleAuthority));
+}
+
+Test(OrderGate, AnEngineThatGivesNoAnswerUnderThisLeaseIsNotWaitedFor)
+{
+    const BackendId other("e2");
+    Bench bench;
+    bench.gate.setEngines({Engine, other});
+    bench.gate.onUnreachable(other, Start - 1ms);
+    bench.gate.onReport(Engine, FencingNumber(4), Start + 1ms);
+    cr_assert(bench.sent.empty());
+    bench.gate.onUnreachable(other, Start + 2ms);
+    bench.gate.onReport(Engine, FencingNumber(4), Start + 3ms);
+    cr_assert_eq(bench.sent.size(), 1U);
+    cr_assert_eq(bench.sent[0].order.kind, OrderKind::Fence);
+}
--- a/src/gentianramp/authority/schedule_test.cpp
+++ b/src/gentianramp/authority/schedule_test.cpp
@@ -32,7 +32,9 @@
 {
     // 61909185752, 61909186594: an order under a number of the process's own earlier lease, after
     // all members had forgotten it. 61909186026: a report from before an order that arrived late.
-    for (const std::uint64_t seed : {61909185752ULL, 61909186026ULL, 61909186594ULL}) {
+    // 5000121, 777003171: an order before the engine that knew the largest number had been read.
+    for (const std::uint64_t seed :
+         {61909185752ULL, 61909186026ULL, 61909186594ULL, 5000121ULL, 777003171ULL}) {
         const TestControlFigures figures = runAuthoritySchedule(seed);
         cr_expect_eq(figures.twoHolders + figures.conflicting + figures.staleEffective, 0,
                      "seed %llu", static_cast<unsigned long long>(seed));
--- a/src/gentianramp/authority/test_control.cpp
+++ b/src/gentianramp/authority/test_control.cpp
@@ -128,6 +128,10 @@
               FencingNumber seen) { process.lease->raiseFencing(seen, localTime(process)); }};
     process.gate
         = std::make_unique<OrderGate>(placed->dataCentre, options.orderFlight, std::move(hooks));
+    std::vector<BackendId> engines;
+    for (std::size_t index = 0; index < m_engines.size(); ++index)
+        engines.push_back(engineName(index));
+    process.gate->setEngines(engines);
     after(upTo(TickInterval), [this, name, life] { tick(name, life); });
 }
 
--- a/src/gentianramp/control/authority_loop.cpp
+++ b/src/gentianramp/control/authority_loop.cpp
@@ -219,10 +219,14 @@
     if (found == watched.end())
         co_return;
     found->second.polling = false;
-    if (report)
+    if (report) {
         onReport(backend, std::move(report).value(), requestedAt);
-    else if (++found->second.lostPolls == LostPolls)
+        co_return;
+    }
+    if (++found->second.lostPolls == LostPolls)
         nextConfirm = RuntimeClock::now();
+    if (found->second.lostPolls >= LostPolls)
+        gate.onUnreachable(backend, requestedAt);
 }
 
 void AuthorityLoop::State::onReport(const BackendId &backend, EngineReport report,
@@ -418,6 +422,10 @@
         target.declared = declared;
     }
     state.watched = std::move(watched);
+    std::vector<BackendId> engines;
+    for (const auto &[backend, target] : state.watched)
+        engines.push_back(backend);
+    state.gate.setEngines(engines);
     state.policies.clear();
     state.nextConfirm = RuntimeClock::now();
 }
