--- a/include/gentianramp/control/ledger_driver.hpp
+++ b/include/gentianramp/control/ledger_driver.hpp
@@ -38,8 +38,8 @@
 class LedgerDriver
 {
 public:
-    LedgerDriver(ReplicaOptions options, Disk disk, LedgerHooks hooks,
-                 CompactionLimits limits = {});
+    LedgerDriver(ReplicaOptions options, Disk disk, LedgerHooks hooks, CompactionLimits limits = {},
+                 ConfigurationStoreLimits storeLimits = {});
 
     /// Reads the data folder; the caller must not go on after an error.
     Result<bool> start(TimePoint now);
--- a/include/gentianramp/http/client.hpp
+++ b/include/gentianramp/http/client.hpp
@@ -5,20 +5,13 @@
 #include <functional>
 #include <gentianramp/core/clock.hpp>
 #include <gentianramp/core/error.hpp>
+#include <gentianramp/http/address.hpp>
 #include <gentianramp/http/message.hpp>
 #include <memory>
 #include <string>
 
 namespace gentianramp {
 
-/// Address of an HTTP server.
-struct HttpAddress
-{
-    std::string host; ///< IP number.
-    std::uint16_t port = 0;
-    auto operator<=>(const HttpAddress &) const = default;
-};
-
 /// A request to a server with its time limits.
 struct HttpCall
 {
--- a/include/gentianramp/registry/declaration_ledger.hpp
+++ b/include/gentianramp/registry/declaration_ledger.hpp
@@ -52,6 +52,8 @@
     const StoredContent &held() const { return m_held; }
     bool leads() const { return m_driver.leads(); }
     const Replica &replica() const { return m_driver.replica(); }
+    /// Bytes of the replicated state and of the log behind it.
+    std::uint64_t storedBytes() const;
 
 private:
     struct Pending
--- a/include/gentianramp/registry/registry_node.hpp
+++ b/include/gentianramp/registry/registry_node.hpp
@@ -10,6 +10,7 @@
 #include <gentianramp/registry/declaration_ledger.hpp>
 #include <gentianramp/registry/stage_keeper.hpp>
 #include <memory>
+#include <optional>
 
 namespace gentianramp {
 
@@ -27,6 +28,8 @@
 struct RegistryOptions
 {
     InstanceId self; ///< Address of the mesh, "10.0.0.1:7380"; it names the process.
+    /// Address to listen on where others reach `self` through a forwarder.
+    std::optional<InstanceId> listenAddress;
     DataCentreId dataCentre;
     std::filesystem::path dataFolder;
     std::vector<InstanceId> seeds; ///< Registry processes that the platform names.
--- a/src/gentianramp/control/ledger_driver.cpp
+++ b/src/gentianramp/control/ledger_driver.cpp
@@ -5,11 +5,12 @@
 namespace gentianramp {
 
 LedgerDriver::LedgerDriver(ReplicaOptions options, Disk disk, LedgerHooks hooks,
-                           CompactionLimits limits)
+                           CompactionLimits limits, ConfigurationStoreLimits storeLimits)
     : m_options(std::move(options))
     , m_logStore(std::move(disk))
     , m_hooks(std::move(hooks))
     , m_limits(limits)
+    , m_store(storeLimits)
 { }
 
 Result<bool> LedgerDriver::start(TimePoint now)
--- a/src/gentianramp/registry/declaration_ledger.cpp
+++ b/src/gentianramp/registry/declaration_ledger.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+/// A declaration replaces the one before it and nobody asks for older ones, so none are kept; the
+/// log is short because a declaration of the target size has some 300 KB and a process 32 MB.
+constexpr CompactionLimits LogLimits{.entries = 32, .bytes = 1024 * 1024};
+constexpr ConfigurationStoreLimits StateLimits{.results = 256, .revisions = 1, .undoBytes = 0};
+
 std::string encode(const StoredContent &declaration)
 {
     proto::StoredDeclaration stored;
@@ -41,7 +46,8 @@
                         m_hooks.inForce(m_held);
                     },
                 .leadership = [this](bool leads, Term term) { onLeadership(leads, term); },
-                .storageFailed = m_hooks.storageFailed})
+                .storageFailed = m_hooks.storageFailed},
+               LogLimits, StateLimits)
 { }
 
 Result<bool> DeclarationLedger::start(TimePoint now)
@@ -49,6 +55,11 @@
     return m_driver.start(now);
 }
 
+std::uint64_t DeclarationLedger::storedBytes() const
+{
+    return m_driver.store().snapshot().size() + m_driver.logBytes();
+}
+
 void DeclarationLedger::onMessage(const InstanceId &fromSeat, std::string_view payload,
                                   TimePoint now)
 {
--- a/src/gentianramp/registry/declaration_ledger_test.cpp
+++ b/src/gentianramp/registry/declaration_ledger_test.cpp
@@ -3,6 +3,7 @@
 #include <deque>
 #include <gentianramp/registry/voter_folder.hpp>
 #include <map>
+#include <random>
 
 #include "gentianramp/ledger/memory_disk.hpp"
 
@@ -237,3 +238,22 @@
     voters.run(6000);
     cr_assert(voters.ledgers[first]->held() == (StoredContent{3, "three"}));
 }
+
+Test(declaration_ledger, whatIsKeptDoesNotGrowWithTheNumberOfDeclarations)
+{
+    // A control process of 32 MB takes a change every few seconds at 1,900 routes.
+    constexpr std::size_t ContentBytes = 200'000;
+    constexpr std::uint64_t Declarations = 60;
+    constexpr std::uint64_t KeptBytes = 2'500'000;
+    std::mt19937_64 random(3);
+    Voters voters;
+    voters.run(6000);
+    for (std::uint64_t number = 1; number <= Declarations; ++number) {
+        std::string content(ContentBytes, ' ');
+        for (char &byte : content)
+            byte = static_cast<char>(random());
+        cr_assert(voters.declare(voters.leader(), number, content, 300) == true);
+    }
+    for (const auto &[seat, ledger] : voters.ledgers)
+        cr_expect_lt(ledger->storedBytes(), KeptBytes, "%s", seat.value().c_str());
+}
--- a/src/gentianramp/registry/registry_codec.cpp
+++ b/src/gentianramp/registry/registry_codec.cpp
@@ -1,23 +1,10 @@
 #include "registry_codec.hpp"
 
 #include <algorithm>
-#include <charconv>
+#include <gentianramp/http/address.hpp>
 
 namespace gentianramp {
 
-std::pair<std::string, std::uint16_t> splitAddress(std::string_view text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == std::string_view::npos || colon == 0)
-        return {};
-    std::uint16_t port = 0;
-    const char *end = text.data() + text.size();
-    const auto [stop, error] = std::from_chars(text.data() + colon + 1, end, port);
-    if (error != std::errc{} || stop != end || port == 0)
-        return {};
-    return {std::string(text.substr(0, colon)), port};
-}
-
 proto::BackendList toProto(const std::vector<ListedServer> &servers)
 {
     proto::BackendList list;
@@ -41,13 +28,13 @@
 {
     std::vector<ListedServer> servers;
     for (const proto::ListedBackend &backend : list.backends()) {
-        auto [host, port] = splitAddress(backend.address());
-        if (host.empty())
+        const std::optional<HttpAddress> address = parseHttpAddress(backend.address());
+        if (!address)
             continue;
         servers.push_back({.id = BackendId(backend.id()),
                            .service = backend.service(),
-                           .host = std::move(host),
-                           .port = port,
+                           .host = address->host,
+                           .port = address->port,
                            .dataCentre = DataCentreId(backend.data_centre()),
                            .slots = backend.slots(),
                            .draining = backend.draining(),
--- a/src/gentianramp/registry/registry_codec.hpp
+++ b/src/gentianramp/registry/registry_codec.hpp
@@ -13,7 +13,4 @@
 proto::LoadTable toProto(const LoadReports &reports, TimePoint now);
 LoadReports fromProto(const proto::LoadTable &table, TimePoint now);
 
-/// Splits "10.0.0.1:8080"; an empty host when the text is no address.
-std::pair<std::string, std::uint16_t> splitAddress(std::string_view text);
-
 } // namespace gentianramp
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -9,12 +9,12 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <gentianramp/core/log.hpp>
+#include <gentianramp/core/random_seed.hpp>
 #include <gentianramp/registry/member_directory.hpp>
 #include <gentianramp/registry/packed_text.hpp>
 #include <gentianramp/registry/voter_folder.hpp>
 #include <gentianramp/wire/mesh.hpp>
 #include <limits>
-#include <random>
 
 namespace gentianramp {
 
@@ -106,7 +106,7 @@
         MeshOptions mesh;
         mesh.instance = options.self;
         mesh.incarnation = Incarnation(options.seed);
-        mesh.endpoint = "tcp://" + options.self.value();
+        mesh.endpoint = "tcp://" + options.listenAddress.value_or(options.self).value();
         mesh.keyed = false;
         mesh.metrics = options.metrics;
         link = std::make_unique<Mesh>(std::move(mesh), [this](ReceivedMessage message) {
@@ -189,7 +189,7 @@
 
     void takeSeat(const std::string &name, bool founding)
     {
-        if (const std::error_code error = prepareSeat(*disk, name, founding, newSeed())) {
+        if (const std::error_code error = prepareSeat(*disk, name, founding, randomSeed())) {
             logWarning("seat_not_prepared", {{"seat", name}, {"error", error.message()}});
             return;
         }
@@ -205,7 +205,7 @@
         replica.self = InstanceId(seat);
         replica.heartbeatInterval = LedgerHeartbeat;
         replica.electionTimeout = ElectionTimeout;
-        replica.seed = newSeed();
+        replica.seed = randomSeed();
         for (const std::string &name : seats)
             replica.voters.emplace_back(name);
         DeclarationHooks hooks;
@@ -748,12 +748,6 @@
         }
     }
 
-    std::uint64_t newSeed() const
-    {
-        std::random_device device;
-        return (static_cast<std::uint64_t>(device()) << 32) | device();
-    }
-
     asio::any_io_executor executor;
     RegistryOptions options;
     std::vector<std::string> seats;
--- a/src/programs/control/main.cpp
+++ b/src/programs/control/main.cpp
@@ -10,8 +10,8 @@
 #include <gentianramp/control/declared_rules.hpp>
 #include <gentianramp/control/membership_attachment.hpp>
 #include <gentianramp/core/log.hpp>
+#include <gentianramp/core/random_seed.hpp>
 #include <iostream>
-#include <random>
 
 using namespace gentianramp;
 namespace po = boost::program_options;
@@ -22,12 +22,6 @@
     .name = "gentianramp-control",
     .summary = "Keeps the declared configuration and orders the engines of a data centre."};
 
-std::uint64_t randomSeed()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32) | device();
-}
-
 ExitCode initialise(const NodeSettings &settings)
 {
     if (!settings.voter) {
