--- a/src/gentianramp/client/command_support.hpp
+++ b/src/gentianramp/client/command_support.hpp
@@ -38,6 +38,7 @@
 ExitCode runConfigRollback(CommandContext &context);
 ExitCode runConfigStatus(CommandContext &context);
 ExitCode runConfigHistory(CommandContext &context);
+ExitCode runExplain(CommandContext &context);
 ExitCode runStatus(CommandContext &context);
 ExitCode runDrain(CommandContext &context);
 ExitCode runUndrain(CommandContext &context);
--- a/src/gentianramp/client/commands.cpp
+++ b/src/gentianramp/client/commands.cpp
@@ -21,6 +21,8 @@
         {"engines", "", "backend servers as their lease holders know them", runEngines},
         {"members", "", "processes of the system", runMembers},
         {"roles", "", "roles of the engines and who orders them", runRoles},
+        {"explain", "REQUEST LOG...", "a request's way and the cause of its end, from log files",
+         runExplain},
         {"keys make", "", "make key files in --dir for --peers-file, --name and --operator",
          runKeysMake},
         {"keys show", "FILE", "print the public key of a key file", runKeysShow},
--- a/src/gentianramp/client/commands_test.cpp
+++ b/src/gentianramp/client/commands_test.cpp
@@ -231,3 +231,28 @@
     const auto value = toJson(answer);
     cr_assert_eq(value.at("plans")[0].at("fencing").get<std::uint64_t>(), 1ULL << 60);
 }
+
+Test(Commands, ExplainReadsTheLogsOfAllProcesses)
+{
+    const std::filesystem::path folder = scratch("explain");
+    std::ofstream(folder / "entry-1.log")
+        << "time_ms=50000 mono_ms=1 level=I event=request_refused request=r1 service=desk "
+           "reason=no_backend verdict=NotRun list_age_ms=70 total_ms=0\n"
+        << "no line of ours\n";
+    std::ofstream(folder / "control-1.log")
+        << "time_ms=49000 mono_ms=1 level=I event=leadership_gained term=4\n";
+    Runner runner;
+    cr_assert_eq(runner.run({"explain", "r1", folder.string()}), ExitCode::Ok);
+    const std::string text = runner.out.str();
+    cr_assert_neq(text.find("no backend server of desk"), std::string::npos, "%s", text.c_str());
+    cr_assert_neq(text.find("-1000  control-1"), std::string::npos, "%s", text.c_str());
+    runner.options.json = true;
+    runner.out.str("");
+    cr_assert_eq(runner.run({"explain", "r1", folder.string()}), ExitCode::Ok);
+    const auto json = nlohmann::json::parse(runner.out.str());
+    cr_assert_eq(json["lines"][0]["process"], "entry-1");
+    cr_assert_eq(json["beliefs"][0]["fields"]["term"], "4");
+    cr_assert_eq(runner.run({"explain", "r2", folder.string()}), ExitCode::Failed);
+    cr_assert_eq(runner.run({"explain", "r1"}), ExitCode::Usage);
+    cr_assert_eq(runner.run({"explain", "r1", "/does/not/exist"}), ExitCode::Failed);
+}
--- /dev/null
+++ b/src/gentianramp/client/explain_command.cpp
@@ -0,0 +1,112 @@
+#include "command_support.hpp"
+
+#include <algorithm>
+#include <fstream>
+#include <gentianramp/logbook/request_story.hpp>
+
+namespace gentianramp {
+
+namespace {
+
+/// The files among @p paths, and those in the folders among them, in order of their names.
+Result<std::vector<std::filesystem::path>> logFiles(const std::vector<std::string> &paths)
+{
+    std::vector<std::filesystem::path> files;
+    for (const std::string &path : paths) {
+        std::error_code error;
+        if (!std::filesystem::is_directory(path, error)) {
+            files.emplace_back(path);
+            continue;
+        }
+        for (const auto &entry : std::filesystem::directory_iterator(path, error)) {
+            if (entry.is_regular_file())
+                files.push_back(entry.path());
+        }
+        if (error)
+            return {error, path + ": " + error.message()};
+    }
+    for (const std::filesystem::path &file : files) {
+        if (!std::ifstream(file).good())
+            return {Error::Unavailable, file.string() + " cannot be read"};
+    }
+    std::sort(files.begin(), files.end());
+    return files;
+}
+
+LogSource sourceOf(std::vector<std::filesystem::path> files)
+{
+    return [files = std::move(files)](const std::function<void(const LogLine &)> &take) {
+        for (const std::filesystem::path &file : files) {
+            std::ifstream in(file);
+            const std::string process = file.stem().string();
+            for (std::string text; std::getline(in, text);) {
+                if (const auto line = parseLogLine(text, process))
+                    take(*line);
+            }
+        }
+    };
+}
+
+nlohmann::json toJson(const std::vector<LogLine> &lines)
+{
+    nlohmann::json array = nlohmann::json::array();
+    for (const LogLine &line : lines)
+        array.push_back({{"process", line.process},
+                         {"time_ms", line.timeMs},
+                         {"event", line.event},
+                         {"fields", line.fields}});
+    return array;
+}
+
+/// Lines in columns, with their times relative to @p origin.
+std::string toText(const std::vector<LogLine> &lines, std::int64_t origin)
+{
+    TextTable table({"ms", "process", "event", "fields"});
+    for (const LogLine &line : lines) {
+        std::string fields;
+        for (const auto &[name, value] : line.fields) {
+            if (name != "request")
+                fields += (fields.empty() ? "" : " ") + name + "=" + value;
+        }
+        table.addRow({std::to_string(line.timeMs - origin), line.process, line.event, fields});
+    }
+    return table.toString();
+}
+
+std::string toText(const RequestStory &story)
+{
+    const std::int64_t origin = story.lines.front().timeMs;
+    std::string text = story.request + ": " + story.cause + "\n\nits own lines\n"
+        + toText(story.lines, origin);
+    if (!story.beliefs.empty())
+        text += "\nwhat was believed and done meanwhile\n" + toText(story.beliefs, origin);
+    if (story.linesMissing)
+        text += "\nprocesses dropped log lines at that time: something may be missing here\n";
+    return text;
+}
+
+} // namespace
+
+ExitCode runExplain(CommandContext &context)
+{
+    const std::vector<std::string> &words = context.options.arguments;
+    if (words.size() < 2)
+        return fail(context, ExitCode::Usage, "expected a request's id and log files or folders");
+    Result<std::vector<std::filesystem::path>> files
+        = logFiles({words.begin() + 1, words.end()});
+    if (!files)
+        return fail(context, ExitCode::Failed, files.message());
+    const auto story = explainRequest(sourceOf(std::move(files).value()), words.front());
+    if (!story)
+        return fail(context, ExitCode::Failed, "no line names the request " + words.front());
+    print(context,
+          {{"request", story->request},
+           {"cause", story->cause},
+           {"lines", toJson(story->lines)},
+           {"beliefs", toJson(story->beliefs)},
+           {"lines_missing", story->linesMissing}},
+          toText(*story));
+    return ExitCode::Ok;
+}
+
+} // namespace gentianramp
--- a/src/gentianramp/relay/relay_run.cpp
+++ b/src/gentianramp/relay/relay_run.cpp
@@ -211,12 +211,13 @@
             co_return co_await fail();
         if (m_sends == 0 && m_reads == 0
             && placement->runner.expectedWait > HopelessWait * left()) {
-            m_expectedWait = placement->runner.expectedWait;
+            m_expectedWait = m_placedWait = placement->runner.expectedWait;
             m_state->table.notSent(placement->runner);
             if (placement->reader)
                 m_state->table.notSent(*placement->reader);
             co_return co_await refuse("too_late");
         }
+        m_placedWait = placement->runner.expectedWait;
         const bool apart = placement->reader.has_value();
         const PlacedRequest &first = apart ? *placement->reader : placement->runner;
         Step step = Step::Done;
@@ -371,7 +372,7 @@
     send.exchange = m_state->client.exchange(std::move(call));
     send.sentAt = RuntimeClock::now();
     m_exchange = send.exchange;
-    m_backend = reader.backend;
+    m_backend = m_reader = reader.backend;
     ++m_reads;
     m_state->table.sent(reader, &*m_prompt, send.sentAt);
     noteProgress();
@@ -638,13 +639,15 @@
              {"status", status},
              {"reason", reason},
              {"verdict", toString(m_verdict)},
+             {"reads", m_reads},
+             {"reader", m_reader.value()},
              {"sends", m_sends},
              {"first_ms", m_firstEventAt ? toMilliseconds(*m_firstEventAt - m_begunAt) : -1},
              {"total_ms", toMilliseconds(took)},
              {"left_ms", m_route ? toMilliseconds(left()) : -1},
              {"declaration", m_routes ? m_routes->declaration().number : 0},
              {"declaration_age_ms", ageMs(m_state->options.declarationAge())},
-             {"expected_ms", toMilliseconds(m_expectedWait)},
+             {"expected_ms", toMilliseconds(m_placedWait)},
              {"list_age_ms", ageMs(m_state->options.listingAge())}});
 }
 
--- a/src/gentianramp/relay/relay_run.hpp
+++ b/src/gentianramp/relay/relay_run.hpp
@@ -105,6 +105,8 @@
     std::optional<Source> m_source;
     std::uint32_t m_sends = 0;
     std::uint32_t m_reads = 0; ///< Engines asked to read the prompt.
+    BackendId m_reader;        ///< The last of them.
+    Duration m_placedWait{};   ///< Expected when the request was last placed.
     std::vector<BackendId> m_tried;
     Verdict m_verdict = Verdict::NotRun;
     std::optional<std::uint64_t> m_lastEvent;    ///< Delivered, or had by the caller.
