Decide ties among engines in the platform's order again

Which engines read matters; that they differ in speed is not used for the choice yet. Change: the newest listing keeps the platform's order; a copy in order of ids serves the changes. Test: theNewestListingKeepsThePlatformsOrder.

--- a/include/gentianramp/registry/listing_history.hpp
+++ b/include/gentianramp/registry/listing_history.hpp
@@ -22,15 +22,26 @@
 class ListingHistory
 {
 public:
+    /// In the platform's order.
     const BackendListing &newest() const { return m_newest; }
+    /// The same servers in order of their ids.
+    const std::vector<ListedServer> &sorted() const { return m_sorted; }
     /// Of two servers under one id the first counts.
     void add(BackendListing listing);
     /// What leads from the listing with @p digest to the newest; whole when it is not remembered.
     ListingChange since(std::uint64_t digest) const;
 
 private:
+    /// A listing whose servers are in order of their ids.
+    struct Earlier
+    {
+        std::uint64_t digest = 0;
+        std::vector<ListedServer> servers;
+    };
+
     BackendListing m_newest;
-    std::deque<BackendListing> m_earlier; ///< Newest last.
+    std::vector<ListedServer> m_sorted;
+    std::deque<Earlier> m_earlier; ///< Newest last.
 };
 
 /// The servers after @p change; @p servers are those of the listing `change.from`, in order.
--- a/src/gentianramp/registry/listing_history.cpp
+++ b/src/gentianramp/registry/listing_history.cpp
@@ -30,16 +30,16 @@
 
 void ListingHistory::add(BackendListing listing)
 {
-    std::stable_sort(listing.servers.begin(), listing.servers.end(), byId);
+    std::vector<ListedServer> sorted = listing.servers;
+    std::stable_sort(sorted.begin(), sorted.end(), byId);
     const auto sameId
         = [](const ListedServer &left, const ListedServer &right) { return left.id == right.id; };
-    listing.servers.erase(std::unique(listing.servers.begin(), listing.servers.end(), sameId),
-                          listing.servers.end());
-    const bool changed = listing.digest != m_newest.digest;
-    BackendListing before = std::exchange(m_newest, std::move(listing));
-    if (!changed || before.digest == 0)
+    sorted.erase(std::unique(sorted.begin(), sorted.end(), sameId), sorted.end());
+    Earlier before{m_newest.digest, std::exchange(m_sorted, std::move(sorted))};
+    m_newest = std::move(listing);
+    if (m_newest.digest == before.digest || before.digest == 0)
         return;
-    std::erase_if(m_earlier, [this, &before](const BackendListing &earlier) {
+    std::erase_if(m_earlier, [this, &before](const Earlier &earlier) {
         return earlier.digest == m_newest.digest || earlier.digest == before.digest;
     });
     m_earlier.push_back(std::move(before));
@@ -56,16 +56,15 @@
         return change;
     }
     const auto base
-        = std::find_if(m_earlier.begin(), m_earlier.end(), [digest](const BackendListing &earlier) {
-              return earlier.digest == digest;
-          });
+        = std::find_if(m_earlier.begin(), m_earlier.end(),
+                       [digest](const Earlier &earlier) { return earlier.digest == digest; });
     if (base == m_earlier.end()) {
-        change.changed = m_newest.servers;
+        change.changed = m_sorted;
         return change;
     }
     change.from = digest;
     auto old = base->servers.begin();
-    for (const ListedServer &server : m_newest.servers) {
+    for (const ListedServer &server : m_sorted) {
         for (; old != base->servers.end() && old->id < server.id; ++old)
             change.gone.push_back(old->id);
         const bool known = old != base->servers.end() && old->id == server.id;
--- a/src/gentianramp/registry/listing_history_test.cpp
+++ b/src/gentianramp/registry/listing_history_test.cpp
@@ -56,7 +56,7 @@
     other.service = "bay";
     ListingHistory history;
     history.add(listing({server("a"), other}));
-    cr_assert(history.newest().servers == std::vector{server("a")});
+    cr_assert(history.sorted() == std::vector{server("a")});
 }
 
 Test(listing_history, changesLeadToTheNewestListingFromAnyRememberedOne)
@@ -64,7 +64,7 @@
     // A fleet of which some servers come, go and change at each reading.
     std::mt19937_64 random(12);
     ListingHistory history;
-    std::deque<BackendListing> known;
+    std::deque<std::pair<std::uint64_t, std::vector<ListedServer>>> known;
     for (int round = 0; round < 300; ++round) {
         std::vector<ListedServer> servers;
         for (int number = 0; number < 40; ++number) {
@@ -72,13 +72,20 @@
                 servers.push_back(server("i-" + std::to_string(number), random() % 20 == 0));
         }
         history.add(listing(servers));
-        known.push_back(history.newest());
+        known.emplace_back(history.newest().digest, history.sorted());
         if (known.size() > 5)
             known.pop_front();
-        for (const BackendListing &from : known) {
-            const ListingChange change = history.since(from.digest);
-            cr_assert_eq(change.from, from.digest);
-            cr_assert(applyChange(from.servers, change) == history.newest().servers);
+        for (const auto &[digest, servers] : known) {
+            const ListingChange change = history.since(digest);
+            cr_assert_eq(change.from, digest);
+            cr_assert(applyChange(servers, change) == history.sorted());
         }
     }
 }
+
+Test(listing_history, theNewestListingKeepsThePlatformsOrder)
+{
+    ListingHistory history;
+    history.add(listing({server("c"), server("a")}));
+    cr_assert(history.newest().servers == (std::vector{server("c"), server("a")}));
+}
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -855,7 +855,7 @@
         const std::optional<ListingChange> change = fromProto(feed.list(), feed.list_digest());
         if (!change || (change->from != 0 && change->from != listing.digest))
             co_return false;
-        takeListing({change->to, takenAt, applyChange(listing.servers, *change)});
+        takeListing({change->to, takenAt, applyChange(history.sorted(), *change)});
         co_return true;
     }
 
