--- a/src/gentianramp/client/explain_command.cpp
+++ b/src/gentianramp/client/explain_command.cpp
@@ -66,7 +66,7 @@
         std::string fields;
         for (const auto &[name, value] : line.fields) {
             if (name != "request")
-                fields += (fields.empty() ? "" : " ") + name + "=" + value;
+                fields.append(fields.empty() ? "" : " ").append(name).append("=").append(value);
         }
         table.addRow({std::to_string(line.timeMs - origin), line.process, line.event, fields});
     }
--- a/src/gentianramp/control/authority_loop.cpp
+++ b/src/gentianramp/control/authority_loop.cpp
@@ -423,6 +423,7 @@
     }
     state.watched = std::move(watched);
     std::vector<BackendId> engines;
+    engines.reserve(state.watched.size());
     for (const auto &[backend, target] : state.watched)
         engines.push_back(backend);
     state.gate.setEngines(engines);
--- a/src/gentianramp/logbook/likely_cause.cpp
+++ b/src/gentianramp/logbook/likely_cause.cpp
@@ -127,7 +127,7 @@
 
 std::string departure(const LogLine &end)
 {
-    const std::string text = "the caller left after " + ms(end, "total_ms");
+    std::string text = "the caller left after " + ms(end, "total_ms");
     if (end.field("first_ms") != "-1")
         return text;
     if (!end.field("reader").empty() && end.field("sends") == "0")
--- a/src/gentianramp/logbook/request_story_test.cpp
+++ b/src/gentianramp/logbook/request_story_test.cpp
@@ -30,9 +30,12 @@
     return text.find(part) != std::string::npos;
 }
 
-const std::string Refused
-    = "entry-1 50200 request_refused request=r1 service=desk backend=e1 status=503 "
-      "reason=backends_full verdict=NotRun total_ms=189 left_ms=900 expected_ms=235 list_age_ms=40";
+const std::string Refused = "entry-1 50200 request_refused request=r1 service=desk backend=e1 "
+                            "status=503 reason=backends_full verdict=NotRun total_ms=189 "
+                            "left_ms=900 expected_ms=235 list_age_ms=40";
+
+const std::string Rejected = "entry-1 50011 send_failed request=r1 backend=e1 step=not_run "
+                             "error=answer status=503 expected_ms=235 after_ms=2";
 
 } // namespace
 
@@ -40,10 +43,8 @@
 {
     const auto story = explainRequest(
         logs({"control-2 49700 stage_ordered backend=e1 stage=prefill term=3",
-              "control-2 49800 stage_ordered backend=e2 stage=prefill term=3",
-              "entry-1 50011 send_failed request=r1 backend=e1 step=not_run error=answer "
-              "status=503 expected_ms=235 after_ms=2",
-              Refused, "entry-1 50300 request_answered request=r2 verdict=Complete"}),
+              "control-2 49800 stage_ordered backend=e2 stage=prefill term=3", Rejected, Refused,
+              "entry-1 50300 request_answered request=r2 verdict=Complete"}),
         "r1");
     cr_assert(story.has_value());
     cr_assert_eq(story->lines.size(), 2U);
@@ -55,10 +56,7 @@
 Test(RequestStory, AFullServerIsToldFromOneThatChanges)
 {
     const auto story = explainRequest(
-        logs({"control-2 30000 stage_ordered backend=e1 stage=prefill term=3",
-              "entry-1 50011 send_failed request=r1 backend=e1 step=not_run error=answer "
-              "status=503 expected_ms=235 after_ms=2",
-              Refused}),
+        logs({"control-2 30000 stage_ordered backend=e1 stage=prefill term=3", Rejected, Refused}),
         "r1");
     cr_assert(contains(story->cause, "it was full"), "%s", story->cause.c_str());
 }
--- a/src/gentianramp/registry/declaration_ledger_test.cpp
+++ b/src/gentianramp/registry/declaration_ledger_test.cpp
@@ -242,18 +242,18 @@
 Test(declaration_ledger, whatIsKeptDoesNotGrowWithTheNumberOfDeclarations)
 {
     // A control process of 32 MB takes a change every few seconds at 1,900 routes.
-    constexpr std::size_t ContentBytes = 200'000;
-    constexpr std::uint64_t Declarations = 60;
-    constexpr std::uint64_t KeptBytes = 2'500'000;
+    constexpr std::size_t contentBytes = 200'000;
+    constexpr std::uint64_t declarations = 60;
+    constexpr std::uint64_t keptBytes = 2'500'000;
     std::mt19937_64 random(3);
     Voters voters;
     voters.run(6000);
-    for (std::uint64_t number = 1; number <= Declarations; ++number) {
-        std::string content(ContentBytes, ' ');
+    for (std::uint64_t number = 1; number <= declarations; ++number) {
+        std::string content(contentBytes, ' ');
         for (char &byte : content)
             byte = static_cast<char>(random());
         cr_assert(voters.declare(voters.leader(), number, content, 300) == true);
     }
     for (const auto &[seat, ledger] : voters.ledgers)
-        cr_expect_lt(ledger->storedBytes(), KeptBytes, "%s", seat.value().c_str());
+        cr_expect_lt(ledger->storedBytes(), keptBytes, "%s", seat.value().c_str());
 }
--- a/src/gentianramp/registry/listing_history_test.cpp
+++ b/src/gentianramp/registry/listing_history_test.cpp
@@ -13,7 +13,7 @@
         .id = BackendId(id), .service = "desk", .host = "10.0.0.1", .port = 80, .coldMs = coldMs};
 }
 
-BackendListing listing(std::vector<ListedServer> servers)
+BackendListing listing(const std::vector<ListedServer> &servers)
 {
     return {listingDigest(servers), TimePoint{}, servers};
 }
--- a/src/gentianramp/registry/load_rota_test.cpp
+++ b/src/gentianramp/registry/load_rota_test.cpp
@@ -10,6 +10,7 @@
 std::vector<AskableEngine> engines(int urgent, int idle)
 {
     std::vector<AskableEngine> list;
+    list.reserve(urgent + idle);
     for (int number = 0; number < urgent + idle; ++number)
         list.push_back({BackendId("e" + std::to_string(number)), number < urgent});
     return list;
