Choose the running engine again when it leaves while the prompt is read; answer what is open when a process has to end

Change: after the reading, an engine that is gone or listed as leaving is not used; another one takes the prompt. A process that has to end gives final answers to what is open and waits 150 ms for them to go out.

--- a/include/gentianramp/relay/backend_table.hpp
+++ b/include/gentianramp/relay/backend_table.hpp
@@ -108,6 +108,8 @@
     void noteHeard(const BackendId &backend, TimePoint now);
     /// The last check got no answer.
     bool isSilent(const BackendId &backend) const;
+    /// It is listed and not about to leave.
+    bool takesWork(const BackendId &backend) const;
     /// Ready backend servers of a service; for refusals and metrics.
     std::size_t readyServers(const std::string &service) const;
     /// The address of a listed backend server.
--- a/include/gentianramp/relay/relay_service.hpp
+++ b/include/gentianramp/relay/relay_service.hpp
@@ -48,6 +48,8 @@
     std::uint64_t declarationNumber() const;
     /// The process ends at @p end: requests that may not be over by then are refused.
     void setEnd(TimePoint end);
+    /// The process ends now: requests that are still open get their final answers.
+    void expireAll();
     /// A declaration and a list are there.
     bool supplied() const;
 
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -573,6 +573,12 @@
         found->second->heardAt = now;
 }
 
+bool BackendTable::takesWork(const BackendId &backend) const
+{
+    const auto found = m_backends.find(backend);
+    return found != m_backends.end() && !found->second->server.draining;
+}
+
 bool BackendTable::isSilent(const BackendId &backend) const
 {
     const auto found = m_backends.find(backend);
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -18,6 +18,8 @@
 constexpr Duration AnswerAllWhileLeaving = std::chrono::milliseconds(2800);
 /// New connections come until two questions in a row, a second apart, found it not ready.
 constexpr Duration AcceptWhileLeaving = std::chrono::milliseconds(4000);
+/// For final answers to reach callers.
+constexpr Duration LastAnswersTime = std::chrono::milliseconds(150);
 /// Answers in time before the process would be killed: a sixth of the grace is left over.
 constexpr int GraceSixths = 5;
 constexpr Duration LeaveCheckInterval = std::chrono::milliseconds(50);
@@ -179,6 +181,10 @@
         do {
             co_await sleepFor(LeaveCheckInterval);
         } while (RuntimeClock::now() < latest && callers->activeRequests() > 0);
+        if (callers->activeRequests() > 0) {
+            relay.expireAll();
+            co_await sleepFor(LastAnswersTime);
+        }
         logInfo("left",
                 {{"active", callers->activeRequests()},
                  {"after_ms", toMilliseconds(RuntimeClock::now() - began)}});
--- a/src/gentianramp/relay/relay_run.cpp
+++ b/src/gentianramp/relay/relay_run.cpp
@@ -113,7 +113,10 @@
     , m_progressAt(m_begunAt)
 { }
 
-RelayRun::~RelayRun() = default;
+RelayRun::~RelayRun()
+{
+    m_state->open.erase(this);
+}
 
 asio::awaitable<void> RelayRun::serve()
 {
@@ -126,6 +129,7 @@
             run->onCallerGone();
     });
     startDeadline();
+    m_state->open.insert(this);
     m_state->allowance(m_service).noteRequest(m_begunAt);
     co_await sendUntilDone();
     freeSource();
@@ -224,6 +228,11 @@
         if (apart)
             step = co_await readPrompt(first);
         const bool readFailed = step != Step::Done;
+        if (apart && !readFailed && !m_state->table.takesWork(placement->runner.backend)) {
+            // It began to leave while the prompt was read.
+            m_state->table.notSent(placement->runner);
+            continue;
+        }
         if (readFailed)
             m_state->table.notSent(placement->runner);
         else
@@ -665,11 +674,11 @@
         [weak = weak_from_this()](const boost::system::error_code &cancelled) {
             const auto run = weak.lock();
             if (!cancelled && run)
-                run->onDeadline();
+                run->expire();
         });
 }
 
-void RelayRun::onDeadline()
+void RelayRun::expire()
 {
     if (m_ended)
         return;
--- a/src/gentianramp/relay/relay_run.hpp
+++ b/src/gentianramp/relay/relay_run.hpp
@@ -15,6 +15,8 @@
     ~RelayRun();
 
     boost::asio::awaitable<void> serve();
+    /// Gives the request up: what did not begin to be answered gets its final answer.
+    void expire();
 
 private:
     /// How one send ended.
@@ -70,7 +72,6 @@
 
     // Time and the caller
     void startDeadline();
-    void onDeadline();
     void onCallerGone();
     void watchSilence();
     void noteProgress() { m_progressAt = RuntimeClock::now(); }
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -148,6 +148,14 @@
     m_state->end = end;
 }
 
+void RelayService::expireAll()
+{
+    // A run that ends takes itself out.
+    const std::set<RelayRun *> open = m_state->open;
+    for (RelayRun *run : open)
+        run->expire();
+}
+
 std::uint64_t RelayService::declarationNumber() const
 {
     return m_state->routes ? m_state->routes->declaration().number : 0;
--- a/src/gentianramp/relay/relay_service_test.cpp
+++ b/src/gentianramp/relay/relay_service_test.cpp
@@ -128,6 +128,15 @@
         return *answer;
     }
 
+    /// The platform lists the server as one that leaves.
+    void drain(const std::string &id)
+    {
+        for (ListedServer &server : m_listing.servers)
+            server.draining = server.draining || server.id == BackendId(id);
+        m_listing.digest = listingDigest(m_listing.servers);
+        relay.publish(m_listing);
+    }
+
     int runsAt(const std::string &id) const
     {
         return static_cast<int>(std::count_if(seen.begin(), seen.end(), [&](const auto &entry) {
@@ -227,6 +236,29 @@
     };
 }
 
+/// Reads a prompt; meanwhile the engine that was to run it begins to leave, and another one comes.
+Handler readsWhileTheRunnerLeaves(Site &site)
+{
+    return [&site](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
+        if (site.runsAt("reader") == 1) {
+            site.addServer("successor", streams(1, 3, true));
+            site.drain("runner");
+        }
+        co_await writer.send(signedAnswer(request, 200, "handle7"));
+    };
+}
+
+/// The process has to end while it works on the request.
+Handler outlastsTheProcess(Site &site)
+{
+    return [&site](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
+        site.relay.expireAll();
+        for (int step = 0; step < 100 && !writer.callerGone(); ++step)
+            co_await sleepFor(std::chrono::milliseconds(5));
+        co_await writer.send(signedAnswer(request));
+    };
+}
+
 Handler neverAnswers()
 {
     return [](HttpRequest, ResponseWriter &writer) -> asio::awaitable<void> {
@@ -444,3 +476,29 @@
     const std::string budget(site.seen.front().second.headers.find("X-Budget"));
     cr_assert_leq(std::stoi(budget), 80);
 }
+
+Test(relay_service, anEngineThatLeavesWhileThePromptIsReadDoesNotRunIt)
+{
+    // Reading took 2.4 s behind others; the runner was listed as leaving 3.2 s before it was asked.
+    Site site;
+    site.addServer("reader", readsWhileTheRunnerLeaves(site), true);
+    site.addServer("runner", streams(1, 3, true));
+    site.declare({.kind = CallKind::Stream, .carriesPrompt = true});
+    HttpRequest request{.method = "POST"};
+    request.headers.add("X-Prompt", "yes");
+    cr_assert_eq(site.call(request)->body, eventsUpTo(3));
+    cr_assert_eq(site.runsAt("runner"), 0);
+    cr_assert_eq(site.runsAt("successor"), 1);
+    cr_assert_eq(site.runsAt("reader"), 1);
+}
+
+Test(relay_service, whatIsStillOpenWhenTheProcessHasToEndIsAnswered)
+{
+    // A server went silent while the instance left; the caller's connection was cut without a word.
+    Site site;
+    site.addServer("b", outlastsTheProcess(site));
+    site.declare({.kind = CallKind::RunOnce});
+    const Result<HttpResponse> answer = site.call({.method = "POST"});
+    cr_assert(static_cast<bool>(answer), "%s", answer.error().message().c_str());
+    cr_assert_eq(answer->status, 504U);
+}
--- a/src/gentianramp/relay/relay_state.hpp
+++ b/src/gentianramp/relay/relay_state.hpp
@@ -26,6 +26,8 @@
     Distribution &whole;
 };
 
+class RelayRun;
+
 /// What all requests of a RelayService share.
 struct RelayState : std::enable_shared_from_this<RelayState>
 {
@@ -50,6 +52,7 @@
     std::optional<TimePoint> end;                     ///< Of the process, while it leaves.
     std::map<std::string, RetryAllowance> allowances; ///< By service.
     std::set<BackendId> verifying;
+    std::set<RelayRun *> open; ///< Requests that are being served.
     std::mt19937_64 random;
 };
 
