Give a seat's messages to the instance that got it, and a folder back after its disk failed

(2) After a full disk the process could not open its data folder again: its own earlier opening still held the lock. Change: a claim on the admitted folder counts only while it is heard; the folder is let go of when the ledger is dropped.

--- a/include/gentianramp/registry/seat_assignment.hpp
+++ b/include/gentianramp/registry/seat_assignment.hpp
@@ -60,7 +60,9 @@
                         const std::map<std::string, InstanceId> &lastHolders,
                         const SeatOptions &options = {});
 
-/// The claim of @p seat whose messages count: that of the admitted folder, else the one heard last.
-const SeatClaim *holderOf(const SeatView &seat, const std::vector<SeatClaim> &claims);
+/// The claim of @p seat whose messages count: that of the admitted folder unless it is silent, else
+/// the one heard last.
+const SeatClaim *holderOf(const SeatView &seat, const std::vector<SeatClaim> &claims,
+                          const SeatOptions &options = {});
 
 } // namespace gentianramp
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -268,6 +268,7 @@
             return;
         storageFailed = false;
         ledger.reset();
+        disk.reset(); // Its lock would keep the folder from being opened again.
         folderDue = RuntimeClock::now() + FolderRetryInterval;
     }
 
--- a/src/gentianramp/registry/seat_assignment.cpp
+++ b/src/gentianramp/registry/seat_assignment.cpp
@@ -32,13 +32,15 @@
 
 } // namespace
 
-const SeatClaim *holderOf(const SeatView &seat, const std::vector<SeatClaim> &claims)
+const SeatClaim *holderOf(const SeatView &seat, const std::vector<SeatClaim> &claims,
+                          const SeatOptions &options)
 {
     const SeatClaim *holder = nullptr;
     for (const SeatClaim &claim : claims) {
         if (claim.seat != seat.seat)
             continue;
-        if (seat.admittedFolder != 0 && claim.folder == seat.admittedFolder)
+        const bool admitted = seat.admittedFolder != 0 && claim.folder == seat.admittedFolder;
+        if (admitted && claim.silence <= options.replaceAfter)
             return &claim;
         if (!holder || claim.silence < holder->silence)
             holder = &claim;
@@ -67,7 +69,7 @@
             free.push_back(&claim);
     }
     for (const SeatView &seat : seats) {
-        const SeatClaim *holder = holderOf(seat, claims);
+        const SeatClaim *holder = holderOf(seat, claims, options);
         const bool filled = holder && seat.admittedFolder != 0
             && holder->folder == seat.admittedFolder && holder->silence <= options.replaceAfter;
         for (const SeatClaim &claim : claims) {
--- a/src/gentianramp/registry/seat_assignment_test.cpp
+++ b/src/gentianramp/registry/seat_assignment_test.cpp
@@ -80,3 +80,21 @@
         claim("a", "x", "seat-1", 11), claim("b", "y", "seat-2", 12), claim("d", "z", "", 0, 1500)};
     cr_assert(assignSeats(Seats, claims, {}).offers.empty());
 }
+
+Test(seat_assignment, aSilentHolderGivesWayToTheInstanceThatGotItsSeat)
+{
+    // A machine was replaced; its claim is remembered for a minute, and the new folder is admitted
+    // only once messages of the seat reach it.
+    const std::vector<SeatClaim> claims{claim("gone", "x", "seat-1", 11, 5000),
+                                        claim("new", "x", "seat-1", 19)};
+    cr_assert_eq(holderOf(Seats[0], claims)->instance, InstanceId("new"));
+}
+
+Test(seat_assignment, theAdmittedHolderCountsWhileItIsHeard)
+{
+    const std::vector<SeatClaim> claims{claim("admitted", "x", "seat-1", 11, 900),
+                                        claim("other", "x", "seat-1", 19)};
+    cr_assert_eq(holderOf(Seats[0], claims)->instance, InstanceId("admitted"));
+    const std::vector<SeatClaim> alone{claims.front()};
+    cr_assert_eq(holderOf({"seat-1", 99}, alone)->instance, InstanceId("admitted"));
+}
