Take only answered broadcasts for agreement in the ledger

Cause: contact in one direction was taken for agreement. A voter counted every append request as proof that what it had committed is the newest, also when its log did not match and its answers were lost; it told entry processes so, and these stayed with it. A leader counted any message of a voter, also a request for its vote, as proof of its majority. Change: a leader counts the broadcast rounds that were answered, by when they were sent, for its majority, for what it tells entry processes and for the repair of folders; its followers are told the age of that confirmation and use it only when they have all that the leader had committed. The control processes of the product use the same time for the age of their configuration, where a voter without a leader's contact took the present time. Tests changed: acknowledgements in replica_test name the broadcast that they answer, as real ones do.

--- a/include/gentianramp/ledger/configuration_distribution.hpp
+++ b/include/gentianramp/ledger/configuration_distribution.hpp
@@ -94,9 +94,9 @@
     /// Puts @p configuration, which this voter's ledger has applied, in force here and sends it to
     /// the children, unless it is not newer than current().
     DistributionOutput distribute(const AcceptedConfiguration &configuration, TimePoint now);
-    /// Sets the leader of the ledger that this voter knows, which may be itself; @p now is its last
-    /// contact. Empty when no leader is known.
-    void noteLeader(const std::optional<InstanceId> &leader, TimePoint now);
+    /// Sets the leader of the ledger that this voter knows, which may be itself; empty when no
+    /// leader is known. @p confirmedAt is Replica::confirmedAt().
+    void noteLeader(const std::optional<InstanceId> &leader, std::optional<TimePoint> confirmedAt);
 
     /// Newest configuration of this process; revision 0 when there is none.
     const AcceptedConfiguration &current() const;
--- a/include/gentianramp/ledger/replica.hpp
+++ b/include/gentianramp/ledger/replica.hpp
@@ -110,8 +110,9 @@
     ReplicaRole role() const;
     /// Leader of the current term; empty when it is not known.
     std::optional<InstanceId> leader() const;
-    /// Last contact with the leader; for a leader, the last contact with a majority.
-    std::optional<TimePoint> leaderContact() const;
+    /// Time at which all committed entries were committed here too: a majority confirmed the leader
+    /// then, and this voter has all that the leader had committed. Empty: never.
+    std::optional<TimePoint> confirmedAt() const;
     Term term() const;
     LogIndex commitIndex() const;
     LogIndex lastIndex() const;
--- a/src/gentianramp/control/control_node.cpp
+++ b/src/gentianramp/control/control_node.cpp
@@ -96,7 +96,7 @@
     asio::awaitable<void> runPeriodic(PeriodicHook periodic);
     void dispatch(const ReceivedMessage &message);
     void perform(DistributionOutput output);
-    void reportLeaderContact(TimePoint now);
+    void reportLeader();
     void updateMetrics(TimePoint now);
     void send(const InstanceId &to, PayloadKind kind, std::string payload, Duration ttl);
     void beginShutdown();
@@ -327,7 +327,7 @@
         const TimePoint now = RuntimeClock::now();
         if (ledger)
             ledger->tick(now);
-        reportLeaderContact(now);
+        reportLeader();
         perform(distribution.tick(now));
         operators->tick(now);
         updateMetrics(now);
@@ -376,13 +376,12 @@
         hook(*output.accepted);
 }
 
-/// Passes the ledger's leader and the time of its last contact to the distribution.
-void ControlNode::State::reportLeaderContact(TimePoint now)
+/// Passes the ledger's leader and the time of its last confirmation to the distribution.
+void ControlNode::State::reportLeader()
 {
     if (!ledger)
         return;
-    const std::optional<TimePoint> contact = ledger->replica().leaderContact();
-    distribution.noteLeader(ledger->replica().leader(), contact.value_or(now));
+    distribution.noteLeader(ledger->replica().leader(), ledger->replica().confirmedAt());
 }
 
 void ControlNode::State::updateMetrics(TimePoint now)
--- a/src/gentianramp/ledger/configuration_distribution.cpp
+++ b/src/gentianramp/ledger/configuration_distribution.cpp
@@ -329,11 +329,11 @@
     return output;
 }
 
-void ConfigurationDistribution::noteLeader(const std::optional<InstanceId> &leader, TimePoint now)
+void ConfigurationDistribution::noteLeader(const std::optional<InstanceId> &leader,
+                                           std::optional<TimePoint> confirmedAt)
 {
     m_state->leader = leader;
-    if (leader)
-        m_state->confirmedAt = now;
+    m_state->confirmedAt = std::max(m_state->confirmedAt, confirmedAt);
 }
 
 const AcceptedConfiguration &ConfigurationDistribution::current() const
--- a/src/gentianramp/ledger/ledger_simulation.cpp
+++ b/src/gentianramp/ledger/ledger_simulation.cpp
@@ -83,7 +83,9 @@
     voter.deferred.clear();
     voter.replica = std::make_unique<Replica>(options, std::move(stored).value(), m_now);
     perform(index, voter.replica->tick(m_now));
-    if (voter.lastRevisionIdentity == voter.replica->identity() && voter.folderCopy.empty())
+    // A folder that was rolled back starts with less until another voter tells it.
+    if (voter.lastRevisionIdentity == voter.replica->identity() && voter.folderCopy.empty()
+        && voter.rolledBackIdentity != voter.replica->identity())
         check(voter.configuration.revision() >= voter.lastRevision,
               "the revision after a restart is not older than before");
 }
--- a/src/gentianramp/ledger/replica.cpp
+++ b/src/gentianramp/ledger/replica.cpp
@@ -122,11 +122,12 @@
     return InstanceId(m_state->leader);
 }
 
-std::optional<TimePoint> Replica::leaderContact() const
+std::optional<TimePoint> Replica::confirmedAt() const
 {
-    if (m_state->role == ReplicaRole::Leader)
-        return m_state->majorityContact();
-    return m_state->leaderContact;
+    const State &state = *m_state;
+    if (state.role == ReplicaRole::Leader && state.committedOwnTerm())
+        return std::max(state.confirmedAt, state.lastConfirmation());
+    return state.confirmedAt;
 }
 
 Term Replica::term() const
@@ -397,8 +398,8 @@
 bool Replica::State::isLive(const std::string &instance) const
 {
     const PeerState &peer = peers.at(instance);
-    return isAdmitted(instance, peer.incarnation.identity) && peer.lastContact
-        && now - *peer.lastContact < options.electionTimeout;
+    return isAdmitted(instance, peer.incarnation.identity)
+        && now - peer.roundSentAt < options.electionTimeout;
 }
 
 ReplicaOutput Replica::State::takeOutput()
--- a/src/gentianramp/ledger/replica_election.cpp
+++ b/src/gentianramp/ledger/replica_election.cpp
@@ -128,12 +128,14 @@
     role = ReplicaRole::Leader;
     leader = self;
     round = 0;
+    roundTimes.clear();
     handOverDeadline.reset();
     nextQuorumCheckAt = now + options.electionTimeout;
     for (auto &[instance, peer] : peers) {
         peer.next = log.lastIndex() + 1;
         peer.match = 0;
         peer.round = 0;
+        peer.roundSentAt = {};
         peer.snapshotSentAt = {};
     }
     proto::LogEntry entry;
--- a/src/gentianramp/ledger/replica_follower.cpp
+++ b/src/gentianramp/ledger/replica_follower.cpp
@@ -22,6 +22,9 @@
         witnesses.recordAcknowledgement(from, peers[from].incarnation, hard.term(), match,
                                         request.commit());
     advanceCommit(std::min(request.commit(), match));
+    noteConfirmation(request.commit(),
+                     request.has_confirmed_ms() ? std::optional(request.confirmed_ms())
+                                                : std::nullopt);
     answerAppend(from, true, match, request.probe());
 }
 
@@ -39,9 +42,23 @@
         output.loadSnapshot = true;
         output.committed.clear();
     }
+    noteConfirmation(request.commit(),
+                     request.has_confirmed_ms() ? std::optional(request.confirmed_ms())
+                                                : std::nullopt);
     answerAppend(from, true, request.snapshot().index(), request.probe());
 }
 
+/// Notes when a majority confirmed the leader, unless entries that it had committed are missing
+/// here: the leader's message alone does not show that this voter is up to date.
+void Replica::State::noteConfirmation(std::uint64_t leaderCommit,
+                                      std::optional<std::uint32_t> ageMs)
+{
+    if (!ageMs || commit < leaderCommit)
+        return;
+    const TimePoint at = now - std::chrono::milliseconds(*ageMs);
+    confirmedAt = std::max(confirmedAt.value_or(at), at);
+}
+
 /// Accepts @p from as leader of the current term; false when the message is from an older term.
 bool Replica::State::followLeader(const std::string &from, const proto::LedgerMessage &message)
 {
--- a/src/gentianramp/ledger/replica_leader.cpp
+++ b/src/gentianramp/ledger/replica_leader.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <gentianramp/core/invariant.hpp>
+#include <limits>
 
 namespace gentianramp {
 
@@ -26,7 +27,9 @@
 void Replica::State::broadcast(bool onlyLagging)
 {
     if (!onlyLagging) {
-        ++round;
+        roundTimes[++round] = now;
+        while (now - roundTimes.begin()->second > options.electionTimeout)
+            roundTimes.erase(roundTimes.begin());
         nextHeartbeatAt = now + options.heartbeatInterval;
     }
     for (auto &[instance, peer] : peers) {
@@ -46,6 +49,8 @@
     request.set_prev_term(*prevTerm);
     request.set_commit(commit);
     request.set_probe(round);
+    if (const auto ageMs = confirmationAgeMs())
+        request.set_confirmed_ms(*ageMs);
     std::size_t bytes = 0;
     while (peer.next <= log.lastIndex()
            && static_cast<std::size_t>(request.entries_size()) < options.maxEntriesPerMessage) {
@@ -72,6 +77,8 @@
     *request.mutable_snapshot() = log.snapshot();
     request.set_commit(commit);
     request.set_probe(round);
+    if (const auto ageMs = confirmationAgeMs())
+        request.set_confirmed_ms(*ageMs);
     send(to, std::move(message));
 }
 
@@ -82,7 +89,7 @@
         return;
     const proto::AppendResponse &response = message.append_response();
     PeerState &peer = peers[from];
-    peer.round = std::max(peer.round, response.probe());
+    noteAnsweredRound(peer, response.probe());
     peer.snapshotSentAt = {};
     if (response.accepted()) {
         peer.match = std::max(peer.match, response.match_index());
@@ -151,14 +158,40 @@
         handOverDeadline.reset();
 }
 
-/// Oldest last contact among the majority with the most recent contacts, including this voter.
-std::optional<TimePoint> Replica::State::majorityContact() const
+void Replica::State::noteAnsweredRound(PeerState &peer, std::uint64_t answered)
 {
-    std::vector<TimePoint> contacts{now};
-    for (const auto &[instance, peer] : peers)
-        contacts.push_back(peer.lastContact.value_or(TimePoint{}));
-    std::sort(contacts.begin(), contacts.end(), std::greater<>());
-    return contacts[majority() - 1];
+    if (answered <= peer.round)
+        return;
+    peer.round = answered;
+    if (const auto sent = roundTimes.find(answered); sent != roundTimes.end())
+        peer.roundSentAt = sent->second;
+}
+
+/// Time of the newest broadcast that a majority, including this voter, answered.
+std::optional<TimePoint> Replica::State::lastConfirmation() const
+{
+    std::vector<TimePoint> answered;
+    if (selfAdmitted())
+        answered.push_back(now);
+    for (const auto &[instance, peer] : peers) {
+        if (isAdmitted(instance, peer.incarnation.identity) && peer.roundSentAt != TimePoint{})
+            answered.push_back(peer.roundSentAt);
+    }
+    if (answered.size() < majority())
+        return std::nullopt;
+    std::sort(answered.begin(), answered.end(), std::greater<>());
+    return answered[majority() - 1];
+}
+
+/// Age of the last confirmation for followers; empty until an entry of the own term is committed,
+/// since earlier leaders may have committed more than this one knows.
+std::optional<std::uint32_t> Replica::State::confirmationAgeMs() const
+{
+    const std::optional<TimePoint> confirmed = lastConfirmation();
+    if (!confirmed || !committedOwnTerm())
+        return std::nullopt;
+    return static_cast<std::uint32_t>(std::min<std::int64_t>(
+        toMilliseconds(now - *confirmed), std::numeric_limits<std::uint32_t>::max()));
 }
 
 /// Appends the next entry that retires or admits a data folder. Each such entry is appended only
--- a/src/gentianramp/ledger/replica_state.hpp
+++ b/src/gentianramp/ledger/replica_state.hpp
@@ -14,6 +14,7 @@
 {
     VoterIncarnation incarnation;
     std::optional<TimePoint> lastContact;
+    TimePoint roundSentAt{};    ///< Time at which `round` was broadcast.
     std::uint64_t next = 1;     ///< Index of the next entry to send.
     std::uint64_t match = 0;    ///< Last index up to which its log is known to agree.
     std::uint64_t round = 0;    ///< Newest broadcast round that it answered.
@@ -56,8 +57,9 @@
     std::size_t majority() const { return options.voters.size() / 2 + 1; }
     bool isAdmitted(const std::string &instance, std::uint64_t identity) const;
     bool selfAdmitted() const { return isAdmitted(self, hard.identity()); }
-    /// True when the voter's folder is admitted and its last contact is within the election
-    /// timeout.
+    /// True when the voter's folder is admitted and it answered a round of this leader that was
+    /// broadcast within the election timeout. Other messages do not count: they show that the voter
+    /// runs, not that it receives what this leader sends.
     bool isLive(const std::string &instance) const;
     /// True when the own log has no entry and no admitted folder: no ledger was founded as far as
     /// known.
@@ -92,7 +94,9 @@
     void answerReads();
     void failReads();
     void stepDownWithoutQuorum();
-    std::optional<TimePoint> majorityContact() const;
+    void noteAnsweredRound(PeerState &peer, std::uint64_t answered);
+    std::optional<TimePoint> lastConfirmation() const;
+    std::optional<std::uint32_t> confirmationAgeMs() const;
     void replaceFolders();
     void retireFolder(const std::string &instance);
     void admitFolder(const std::string &instance, std::uint64_t identity);
@@ -102,6 +106,7 @@
     void receiveAppendRequest(const std::string &from, const proto::LedgerMessage &message);
     void receiveSnapshotRequest(const std::string &from, const proto::LedgerMessage &message);
     bool followLeader(const std::string &from, const proto::LedgerMessage &message);
+    void noteConfirmation(std::uint64_t leaderCommit, std::optional<std::uint32_t> ageMs);
     bool logsMatchAt(std::uint64_t index, std::uint64_t term) const;
     void appendAsFollower(const proto::LogEntry &entry);
     void answerAppend(const std::string &to, bool accepted, std::uint64_t index,
@@ -124,6 +129,7 @@
     TimePoint now{};
     TimePoint electionDeadline{};
     std::optional<TimePoint> leaderContact;
+    std::optional<TimePoint> confirmedAt; ///< See Replica::confirmedAt(); kept by followers.
     std::set<std::string> votes;
 
     TimePoint nextHeartbeatAt{};
@@ -131,6 +137,7 @@
     /// Number of the last broadcast. A majority of answers to a round confirms the leader for all
     /// reads requested before it.
     std::uint64_t round = 0;
+    std::map<std::uint64_t, TimePoint> roundTimes; ///< When each round was broadcast.
     std::vector<PendingRead> reads;
     std::optional<TimePoint> handOverDeadline;
 
--- a/src/gentianramp/ledger/replica_test.cpp
+++ b/src/gentianramp/ledger/replica_test.cpp
@@ -64,14 +64,26 @@
     return message;
 }
 
-proto::LedgerMessage acknowledged(std::uint64_t identity, std::uint64_t term, std::uint64_t match)
+/// Answer to the leader's broadcast @p round.
+proto::LedgerMessage acknowledged(std::uint64_t identity, std::uint64_t term, std::uint64_t match,
+                                  std::uint64_t round = 1)
 {
     proto::LedgerMessage message = messageOf(identity, term);
     message.mutable_append_response()->set_accepted(true);
     message.mutable_append_response()->set_match_index(match);
+    message.mutable_append_response()->set_probe(round);
     return message;
 }
 
+/// Newest broadcast round in the messages of @p output; 0 if there is none.
+std::uint64_t roundOf(const ReplicaOutput &output)
+{
+    std::uint64_t round = 0;
+    for (const OutgoingMessage &each : output.messages)
+        round = std::max(round, each.message.append_request().probe());
+    return round;
+}
+
 /// Lets "a" win the election of the term after @p stored with the vote of "b".
 Replica leaderFrom(const StoredLog &stored)
 {
@@ -157,17 +169,17 @@
     const TimePoint now = Start + 10s;
     replica.step(InstanceId("b"), acknowledged(2, 2, 11), now);
     replica.step(InstanceId("c"), acknowledged(30, 2, 0), now);
-    replica.tick(now + 500ms);
+    std::uint64_t round = roundOf(replica.tick(now + 500ms));
     cr_assert_eq(entriesOfKind(replica, proto::ENTRY_RETIRE), 1);
-    replica.step(InstanceId("c"), acknowledged(30, 2, 12), now + 500ms);
-    replica.tick(now + 1s);
+    replica.step(InstanceId("c"), acknowledged(30, 2, 12, round), now + 500ms);
+    round = roundOf(replica.tick(now + 1s));
     cr_assert_eq(entriesOfKind(replica, proto::ENTRY_ADMIT), 0, "retirement is not committed");
-    replica.step(InstanceId("b"), acknowledged(2, 2, 12), now + 1s);
+    replica.step(InstanceId("b"), acknowledged(2, 2, 12, round), now + 1s);
     ReplicaOutput output;
     replica.propose("one more", now + 1s, output);
-    replica.tick(now + 1500ms);
+    round = roundOf(replica.tick(now + 1500ms));
     cr_assert_eq(entriesOfKind(replica, proto::ENTRY_ADMIT), 0, "the new folder lacks an entry");
-    replica.step(InstanceId("c"), acknowledged(30, 2, 13), now + 1500ms);
+    replica.step(InstanceId("c"), acknowledged(30, 2, 13, round), now + 1500ms);
     replica.tick(now + 2s);
     cr_assert_eq(entriesOfKind(replica, proto::ENTRY_ADMIT), 1);
 }
@@ -200,6 +212,21 @@
     cr_assert(replica.role() == ReplicaRole::Follower);
 }
 
+// A leader whose messages reached nobody stayed in office, and confirmed no read, as long as other
+// voters asked it for their votes.
+Test(Replica, LeaderThatIsOnlyAskedForVotesStepsDown)
+{
+    Replica replica = leaderFrom(foundedLog());
+    cr_assert(replica.role() == ReplicaRole::Leader);
+    for (Duration passed = 100ms; passed <= 4s; passed += 100ms) {
+        proto::LedgerMessage request = voteRequest(2, 2);
+        request.mutable_vote_request()->set_pre_vote(true);
+        replica.step(InstanceId("b"), request, Start + 10s + passed);
+        replica.tick(Start + 10s + passed);
+    }
+    cr_assert(replica.role() != ReplicaRole::Leader);
+}
+
 Test(Ledger, EmptiedFolderDoesNotCountAsTheAdmittedOne)
 {
     LedgerSimulation run({.seed = 5, .dropShare = 0, .duplicateShare = 0});
--- a/src/gentianramp/registry/declaration_ledger_test.cpp
+++ b/src/gentianramp/registry/declaration_ledger_test.cpp
@@ -4,6 +4,7 @@
 #include <gentianramp/registry/voter_folder.hpp>
 #include <map>
 #include <random>
+#include <set>
 
 #include "gentianramp/ledger/memory_data_folder.hpp"
 
@@ -88,6 +89,16 @@
         return {};
     }
 
+    /// Loses all messages from one seat to the other until mendLink() is called.
+    void cutLink(const InstanceId &from, const InstanceId &to) { m_cutLinks.insert({from, to}); }
+    void mendLink(const InstanceId &from, const InstanceId &to) { m_cutLinks.erase({from, to}); }
+    /// Time since a majority confirmed what the seat has committed; empty: never.
+    std::optional<Duration> confirmationAge(const InstanceId &seat)
+    {
+        const std::optional<TimePoint> confirmed = ledgers[seat]->replica().confirmedAt();
+        return confirmed ? std::optional<Duration>(m_now - *confirmed) : std::nullopt;
+    }
+
     void partition(const InstanceId &seat) { m_partitioned[seat] = true; }
     void heal(const InstanceId &seat) { m_partitioned.erase(seat); }
 
@@ -125,8 +136,9 @@
         while (!m_messages.empty()) {
             const Message message = std::move(m_messages.front());
             m_messages.pop_front();
-            const bool lost
-                = m_partitioned.contains(message.from) || m_partitioned.contains(message.to);
+            const bool lost = m_partitioned.contains(message.from)
+                || m_partitioned.contains(message.to)
+                || m_cutLinks.contains({message.from, message.to});
             if (!lost && ledgers.contains(message.to))
                 ledgers[message.to]->onMessage(message.from, message.payload, m_now);
         }
@@ -137,6 +149,7 @@
     std::map<InstanceId, MemoryDataFolder> m_disks;
     std::map<InstanceId, std::uint64_t> m_inForce;
     std::map<InstanceId, bool> m_partitioned;
+    std::set<std::pair<InstanceId, InstanceId>> m_cutLinks;
     std::deque<Message> m_messages;
     InstanceId m_failed;
 };
@@ -206,6 +219,50 @@
     cr_assert(voters.ledgers[old]->committed() == (RawDeclaration{5, "five"}));
 }
 
+// A voter whose answers did not reach the leader went on to confirm its old declaration to entry
+// processes, because it heard the leader.
+Test(declaration_ledger, voterThatLacksACommittedDeclarationDoesNotConfirmItsOwn)
+{
+    VoterSimulation voters;
+    voters.run(6000);
+    const InstanceId leader = voters.leaderSeat();
+    const InstanceId behind = leader == Seats[0] ? Seats[1] : Seats[0];
+    cr_assert(voters.declare(voters.leader(), 3, "three") == true);
+    voters.run(1000);
+    for (const InstanceId &seat : Seats)
+        cr_assert(voters.confirmationAge(seat) < milliseconds(1000));
+    voters.cutLink(behind, leader);
+    voters.cutLink(leader, behind);
+    cr_assert(voters.declare(voters.leader(), 5, "five", 300) == true);
+    voters.mendLink(leader, behind);
+    voters.run(5000);
+    cr_assert(voters.ledgers[leader]->leads());
+    cr_assert_eq(voters.ledgers[behind]->committed().number, 3);
+    cr_assert(voters.confirmationAge(behind) > milliseconds(4000));
+    voters.mendLink(behind, leader);
+    voters.run(2000);
+    cr_assert_eq(voters.ledgers[behind]->committed().number, 5);
+    cr_assert(voters.confirmationAge(behind) < milliseconds(1000));
+}
+
+// A leader that no voter received any more kept confirming its declaration as long as voters asked
+// it for their votes.
+Test(declaration_ledger, leaderThatNobodyAnswersConfirmsNothing)
+{
+    VoterSimulation voters;
+    voters.run(6000);
+    const InstanceId leader = voters.leaderSeat();
+    cr_assert(voters.declare(voters.leader(), 3, "three") == true);
+    for (const InstanceId &from : Seats) {
+        for (const InstanceId &to : Seats) {
+            if (to != leader)
+                voters.cutLink(from, to);
+        }
+    }
+    voters.run(6000);
+    cr_assert(voters.confirmationAge(leader) > milliseconds(5000));
+}
+
 Test(declaration_ledger, acknowledgedDeclarationSurvivesCrashOfAllVoters)
 {
     VoterSimulation voters;
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -799,7 +799,7 @@
         // asks another registry process at once.
         const bool withinBudget
             = fullBytes == 0 || fullAnswerBudget.take(static_cast<double>(fullBytes), now);
-        feed.set_confirmed_ms(withinBudget ? leaderContactAgeMs(now) : NeverConfirmed);
+        feed.set_confirmed_ms(withinBudget ? confirmationAgeMs(now) : NeverConfirmed);
         if (ledger && withinBudget) {
             feed.set_number(ledger->committed().number);
             if (ledger->committed().number > request.number() && !request.registry())
@@ -852,12 +852,12 @@
         return packed;
     }
 
-    std::uint32_t leaderContactAgeMs(TimePoint now) const
+    /// Time since a majority last confirmed that the committed declaration is the newest one.
+    std::uint32_t confirmationAgeMs(TimePoint now) const
     {
-        if (!ledger)
-            return NeverConfirmed;
-        const std::optional<TimePoint> contact = ledger->replica().leaderContact();
-        return contact && ledger->replica().leader() ? clampedMs(now - *contact) : NeverConfirmed;
+        const std::optional<TimePoint> confirmed
+            = ledger ? ledger->replica().confirmedAt() : std::nullopt;
+        return confirmed ? clampedMs(now - *confirmed) : NeverConfirmed;
     }
 
     asio::awaitable<void> pollListing()
