Drop messages that waited too long before they are handled

Cause: the age of a message was checked when it arrived, but its handling is queued behind the one thread of the process. After a write to a slow disk or a pause, presence, confirmations and calls that were seconds old were taken for new. Change: a received message carries the time at which it expires; registry and control processes drop it then. Only the age at arrival has a test so far.

--- a/include/gentianramp/wire/mesh.hpp
+++ b/include/gentianramp/wire/mesh.hpp
@@ -62,6 +62,10 @@
     PayloadKind kind = PayloadKind::Unknown;
     std::string payload;
     std::string replyRoute; ///< Argument of Mesh::reply(); identifies the connection.
+    /// The message must not be acted on later, for example after the receiver's thread was blocked.
+    TimePoint expiresAt;
+
+    bool expired(TimePoint now) const { return now > expiresAt; }
 };
 
 /// Called on the thread of the mesh; must not block. Longer work has to be posted to an executor.
--- a/src/gentianramp/control/control_node.cpp
+++ b/src/gentianramp/control/control_node.cpp
@@ -291,7 +291,10 @@
     meshOptions.metrics = &metrics;
     meshOptions.timeline = &timeline;
     mesh = std::make_unique<Mesh>(std::move(meshOptions), [this](ReceivedMessage message) {
-        asio::post(context, [this, message = std::move(message)] { dispatch(message); });
+        asio::post(context, [this, message = std::move(message)] {
+            if (!message.expired(RuntimeClock::now()))
+                dispatch(message);
+        });
     });
 }
 
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -478,6 +478,10 @@
             return;
         }
         const TimePoint now = RuntimeClock::now();
+        if (received.expired(now)) {
+            ++expiredMessages;
+            return;
+        }
         switch (message.body_case()) {
         case proto::RegistryMessage::kPresence:
             return receivePresence(received.sender, message.presence(), now);
@@ -937,6 +941,7 @@
     bool hasHeldSeat = false;
     std::unique_ptr<DeclarationLedger> ledger;
     bool storageFailed = false;
+    std::uint64_t expiredMessages = 0; ///< Dropped before they were handled.
     TimePoint nextFolderAttemptAt{};
     TimePoint nextPresenceAt{};
     TimePoint nextFlushAt{};
--- a/src/gentianramp/wire/mesh.cpp
+++ b/src/gentianramp/wire/mesh.cpp
@@ -360,7 +360,8 @@
         recordSample(EventKind::MessageReceived, envelope, sender);
         onMessage({sender, Incarnation(envelope.incarnation()),
                    static_cast<PayloadKind>(envelope.kind()),
-                   std::move(*envelope.mutable_payload()), std::move(route)});
+                   std::move(*envelope.mutable_payload()), std::move(route),
+                   RuntimeClock::now() + std::chrono::milliseconds(envelope.ttl_ms())});
     }
 
     std::optional<DropReason> dropReasonFor(const proto::Envelope &envelope, const KeyOwner &owner,
