Log why a registry process does not answer, and how fresh its declaration is

Change: leader_silent names the call, the age of the leader's last presence and of the last confirmation; majority_silent says the same at a leader that gets no answers; loop_stalled, storage_slow and messages_expired show a blocked thread.

--- a/src/gentianramp/control/ledger_driver.cpp
+++ b/src/gentianramp/control/ledger_driver.cpp
@@ -1,9 +1,17 @@
 #include <gentianramp/control/ledger_driver.hpp>
 
+#include <gentianramp/core/log.hpp>
 #include <utility>
 
 namespace gentianramp {
 
+namespace {
+
+/// Longer writes delay heartbeats noticeably and are logged.
+constexpr Duration SlowWrite = std::chrono::milliseconds(200);
+
+} // namespace
+
 LedgerDriver::LedgerDriver(ReplicaOptions options, DataFolder dataFolder, LedgerHooks hooks,
                            CompactionLimits limits, ConfigurationStoreLimits storeLimits)
     : m_options(std::move(options))
@@ -72,10 +80,16 @@
 void LedgerDriver::perform(ReplicaOutput output)
 {
     if (output.record) {
+        const TimePoint startedAt = RuntimeClock::now();
         if (const std::error_code error = m_logStore.write(output.snapshot, *output.record)) {
             m_failed = true;
             return m_hooks.storageFailed(error.message());
         }
+        const Duration took = RuntimeClock::now() - startedAt;
+        if (took > SlowWrite)
+            logWarning(
+                "storage_slow",
+                {{"ms", toMilliseconds(took)}, {"snapshot", output.snapshot ? "yes" : "no"}});
     }
     if (output.loadSnapshot) {
         if (const std::error_code error = m_store.restore(output.snapshot->state())) {
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -85,6 +85,8 @@
 /// and its last order may be in transit for the duration of a call.
 constexpr Duration OrderMargin = std::chrono::milliseconds(1200);
 constexpr Duration LogFlushInterval = std::chrono::milliseconds(250);
+/// A longer interval between two iterations of the main loop is logged.
+constexpr Duration StallThreshold = std::chrono::milliseconds(500);
 constexpr Duration EntryProcessTimeout = std::chrono::seconds(3);
 /// An entry process that asks another registry process would be counted twice for longer.
 constexpr Duration DelaysTimeout = std::chrono::seconds(1);
@@ -175,6 +177,7 @@
         const auto self = shared_from_this();
         while (!stopping) {
             const TimePoint now = RuntimeClock::now();
+            reportStall(now);
             dropFailedLedger();
             openFolderWhenDue(now);
             if (ledger)
@@ -195,6 +198,16 @@
         }
     }
 
+    /// Logs that the thread was blocked, for example by a disk, and what was dropped therefore.
+    void reportStall(TimePoint now)
+    {
+        const Duration since = now - std::exchange(lastRunAt, now);
+        if (since > StallThreshold)
+            logWarning("loop_stalled", {{"ms", toMilliseconds(since)}});
+        if (expiredMessages > 0)
+            logWarning("messages_expired", {{"count", std::exchange(expiredMessages, 0)}});
+    }
+
     // Data folder and ledger
 
     void openFolderWhenDue(TimePoint now)
@@ -715,6 +728,8 @@
             });
             if (!*accepted)
                 co_await waitFor(*done);
+            if (!*accepted)
+                logUnconfirmed("declare");
             co_return accepted->value_or(false);
         }
         proto::RegistryMessage message;
@@ -744,6 +759,8 @@
             });
             if (!read->answered)
                 co_await waitFor(*done);
+            if (!read->answered)
+                logUnconfirmed("read");
             co_return read->newest;
         }
         proto::RegistryMessage message;
@@ -756,6 +773,20 @@
         co_return newest;
     }
 
+    /// A call to this leader that no majority answered in time.
+    void logUnconfirmed(std::string_view call) const
+    {
+        if (!ledger)
+            return;
+        const Replica &replica = ledger->replica();
+        logWarning("majority_silent",
+                   {{"call", call},
+                    {"term", replica.term().value()},
+                    {"committed_index", replica.commitIndex().value()},
+                    {"last_index", replica.lastIndex().value()},
+                    {"confirmed_ms", confirmationAgeMs(RuntimeClock::now())}});
+    }
+
     static asio::awaitable<void> waitFor(Timer &timer)
     {
         boost::system::error_code cancelled; // Ignored: an answer cancels the timer.
@@ -775,10 +806,27 @@
         co_await waitFor(*waiting->timer);
         calls.erase(call);
         if (!waiting->answer)
-            logWarning("leader_silent", {{"leader", to->value()}});
+            logWarning("leader_silent",
+                       {{"leader", to->value()},
+                        {"call",
+                         proto::RegistryMessage::descriptor()
+                             ->FindFieldByNumber(message.body_case())
+                             ->name()},
+                        {"contact_ms", contactAgeMs(*to)},
+                        {"confirmed_ms", confirmationAgeMs(RuntimeClock::now())}});
         co_return std::move(waiting->answer);
     }
 
+    /// Time since the last presence message of @p instance.
+    std::int64_t contactAgeMs(const InstanceId &instance) const
+    {
+        for (const PeerStatus &peer : directory.peerStatuses(RuntimeClock::now())) {
+            if (peer.instance == instance)
+                return toMilliseconds(peer.contactAge);
+        }
+        return -1;
+    }
+
     void finishCall(std::uint64_t call, proto::RegistryMessage &message)
     {
         const auto found = calls.find(call);
@@ -941,7 +989,9 @@
     bool hasHeldSeat = false;
     std::unique_ptr<DeclarationLedger> ledger;
     bool storageFailed = false;
-    std::uint64_t expiredMessages = 0; ///< Dropped before they were handled.
+    TimePoint lastRunAt = RuntimeClock::now();
+    std::uint64_t expiredMessages
+        = 0; ///< Dropped before they were handled, since the last log line.
     TimePoint nextFolderAttemptAt{};
     TimePoint nextPresenceAt{};
     TimePoint nextFlushAt{};
