--- a/include/gentianramp/registry/registry_feed.hpp
+++ b/include/gentianramp/registry/registry_feed.hpp
@@ -13,6 +13,10 @@
 
 namespace gentianramp {
 
+namespace proto {
+class FeedAnswer;
+} // namespace proto
+
 /// Options of a RegistryFeed.
 struct FeedOptions
 {
@@ -87,18 +91,21 @@
     Duration currentAnswerTimeout() const;
     InstanceId chooseSource(TimePoint now);
     void avoidSource(const InstanceId &source, TimePoint now);
+    void logStale(const InstanceId &source, const proto::FeedAnswer &answer, TimePoint now);
 
     FeedOptions m_options;
     std::map<InstanceId, Source> m_sources;
     std::optional<InstanceId> m_current;
     std::uint64_t m_call;
-    std::optional<TimePoint> m_requestedAt; ///< Empty: no request is pending.
+    std::optional<TimePoint> m_requestedAt;            ///< Empty: no request is pending.
+    std::map<std::uint64_t, TimePoint> m_openRequests; ///< Recent calls and when they were sent.
     TimePoint m_nextRequestAt{};
     TimePoint m_resendAt{};
     std::string m_request;
     /// Time-outs since the last answer after which both a declaration and a list were known.
     std::size_t m_unansweredCount = 0;
     std::uint64_t m_number = 0;
+    std::optional<TimePoint> m_staleLoggedAt;
     std::optional<TimePoint> m_confirmedAt;
     std::uint64_t m_digest = 0;
     std::vector<ListedServer> m_servers; ///< Servers of the listing m_digest, ordered by id.
--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -14,6 +14,9 @@
 /// Registry processes that the answering one has not heard of for longer are dropped, except seeds.
 constexpr Duration SourceTimeout = std::chrono::seconds(10);
 constexpr std::size_t MaxDoublings = 3;
+/// Answers to older requests are dropped.
+constexpr Duration RequestRetention = std::chrono::seconds(3);
+constexpr Duration StaleLogInterval = std::chrono::seconds(1);
 constexpr std::uint32_t NeverConfirmed = std::numeric_limits<std::uint32_t>::max();
 
 } // namespace
@@ -105,6 +108,9 @@
     proto::RegistryMessage message;
     proto::FeedRequest &request = *message.mutable_feed();
     request.set_call(++m_call);
+    m_openRequests.emplace(m_call, now);
+    std::erase_if(m_openRequests,
+                  [&](const auto &entry) { return now - entry.second > RequestRetention; });
     request.set_number(m_number);
     request.set_list_digest(m_digest);
     request.set_loads_epoch(m_loads.epoch());
@@ -127,10 +133,16 @@
         return output;
     }
     proto::FeedAnswer &answer = *message.mutable_feed_answer();
-    if (answer.call() != m_call || !m_requestedAt)
-        return output; // Answer to an abandoned request.
-    const TimePoint requestedAt = *m_requestedAt;
-    m_requestedAt.reset();
+    const auto request = m_openRequests.find(answer.call());
+    if (request == m_openRequests.end() || now - request->second > RequestRetention)
+        return output;
+    // An answer to an abandoned request is used too: if every process takes longer than the
+    // time-out, nothing else arrives.
+    const TimePoint requestedAt = request->second;
+    m_openRequests.erase(request);
+    const bool isCurrent = answer.call() == m_call;
+    if (isCurrent)
+        m_requestedAt.reset();
     m_sources[sender].answered = true;
     m_entryProcessCount = std::max<std::uint32_t>(answer.entries(), 1);
     for (const proto::RegistryMember &member : answer.known()) {
@@ -167,7 +179,6 @@
     const Duration listAge = std::chrono::milliseconds(answer.list_age_ms());
     const TimePoint listedAt = requestedAt - listAge;
     if (answer.list_digest() != 0 && (!m_listedAt || listedAt >= *m_listedAt)) {
-        m_listedAt = listedAt;
         if (answer.list_digest() != m_digest && answer.has_list()) {
             const std::optional<ListingChange> change
                 = fromProto(answer.list(), answer.list_digest());
@@ -178,6 +189,9 @@
                 output.listing = BackendListing{m_digest, listedAt, m_servers};
             }
         }
+        // A change against another list than the one held here says nothing about the latter.
+        if (answer.list_digest() == m_digest)
+            m_listedAt = listedAt;
     }
     if (answer.has_loads()) {
         std::optional<LoadReports> loads = m_loads.apply(fromProto(answer.loads(), now));
@@ -191,11 +205,30 @@
     const bool stale = !confirmed
         || std::chrono::milliseconds(answer.confirmed_ms()) > m_options.maxConfirmationAge
         || answer.list_digest() == 0 || listAge > m_options.maxListAge;
-    if (stale)
+    if (stale && isCurrent) {
+        logStale(sender, answer, now);
         avoidSource(sender, now);
+    }
     return output;
 }
 
+void RegistryFeed::logStale(const InstanceId &source, const proto::FeedAnswer &answer,
+                            TimePoint now)
+{
+    if (m_staleLoggedAt && now - *m_staleLoggedAt < StaleLogInterval)
+        return;
+    m_staleLoggedAt = now;
+    const std::int64_t confirmedMs
+        = answer.confirmed_ms() == NeverConfirmed ? -1 : std::int64_t{answer.confirmed_ms()};
+    logWarning(
+        "registry_stale",
+        {{"source", source.value()},
+         {"number", answer.number()},
+         {"held_number", m_number},
+         {"confirmed_ms", confirmedMs},
+         {"list_age_ms", answer.list_digest() == 0 ? -1 : std::int64_t{answer.list_age_ms()}}});
+}
+
 std::optional<Duration> RegistryFeed::declarationAge(TimePoint now) const
 {
     return m_confirmedAt ? std::optional<Duration>(now - *m_confirmedAt) : std::nullopt;
--- a/src/gentianramp/registry/registry_feed_test.cpp
+++ b/src/gentianramp/registry/registry_feed_test.cpp
@@ -168,6 +168,28 @@
         deliver(feed, Near, answerTo(abandoned, 5), at(ms + 5000)).declaration.has_value());
 }
 
+// When every registry process took longer to answer than the time-out, each answer was dropped and
+// an entry process never got a newer declaration.
+Test(registry_feed, declarationArrivesThoughAllProcessesAnswerAfterTheTimeout)
+{
+    constexpr int answerTime = 600;
+    RegistryFeed feed = makeFeed();
+    const int start = runUntilStable(feed, 3);
+    std::map<int, std::pair<InstanceId, FeedOutput>> answers;
+    for (int ms = start; ms < start + 5000; ms += 50) {
+        const FeedOutput output = feed.tick(at(ms));
+        if (output.requestTo)
+            answers.emplace(ms + answerTime, std::pair(*output.requestTo, output));
+        const auto due = answers.find(ms);
+        if (due == answers.end())
+            continue;
+        const auto &[from, request] = due->second;
+        if (deliver(feed, from, answerTo(request, 4), at(ms)).declaration)
+            return;
+    }
+    cr_assert_fail("the newer declaration was not received within 5 s");
+}
+
 Test(registry_feed, slowFirstAnswerIsReceivedAfterTimeoutsDouble)
 {
     // Hundreds of processes receive 130 KB each over links of 10 Mbit/s: each answer takes 500 ms.
