Withhold an unconfirmed first declaration, and 404 while the declaration is unconfirmed

After a loss of power of all machines an entry process took the first declaration that any registry process gave it. One without a leader gives what it knew to be committed before, which may be older than what was acknowledged, and the entry process became ready with it. Change: the first declaration of a process waits until a majority confirmed it, at most for the time in which processes have to reach each other again (Bounds.ContactMs): an instance that is cut off serves on with what it has. While the declaration was not confirmed within the time in which one has to be in force (Bounds.ConfigApplyMs), a missing route may have been declared: such a request is refused with 503 and Retry-After instead of 404, after which callers do not ask again. Half of that bound replaces the constant of 1 s after which another registry process is asked.

--- a/include/gentianramp/registry/registry_feed.hpp
+++ b/include/gentianramp/registry/registry_feed.hpp
@@ -40,6 +40,9 @@
     /// is asked. Less than the time in which a declaration has to be in force, which is 2 s on the
     /// smallest deployments.
     Duration maxConfirmationAge = std::chrono::milliseconds(1000);
+    /// A process without a declaration takes one that a majority has not confirmed only after this
+    /// time, in which registry processes that restarted too elect a leader.
+    Duration firstDeclarationTimeout = std::chrono::seconds(3);
     /// If the answered list is older than this, another process is asked.
     Duration maxListAge = std::chrono::milliseconds(2600);
     /// A process that timed out or was out of date is avoided for this time. Then the data centre's
@@ -91,6 +94,7 @@
     Duration currentAnswerTimeout() const;
     InstanceId chooseSource(TimePoint now);
     void avoidSource(const InstanceId &source, TimePoint now);
+    std::optional<RawDeclaration> takeFirstDeclaration(TimePoint now);
     void logStale(const InstanceId &source, const proto::FeedAnswer &answer, TimePoint now);
 
     FeedOptions m_options;
@@ -105,6 +109,10 @@
     /// Time-outs since the last answer after which both a declaration and a list were known.
     std::size_t m_unansweredCount = 0;
     std::uint64_t m_number = 0;
+    /// First declaration, which may be older than one that was in force before a restart; withheld
+    /// until it is confirmed.
+    std::optional<RawDeclaration> m_unconfirmed;
+    TimePoint m_startedAt;
     std::optional<TimePoint> m_staleLoggedAt;
     std::optional<TimePoint> m_confirmedAt;
     std::uint64_t m_digest = 0;
--- a/include/gentianramp/relay/relay_service.hpp
+++ b/include/gentianramp/relay/relay_service.hpp
@@ -22,8 +22,10 @@
     RetryBounds retries;
     std::uint64_t seed = 1;
     MetricsRegistry *metrics = nullptr;
-    /// Time since the declaration in force was confirmed, for log lines; empty: never confirmed.
-    std::function<std::optional<Duration>()> declarationAge = [] { return std::nullopt; };
+    /// Time since the declaration in force was confirmed; empty: never confirmed.
+    std::function<std::optional<Duration>()> declarationAge = [] { return Duration{}; };
+    /// While the declaration was confirmed longer ago, a missing route may have been declared.
+    Duration maxDeclarationAge = std::chrono::seconds(2);
     std::function<std::optional<Duration>()> listingAge = [] { return std::nullopt; };
 };
 
--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -25,6 +25,7 @@
     : m_options(std::move(options))
     , m_call(m_options.seed)
     , m_nextRequestAt(now)
+    , m_startedAt(now)
     , m_random(m_options.seed)
 {
     setSeeds(m_options.seeds);
@@ -78,9 +79,23 @@
     return m_options.firstAnswerTimeout * (1U << std::min<std::size_t>(rounds / 2, MaxDoublings));
 }
 
+/// The withheld first declaration once a majority has confirmed it or the time for that is over.
+std::optional<RawDeclaration> RegistryFeed::takeFirstDeclaration(TimePoint now)
+{
+    if (!m_unconfirmed)
+        return std::nullopt;
+    const bool confirmed = m_confirmedAt && now - *m_confirmedAt <= m_options.maxConfirmationAge;
+    if (!confirmed && now - m_startedAt < m_options.firstDeclarationTimeout)
+        return std::nullopt;
+    if (!confirmed)
+        logWarning("declaration_unconfirmed", {{"number", m_unconfirmed->number}});
+    return std::exchange(m_unconfirmed, std::nullopt);
+}
+
 FeedOutput RegistryFeed::tick(TimePoint now)
 {
     FeedOutput output;
+    output.declaration = takeFirstDeclaration(now);
     if (m_requestedAt && now - *m_requestedAt >= currentAnswerTimeout()) {
         logWarning("registry_silent", {{"source", m_current->value()}});
         Source &source = m_sources[*m_current];
@@ -168,14 +183,18 @@
             avoidSource(sender, now);
             return output;
         }
+        RawDeclaration newer{answer.number(), std::move(content).value()};
+        const bool isFirst = m_number == 0 || m_unconfirmed;
         m_number = answer.number();
-        output.declaration = RawDeclaration{answer.number(), std::move(content).value()};
+        (isFirst ? m_unconfirmed : output.declaration) = std::move(newer);
     }
     const bool confirmed = answer.confirmed_ms() != NeverConfirmed && answer.number() >= m_number;
     if (confirmed) {
         const TimePoint at = requestedAt - std::chrono::milliseconds(answer.confirmed_ms());
         m_confirmedAt = std::max(m_confirmedAt.value_or(at), at);
     }
+    if (m_unconfirmed)
+        output.declaration = takeFirstDeclaration(now);
     const Duration listAge = std::chrono::milliseconds(answer.list_age_ms());
     const TimePoint listedAt = requestedAt - listAge;
     if (answer.list_digest() != 0 && (!m_listedAt || listedAt >= *m_listedAt)) {
--- a/src/gentianramp/registry/registry_feed_test.cpp
+++ b/src/gentianramp/registry/registry_feed_test.cpp
@@ -1,6 +1,7 @@
 #include <gentianramp/registry/registry_feed.hpp>
 
 #include <gentianramp/registry/packed_text.hpp>
+#include <limits>
 
 #include "gentianramp/registry/generated/registry.pb.h"
 
@@ -148,6 +149,46 @@
     cr_assert(newer.declaration == (RawDeclaration{4, "declaration 4"}));
 }
 
+// After a loss of power, registry processes without a leader gave entry processes the declaration
+// that they knew to be committed, although a newer one had been acknowledged.
+Test(registry_feed, firstDeclarationWaitsForAMajority)
+{
+    RegistryFeed feed = makeFeed();
+    FeedOutput output = feed.tick(at(0));
+    proto::FeedAnswer unconfirmed = answerTo(output, 3);
+    unconfirmed.set_confirmed_ms(std::numeric_limits<std::uint32_t>::max());
+    cr_assert_not(deliver(feed, *output.requestTo, unconfirmed, at(5)).declaration.has_value());
+    output = feed.tick(at(60));
+    cr_assert_not(output.declaration.has_value());
+    const FeedOutput newer = deliver(feed, *output.requestTo, answerTo(output, 4), at(65));
+    cr_assert(newer.declaration == (RawDeclaration{4, "declaration 4"}));
+}
+
+Test(registry_feed, firstDeclarationIsTakenOnceItIsConfirmed)
+{
+    RegistryFeed feed = makeFeed();
+    FeedOutput output = feed.tick(at(0));
+    proto::FeedAnswer unconfirmed = answerTo(output, 3);
+    unconfirmed.set_confirmed_ms(std::numeric_limits<std::uint32_t>::max());
+    deliver(feed, *output.requestTo, unconfirmed, at(5));
+    output = feed.tick(at(60));
+    // The content is not sent again.
+    cr_assert(answerTo(output, 3).packed_content().empty());
+    const FeedOutput confirmed = deliver(feed, *output.requestTo, answerTo(output, 3), at(65));
+    cr_assert(confirmed.declaration == (RawDeclaration{3, "declaration 3"}));
+}
+
+Test(registry_feed, firstDeclarationIsTakenUnconfirmedInAPartition)
+{
+    RegistryFeed feed = makeFeed();
+    FeedOutput output = feed.tick(at(0));
+    proto::FeedAnswer unconfirmed = answerTo(output, 3);
+    unconfirmed.set_confirmed_ms(std::numeric_limits<std::uint32_t>::max());
+    deliver(feed, *output.requestTo, unconfirmed, at(5));
+    cr_assert_not(feed.tick(at(2900)).declaration.has_value());
+    cr_assert(feed.tick(at(3050)).declaration == (RawDeclaration{3, "declaration 3"}));
+}
+
 Test(registry_feed, ignoresOlderDeclaration)
 {
     RegistryFeed feed = makeFeed();
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -1,5 +1,7 @@
 #include <gentianramp/relay/relay_node.hpp>
 
+#include "relay_state.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -40,7 +42,9 @@
         , options(std::move(nodeOptions))
         , feed({.dataCentre = options.relay.dataCentre,
                 .seeds = options.seeds,
-                .seed = options.relay.seed},
+                .seed = options.relay.seed,
+                .maxConfirmationAge = options.relay.maxDeclarationAge / 2,
+                .firstDeclarationTimeout = options.firstDeclarationTimeout},
                RuntimeClock::now())
         , relay(executor, relayOptions())
     { }
@@ -168,7 +172,9 @@
         callers->setRequestLimits(limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout,
                                   limits.idleTimeout);
         logInfo("declaration_in_force",
-                {{"number", stored.number}, {"routes", declaration->routes.size()}});
+                {{"number", stored.number},
+                 {"routes", declaration->routes.size()},
+                 {"confirmed_ms", ageMs(feed.declarationAge(RuntimeClock::now()))}});
         relay.publish(std::move(declaration).value());
     }
 
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -60,6 +60,12 @@
     , random(options.seed)
 { }
 
+bool RelayState::declarationIsConfirmed() const
+{
+    const std::optional<Duration> age = options.declarationAge();
+    return age && *age <= options.maxDeclarationAge;
+}
+
 RetryAllowance &RelayState::allowance(const std::string &service)
 {
     return allowances.try_emplace(service, options.retries).first->second;
--- a/src/gentianramp/relay/relay_service_test.cpp
+++ b/src/gentianramp/relay/relay_service_test.cpp
@@ -57,7 +57,10 @@
 public:
     RelayFixture()
         : relay(m_context.get_executor(),
-                {.dataCentre = DataCentreId("a"), .protocol = makeProtocol(), .seed = 1})
+                {.dataCentre = DataCentreId("a"),
+                 .protocol = makeProtocol(),
+                 .seed = 1,
+                 .declarationAge = [this] { return declarationAge; }})
     {
         m_callerServer
             = std::make_unique<HttpServer>(m_context.get_executor(), options(), relay.handler());
@@ -161,6 +164,7 @@
     }
 
     std::vector<std::pair<std::string, HttpRequest>> receivedRequests;
+    std::optional<Duration> declarationAge = Duration{};
 
 private:
     static HttpServerOptions options() { return {}; }
@@ -357,6 +361,23 @@
     cr_assert_eq(fixture.call({})->status, 200U);
 }
 
+// An entry process that had lost the registry answered 404 for a route that was added meanwhile;
+// callers do not ask again after a 404.
+Test(relay_service, anUnknownRouteIsRefusedWhileTheDeclarationIsUnconfirmed)
+{
+    RelayFixture fixture;
+    fixture.addServer("a", answers(200));
+    fixture.declare({.kind = RouteKind::Repeatable});
+    for (const std::optional<Duration> age :
+         {std::optional<Duration>(std::chrono::seconds(3)), std::optional<Duration>()}) {
+        fixture.declarationAge = age;
+        const Result<HttpResponse> refused = fixture.call({.target = "/elsewhere"});
+        cr_assert_eq(refused->status, 503U);
+        cr_assert(refused->headers.contains("Retry-After"));
+        cr_assert_eq(fixture.call({})->status, 200U);
+    }
+}
+
 Test(relay_service, aRunOnceRequestThatMayHaveRunIsNotSentAgain)
 {
     RelayFixture fixture;
--- a/src/gentianramp/relay/relay_state.hpp
+++ b/src/gentianramp/relay/relay_state.hpp
@@ -28,6 +28,12 @@
 
 class RelayedRequest;
 
+/// Age for log lines in milliseconds; -1 when there is none.
+inline std::int64_t ageMs(const std::optional<Duration> &age)
+{
+    return age ? toMilliseconds(*age) : -1;
+}
+
 /// State that all requests of a RelayService share.
 struct RelayState : std::enable_shared_from_this<RelayState>
 {
@@ -40,6 +46,8 @@
     /// Repeats the health check until the backend server answers or is no longer listed.
     boost::asio::awaitable<void> checkUntilAnswered(BackendId backend, std::string path);
     boost::asio::awaitable<void> freeHandle(HttpAddress address, std::string handle);
+    /// The declaration in force was confirmed so recently that a newer one need not be in force.
+    bool declarationIsConfirmed() const;
     RetryAllowance &allowance(const std::string &service);
     /// Uniformly distributed in [0, 1).
     double uniformRandom();
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -33,6 +33,8 @@
 constexpr int RetryAfterLongWaitDivisor = 3;
 constexpr Duration LongestRetryAfter = std::chrono::milliseconds(800);
 
+/// Several rounds of requests to the registry; a declaration that it has confirmed is known then.
+constexpr Duration DeclarationRetryAfter = std::chrono::milliseconds(300);
 /// Another instance can take the request immediately.
 constexpr Duration LeavingRetryAfter = std::chrono::milliseconds(20);
 
@@ -92,11 +94,6 @@
     return value;
 }
 
-long long ageMs(const std::optional<Duration> &age)
-{
-    return age ? toMilliseconds(*age) : -1;
-}
-
 } // namespace
 
 RelayedRequest::RelayedRequest(std::shared_ptr<RelayState> state, HttpRequest request,
@@ -148,10 +145,14 @@
     const BackendProtocol &protocol = m_state->options.protocol;
     m_id = std::string(m_request.headers.find(protocol.requestId));
     if (!m_state->hasListing || !m_routes) {
-        co_await answerLocally(503, "no_declaration", std::chrono::milliseconds(300));
+        co_await answerLocally(503, "no_declaration", DeclarationRetryAfter);
         co_return false;
     }
     m_route = m_routes->find(m_request.headers.find("Host"), m_request.path());
+    if (!m_route && !m_state->declarationIsConfirmed()) {
+        co_await answerLocally(503, "declaration_unconfirmed", DeclarationRetryAfter);
+        co_return false;
+    }
     if (!m_route) {
         co_await answerLocally(404, "no_route");
         co_return false;
