Follow the clock that counts the suspension of a machine

Cause: the steady clock stands still while a machine is suspended. Afterwards all messages of that process look late by the length of the suspension to everybody else, who drop them for one to two minutes, until the estimate of the transit time has forgotten the smaller difference; and its own leases and ages of confirmations are too young by as much. Change: the clock of the runtime reads CLOCK_BOOTTIME.

--- a/include/gentianramp/core/clock.hpp
+++ b/include/gentianramp/core/clock.hpp
@@ -9,7 +9,9 @@
 
 /// Monotonic clock of the runtime; tests pause it and advance it by hand.
 ///
-/// Daemons read CLOCK_MONOTONIC through it. All timers and deadlines of the project use it.
+/// Daemons read CLOCK_BOOTTIME through it, which also counts the time in which the machine is
+/// suspended: leases and ages of messages must not outlive a suspension. All timers and deadlines
+/// of the project use it.
 class RuntimeClock
 {
 public:
@@ -28,7 +30,7 @@
     /// Moves a paused clock forward by @p step.
     static void advance(duration step) noexcept;
 
-    /// Lets the clock follow CLOCK_MONOTONIC again.
+    /// Lets the clock follow CLOCK_BOOTTIME again.
     static void resume() noexcept;
 
     static bool paused() noexcept;
--- a/src/gentianramp/core/clock.cpp
+++ b/src/gentianramp/core/clock.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <ctime>
 #include <limits>
 
 namespace gentianramp {
@@ -16,10 +17,16 @@
 
 std::atomic<std::int64_t> pausedAtNs{RunningMark};
 
+Duration toDuration(const timespec &time) noexcept
+{
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
 std::int64_t steadyNowNs() noexcept
 {
-    const auto sinceBoot = std::chrono::steady_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<Duration>(sinceBoot).count();
+    timespec sinceBoot{};
+    clock_gettime(CLOCK_BOOTTIME, &sinceBoot);
+    return toDuration(sinceBoot).count();
 }
 
 } // namespace
