Open a voter's data folder once, so that a full disk does not lock the voter out

Cause: when the ledger of a registry process could not be opened, because its disk was still full 0.4 s after the first failed write, the process kept the folder with its lock and opened the folder again. The lock belongs to the first opening, so that each further one found another process using the folder: its own former self. The voter never came back, unnoticed, because the others went on; the next loss of one, which has to be borne, left no majority. Change: SeatStorage opens and locks the folder once for the life of the process; ledgers are started on it again. Presence says whether a process can take a seat, so that a vacant one is offered to a spare and not again and again to the process whose disk is full.

--- a/include/gentianramp/registry/member_directory.hpp
+++ b/include/gentianramp/registry/member_directory.hpp
@@ -16,6 +16,7 @@
     DataCentreId dataCentre;
     std::string seat;
     std::uint64_t folderId = 0;
+    bool takesSeat = true; ///< Holds no seat, and its data folder can take one.
     bool leads = false;
     std::uint64_t term = 0;
     std::uint32_t entryProcessCount = 0; ///< Entry processes that it serves.
--- a/include/gentianramp/registry/seat_assignment.hpp
+++ b/include/gentianramp/registry/seat_assignment.hpp
@@ -25,6 +25,7 @@
     std::string seat;           ///< Empty: none held.
     std::uint64_t folderId = 0; ///< Id of its data folder.
     Duration contactAge{};      ///< Time since the last contact.
+    bool takesSeat = true;      ///< If it holds no seat: its data folder can take one.
     bool operator==(const PeerStatus &) const = default;
 };
 
--- a/src/gentianramp/registry/member_directory.cpp
+++ b/src/gentianramp/registry/member_directory.cpp
@@ -81,7 +81,8 @@
     for (const auto &[instance, member] : m_members) {
         if (member.state)
             peerStatuses.push_back({instance, member.dataCentre, member.state->seat,
-                                    member.state->folderId, now - member.lastContactAt});
+                                    member.state->folderId, now - member.lastContactAt,
+                                    member.state->takesSeat});
     }
     return peerStatuses;
 }
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -15,8 +15,8 @@
 #include <gentianramp/registry/load_poll_scheduler.hpp>
 #include <gentianramp/registry/member_directory.hpp>
 #include <gentianramp/registry/packed_text.hpp>
+#include <gentianramp/registry/seat_storage.hpp>
 #include <gentianramp/registry/versioned_load_table.hpp>
-#include <gentianramp/registry/voter_folder.hpp>
 #include <gentianramp/wire/mesh.hpp>
 #include <limits>
 #include <set>
@@ -139,6 +139,7 @@
         : executor(std::move(ioExecutor))
         , options(std::move(registryOptions))
         , directory(options.self)
+        , storage(options.dataFolder)
         , stageController(makeStageOptions(options.firstStart))
         , reader(options.listing, options.listCallsPerSecond)
         , loadTable(std::max<std::uint64_t>(options.seed, 1))
@@ -215,13 +216,9 @@
         if (ledger || now < nextFolderAttemptAt)
             return;
         nextFolderAttemptAt = now + FolderRetryInterval;
-        Result<DataFolder> opened = openFolder(options.dataFolder);
-        if (!opened)
-            return logWarning("data_folder_unusable", {{"reason", opened.message()}});
-        dataFolder = std::move(opened).value();
-        Result<std::string> found = readSeat(*dataFolder);
+        Result<std::string> found = storage.open();
         if (!found)
-            return logWarning("data_folder_unreadable", {{"reason", found.message()}});
+            return logWarning("data_folder_unusable", {{"reason", found.message()}});
         seat = std::move(found).value();
         if (seat.empty())
             takeFoundingSeat();
@@ -249,7 +246,7 @@
 
     void takeSeat(const std::string &name, bool founding)
     {
-        if (const std::error_code error = prepareSeat(*dataFolder, name, founding, randomSeed())) {
+        if (const std::error_code error = storage.prepare(name, founding, randomSeed())) {
             logWarning("seat_not_prepared", {{"seat", name}, {"error", error.message()}});
             return;
         }
@@ -287,7 +284,7 @@
             storageFailed = true;
         };
         storageFailed = false;
-        auto started = std::make_unique<DeclarationLedger>(replica, *dataFolder, hooks);
+        auto started = std::make_unique<DeclarationLedger>(replica, *storage.folder(), hooks);
         const Result<bool> result = started->start(now);
         if (!result || storageFailed) {
             logWarning("ledger_not_opened", {{"seat", seat}, {"reason", result.message()}});
@@ -308,7 +305,6 @@
             return;
         storageFailed = false;
         ledger.reset();
-        dataFolder.reset(); // Releases the lock on the folder so that it can be reopened.
         nextFolderAttemptAt = RuntimeClock::now() + FolderRetryInterval;
     }
 
@@ -318,7 +314,7 @@
         ledger.reset();
         seat.clear();
         nextFolderAttemptAt = TimePoint::max();
-        if (const std::error_code error = emptyFolder(*dataFolder)) {
+        if (const std::error_code error = storage.release()) {
             logWarning("data_folder_not_emptied", {{"error", error.message()}});
             nextFolderAttemptAt = RuntimeClock::now() + FolderRetryInterval;
         }
@@ -537,6 +533,7 @@
         presence.set_seat(ledger ? seat : std::string());
         presence.set_folder(ledger ? ledger->replica().identity() : 0);
         presence.set_entries(static_cast<std::uint32_t>(entryProcesses.size()));
+        presence.set_takes_seat(seat.empty() && storage.usable());
         presence.set_leads(leads());
         presence.set_term(ledger ? ledger->replica().term().value() : 0);
         addToProto(ownDelays(now), *presence.mutable_delays());
@@ -573,6 +570,7 @@
                                 {.dataCentre = DataCentreId(presence.data_centre()),
                                  .seat = presence.seat(),
                                  .folderId = presence.folder(),
+                                 .takesSeat = presence.takes_seat(),
                                  .leads = presence.leads(),
                                  .term = presence.term(),
                                  .entryProcessCount = presence.entries(),
@@ -656,7 +654,7 @@
 
     void receiveOffer(const proto::SeatOffer &offer, TimePoint now)
     {
-        if (!seat.empty() || !dataFolder
+        if (!seat.empty() || !storage.usable()
             || std::find(seats.begin(), seats.end(), offer.seat()) == seats.end())
             return;
         takeSeat(offer.seat(), false);
@@ -984,7 +982,7 @@
     std::vector<std::string> seats;
     MemberDirectory directory;
     std::map<InstanceId, EntryProcess> entryProcesses;
-    std::optional<DataFolder> dataFolder;
+    SeatStorage storage;
     std::string seat; ///< Empty for a spare.
     bool hasHeldSeat = false;
     std::unique_ptr<DeclarationLedger> ledger;
--- a/src/gentianramp/registry/seat_assignment.cpp
+++ b/src/gentianramp/registry/seat_assignment.cpp
@@ -67,7 +67,7 @@
             heldSeats.insert(peer.seat);
             ++seatsPerSite[peer.dataCentre];
         }
-        if (!seated && peer.contactAge <= options.maxCandidateContactAge)
+        if (!seated && peer.takesSeat && peer.contactAge <= options.maxCandidateContactAge)
             unseated.push_back(&peer);
     }
     for (const LedgerSeat &seat : seats) {
--- a/src/gentianramp/registry/seat_assignment_test.cpp
+++ b/src/gentianramp/registry/seat_assignment_test.cpp
@@ -44,6 +44,17 @@
     cr_assert_eq(changes.offers.size(), 1U);
 }
 
+// A voter with a full disk was offered its own seat again and again, and the spare instance never.
+Test(seat_assignment, instanceWhoseFolderCannotTakeASeatIsPassedOver)
+{
+    std::vector<PeerStatus> peers{peer("a", "x", "seat-1", 11), peer("b", "y", "seat-2", 12),
+                                  peer("c", "z", "", 0), peer("d", "z", "", 0)};
+    peers[2].takesSeat = false;
+    const SeatChanges changes = assignSeats(Seats, peers, {{"seat-3", InstanceId("c")}});
+    cr_assert_eq(changes.offers.size(), 1U);
+    cr_assert(changes.offers.front() == (SeatChange{InstanceId("d"), "seat-3"}));
+}
+
 Test(seat_assignment, replacedInstanceReleasesItsSeat)
 {
     // After c was partitioned off, d took its seat and the folder of d was admitted. Then c
--- /dev/null
+++ b/src/gentianramp/registry/seat_storage.cpp
@@ -0,0 +1,44 @@
+#include <gentianramp/registry/seat_storage.hpp>
+
+#include <gentianramp/registry/voter_folder.hpp>
+
+namespace gentianramp {
+
+SeatStorage::SeatStorage(std::filesystem::path path, OpenFolderHook open)
+    : m_path(std::move(path))
+    , m_open(std::move(open))
+{ }
+
+Result<std::string> SeatStorage::open()
+{
+    m_usable = false;
+    if (!m_folder) {
+        Result<DataFolder> opened = m_open(m_path);
+        if (!opened)
+            return {opened.error(), opened.message()};
+        m_folder = std::move(opened).value();
+    }
+    Result<std::string> seat = readSeat(*m_folder);
+    m_usable = static_cast<bool>(seat);
+    return seat;
+}
+
+std::error_code SeatStorage::prepare(const std::string &seat, bool founding, std::uint64_t seed)
+{
+    if (!m_folder)
+        return make_error_code(Error::StorageFailed);
+    const std::error_code error = prepareSeat(*m_folder, seat, founding, seed);
+    m_usable = !error;
+    return error;
+}
+
+std::error_code SeatStorage::release()
+{
+    if (!m_folder)
+        return make_error_code(Error::StorageFailed);
+    const std::error_code error = emptyFolder(*m_folder);
+    m_usable = !error;
+    return error;
+}
+
+} // namespace gentianramp
