Keep a former leader's last confirmation

Cause: a leader that stepped down forgot when a majority had last confirmed it and reported never, which the test for leaders that nobody answers showed. Change: the time is kept; it stays true.

--- a/src/gentianramp/ledger/replica.cpp
+++ b/src/gentianramp/ledger/replica.cpp
@@ -124,10 +124,7 @@
 
 std::optional<TimePoint> Replica::confirmedAt() const
 {
-    const State &state = *m_state;
-    if (state.role == ReplicaRole::Leader && state.committedOwnTerm())
-        return std::max(state.confirmedAt, state.lastConfirmation());
-    return state.confirmedAt;
+    return m_state->currentConfirmation();
 }
 
 Term Replica::term() const
@@ -297,8 +294,10 @@
 
 void Replica::State::becomeFollower(std::uint64_t term)
 {
-    if (role == ReplicaRole::Leader)
+    if (role == ReplicaRole::Leader) {
+        confirmedAt = currentConfirmation();
         failReads();
+    }
     if (term > hard.term()) {
         hard.set_term(term);
         hard.clear_voted_for();
--- a/src/gentianramp/ledger/replica_leader.cpp
+++ b/src/gentianramp/ledger/replica_leader.cpp
@@ -183,6 +183,13 @@
     return answered[majority() - 1];
 }
 
+std::optional<TimePoint> Replica::State::currentConfirmation() const
+{
+    if (role == ReplicaRole::Leader && committedOwnTerm())
+        return std::max(confirmedAt, lastConfirmation());
+    return confirmedAt;
+}
+
 /// Age of the last confirmation for followers; empty until an entry of the own term is committed,
 /// since earlier leaders may have committed more than this one knows.
 std::optional<std::uint32_t> Replica::State::confirmationAgeMs() const
--- a/src/gentianramp/ledger/replica_state.hpp
+++ b/src/gentianramp/ledger/replica_state.hpp
@@ -96,6 +96,7 @@
     void stepDownWithoutQuorum();
     void noteAnsweredRound(PeerState &peer, std::uint64_t answered);
     std::optional<TimePoint> lastConfirmation() const;
+    std::optional<TimePoint> currentConfirmation() const;
     std::optional<std::uint32_t> confirmationAgeMs() const;
     void replaceFolders();
     void retireFolder(const std::string &instance);
@@ -129,7 +130,7 @@
     TimePoint now{};
     TimePoint electionDeadline{};
     std::optional<TimePoint> leaderContact;
-    std::optional<TimePoint> confirmedAt; ///< See Replica::confirmedAt(); kept by followers.
+    std::optional<TimePoint> confirmedAt; ///< See Replica::confirmedAt(); updated by followers.
     std::set<std::string> votes;
 
     TimePoint nextHeartbeatAt{};
