Write the registry's log on a thread of its own

Cause: the one thread of a registry process waited for each sync of its disk. With syncs of some hundred milliseconds, as a busy real disk has them, two or three of them in a row are longer than a call waits (0.85 s), than a feed request waits (0.4 s) and than an election timeout: operators and entry processes got no answers, and the process took seconds old messages for new. The bench's disks take 2 to 5 ms. Change: the ledger's driver can hand writes to a hook. Its outputs wait in order until what was recorded before them is synced, so that nothing is sent, applied or answered on the strength of a write in progress; records that wait together are synced together; ages in messages grow by the wait; a replica with a long queue gets no messages, which may be lost anyway. The registry writes on a thread of its own and goes on answering; a leader whose disk stalls is replaced. The product's control processes write as before. Tests: a stalled leader is replaced; no declaration is lost over 60 seeds of losses of power with writes in progress; both fail when outputs no longer wait for their write (mutation).

--- a/include/gentianramp/control/ledger_driver.hpp
+++ b/include/gentianramp/control/ledger_driver.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <gentianramp/ledger/configuration_distribution.hpp>
 #include <gentianramp/ledger/configuration_store.hpp>
@@ -20,6 +21,11 @@
     std::uint64_t bytes = 4 * 1024 * 1024;
 };
 
+/// Runs `write`, which blocks until the disk has synced, and then calls `done` with its result on
+/// the thread of the driver.
+using PersistHook = std::function<void(std::function<std::error_code()> write,
+                                       std::function<void(std::error_code)> done)>;
+
 /// Callbacks of a LedgerDriver.
 struct LedgerHooks
 {
@@ -32,9 +38,16 @@
     std::function<void(bool leads, Term term)> leadership;
     /// The data folder cannot be trusted any more; the process must end.
     std::function<void(const std::string &reason)> storageFailed;
+    /// Empty: the driver writes on its own thread and is blocked by the disk.
+    PersistHook persist;
 };
 
 /// Runs a Replica on a data folder: syncs records, then applies entries, then sends messages.
+///
+/// The replica goes on while a write is in progress. Its outputs wait in order until everything
+/// that was recorded before them is synced, so that nothing leaves the process, is applied or is
+/// answered on the strength of a record that a loss of power may undo. Records that wait together
+/// are synced together.
 class LedgerDriver
 {
 public:
@@ -55,14 +68,38 @@
     /// Starts to transfer the leadership to another voter, if this replica leads.
     void transferLeadership(TimePoint now);
 
+    /// The replica, which is ahead of store() while outputs wait for the disk.
     const Replica &replica() const { return *m_replica; }
     const ConfigurationStore &store() const { return m_store; }
-    std::uint64_t logBytes() const { return m_logStore.logBytes(); }
-    bool leads() const { return m_replica && m_replica->role() == ReplicaRole::Leader; }
+    /// Replica::confirmedAt() for what is applied to store().
+    std::optional<TimePoint> confirmedAt() const { return m_confirmedAt; }
+    /// A write is in progress; the data folder must not be used otherwise.
+    bool writing() const { return m_writing; }
+    std::uint64_t logBytes() const { return m_logBytes; }
+    /// True between the reports of LedgerHooks::leadership, as long as the replica leads.
+    bool leads() const
+    {
+        return m_wasLeader && m_replica->role() == ReplicaRole::Leader
+            && m_replica->term() == m_reportedTerm;
+    }
     std::uint64_t malformed() const { return m_malformed; }
 
 private:
+    /// An output of the replica that waits for the disk.
+    struct WaitingOutput
+    {
+        ReplicaOutput output;
+        TimePoint createdAt;
+        std::optional<TimePoint> confirmedAt;
+    };
+
     void perform(ReplicaOutput output);
+    bool overloaded() const;
+    void processQueue();
+    void writeFirst();
+    void onWritten(std::size_t outputs, std::error_code error, TimePoint startedAt);
+    void finish(WaitingOutput waiting);
+    void send(OutgoingMessage outgoing, Duration waited);
     void applyEntry(const proto::LogEntry &entry);
     void announceNewest();
     void completeReads(const ReplicaOutput &output);
@@ -70,7 +107,13 @@
     void reportLeadershipChange();
 
     ReplicaOptions m_options;
-    LogStore m_logStore;
+    std::shared_ptr<LogStore> m_logStore; ///< Shared with a write that outlasts the driver.
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    std::deque<WaitingOutput> m_waiting;
+    bool m_writing = false;
+    bool m_processing = false;
+    std::uint64_t m_logBytes = 0;
+    std::optional<TimePoint> m_confirmedAt;
     LedgerHooks m_hooks;
     CompactionLimits m_limits;
     ConfigurationStore m_store;
@@ -80,6 +123,7 @@
     std::uint64_t m_applied = 0;
     Revision m_announcedRevision;
     bool m_wasLeader = false;
+    Term m_reportedTerm;
     bool m_failed = false;
     std::uint64_t m_malformed = 0;
 };
--- a/include/gentianramp/ledger/log_store.hpp
+++ b/include/gentianramp/ledger/log_store.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <system_error>
+#include <vector>
 
 namespace gentianramp {
 
@@ -28,6 +29,8 @@
     /// Writes and syncs @p snapshot, if there is one, and then @p record.
     std::error_code write(const std::optional<proto::LedgerSnapshot> &snapshot,
                           const proto::PersistRecord &record);
+    /// Writes @p records with a single sync.
+    std::error_code write(const std::vector<proto::PersistRecord> &records);
     /// Size of the current log file in bytes.
     std::uint64_t logBytes() const { return m_logBytes; }
     bool failed() const { return m_failed; }
--- a/include/gentianramp/registry/declaration_ledger.hpp
+++ b/include/gentianramp/registry/declaration_ledger.hpp
@@ -25,6 +25,7 @@
     std::function<void(const RawDeclaration &)> inForce;
     std::function<void(bool leads, Term term)> leadership;
     std::function<void(const std::string &reason)> storageFailed;
+    PersistHook persist; ///< See LedgerHooks.
 };
 
 /// Called with true once the declaration, or one with at least its number, is committed; with false
@@ -54,6 +55,10 @@
     /// The newest declaration that this replica knows to be committed.
     const RawDeclaration &committed() const { return m_committed; }
     bool leads() const { return m_driver.leads(); }
+    /// Time at which a majority confirmed that committed() was the newest; empty: never.
+    std::optional<TimePoint> confirmedAt() const { return m_driver.confirmedAt(); }
+    /// A write is in progress; the data folder must not be used otherwise.
+    bool writing() const { return m_driver.writing(); }
     const Replica &replica() const { return m_driver.replica(); }
     /// Size of the replicated state and of its log in bytes.
     std::uint64_t storedBytes() const;
@@ -65,12 +70,14 @@
         DeclareHook done;
     };
 
+    PersistHook makePersistHook();
     void proposeNext(TimePoint now);
     void onDecided(const CommandId &command, const CommandAnswer &answer);
     void onLeadership(bool leads, Term term);
     void completePending();
 
     DeclarationHooks m_hooks;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     RawDeclaration m_committed;
     std::deque<Pending> m_pending;
     std::optional<CommandId> m_proposed; ///< Command for the first pending declaration.
--- a/src/gentianramp/control/control_node.cpp
+++ b/src/gentianramp/control/control_node.cpp
@@ -384,7 +384,7 @@
 {
     if (!ledger)
         return;
-    distribution.noteLeader(ledger->replica().leader(), ledger->replica().confirmedAt());
+    distribution.noteLeader(ledger->replica().leader(), ledger->confirmedAt());
 }
 
 void ControlNode::State::updateMetrics(TimePoint now)
--- a/src/gentianramp/control/ledger_driver.cpp
+++ b/src/gentianramp/control/ledger_driver.cpp
@@ -9,13 +9,15 @@
 
 /// Longer writes delay heartbeats noticeably and are logged.
 constexpr Duration SlowWrite = std::chrono::milliseconds(200);
+/// While more outputs wait for the disk, the replica gets no messages, which may be lost anyway.
+constexpr std::size_t MaxWaitingOutputs = 64;
 
 } // namespace
 
 LedgerDriver::LedgerDriver(ReplicaOptions options, DataFolder dataFolder, LedgerHooks hooks,
                            CompactionLimits limits, ConfigurationStoreLimits storeLimits)
     : m_options(std::move(options))
-    , m_logStore(std::move(dataFolder))
+    , m_logStore(std::make_shared<LogStore>(std::move(dataFolder)))
     , m_hooks(std::move(hooks))
     , m_limits(limits)
     , m_store(storeLimits)
@@ -23,7 +25,7 @@
 
 Result<bool> LedgerDriver::start(TimePoint now)
 {
-    Result<StoredLog> stored = m_logStore.open(m_options.seed);
+    Result<StoredLog> stored = m_logStore->open(m_options.seed);
     if (!stored)
         return {stored.error(), stored.message()};
     if (stored->snapshot.index() > 0) {
@@ -31,6 +33,7 @@
             return {Error::StorageFailed, "the snapshot in the data folder cannot be decoded"};
     }
     m_applied = stored->snapshot.index();
+    m_logBytes = m_logStore->logBytes();
     m_replica = std::make_unique<Replica>(m_options, std::move(stored).value(), now);
     perform(m_replica->tick(now));
     return !m_failed;
@@ -43,20 +46,21 @@
         ++m_malformed;
         return;
     }
-    if (!m_failed)
+    if (!m_failed && !overloaded())
         perform(m_replica->step(sender, message, now));
 }
 
 void LedgerDriver::tick(TimePoint now)
 {
-    if (!m_failed && now >= m_replica->nextTick())
+    if (!m_failed && !overloaded() && now >= m_replica->nextTick())
         perform(m_replica->tick(now));
 }
 
 bool LedgerDriver::propose(const ConfigurationProposal &proposal, TimePoint now)
 {
     ReplicaOutput output;
-    if (m_failed || !m_replica->propose(m_store.encodeCommand(proposal), now, output))
+    if (m_failed || overloaded()
+        || !m_replica->propose(m_store.encodeCommand(proposal), now, output))
         return false;
     perform(std::move(output));
     return true;
@@ -64,7 +68,7 @@
 
 void LedgerDriver::confirmLeadership(std::function<void(bool)> done, TimePoint now)
 {
-    if (m_failed)
+    if (m_failed || overloaded())
         return done(false);
     const std::uint64_t id = m_nextReadId++;
     m_pendingReads.emplace(id, std::move(done));
@@ -77,23 +81,90 @@
         perform(m_replica->transferLeadership(now));
 }
 
+bool LedgerDriver::overloaded() const
+{
+    return m_waiting.size() > MaxWaitingOutputs;
+}
+
 void LedgerDriver::perform(ReplicaOutput output)
 {
-    if (output.record) {
-        const TimePoint startedAt = RuntimeClock::now();
-        if (const std::error_code error = m_logStore.write(output.snapshot, *output.record)) {
-            m_failed = true;
-            return m_hooks.storageFailed(error.message());
+    m_waiting.push_back({std::move(output), RuntimeClock::now(), m_replica->confirmedAt()});
+    processQueue();
+}
+
+/// Finishes outputs in order until one has to wait for the disk. Hooks may call the driver again.
+void LedgerDriver::processQueue()
+{
+    if (m_processing)
+        return;
+    m_processing = true;
+    while (!m_waiting.empty() && !m_writing && !m_failed) {
+        if (m_waiting.front().output.record) {
+            writeFirst();
+            continue;
+        }
+        WaitingOutput waiting = std::move(m_waiting.front());
+        m_waiting.pop_front();
+        finish(std::move(waiting));
+    }
+    m_processing = false;
+}
+
+/// Writes the record of the first output, together with those behind it that need no snapshot.
+void LedgerDriver::writeFirst()
+{
+    std::size_t outputs = 1;
+    std::function<std::error_code()> write;
+    const ReplicaOutput &first = m_waiting.front().output;
+    if (first.snapshot) {
+        write = [store = m_logStore, snapshot = first.snapshot, record = *first.record] {
+            return store->write(snapshot, record);
+        };
+    } else {
+        std::vector<proto::PersistRecord> records{*first.record};
+        for (; outputs < m_waiting.size() && !m_waiting[outputs].output.snapshot; ++outputs) {
+            if (m_waiting[outputs].output.record)
+                records.push_back(*m_waiting[outputs].output.record);
         }
-        const Duration took = RuntimeClock::now() - startedAt;
-        if (took > SlowWrite)
-            logWarning(
-                "storage_slow",
-                {{"ms", toMilliseconds(took)}, {"snapshot", output.snapshot ? "yes" : "no"}});
+        write
+            = [store = m_logStore, records = std::move(records)] { return store->write(records); };
+    }
+    m_writing = true;
+    const TimePoint startedAt = RuntimeClock::now();
+    if (!m_hooks.persist)
+        return onWritten(outputs, write(), startedAt);
+    m_hooks.persist(
+        std::move(write),
+        [this, outputs, startedAt, alive = std::weak_ptr(m_alive)](std::error_code error) {
+            if (!alive.expired())
+                onWritten(outputs, error, startedAt);
+        });
+}
+
+void LedgerDriver::onWritten(std::size_t outputs, std::error_code error, TimePoint startedAt)
+{
+    m_writing = false;
+    if (error) {
+        m_failed = true;
+        m_waiting.clear();
+        return m_hooks.storageFailed(error.message());
     }
+    m_logBytes = m_logStore->logBytes();
+    const Duration took = RuntimeClock::now() - startedAt;
+    if (took > SlowWrite)
+        logWarning("storage_slow", {{"ms", toMilliseconds(took)}, {"outputs", outputs}});
+    for (std::size_t i = 0; i < outputs; ++i)
+        m_waiting[i].output.record.reset();
+    processQueue();
+}
+
+void LedgerDriver::finish(WaitingOutput waiting)
+{
+    ReplicaOutput &output = waiting.output;
     if (output.loadSnapshot) {
         if (const std::error_code error = m_store.restore(output.snapshot->state())) {
             m_failed = true;
+            m_waiting.clear();
             return m_hooks.storageFailed("the snapshot received from the leader cannot be decoded");
         }
         m_applied = output.snapshot->index();
@@ -101,13 +172,29 @@
     for (const proto::LogEntry &entry : output.committed)
         applyEntry(entry);
     announceNewest();
+    m_confirmedAt = waiting.confirmedAt;
     reportLeadershipChange();
+    const Duration waited = RuntimeClock::now() - waiting.createdAt;
     for (OutgoingMessage &outgoing : output.messages)
-        m_hooks.send(outgoing.to, outgoing.message.SerializeAsString());
+        send(std::move(outgoing), waited);
     completeReads(output);
     compactIfNeeded();
 }
 
+/// Sends a message of the replica; ages in it grow while it waits for the disk.
+void LedgerDriver::send(OutgoingMessage outgoing, Duration waited)
+{
+    const auto waitedMs = static_cast<std::uint32_t>(toMilliseconds(waited));
+    proto::LedgerMessage &message = outgoing.message;
+    if (message.has_append_request() && message.append_request().has_confirmed_ms())
+        message.mutable_append_request()->set_confirmed_ms(message.append_request().confirmed_ms()
+                                                           + waitedMs);
+    if (message.has_snapshot_request() && message.snapshot_request().has_confirmed_ms())
+        message.mutable_snapshot_request()->set_confirmed_ms(
+            message.snapshot_request().confirmed_ms() + waitedMs);
+    m_hooks.send(outgoing.to, message.SerializeAsString());
+}
+
 void LedgerDriver::applyEntry(const proto::LogEntry &entry)
 {
     m_applied = entry.index();
@@ -142,7 +229,7 @@
 void LedgerDriver::compactIfNeeded()
 {
     const bool isNeeded = m_applied >= m_replica->snapshotIndex().value() + m_limits.entries
-        || m_logStore.logBytes() >= m_limits.bytes;
+        || m_logBytes >= m_limits.bytes;
     if (m_failed || !isNeeded || m_applied <= m_replica->snapshotIndex().value())
         return;
     perform(m_replica->compact(LogIndex(m_applied), m_store.snapshot()));
@@ -150,10 +237,17 @@
 
 void LedgerDriver::reportLeadershipChange()
 {
-    if (leads() == m_wasLeader)
+    const Term term = m_replica->term();
+    const bool isLeader = m_replica->role() == ReplicaRole::Leader;
+    if (isLeader == m_wasLeader && (!m_wasLeader || term == m_reportedTerm))
         return;
-    m_wasLeader = leads();
-    m_hooks.leadership(m_wasLeader, m_replica->term());
+    // Leadership may be lost and gained again while outputs wait for the disk.
+    if (std::exchange(m_wasLeader, false))
+        m_hooks.leadership(false, m_reportedTerm);
+    m_wasLeader = isLeader;
+    m_reportedTerm = term;
+    if (isLeader)
+        m_hooks.leadership(true, term);
 }
 
 } // namespace gentianramp
--- a/src/gentianramp/ledger/log_store.cpp
+++ b/src/gentianramp/ledger/log_store.cpp
@@ -109,12 +109,21 @@
             return error;
         return removeOld(snapshot->index());
     }
-    const std::string frame = encodeFrame(FrameKind::Record, record.SerializeAsString());
-    if (const std::error_code error = m_folder.append(logName(m_generation), frame))
+    return write(std::vector{record});
+}
+
+std::error_code LogStore::write(const std::vector<proto::PersistRecord> &records)
+{
+    if (m_failed)
+        return make_error_code(Error::StorageFailed);
+    std::string frames;
+    for (const proto::PersistRecord &record : records)
+        frames += encodeFrame(FrameKind::Record, record.SerializeAsString());
+    if (const std::error_code error = m_folder.append(logName(m_generation), frames))
         return fail(error);
     if (const std::error_code error = m_folder.sync(logName(m_generation)))
         return fail(error);
-    m_logBytes += frame.size();
+    m_logBytes += frames.size();
     return {};
 }
 
--- a/src/gentianramp/registry/declaration_ledger.cpp
+++ b/src/gentianramp/registry/declaration_ledger.cpp
@@ -48,7 +48,8 @@
                         m_hooks.inForce(m_committed);
                     },
                 .leadership = [this](bool leads, Term term) { onLeadership(leads, term); },
-                .storageFailed = m_hooks.storageFailed},
+                .storageFailed = m_hooks.storageFailed,
+                .persist = makePersistHook()},
                LogLimits, StateLimits)
 { }
 
@@ -98,6 +99,25 @@
         now);
 }
 
+/// Completes and proposes declarations as soon as a write has ended.
+PersistHook DeclarationLedger::makePersistHook()
+{
+    if (!m_hooks.persist)
+        return {};
+    return
+        [this](std::function<std::error_code()> write, std::function<void(std::error_code)> done) {
+            m_hooks.persist(std::move(write),
+                            [this, done = std::move(done),
+                             alive = std::weak_ptr(m_alive)](std::error_code error) {
+                                if (alive.expired())
+                                    return;
+                                done(error);
+                                completePending();
+                                proposeNext(RuntimeClock::now());
+                            });
+        };
+}
+
 /// Proposes one declaration at a time, so that each is based on the revision of the previous one.
 void DeclarationLedger::proposeNext(TimePoint now)
 {
--- a/src/gentianramp/registry/declaration_ledger_test.cpp
+++ b/src/gentianramp/registry/declaration_ledger_test.cpp
@@ -50,12 +50,28 @@
             m_inForce[seat] = committed.number;
         };
         hooks.leadership = [](bool, Term) {};
+        hooks.persist = [this, seat](std::function<std::error_code()> write,
+                                     std::function<void(std::error_code)> done) {
+            if (syncTime == Duration{} && !m_stalled.contains(seat))
+                return done(write());
+            m_writes[seat] = {m_now + syncTime, std::move(write), std::move(done)};
+        };
         hooks.storageFailed = [this, seat](const std::string &) { m_failed = seat; };
         ledgers[seat] = std::make_unique<DeclarationLedger>(options, m_disks[seat].disk(), hooks);
         cr_assert(ledgers[seat]->start(m_now));
     }
 
-    void stop(const InstanceId &seat) { ledgers.erase(seat); }
+    /// Kills the voter; a write that is in progress may have reached the disk or not.
+    void stop(const InstanceId &seat, bool writeIsDone = false)
+    {
+        ledgers.erase(seat);
+        if (auto write = m_writes.extract(seat); write && writeIsDone)
+            write.mapped().write();
+    }
+    /// Syncs of the voter do not end until resumeDisk() is called.
+    void stallDisk(const InstanceId &seat) { m_stalled.insert(seat); }
+    void resumeDisk(const InstanceId &seat) { m_stalled.erase(seat); }
+    Duration syncTime{}; ///< Of all disks.
     MemoryDataFolder &disk(const InstanceId &seat) { return m_disks[seat]; }
     bool failed(const InstanceId &seat) const { return m_failed == seat; }
 
@@ -63,6 +79,7 @@
     {
         for (int passed = 0; passed < ms; passed += 50) {
             m_now += milliseconds(50);
+            endWrites();
             for (const InstanceId &seat : Seats) {
                 if (ledgers.contains(seat))
                     ledgers[seat]->tick(m_now);
@@ -95,7 +112,7 @@
     /// Time since a majority confirmed what the seat has committed; empty: never.
     std::optional<Duration> confirmationAge(const InstanceId &seat)
     {
-        const std::optional<TimePoint> confirmed = ledgers[seat]->replica().confirmedAt();
+        const std::optional<TimePoint> confirmed = ledgers[seat]->confirmedAt();
         return confirmed ? std::optional<Duration>(m_now - *confirmed) : std::nullopt;
     }
 
@@ -131,6 +148,24 @@
         std::string payload;
     };
 
+    struct Write
+    {
+        TimePoint endsAt;
+        std::function<std::error_code()> write;
+        std::function<void(std::error_code)> done;
+    };
+
+    void endWrites()
+    {
+        for (const InstanceId &seat : Seats) {
+            const auto found = m_writes.find(seat);
+            if (found == m_writes.end() || m_stalled.contains(seat) || m_now < found->second.endsAt)
+                continue;
+            const Write ended = std::move(m_writes.extract(found).mapped());
+            ended.done(ended.write());
+        }
+    }
+
     void deliver()
     {
         while (!m_messages.empty()) {
@@ -148,6 +183,8 @@
     std::uint64_t m_seed = 0;
     std::map<InstanceId, MemoryDataFolder> m_disks;
     std::map<InstanceId, std::uint64_t> m_inForce;
+    std::map<InstanceId, Write> m_writes; ///< In progress, one at most for each voter.
+    std::set<InstanceId> m_stalled;
     std::map<InstanceId, bool> m_partitioned;
     std::set<std::pair<InstanceId, InstanceId>> m_cutLinks;
     std::deque<Message> m_messages;
@@ -317,3 +354,70 @@
     for (const auto &[seat, ledger] : voters.ledgers)
         cr_expect_lt(ledger->storedBytes(), maxStoredBytes, "%s", seat.value().c_str());
 }
+
+// The thread of a leader stood still while its disk did, so that calls to it were not answered
+// although its presence said that it led.
+Test(declaration_ledger, leaderWithAStalledDiskIsReplaced)
+{
+    VoterSimulation voters;
+    voters.run(6000);
+    const InstanceId stalled = voters.leaderSeat();
+    cr_assert(voters.declare(voters.leader(), 3, "three") == true);
+    voters.stallDisk(stalled);
+    cr_assert_neq(voters.declare(voters.leader(), 4, "four", 500), std::optional<bool>(true));
+    voters.run(8000);
+    cr_assert_not(voters.ledgers[stalled]->leads());
+    cr_assert(voters.confirmationAge(stalled) > milliseconds(4000));
+    cr_assert_eq(voters.ledgers[stalled]->committed().number, 3);
+    cr_assert_not_null(voters.leader());
+    cr_assert(voters.declare(voters.leader(), 5, "five") == true);
+    voters.resumeDisk(stalled);
+    voters.run(4000);
+    cr_assert(voters.ledgers[stalled]->committed() == (RawDeclaration{5, "five"}));
+    cr_assert(voters.confirmationAge(stalled) < milliseconds(1000));
+}
+
+Test(declaration_ledger, slowDisksDelayDeclarationsAndLoseNone)
+{
+    VoterSimulation voters;
+    voters.syncTime = milliseconds(400);
+    voters.run(20'000);
+    for (std::uint64_t number = 1; number <= 10; ++number) {
+        cr_assert_not_null(voters.leader());
+        cr_assert(voters.declare(voters.leader(), number, "content", 3000) == true);
+    }
+    for (const InstanceId &seat : Seats)
+        cr_assert_eq(voters.ledgers[seat]->committed().number, 10);
+}
+
+Test(declaration_ledger, nothingIsAcknowledgedOnTheStrengthOfAWriteInProgress)
+{
+    for (unsigned seed = 1; seed <= 60; ++seed) {
+        std::mt19937_64 random(seed);
+        VoterSimulation voters;
+        voters.run(6000);
+        std::uint64_t acknowledged = 0;
+        for (std::uint64_t number = 1; number <= 12; ++number) {
+            voters.syncTime = milliseconds(random() % 600);
+            if (voters.leader()
+                && voters.declare(voters.leader(), number, "content", 200 + random() % 2500)
+                    == true)
+                acknowledged = number;
+            if (random() % 3 != 0)
+                continue;
+            // All voters lose power, each with or without what it was writing.
+            for (const InstanceId &seat : Seats) {
+                voters.stop(seat, random() % 2 == 0);
+                voters.disk(seat).crash(random);
+            }
+            voters.syncTime = {};
+            for (const InstanceId &seat : Seats)
+                voters.start(seat);
+            voters.run(8000);
+            cr_assert_not_null(voters.leader());
+            const std::optional<RawDeclaration> newest = voters.read(voters.leader());
+            cr_assert(newest && newest->number >= acknowledged, "seed %u: %lu is lost", seed,
+                      static_cast<unsigned long>(acknowledged));
+        }
+    }
+}
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/thread_pool.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cmath>
 #include <gentianramp/core/log.hpp>
@@ -283,6 +284,17 @@
             logError("storage_failed", {{"seat", seat}, {"reason", reason}});
             storageFailed = true;
         };
+        hooks.persist = [this](std::function<std::error_code()> write,
+                               std::function<void(std::error_code)> done) {
+            asio::post(writer,
+                       [self = weak_from_this(), write = std::move(write),
+                        done = std::move(done)]() mutable {
+                           const std::error_code error = write();
+                           if (const auto node = self.lock())
+                               asio::post(node->executor,
+                                          [node, error, done = std::move(done)] { done(error); });
+                       });
+        };
         storageFailed = false;
         auto started = std::make_unique<DeclarationLedger>(replica, *storage.folder(), hooks);
         const Result<bool> result = started->start(now);
@@ -666,7 +678,9 @@
 
     void receiveRelease(const proto::SeatRelease &release)
     {
-        if (ledger && release.seat() == seat && release.folder() == ledger->replica().identity())
+        // The leader repeats the message until the disk is idle.
+        if (ledger && !ledger->writing() && release.seat() == seat
+            && release.folder() == ledger->replica().identity())
             releaseSeat();
     }
 
@@ -905,8 +919,7 @@
     /// Time since a majority last confirmed that the committed declaration is the newest one.
     std::uint32_t confirmationAgeMs(TimePoint now) const
     {
-        const std::optional<TimePoint> confirmed
-            = ledger ? ledger->replica().confirmedAt() : std::nullopt;
+        const std::optional<TimePoint> confirmed = ledger ? ledger->confirmedAt() : std::nullopt;
         return confirmed ? clampedMs(now - *confirmed) : NeverConfirmed;
     }
 
@@ -982,6 +995,7 @@
     std::vector<std::string> seats;
     MemberDirectory directory;
     std::map<InstanceId, EntryProcess> entryProcesses;
+    asio::thread_pool writer{1}; ///< Waits for the disk.
     SeatStorage storage;
     std::string seat; ///< Empty for a spare.
     bool hasHeldSeat = false;
@@ -1024,6 +1038,8 @@
 {
     m_state->stopping = true;
     m_state->link.reset();
+    m_state->writer.stop();
+    m_state->writer.join();
 }
 
 void RegistryNode::start()
