Answer the leader while a voter notes a commit index or what it knows of others

Cause: after each change every voter syncs the new commit index and, seconds later, what it learnt of the others' folders. On this machine, busy with builds, two voters' syncs took 1,494 ms at once (storage_slow); their answers to the leader's broadcasts waited behind that, no read could be confirmed and the leader stepped down. Change: answers to the leader go out while nothing waits for the disk but such notes, under the term, vote and identity that are synced; what rests on entries waits as before. Evidence: the new test fails without the change (the leader steps down).

--- a/include/gentianramp/control/ledger_driver.hpp
+++ b/include/gentianramp/control/ledger_driver.hpp
@@ -94,6 +94,8 @@
     };
 
     void perform(ReplicaOutput output);
+    bool answersMayPass() const;
+    void sendAnswers(ReplicaOutput &output);
     bool overloaded() const;
     void processQueue();
     void writeFirst();
@@ -113,6 +115,7 @@
     bool m_writing = false;
     bool m_processing = false;
     std::uint64_t m_logBytes = 0;
+    proto::HardState m_synced; ///< Last one that reached the disk.
     std::optional<TimePoint> m_confirmedAt;
     LedgerHooks m_hooks;
     CompactionLimits m_limits;
--- a/src/gentianramp/control/ledger_driver.cpp
+++ b/src/gentianramp/control/ledger_driver.cpp
@@ -1,5 +1,6 @@
 #include <gentianramp/control/ledger_driver.hpp>
 
+#include <algorithm>
 #include <gentianramp/core/log.hpp>
 #include <utility>
 
@@ -34,6 +35,7 @@
     }
     m_applied = stored->snapshot.index();
     m_logBytes = m_logStore->logBytes();
+    m_synced = stored->hardState;
     m_replica = std::make_unique<Replica>(m_options, std::move(stored).value(), now);
     perform(m_replica->tick(now));
     return !m_failed;
@@ -88,10 +90,38 @@
 
 void LedgerDriver::perform(ReplicaOutput output)
 {
+    if (m_writing && !output.record && answersMayPass())
+        sendAnswers(output);
     m_waiting.push_back({std::move(output), RuntimeClock::now(), m_replica->confirmedAt()});
     processQueue();
 }
 
+/// True while nothing waits for the disk but commit indices and what is known of other voters.
+/// Answers to the leader don't rest on these, and without them a slow disk would look like a lost
+/// voter.
+bool LedgerDriver::answersMayPass() const
+{
+    return std::all_of(m_waiting.begin(), m_waiting.end(), [this](const WaitingOutput &waiting) {
+        const ReplicaOutput &output = waiting.output;
+        if (!output.record)
+            return true;
+        const proto::HardState &state = output.record->hard_state();
+        return !output.snapshot && output.record->entries().empty()
+            && output.record->truncate_from() == 0 && state.term() == m_synced.term()
+            && state.voted_for() == m_synced.voted_for() && state.identity() == m_synced.identity();
+    });
+}
+
+void LedgerDriver::sendAnswers(ReplicaOutput &output)
+{
+    std::erase_if(output.messages, [this](const OutgoingMessage &outgoing) {
+        if (!outgoing.message.has_append_response())
+            return false;
+        m_hooks.send(outgoing.to, outgoing.message.SerializeAsString());
+        return true;
+    });
+}
+
 /// Finishes outputs in order until one has to wait for the disk. Hooks may call the driver again.
 void LedgerDriver::processQueue()
 {
@@ -153,8 +183,11 @@
     const Duration took = RuntimeClock::now() - startedAt;
     if (took > SlowWrite)
         logWarning("storage_slow", {{"ms", toMilliseconds(took)}, {"outputs", outputs}});
-    for (std::size_t i = 0; i < outputs; ++i)
+    for (std::size_t i = 0; i < outputs; ++i) {
+        if (const auto &record = m_waiting[i].output.record; record && record->has_hard_state())
+            m_synced = record->hard_state();
         m_waiting[i].output.record.reset();
+    }
     processQueue();
 }
 
--- a/src/gentianramp/registry/declaration_ledger_test.cpp
+++ b/src/gentianramp/registry/declaration_ledger_test.cpp
@@ -72,6 +72,7 @@
     void stallDisk(const InstanceId &seat) { m_stalled.insert(seat); }
     void resumeDisk(const InstanceId &seat) { m_stalled.erase(seat); }
     Duration syncTime{}; ///< Of all disks.
+    TimePoint now() const { return m_now; }
     MemoryDataFolder &disk(const InstanceId &seat) { return m_disks[seat]; }
     bool failed(const InstanceId &seat) const { return m_failed == seat; }
 
@@ -390,6 +391,30 @@
         cr_assert_eq(voters.ledgers[seat]->committed().number, 10);
 }
 
+// Two voters whose disks took 1.5 s to note a commit index did not answer the leader, so that no
+// read succeeded and the leader stepped down.
+Test(declaration_ledger, leaderIsConfirmedWhileVotersNoteACommit)
+{
+    VoterSimulation voters;
+    voters.run(6000);
+    const InstanceId leader = voters.leaderSeat();
+    voters.syncTime = milliseconds(200);
+    std::optional<bool> accepted;
+    voters.ledgers[leader]->declare(
+        {3, "three"}, [&accepted](bool value) { accepted = value; }, voters.now());
+    while (!accepted)
+        voters.run(50);
+    for (const InstanceId &seat : Seats) {
+        if (seat != leader)
+            voters.stallDisk(seat);
+    }
+    voters.run(4000);
+    cr_assert(voters.ledgers[leader]->leads());
+    cr_assert(voters.read(voters.ledgers[leader].get()) == (RawDeclaration{3, "three"}));
+    // They don't acknowledge a declaration that they can't write.
+    cr_assert_neq(voters.declare(voters.leader(), 4, "four"), std::optional<bool>(true));
+}
+
 Test(declaration_ledger, nothingIsAcknowledgedOnTheStrengthOfAWriteInProgress)
 {
     for (unsigned seed = 1; seed <= 60; ++seed) {
