Count the wait for a confirmed first declaration from its arrival

Cause: the time for which an unconfirmed first declaration is withheld was counted from the start of the entry process. One that reached no registry process for that time, because these were restarting too, took the first declaration that it was given, at the moment at which an election begins. Change: the time is counted from the first declaration.

--- a/include/gentianramp/registry/registry_feed.hpp
+++ b/include/gentianramp/registry/registry_feed.hpp
@@ -40,8 +40,8 @@
     /// is asked. Less than the time in which a declaration has to be in force, which is 2 s on the
     /// smallest deployments.
     Duration maxConfirmationAge = std::chrono::milliseconds(1000);
-    /// A process without a declaration takes one that a majority has not confirmed only after this
-    /// time, in which registry processes that restarted too elect a leader.
+    /// The first declaration of a process is withheld for this time unless a majority has confirmed
+    /// it, so that registry processes that restarted too can elect a leader.
     Duration firstDeclarationTimeout = std::chrono::seconds(3);
     /// If the answered list is older than this, another process is asked.
     Duration maxListAge = std::chrono::milliseconds(2600);
@@ -112,7 +112,7 @@
     /// First declaration, which may be older than one that was in force before a restart; withheld
     /// until it is confirmed.
     std::optional<RawDeclaration> m_unconfirmed;
-    TimePoint m_startedAt;
+    TimePoint m_unconfirmedSince{}; ///< When the first declaration was received.
     std::optional<TimePoint> m_staleLoggedAt;
     std::optional<TimePoint> m_confirmedAt;
     std::uint64_t m_digest = 0;
--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -25,7 +25,6 @@
     : m_options(std::move(options))
     , m_call(m_options.seed)
     , m_nextRequestAt(now)
-    , m_startedAt(now)
     , m_random(m_options.seed)
 {
     setSeeds(m_options.seeds);
@@ -85,7 +84,7 @@
     if (!m_unconfirmed)
         return std::nullopt;
     const bool confirmed = m_confirmedAt && now - *m_confirmedAt <= m_options.maxConfirmationAge;
-    if (!confirmed && now - m_startedAt < m_options.firstDeclarationTimeout)
+    if (!confirmed && now - m_unconfirmedSince < m_options.firstDeclarationTimeout)
         return std::nullopt;
     if (!confirmed)
         logWarning("declaration_unconfirmed", {{"number", m_unconfirmed->number}});
@@ -185,6 +184,8 @@
         }
         RawDeclaration newer{answer.number(), std::move(content).value()};
         const bool isFirst = m_number == 0 || m_unconfirmed;
+        if (m_number == 0)
+            m_unconfirmedSince = now;
         m_number = answer.number();
         (isFirst ? m_unconfirmed : output.declaration) = std::move(newer);
     }
--- a/src/gentianramp/registry/registry_feed_test.cpp
+++ b/src/gentianramp/registry/registry_feed_test.cpp
@@ -189,6 +189,24 @@
     cr_assert(feed.tick(at(3050)).declaration == (RawDeclaration{3, "declaration 3"}));
 }
 
+// The time was counted from the start of the process, so that a process that reached nobody at first
+// took the first declaration that it got.
+Test(registry_feed, firstDeclarationWaitsForAMajorityThoughAnswersBeginLate)
+{
+    RegistryFeed feed = makeFeed();
+    FeedOutput output;
+    int ms = 0;
+    for (; ms <= 3500 || !output.requestTo; ms += 50)
+        output = feed.tick(at(ms));
+    proto::FeedAnswer unconfirmed = answerTo(output, 3);
+    unconfirmed.set_confirmed_ms(std::numeric_limits<std::uint32_t>::max());
+    cr_assert_not(deliver(feed, *output.requestTo, unconfirmed, at(ms)).declaration.has_value());
+    output = feed.tick(at(ms + 50));
+    cr_assert_not(output.declaration.has_value());
+    const FeedOutput newer = deliver(feed, *output.requestTo, answerTo(output, 4), at(ms + 55));
+    cr_assert(newer.declaration == (RawDeclaration{4, "declaration 4"}));
+}
+
 Test(registry_feed, ignoresOlderDeclaration)
 {
     RegistryFeed feed = makeFeed();
