Keep the present request when a late answer is damaged

Cause: a damaged declaration in such an answer dropped the present source, while the request to it stayed open. The next time-out or resending read the name of a source that was gone. Change: a damaged late answer is only logged. Evidence: lateDamagedAnswerDoesNotEndThePresentRequest fails on: the time-out did not ask for a new connection.

--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -179,7 +179,8 @@
         if (!content) {
             logError("declaration_damaged",
                      {{"number", answer.number()}, {"reason", content.message()}});
-            avoidSource(sender, now);
+            if (isCurrent)
+                avoidSource(sender, now);
             return output;
         }
         RawDeclaration newer{answer.number(), std::move(content).value()};
--- a/src/gentianramp/registry/registry_feed_test.cpp
+++ b/src/gentianramp/registry/registry_feed_test.cpp
@@ -189,8 +189,8 @@
     cr_assert(feed.tick(at(3050)).declaration == (RawDeclaration{3, "declaration 3"}));
 }
 
-// The time was counted from the start of the process, so that a process that reached nobody at first
-// took the first declaration that it got.
+// The time was counted from the start of the process, so that a process that reached nobody at
+// first took the first declaration that it got.
 Test(registry_feed, firstDeclarationWaitsForAMajorityThoughAnswersBeginLate)
 {
     RegistryFeed feed = makeFeed();
@@ -207,6 +207,21 @@
     cr_assert(newer.declaration == (RawDeclaration{4, "declaration 4"}));
 }
 
+Test(registry_feed, lateDamagedAnswerDoesNotEndThePresentRequest)
+{
+    RegistryFeed feed = makeFeed();
+    const int ms = runUntilStable(feed, 3);
+    const FeedOutput abandoned = feed.tick(at(ms));
+    const FeedOutput output = feed.tick(at(ms + 410));
+    cr_assert(output.requestTo == Far);
+    deliver(feed, Far, answerTo(output, 3), at(ms + 415));
+    cr_assert(feed.tick(at(ms + 670)).requestTo == Far);
+    proto::FeedAnswer damaged = answerTo(abandoned, 4);
+    damaged.mutable_packed_content()->back() ^= 1;
+    cr_assert_not(deliver(feed, Near, damaged, at(ms + 680)).declaration.has_value());
+    cr_assert(feed.tick(at(ms + 1080)).reconnect == Far);
+}
+
 Test(registry_feed, ignoresOlderDeclaration)
 {
     RegistryFeed feed = makeFeed();
