Ask the registry at the regular interval while no process is up to date

Cause: an entry process asks the next registry process at once when an answer is not confirmed. Without a leader no answer is, so that each entry process sent a request in every tick, several times the usual load, to processes that were about to elect a leader. Change: the next process is asked at once only if there is one that did not fail recently; otherwise at the interval.

--- a/include/gentianramp/registry/registry_feed.hpp
+++ b/include/gentianramp/registry/registry_feed.hpp
@@ -94,6 +94,7 @@
     Duration currentAnswerTimeout() const;
     InstanceId chooseSource(TimePoint now);
     void avoidSource(const InstanceId &source, TimePoint now);
+    bool allSourcesAvoided(TimePoint now) const;
     std::optional<RawDeclaration> takeFirstDeclaration(TimePoint now);
     void logStale(const InstanceId &source, const proto::FeedAnswer &answer, TimePoint now);
 
--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -69,6 +69,12 @@
     m_nextRequestAt = now;
 }
 
+bool RegistryFeed::allSourcesAvoided(TimePoint now) const
+{
+    return std::all_of(m_sources.begin(), m_sources.end(),
+                       [&](const auto &entry) { return entry.second.avoidUntil > now; });
+}
+
 /// Current time-out of a request.
 Duration RegistryFeed::currentAnswerTimeout() const
 {
@@ -227,8 +233,11 @@
         || std::chrono::milliseconds(answer.confirmed_ms()) > m_options.maxConfirmationAge
         || answer.list_digest() == 0 || listAge > m_options.maxListAge;
     if (stale && isCurrent) {
+        const TimePoint regularRequestAt = m_nextRequestAt;
         logStale(sender, answer, now);
         avoidSource(sender, now);
+        if (allSourcesAvoided(now))
+            m_nextRequestAt = regularRequestAt;
     }
     return output;
 }
--- a/src/gentianramp/registry/registry_feed_test.cpp
+++ b/src/gentianramp/registry/registry_feed_test.cpp
@@ -207,6 +207,26 @@
     cr_assert(newer.declaration == (RawDeclaration{4, "declaration 4"}));
 }
 
+// Without a leader, all registry processes answered that they are not confirmed, and each entry
+// process asked one of them in every tick.
+Test(registry_feed, asksAtTheIntervalWhileNoProcessIsConfirmed)
+{
+    RegistryFeed feed = makeFeed();
+    const int start = runUntilStable(feed, 3);
+    int requests = 0;
+    for (int ms = start; ms < start + 5000; ms += 50) {
+        const FeedOutput output = feed.tick(at(ms));
+        if (!output.requestTo)
+            continue;
+        ++requests;
+        proto::FeedAnswer stale = answerTo(output, 3);
+        stale.set_confirmed_ms(5000);
+        deliver(feed, *output.requestTo, stale, at(ms + 5));
+    }
+    // One for each interval of 250 ms, and one more each time a process is no longer avoided.
+    cr_assert_leq(requests, 5000 / 250 + 2 * 5000 / 2000);
+}
+
 Test(registry_feed, lateDamagedAnswerDoesNotEndThePresentRequest)
 {
     RegistryFeed feed = makeFeed();
