Retry a founder's seat while its folder can't be prepared

What callers may have seen: with one voter less than planned, the next loss of one, which has to be borne, left no majority. Cause: a seed whose folder could not be prepared at the first start of the system, because its disk was full or refused the write, became a spare and never looked at the folder again. Since it also said that it takes no seat, so that nobody offered it one: the voter was missing for good. Change: a process whose folder is not usable tries it again at the usual interval.

--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -224,7 +224,7 @@
             takeFoundingSeat();
         if (!seat.empty())
             startLedger(now);
-        else
+        else if (storage.usable())
             nextFolderAttemptAt
                 = TimePoint::max(); // A spare opens no ledger until it takes a seat.
     }
--- /dev/null
+++ b/src/gentianramp/registry/registry_node_test.cpp
@@ -0,0 +1,112 @@
+#include <gentianramp/registry/registry_node.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <filesystem>
+#include <gentianramp/core/clock.hpp>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <netinet/in.h>
+
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+namespace asio = boost::asio;
+namespace fs = std::filesystem;
+
+namespace {
+
+constexpr int MaxAttempts = 200;
+constexpr Duration AttemptInterval = std::chrono::milliseconds(50);
+
+InstanceId freeAddress()
+{
+    const int handle = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    cr_assert_eq(bind(handle, reinterpret_cast<sockaddr *>(&address), size), 0);
+    getsockname(handle, reinterpret_cast<sockaddr *>(&address), &size);
+    close(handle);
+    return InstanceId("127.0.0.1:" + std::to_string(ntohs(address.sin_port)));
+}
+
+/// A folder that is removed with the object.
+struct TemporaryFolder
+{
+    TemporaryFolder()
+        : path(fs::temp_directory_path() / ("registry-node-" + std::to_string(getpid())))
+    {
+        fs::create_directories(path);
+    }
+    ~TemporaryFolder() { fs::remove_all(path); }
+    TemporaryFolder(const TemporaryFolder &) = delete;
+    TemporaryFolder &operator=(const TemporaryFolder &) = delete;
+
+    fs::path path;
+};
+
+RegistryOptions singleVoter(const fs::path &folder)
+{
+    RegistryOptions options;
+    options.self = freeAddress();
+    options.dataCentre = DataCentreId("a");
+    options.dataFolder = folder;
+    options.seeds = {options.self};
+    options.firstStart = true;
+    options.seats = 1;
+    options.listing
+        = [](std::string) -> asio::awaitable<Result<ListingPage>> { co_return ListingPage{}; };
+    return options;
+}
+
+asio::awaitable<bool> declareRepeatedly(RegistryNode &node, int attempts)
+{
+    for (int attempt = 0; attempt < attempts; ++attempt) {
+        RawDeclaration declaration{1, "content"};
+        const bool accepted = co_await node.declare(std::move(declaration));
+        if (accepted)
+            co_return true;
+        co_await sleepFor(AttemptInterval);
+    }
+    co_return false;
+}
+
+/// Whether a declaration was accepted before and after an obstacle was removed.
+struct Declared
+{
+    bool before = true;
+    bool after = false;
+};
+
+asio::awaitable<void> declareAroundRemoval(RegistryNode &node, fs::path obstacle, Declared &result,
+                                           asio::io_context &context)
+{
+    result.before = co_await declareRepeatedly(node, 3);
+    fs::remove(obstacle);
+    result.after = co_await declareRepeatedly(node, MaxAttempts);
+    context.stop();
+}
+
+} // namespace
+
+// A founder whose disk was full at the first start stayed without its seat for good.
+Test(registry_node, founderTakesItsSeatOnceItsFolderCanBeWritten)
+{
+    const TemporaryFolder folder;
+    // The folder can't be emptied, so that it can't be prepared.
+    const fs::path obstacle = folder.path / "obstacle";
+    fs::create_directory(obstacle);
+    asio::io_context context;
+    Declared result;
+    RegistryNode node(context.get_executor(), singleVoter(folder.path));
+    node.start();
+    asio::co_spawn(context, declareAroundRemoval(node, obstacle, result, context), asio::detached);
+    context.run();
+    cr_assert_not(result.before);
+    cr_assert(result.after);
+}
