Say that a folder takes a seat only once it can be written again

What callers may have seen: a voter that stayed missing although a spare was there. Cause: a process whose disk was full answered an offered seat by a failure, read its folder again 0.4 s later, which a full disk allows, and said again that it takes a seat. The leader prefers the last holder, so that this process was offered the seat again and again. Change: after a failure to prepare the folder, it counts as usable only after a block was written to it.

--- a/include/gentianramp/registry/seat_storage.hpp
+++ b/include/gentianramp/registry/seat_storage.hpp
@@ -38,6 +38,7 @@
     OpenFolderHook m_open;
     std::optional<DataFolder> m_folder;
     bool m_usable = false;
+    bool m_writeFailed = false; ///< The last attempt to prepare or to empty the folder failed.
 };
 
 } // namespace gentianramp
--- a/src/gentianramp/registry/seat_storage.cpp
+++ b/src/gentianramp/registry/seat_storage.cpp
@@ -4,6 +4,19 @@
 
 namespace gentianramp {
 
+namespace {
+
+constexpr const char *TrialFile = "trial";
+/// Takes a block of its own on the disk.
+constexpr std::size_t TrialBytes = 4096;
+
+bool isWritable(const DataFolder &folder)
+{
+    return !folder.replace(TrialFile, std::string(TrialBytes, '-')) && !folder.remove(TrialFile);
+}
+
+} // namespace
+
 SeatStorage::SeatStorage(std::filesystem::path path, OpenFolderHook open)
     : m_path(std::move(path))
     , m_open(std::move(open))
@@ -19,7 +32,10 @@
         m_folder = std::move(opened).value();
     }
     Result<std::string> seat = readSeat(*m_folder);
-    m_usable = static_cast<bool>(seat);
+    // A full disk can be read. Without a seat, nothing else is written before one is offered.
+    if (seat && seat->empty() && m_writeFailed)
+        m_writeFailed = !isWritable(*m_folder);
+    m_usable = seat && !m_writeFailed;
     return seat;
 }
 
@@ -28,6 +44,7 @@
     if (!m_folder)
         return make_error_code(Error::StorageFailed);
     const std::error_code error = prepareSeat(*m_folder, seat, founding, seed);
+    m_writeFailed = static_cast<bool>(error);
     m_usable = !error;
     return error;
 }
@@ -37,6 +54,7 @@
     if (!m_folder)
         return make_error_code(Error::StorageFailed);
     const std::error_code error = emptyFolder(*m_folder);
+    m_writeFailed = static_cast<bool>(error);
     m_usable = !error;
     return error;
 }
--- a/src/gentianramp/registry/seat_storage_test.cpp
+++ b/src/gentianramp/registry/seat_storage_test.cpp
@@ -76,6 +76,22 @@
     cr_assert_eq(storage.open().value(), "seat-2");
 }
 
+// A spare with a full disk was offered the vacant seat again and again, because its folder could be
+// read.
+Test(seat_storage, folderOnAFullDiskIsNotUsableAfterItIsReadAgain)
+{
+    LockedFolder disk;
+    SeatStorage storage("folder", disk.hook());
+    cr_assert(storage.open());
+    disk.memory.fault = DiskFault::FullDisk;
+    cr_assert(storage.prepare("seat-2", false, 7));
+    cr_assert_eq(storage.open().value(), "");
+    cr_assert_not(storage.usable());
+    disk.memory.fault = DiskFault::None;
+    cr_assert_eq(storage.open().value(), "");
+    cr_assert(storage.usable());
+}
+
 Test(seat_storage, anotherProcessKeepsTheFolder)
 {
     LockedFolder disk;
