Replace a connection on which a registry process is not heard

Cause: each direction between two processes has a connection of its own. One that is silent without a reset stays in use until its heartbeats fail, up to 4 s later, which is longer than the time after which machines have to reach each other again (Bounds.ContactMs). Entry processes ask for a new connection after an unanswered request; registry processes did not. Change: presence says when the sender last heard each process itself. A process that is heard, but has not been heard for 1.2 s, replaces its connection; one without that field is taken to hear. Three tests of MemberDirectory cover the decision.

--- a/include/gentianramp/registry/member_directory.hpp
+++ b/include/gentianramp/registry/member_directory.hpp
@@ -28,8 +28,9 @@
 struct KnownMember
 {
     InstanceId instance;
-    DataCentreId dataCentre; ///< Empty until known.
-    Duration contactAge{};   ///< Time since any process last heard it.
+    DataCentreId dataCentre;     ///< Empty until known.
+    Duration contactAge{};       ///< Time since any process last heard it.
+    Duration directContactAge{}; ///< Time since this process last heard it.
     bool operator==(const KnownMember &) const = default;
 };
 
@@ -47,6 +48,9 @@
     /// Records that another process last heard @p instance @p contactAge ago.
     void recordReport(const InstanceId &instance, const DataCentreId &dataCentre,
                       Duration contactAge, TimePoint now);
+    /// Records that @p instance last heard this process @p contactAge ago. True when the connection
+    /// to it has to be replaced, because it is silent: @p instance is heard but does not hear.
+    bool recordEcho(const InstanceId &instance, Duration contactAge, TimePoint now);
     /// Drops members that no process has heard for 60 s.
     void expire(TimePoint now);
 
@@ -68,6 +72,7 @@
         DataCentreId dataCentre;
         std::optional<RegistryMemberState> state; ///< Empty until the member was heard directly.
         TimePoint lastContactAt{};                ///< Last direct contact.
+        TimePoint connectedAt{};                  ///< When the connection to it was last replaced.
         TimePoint lastReportedAt{};               ///< Last contact of any process with the member.
     };
 
--- a/src/gentianramp/registry/member_directory.cpp
+++ b/src/gentianramp/registry/member_directory.cpp
@@ -12,6 +12,8 @@
 constexpr Duration ForgetTimeout = std::chrono::seconds(60);
 /// A leader sends its state three times per second and steps down after 1 s without a majority.
 constexpr Duration LeaderTimeout = std::chrono::milliseconds(1500);
+/// Several presence messages were lost on a connection that should have delivered them.
+constexpr Duration SilentConnectionTimeout = std::chrono::milliseconds(1200);
 constexpr Duration EntryCountTimeout = std::chrono::seconds(3);
 /// Entry processes that ask another registry process would be counted twice for longer.
 constexpr Duration DelaysTimeout = std::chrono::seconds(1);
@@ -35,6 +37,8 @@
         return;
     Member &member = m_members[instance];
     member.dataCentre = state.dataCentre;
+    if (!member.state)
+        member.connectedAt = now;
     member.state = std::move(state);
     member.lastContactAt = now;
     member.lastReportedAt = now;
@@ -51,6 +55,16 @@
     member.lastReportedAt = std::max(member.lastReportedAt, now - contactAge);
 }
 
+bool MemberDirectory::recordEcho(const InstanceId &instance, Duration contactAge, TimePoint now)
+{
+    const auto found = m_members.find(instance);
+    if (found == m_members.end() || contactAge < SilentConnectionTimeout
+        || now - found->second.connectedAt < SilentConnectionTimeout)
+        return false;
+    found->second.connectedAt = now;
+    return true;
+}
+
 void MemberDirectory::expire(TimePoint now)
 {
     std::erase_if(m_members, [&](const auto &entry) {
@@ -71,7 +85,8 @@
     std::vector<KnownMember> members;
     members.reserve(m_members.size());
     for (const auto &[instance, member] : m_members)
-        members.push_back({instance, member.dataCentre, now - member.lastReportedAt});
+        members.push_back(
+            {instance, member.dataCentre, now - member.lastReportedAt, now - member.lastContactAt});
     return members;
 }
 
--- a/src/gentianramp/registry/member_directory_test.cpp
+++ b/src/gentianramp/registry/member_directory_test.cpp
@@ -61,3 +61,33 @@
     directory.recordContact(C, {.entryProcessCount = 3}, at(5));
     cr_assert_eq(directory.entryProcessesElsewhere(at(6)), 3U);
 }
+
+// A process heard the leader, while the connection for its own messages to the leader was silent
+// until its heartbeats failed 4 s later.
+Test(member_directory, silentConnectionIsReplacedWhenThePeerDoesNotHear)
+{
+    using std::chrono::milliseconds;
+    MemberDirectory directory(A);
+    directory.recordContact(B, {.seat = "seat-1"}, at(0));
+    cr_assert_not(directory.recordEcho(B, milliseconds(300), at(5)));
+    cr_assert(directory.recordEcho(B, milliseconds(1300), at(6)));
+    // The new connection is given the same time.
+    cr_assert_not(directory.recordEcho(B, milliseconds(1600), at(6) + milliseconds(300)));
+    cr_assert(directory.recordEcho(B, milliseconds(2600), at(8)));
+}
+
+Test(member_directory, connectionIsKeptUntilANewMemberHadTimeToHear)
+{
+    MemberDirectory directory(A);
+    directory.recordContact(B, {.seat = "seat-1"}, at(0));
+    cr_assert_not(directory.recordEcho(B, std::chrono::hours(1), at(1)));
+}
+
+Test(member_directory, reportsDoNotCountAsDirectContact)
+{
+    MemberDirectory directory(A);
+    directory.recordContact(B, {.seat = "seat-1"}, at(0));
+    directory.recordReport(B, DataCentreId("z"), std::chrono::seconds(1), at(9));
+    cr_assert(directory.known(at(9)).front().contactAge == std::chrono::seconds(1));
+    cr_assert(directory.known(at(9)).front().directContactAge == std::chrono::seconds(9));
+}
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -561,6 +561,7 @@
             entry.set_instance(member.instance.value());
             entry.set_data_centre(member.dataCentre.value());
             entry.set_heard_ms(clampedMs(member.contactAge));
+            entry.set_contact_ms(clampedMs(member.directContactAge));
         }
     }
 
@@ -576,10 +577,23 @@
                                  .entryProcessCount = presence.entries(),
                                  .delays = fromProto(presence.delays())},
                                 now);
-        for (const proto::RegistryMember &member : presence.known())
+        for (const proto::RegistryMember &member : presence.known()) {
             directory.recordReport(InstanceId(member.instance()),
                                    DataCentreId(member.data_centre()),
                                    std::chrono::milliseconds(member.heard_ms()), now);
+            if (InstanceId(member.instance()) == options.self)
+                receiveEcho(sender, std::chrono::milliseconds(member.contact_ms()), now);
+        }
+    }
+
+    /// @p sender last heard this process @p contactAge ago.
+    void receiveEcho(const InstanceId &sender, Duration contactAge, TimePoint now)
+    {
+        if (!directory.recordEcho(sender, contactAge, now))
+            return;
+        logWarning("connection_silent",
+                   {{"peer", sender.value()}, {"contact_ms", toMilliseconds(contactAge)}});
+        link->reconnect(sender);
     }
 
     std::vector<LedgerSeat> ledgerSeats() const
