--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -25,7 +25,6 @@
     : m_options(std::move(options))
     , m_call(m_options.seed)
     , m_nextRequestAt(now)
-    , m_startedAt(now)
     , m_random(m_options.seed)
 {
     setSeeds(m_options.seeds);
@@ -70,6 +69,12 @@
     m_nextRequestAt = now;
 }
 
+bool RegistryFeed::allSourcesAvoided(TimePoint now) const
+{
+    return std::all_of(m_sources.begin(), m_sources.end(),
+                       [&](const auto &entry) { return entry.second.avoidUntil > now; });
+}
+
 /// Current time-out of a request.
 Duration RegistryFeed::currentAnswerTimeout() const
 {
@@ -85,7 +90,7 @@
     if (!m_unconfirmed)
         return std::nullopt;
     const bool confirmed = m_confirmedAt && now - *m_confirmedAt <= m_options.maxConfirmationAge;
-    if (!confirmed && now - m_startedAt < m_options.firstDeclarationTimeout)
+    if (!confirmed && now - m_unconfirmedSince < m_options.firstDeclarationTimeout)
         return std::nullopt;
     if (!confirmed)
         logWarning("declaration_unconfirmed", {{"number", m_unconfirmed->number}});
@@ -180,11 +185,14 @@
         if (!content) {
             logError("declaration_damaged",
                      {{"number", answer.number()}, {"reason", content.message()}});
-            avoidSource(sender, now);
+            if (isCurrent)
+                avoidSource(sender, now);
             return output;
         }
         RawDeclaration newer{answer.number(), std::move(content).value()};
         const bool isFirst = m_number == 0 || m_unconfirmed;
+        if (m_number == 0)
+            m_unconfirmedSince = now;
         m_number = answer.number();
         (isFirst ? m_unconfirmed : output.declaration) = std::move(newer);
     }
@@ -225,8 +233,11 @@
         || std::chrono::milliseconds(answer.confirmed_ms()) > m_options.maxConfirmationAge
         || answer.list_digest() == 0 || listAge > m_options.maxListAge;
     if (stale && isCurrent) {
+        const TimePoint regularRequestAt = m_nextRequestAt;
         logStale(sender, answer, now);
         avoidSource(sender, now);
+        if (allSourcesAvoided(now))
+            m_nextRequestAt = regularRequestAt;
     }
     return output;
 }
--- a/src/gentianramp/registry/registry_feed_test.cpp
+++ b/src/gentianramp/registry/registry_feed_test.cpp
@@ -189,6 +189,59 @@
     cr_assert(feed.tick(at(3050)).declaration == (RawDeclaration{3, "declaration 3"}));
 }
 
+// The time was counted from the start of the process, so that a process that reached nobody at
+// first took the first declaration that it got.
+Test(registry_feed, firstDeclarationWaitsForAMajorityThoughAnswersBeginLate)
+{
+    RegistryFeed feed = makeFeed();
+    FeedOutput output;
+    int ms = 0;
+    for (; ms <= 3500 || !output.requestTo; ms += 50)
+        output = feed.tick(at(ms));
+    proto::FeedAnswer unconfirmed = answerTo(output, 3);
+    unconfirmed.set_confirmed_ms(std::numeric_limits<std::uint32_t>::max());
+    cr_assert_not(deliver(feed, *output.requestTo, unconfirmed, at(ms)).declaration.has_value());
+    output = feed.tick(at(ms + 50));
+    cr_assert_not(output.declaration.has_value());
+    const FeedOutput newer = deliver(feed, *output.requestTo, answerTo(output, 4), at(ms + 55));
+    cr_assert(newer.declaration == (RawDeclaration{4, "declaration 4"}));
+}
+
+// Without a leader, all registry processes answered that they are not confirmed, and each entry
+// process asked one of them in every tick.
+Test(registry_feed, asksAtTheIntervalWhileNoProcessIsConfirmed)
+{
+    RegistryFeed feed = makeFeed();
+    const int start = runUntilStable(feed, 3);
+    int requests = 0;
+    for (int ms = start; ms < start + 5000; ms += 50) {
+        const FeedOutput output = feed.tick(at(ms));
+        if (!output.requestTo)
+            continue;
+        ++requests;
+        proto::FeedAnswer stale = answerTo(output, 3);
+        stale.set_confirmed_ms(5000);
+        deliver(feed, *output.requestTo, stale, at(ms + 5));
+    }
+    // One for each interval of 250 ms, and one more each time a process is no longer avoided.
+    cr_assert_leq(requests, 5000 / 250 + 2 * 5000 / 2000);
+}
+
+Test(registry_feed, lateDamagedAnswerDoesNotEndThePresentRequest)
+{
+    RegistryFeed feed = makeFeed();
+    const int ms = runUntilStable(feed, 3);
+    const FeedOutput abandoned = feed.tick(at(ms));
+    const FeedOutput output = feed.tick(at(ms + 410));
+    cr_assert(output.requestTo == Far);
+    deliver(feed, Far, answerTo(output, 3), at(ms + 415));
+    cr_assert(feed.tick(at(ms + 670)).requestTo == Far);
+    proto::FeedAnswer damaged = answerTo(abandoned, 4);
+    damaged.mutable_packed_content()->back() ^= 1;
+    cr_assert_not(deliver(feed, Near, damaged, at(ms + 680)).declaration.has_value());
+    cr_assert(feed.tick(at(ms + 1080)).reconnect == Far);
+}
+
 Test(registry_feed, ignoresOlderDeclaration)
 {
     RegistryFeed feed = makeFeed();
