Log voters that are missing, and wait longer for a confirmed first declaration

Cause: the voter that had locked itself out was missed by nobody until the next loss stopped the ledger; and after a last fault that took most of the core, processes count as in touch only after twice Bounds.ContactMs, so that an entry process may have taken an unconfirmed declaration while a leader was still being elected (review).

--- a/include/gentianramp/relay/relay_node.hpp
+++ b/include/gentianramp/relay/relay_node.hpp
@@ -21,7 +21,8 @@
     HttpAddress metricsAddress; ///< Port 0: metrics are not served.
     std::vector<InstanceId> seeds;
     Duration gracePeriod = std::chrono::seconds(8); ///< From SIGTERM until the process is killed.
-    Duration firstDeclarationTimeout = std::chrono::seconds(3); ///< See FeedOptions.
+    /// Time after a fault in which the processes have to reach each other again.
+    Duration contactTime = std::chrono::seconds(3);
     /// Parses a declaration in the form in which the registry stores it.
     std::function<Result<Declaration>(const RawDeclaration &)> parseDeclaration;
     RelayOptions relay;
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -88,6 +88,8 @@
 constexpr Duration LogFlushInterval = std::chrono::milliseconds(250);
 /// A longer interval between two iterations of the main loop is logged.
 constexpr Duration StallThreshold = std::chrono::milliseconds(500);
+/// A voter that restarts or is replaced is back earlier.
+constexpr Duration MissingVoterInterval = std::chrono::seconds(10);
 constexpr Duration EntryProcessTimeout = std::chrono::seconds(3);
 /// An entry process that asks another registry process would be counted twice for longer.
 constexpr Duration DelaysTimeout = std::chrono::seconds(1);
@@ -125,6 +127,18 @@
     ServiceDelays delays;
 };
 
+/// A seat without a voter, as the leader sees it.
+struct MissingVoter
+{
+    MissingVoter(TimePoint start, TimePoint reported)
+        : since(start)
+        , reportedAt(reported)
+    { }
+
+    TimePoint since;
+    TimePoint reportedAt;
+};
+
 /// A call to another process and its answer once received.
 struct WaitingCall
 {
@@ -659,6 +673,7 @@
         if (now < seatUpdatesAllowedAt)
             return;
         peers.push_back({options.self, options.dataCentre, seat, ledger->replica().identity(), {}});
+        reportMissingVoters(peers, now);
         const SeatChanges changes = assignSeats(ledgerSeats(), peers, lastHolders);
         for (const SeatChange &change : changes.offers) {
             logInfo("seat_offered", {{"seat", change.seat}, {"to", change.instance.value()}});
@@ -678,6 +693,27 @@
         }
     }
 
+    /// Callers notice nothing while a voter is missing, but the next loss may stop the ledger.
+    void reportMissingVoters(const std::vector<PeerStatus> &peers, TimePoint now)
+    {
+        for (const LedgerSeat &voter : ledgerSeats()) {
+            const PeerStatus *holder = holderOf(voter, peers);
+            const bool votes = holder && voter.admittedFolderId != 0
+                && holder->folderId == voter.admittedFolderId
+                && holder->contactAge <= EntryProcessTimeout;
+            if (votes) {
+                missingVoters.erase(voter.seat);
+                continue;
+            }
+            MissingVoter &missing = missingVoters.try_emplace(voter.seat, now, now).first->second;
+            if (now - missing.reportedAt < MissingVoterInterval)
+                continue;
+            missing.reportedAt = now;
+            logWarning("voter_missing",
+                       {{"seat", voter.seat}, {"for_ms", toMilliseconds(now - missing.since)}});
+        }
+    }
+
     void receiveOffer(const proto::SeatOffer &offer, TimePoint now)
     {
         if (!seat.empty() || !storage.usable()
@@ -1026,6 +1062,7 @@
     TimePoint ordersAllowedAt{};
     StageController stageController;
     std::map<std::string, InstanceId> lastHolders;
+    std::map<std::string, MissingVoter> missingVoters;
     std::uint64_t packedNumber = 0;
     std::string packed;
     ListingHistory history;
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -44,7 +44,7 @@
                 .seeds = options.seeds,
                 .seed = options.relay.seed,
                 .maxConfirmationAge = options.relay.maxDeclarationAge / 2,
-                .firstDeclarationTimeout = options.firstDeclarationTimeout},
+                .firstDeclarationTimeout = 2 * options.contactTime},
                RuntimeClock::now())
         , relay(executor, relayOptions())
     { }
