Continue a voter's log in a new file at each opening

What callers may see: a change that was acknowledged is missing after a loss of power, or a voter can't open its folder again. Cause: two ways in which a voter acknowledged entries on a log that was not durable. A process that was killed after it had renamed a new log and before it had synced the folder was restarted and appended to that log; a loss of power then undid the name. And after a sync that had failed, the log was opened again, with the bytes that had been left out still in memory; the next sync succeeded without them, and a loss of power left a hole before or in acknowledged entries. Change: LogStore::open() writes what it read into a new log file, which is synced with its name before anything is acknowledged, and removes the former files. Nothing truncates files any more. Tests: MemoryDataFolder undoes names without a sync of the folder and clears what a failed sync left out; the simulation kills processes besides machines.

--- a/include/gentianramp/ledger/data_folder.hpp
+++ b/include/gentianramp/ledger/data_folder.hpp
@@ -21,8 +21,6 @@
     /// Appends to an existing file; the bytes are durable only after sync().
     std::function<std::error_code(const std::string &name, std::string_view bytes)> append;
     std::function<std::error_code(const std::string &name)> sync;
-    /// Truncates the file to @p size bytes and syncs it.
-    std::function<std::error_code(const std::string &name, std::uint64_t size)> truncate;
     /// Replaces the file atomically: temporary file, sync, rename, sync of the folder.
     std::function<std::error_code(const std::string &name, std::string_view bytes)> replace;
     std::function<std::error_code(const std::string &name)> remove;
--- a/include/gentianramp/ledger/log_store.hpp
+++ b/include/gentianramp/ledger/log_store.hpp
@@ -11,10 +11,11 @@
 /// The ledger's files in a data folder.
 ///
 /// `snapshot-N` holds a snapshot and `log-G` the records after it; G grows with each snapshot and
-/// only the log with the largest G is read. A record is a frame of length, kind and XXH64 checksum
-/// around a PersistRecord. A corrupt frame at the end of the log is truncated, because a crash
-/// during a write leaves one. A corrupt frame before an intact one, a corrupt snapshot, and every
-/// failed write or sync are Error::StorageFailed, after which write() always fails.
+/// each opening, and only the log with the largest G is read. A record is a frame of length, kind
+/// and XXH64 checksum around a PersistRecord. A corrupt frame at the end of the log is left out,
+/// because a crash during a write leaves one. A corrupt frame before an intact one, a corrupt
+/// snapshot, and every failed write or sync are Error::StorageFailed, after which write() always
+/// fails.
 class LogStore
 {
 public:
@@ -22,7 +23,8 @@
 
     /// Prepares an empty folder for a voter that may take part in founding the ledger.
     std::error_code initialise(std::uint64_t seed);
-    /// Reads the folder, then increments and syncs its boot counter. An empty folder gets a new
+    /// Reads the folder, increments its boot counter and continues in a new log file, so that
+    /// nothing is acknowledged on what was read before it is durable. An empty folder gets a new
     /// identity from @p seed, which must differ between all folders.
     Result<StoredLog> open(std::uint64_t seed);
     /// Writes and syncs @p snapshot, if there is one, and then @p record.
--- a/src/gentianramp/ledger/data_folder.cpp
+++ b/src/gentianramp/ledger/data_folder.cpp
@@ -123,15 +123,6 @@
         return ::fdatasync(file->second.fd()) == 0 ? std::error_code{} : lastError();
     }
 
-    std::error_code truncate(const std::string &name, std::uint64_t size)
-    {
-        m_open.erase(name);
-        const Descriptor file(::open((m_path / name).c_str(), O_WRONLY | O_CLOEXEC));
-        if (!file.valid() || ::ftruncate(file.fd(), static_cast<off_t>(size)) != 0)
-            return lastError();
-        return ::fsync(file.fd()) == 0 ? std::error_code{} : lastError();
-    }
-
     std::error_code replace(const std::string &name, std::string_view bytes)
     {
         m_open.erase(name);
@@ -194,9 +185,6 @@
         return state->append(name, bytes);
     };
     operations.sync = [state](const std::string &name) { return state->sync(name); };
-    operations.truncate = [state](const std::string &name, std::uint64_t size) {
-        return state->truncate(name, size);
-    };
     operations.replace = [state](const std::string &name, std::string_view bytes) {
         return state->replace(name, bytes);
     };
--- a/src/gentianramp/ledger/ledger_simulation.cpp
+++ b/src/gentianramp/ledger/ledger_simulation.cpp
@@ -3,6 +3,7 @@
 #include "witness_table.hpp"
 
 #include <algorithm>
+#include <array>
 #include <gentianramp/core/invariant.hpp>
 
 namespace gentianramp::testing {
@@ -97,6 +98,13 @@
     m_voters[index]->disk.crash(m_random);
 }
 
+void LedgerSimulation::kill(std::size_t index)
+{
+    m_voters[index]->replica.reset();
+    m_voters[index]->store.reset();
+    m_voters[index]->disk.kill();
+}
+
 void LedgerSimulation::loseDisk(std::size_t index)
 {
     crash(index);
@@ -149,7 +157,7 @@
 {
     TestVoter &voter = *m_voters[index];
     if (!persist(index, output))
-        return crash(index);
+        return withProbability(0.5) ? crash(index) : kill(index);
     if (output.loadSnapshot) {
         check(!voter.configuration.restore(output.snapshot->state()), "a snapshot loads");
         voter.applied = output.snapshot->index();
@@ -343,7 +351,7 @@
     switch (std::uniform_int_distribution<int>(0, 9)(m_random)) {
     case 0:
         if (m_options.crashes)
-            crash(index);
+            withProbability(0.5) ? crash(index) : kill(index);
         break;
     case 1:
     case 2:
@@ -366,7 +374,7 @@
         break;
     case 7:
         if (m_options.diskFaults && voter.replica)
-            voter.disk.fault = withProbability(0.5) ? DiskFault::FailedSync : DiskFault::FullDisk;
+            voter.disk.fault = randomDiskFault();
         break;
     case 8:
         if (m_options.lostDisks && canLoseFolder(index))
@@ -482,6 +490,13 @@
     }
 }
 
+DiskFault LedgerSimulation::randomDiskFault()
+{
+    constexpr std::array Faults{DiskFault::FailedSync, DiskFault::FullDisk,
+                                DiskFault::FailedFolderSync};
+    return Faults[std::uniform_int_distribution<std::size_t>(0, Faults.size() - 1)(m_random)];
+}
+
 bool LedgerSimulation::withProbability(double share)
 {
     return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
--- a/src/gentianramp/ledger/ledger_simulation.hpp
+++ b/src/gentianramp/ledger/ledger_simulation.hpp
@@ -71,7 +71,10 @@
     void settle();
 
     void start(std::size_t voter);
+    /// The machine of the voter loses power.
     void crash(std::size_t voter);
+    /// The process of the voter ends, its machine runs on.
+    void kill(std::size_t voter);
     void loseDisk(std::size_t voter);
     /// Restarts the voter on the copy of its folder in `folderCopy`.
     void restoreCopy(std::size_t voter);
@@ -124,6 +127,7 @@
     void send(const ConfigurationProposal &proposal, std::size_t voter);
     /// Records @p what as a violation unless @p holds; the simulation continues.
     void check(bool holds, const std::string &what);
+    DiskFault randomDiskFault();
     bool withProbability(double share);
     std::size_t randomVoter();
 
--- a/src/gentianramp/ledger/log_store.cpp
+++ b/src/gentianramp/ledger/log_store.cpp
@@ -47,6 +47,16 @@
     log.entries.insert(log.entries.end(), record.entries().begin(), record.entries().end());
 }
 
+/// The record with which a log file that holds @p log starts.
+proto::PersistRecord fullRecord(const StoredLog &log)
+{
+    proto::PersistRecord record;
+    *record.mutable_hard_state() = log.hardState;
+    record.set_base_index(log.snapshot.index());
+    record.mutable_entries()->Add(log.entries.begin(), log.entries.end());
+    return record;
+}
+
 bool isContiguous(const StoredLog &log)
 {
     std::uint64_t next = log.snapshot.index() + 1;
@@ -85,14 +95,14 @@
     if (!loaded)
         return {fail(loaded.error()), loaded.message()};
     StoredLog log = std::move(loaded).value();
-    const bool empty = m_generation == 0;
-    if (empty)
+    if (m_generation == 0)
         log.hardState.set_identity(newIdentity(seed));
     log.hardState.set_boot(log.hardState.boot() + 1);
-    proto::PersistRecord record;
-    *record.mutable_hard_state() = log.hardState;
-    if (const std::error_code error = empty ? startLog(record) : write(std::nullopt, record))
-        return {error, "cannot write the boot counter to the log in the data folder"};
+    // What was read need not be durable: the log file may have got its name without a sync of the
+    // folder, and bytes that a failed sync left out can still be read. A new file is durable as a
+    // whole.
+    if (startLog(fullRecord(log)) || removeOld(log.snapshot.index()))
+        return {Error::StorageFailed, "cannot write a new log file in the data folder"};
     return log;
 }
 
@@ -141,13 +151,8 @@
     const Result<std::uint64_t> intactSize = replay(bytes.value(), log);
     if (!intactSize)
         return {intactSize.error(), intactSize.message()};
-    if (intactSize.value() < bytes->size()) {
+    if (intactSize.value() < bytes->size())
         logWarning("ledger.torn_tail", {{"bytes", bytes->size() - intactSize.value()}});
-        if (const std::error_code error
-            = m_folder.truncate(logName(m_generation), intactSize.value()))
-            return {error, "cannot truncate the incomplete record at the end of the log file"};
-    }
-    m_logBytes = intactSize.value();
     return log;
 }
 
--- a/src/gentianramp/ledger/log_store_test.cpp
+++ b/src/gentianramp/ledger/log_store_test.cpp
@@ -44,6 +44,22 @@
     return log->entries.size();
 }
 
+std::uint64_t lastIndexOnDisk(const MemoryDataFolder &disk)
+{
+    MemoryDataFolder copy = disk;
+    LogStore store(copy.disk());
+    const Result<StoredLog> log = store.open(2);
+    cr_assert(log, "%s", log.message().c_str());
+    return log->entries.empty() ? log->snapshot.index() : log->entries.back().index();
+}
+
+void writeAfterRestart(MemoryDataFolder &disk, std::uint64_t index)
+{
+    LogStore store(disk.disk());
+    cr_assert(store.open(2));
+    cr_assert_not(store.write(std::nullopt, recordWith(index, "acknowledged")));
+}
+
 std::error_code openError(MemoryDataFolder &disk)
 {
     LogStore store(disk.disk());
@@ -155,6 +171,90 @@
     cr_assert_eq(entriesOnDisk(disk), 3);
 }
 
+Test(LogStore, EntriesSurviveACrashAfterASnapshotWasNamedWithoutSync)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        MemoryDataFolder disk = filledDisk();
+        {
+            LogStore store(disk.disk());
+            cr_assert(store.open(2));
+            disk.fault = DiskFault::FailedFolderSync;
+            proto::LedgerSnapshot snapshot;
+            snapshot.set_index(3);
+            proto::PersistRecord record;
+            record.mutable_hard_state()->set_identity(9);
+            record.set_base_index(3);
+            cr_assert(store.write(snapshot, record));
+            disk.kill();
+        }
+        writeAfterRestart(disk, 4);
+        std::mt19937_64 random(seed);
+        disk.crash(random);
+        cr_assert_eq(lastIndexOnDisk(disk), 4, "seed %lu", static_cast<unsigned long>(seed));
+    }
+}
+
+// A process was killed between the renaming of a new log and the sync of the folder; its successor
+// acknowledged entries that it had appended to that log, whose name a loss of power undid.
+Test(LogStore, EntriesSurviveACrashAfterANewLogWasNamedWithoutSync)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        MemoryDataFolder disk = filledDisk();
+        proto::LedgerSnapshot snapshot;
+        snapshot.set_index(3);
+        proto::PersistRecord record;
+        record.mutable_hard_state()->set_identity(9);
+        record.set_base_index(3);
+        DataFolder hooks = disk.disk();
+        hooks.replace
+            = [&disk, replace = hooks.replace](const std::string &name, std::string_view bytes) {
+                  if (name.starts_with("log-") && name != FirstLog)
+                      disk.fault = DiskFault::FailedFolderSync;
+                  return replace(name, bytes);
+              };
+        {
+            LogStore store(hooks);
+            store.open(2);
+            store.write(snapshot, record);
+            disk.kill();
+        }
+        const std::size_t last = lastIndexOnDisk(disk);
+        writeAfterRestart(disk, last + 1);
+        std::mt19937_64 random(seed);
+        disk.crash(random);
+        cr_assert_eq(lastIndexOnDisk(disk), last + 1, "seed %lu", static_cast<unsigned long>(seed));
+    }
+}
+
+// A sync failed, the log was opened again and read from memory, and a later sync succeeded without
+// the bytes that the first one had left out.
+Test(LogStore, EntriesSurviveACrashAfterAnEarlierSyncFailed)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        MemoryDataFolder disk = filledDisk();
+        {
+            LogStore store(disk.disk());
+            cr_assert(store.open(2));
+            disk.fault = DiskFault::FailedSync;
+            cr_assert(store.write(std::nullopt, recordWith(4, "not synced")));
+            disk.kill();
+        }
+        const std::size_t last = lastIndexOnDisk(disk);
+        writeAfterRestart(disk, last + 1);
+        std::mt19937_64 random(seed);
+        disk.crash(random);
+        cr_assert_eq(lastIndexOnDisk(disk), last + 1, "seed %lu", static_cast<unsigned long>(seed));
+    }
+}
+
+Test(LogStore, KeepsOneLogAndItsSnapshot)
+{
+    MemoryDataFolder disk = filledDisk();
+    for (int restart = 0; restart < 3; ++restart)
+        cr_assert_eq(entriesOnDisk(disk), 3);
+    cr_assert_eq(disk.files.size(), 1);
+}
+
 Test(LogStore, OpensARealFolderOnlyOnce)
 {
     const std::filesystem::path folder = std::filesystem::temp_directory_path()
--- a/src/gentianramp/ledger/memory_data_folder.cpp
+++ b/src/gentianramp/ledger/memory_data_folder.cpp
@@ -1,5 +1,7 @@
 #include "memory_data_folder.hpp"
 
+#include <algorithm>
+
 namespace gentianramp::testing {
 
 namespace {
@@ -22,6 +24,56 @@
     return {};
 }
 
+std::error_code syncFile(MemoryDataFolder &disk, const std::string &name)
+{
+    MemoryFile &file = disk.files.at(name);
+    if (disk.fault == DiskFault::FailedSync) {
+        file.lost.push_back({file.synced, file.bytes.size()});
+        return ioError();
+    }
+    file.synced = file.bytes.size();
+    return {};
+}
+
+/// Gives @p name the content @p file, or removes it, and syncs the folder.
+std::error_code changeName(MemoryDataFolder &disk, const std::string &name,
+                           std::optional<MemoryFile> file)
+{
+    const auto found = disk.files.find(name);
+    UnsyncedName change{.name = name};
+    if (found != disk.files.end())
+        change.before = found->second;
+    disk.unsyncedNames.push_back(std::move(change));
+    if (file)
+        disk.files[name] = std::move(*file);
+    else
+        disk.files.erase(name);
+    if (disk.fault == DiskFault::FailedFolderSync)
+        return ioError();
+    disk.unsyncedNames.clear();
+    return {};
+}
+
+void undo(MemoryFiles &files, UnsyncedName change)
+{
+    if (change.before)
+        files[change.name] = std::move(*change.before);
+    else
+        files.erase(change.name);
+}
+
+void loseUnsynced(MemoryFile &file, std::mt19937_64 &random)
+{
+    std::uniform_int_distribution<std::size_t> kept(file.synced, file.bytes.size());
+    file.bytes.resize(kept(random));
+    file.synced = file.bytes.size();
+    for (const ByteRange &range : std::exchange(file.lost, {})) {
+        const std::size_t end = std::min(range.end, file.bytes.size());
+        if (std::bernoulli_distribution(0.5)(random) && range.begin < end)
+            file.bytes.replace(range.begin, end - range.begin, end - range.begin, '\0');
+    }
+}
+
 } // namespace
 
 DataFolder MemoryDataFolder::disk()
@@ -42,38 +94,29 @@
     hooks.append = [this](const std::string &name, std::string_view bytes) {
         return appendTo(*this, name, bytes);
     };
-    hooks.sync = [this](const std::string &name) {
-        if (fault == DiskFault::FailedSync)
-            return ioError();
-        files.at(name).synced = files.at(name).bytes.size();
-        return std::error_code{};
-    };
-    hooks.truncate = [this](const std::string &name, std::uint64_t size) {
-        files.at(name).bytes.resize(size);
-        files.at(name).synced = size;
-        return std::error_code{};
-    };
+    hooks.sync = [this](const std::string &name) { return syncFile(*this, name); };
     hooks.replace = [this](const std::string &name, std::string_view bytes) {
-        if (fault != DiskFault::None)
+        if (fault != DiskFault::None && fault != DiskFault::FailedFolderSync)
             return ioError();
-        files[name] = {.bytes = std::string(bytes), .synced = bytes.size()};
-        return std::error_code{};
-    };
-    hooks.remove = [this](const std::string &name) {
-        files.erase(name);
-        return std::error_code{};
+        return changeName(*this, name,
+                          MemoryFile{.bytes = std::string(bytes), .synced = bytes.size()});
     };
+    hooks.remove
+        = [this](const std::string &name) { return changeName(*this, name, std::nullopt); };
     return hooks;
 }
 
 void MemoryDataFolder::crash(std::mt19937_64 &random)
 {
     fault = DiskFault::None;
-    for (auto &[name, file] : files) {
-        std::uniform_int_distribution<std::size_t> kept(file.synced, file.bytes.size());
-        file.bytes.resize(kept(random));
-        file.synced = file.bytes.size();
+    std::uniform_int_distribution<std::size_t> undone(0, unsyncedNames.size());
+    for (std::size_t count = undone(random); count > 0; --count) {
+        undo(files, std::move(unsyncedNames.back()));
+        unsyncedNames.pop_back();
     }
+    unsyncedNames.clear();
+    for (auto &[name, file] : files)
+        loseUnsynced(file, random);
 }
 
 } // namespace gentianramp::testing
