Remove the seat first when a folder is emptied

What callers may see: a registry process that never gets back its vote; with the next loss no change is acknowledged. Such a seat is refused at each start, and its folder is not offered another one. Change: the name of the seat is removed first; without it the folder is one of a spare and is prepared anew. Test: the folder is left after each number of removals; with the former order it kept its seat after the first one.

--- a/src/gentianramp/registry/voter_folder.cpp
+++ b/src/gentianramp/registry/voter_folder.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-// Written last, so that a folder without it is known to be prepared incompletely.
+// Written last and removed first, so that a folder without it is known to be incomplete.
 constexpr const char *SeatFile = "seat";
 
 } // namespace
@@ -24,10 +24,13 @@
 
 std::error_code emptyFolder(const DataFolder &dataFolder)
 {
-    const Result<std::vector<std::string>> names = dataFolder.list();
-    if (!names)
-        return names.error();
-    for (const std::string &name : *names) {
+    Result<std::vector<std::string>> listed = dataFolder.list();
+    if (!listed)
+        return listed.error();
+    std::vector<std::string> names = std::move(listed).value();
+    std::partition(names.begin(), names.end(),
+                   [](const std::string &name) { return name == SeatFile; });
+    for (const std::string &name : names) {
         if (const std::error_code error = dataFolder.remove(name))
             return error;
     }
