Date a confirmation by the voter's own answer, not by the arrival of a message

Cause: the leader tells its followers the age of the last confirmation by a majority. A follower counted it back from the arrival of the message, so that changes accepted while the message was on its way, or waited at a process that was paused, counted as known there. Change: the message names the newest answer of the receiver and the time since its receipt; the receiver knows when it sent that answer, which was before, and counts from there. A confirmation is now too old by the way of an answer, never too new. A test of the replica has a message of 8 s. The simulation also cuts links in one direction, for a while or until the end of a schedule, and checks that a majority whose members reach each other and admit each other's folders has a leader within 8 elections (8 * 2 * election time-out + heartbeat interval), which then confirms a read and accepts a change.

--- a/src/gentianramp/ledger/ledger_simulation.cpp
+++ b/src/gentianramp/ledger/ledger_simulation.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <gentianramp/core/invariant.hpp>
 
 namespace gentianramp::testing {
@@ -17,6 +18,9 @@
 constexpr Duration MessageLifetime = 1s;
 constexpr Duration SettleTime = 60s;
 constexpr std::size_t CompactAfter = 20;
+/// Elections within which a connected majority has to have a leader that stays in office. Messages
+/// take up to 0.4 s here, so that elections with split votes are frequent.
+constexpr int MaxElections = 8;
 
 StoredLog loadStoredLog(const MemoryDataFolder &disk)
 {
@@ -128,7 +132,9 @@
 void LedgerSimulation::deliver(const MessageInTransit &inTransit)
 {
     TestVoter &voter = *m_voters[inTransit.to];
-    if (!voter.replica || m_isolated[inTransit.from] != m_isolated[inTransit.to])
+    const std::pair link(inTransit.from, inTransit.to);
+    if (!voter.replica || m_isolated[inTransit.from] != m_isolated[inTransit.to]
+        || m_cutLinks.contains(link) || m_lastingCuts.contains(link))
         return;
     if (voter.paused) {
         voter.deferred.push_back({m_now, m_voters[inTransit.from]->instance, inTransit.message});
@@ -183,6 +189,7 @@
                 m_network.emplace(m_now + std::chrono::milliseconds(delay(m_random)), inTransit);
         }
     }
+    checkConfirmation(index);
     compactIfDue(index);
 }
 
@@ -232,6 +239,7 @@
         command.first = answer;
         if (answer.outcome == CommandOutcome::Accepted) {
             ++m_accepted;
+            m_acceptedAt.push_back(m_now);
             check(answer.revision.value() == m_highestAccepted + 1,
                   "each accepted command raises the revision by one");
             m_highestAccepted = answer.revision.value();
@@ -250,6 +258,78 @@
     check(known->second == name, "a term has one leader");
 }
 
+void LedgerSimulation::checkConfirmation(std::size_t index)
+{
+    const TestVoter &voter = *m_voters[index];
+    const std::optional<TimePoint> confirmed = voter.replica->confirmedAt();
+    if (!confirmed)
+        return;
+    const auto before = std::lower_bound(m_acceptedAt.begin(), m_acceptedAt.end(), *confirmed);
+    check(voter.configuration.revision().value()
+              >= static_cast<std::uint64_t>(before - m_acceptedAt.begin()),
+          "every command accepted before confirmedAt() is applied");
+}
+
+bool LedgerSimulation::connected(std::size_t first, std::size_t second) const
+{
+    const auto isolated = [this](std::size_t voter) {
+        const auto found = m_isolated.find(voter);
+        return found != m_isolated.end() && found->second;
+    };
+    const auto cut = [this](std::pair<std::size_t, std::size_t> link) {
+        return m_cutLinks.contains(link) || m_lastingCuts.contains(link);
+    };
+    return isolated(first) == isolated(second) && !cut({first, second}) && !cut({second, first});
+}
+
+/// True when a majority of voters runs, all of them reach each other in both directions, and each
+/// of their logs admits the folders of all of them.
+bool LedgerSimulation::majorityConnected() const
+{
+    const auto accepts = [this](std::size_t voter, std::size_t other) {
+        const TestVoter &first = *m_voters[voter];
+        const TestVoter &second = *m_voters[other];
+        if (!first.replica || !second.replica || first.paused || second.paused)
+            return false;
+        // Its votes count no more, although logs still admit it.
+        if (first.rolledBackIdentity == first.replica->identity())
+            return false;
+        return connected(voter, other)
+            && first.replica->voters()[other].identity == second.replica->identity();
+    };
+    for (unsigned members = 0; members < 1U << m_voters.size(); ++members) {
+        bool fits = static_cast<std::size_t>(std::popcount(members)) > m_voters.size() / 2;
+        for (std::size_t i = 0; i < m_voters.size(); ++i) {
+            for (std::size_t j = 0; j < m_voters.size(); ++j) {
+                const bool bothMembers = (members >> i & 1U) != 0 && (members >> j & 1U) != 0;
+                fits = fits && (!bothMembers || accepts(i, j));
+            }
+        }
+        if (fits)
+            return true;
+    }
+    return false;
+}
+
+void LedgerSimulation::checkLiveness()
+{
+    for (auto &voter : m_voters)
+        voter->disk.fault = DiskFault::None;
+    if (!majorityConnected())
+        return;
+    ++m_livenessChecks;
+    const double dropShare = std::exchange(m_options.dropShare, 0);
+    const ReplicaOptions timeOuts;
+    run(MaxElections * 2 * timeOuts.electionTimeout + timeOuts.heartbeatInterval);
+    const auto elected = leader();
+    check(elected.has_value(), "a connected majority elects a leader");
+    const std::string command = propose("configuration of a connected majority");
+    const bool confirmed = elected && confirmsRead(*elected);
+    check(!elected || confirmed, "the leader of a connected majority confirms a read");
+    check(!elected || accepted(command), "the leader of a connected majority accepts a change");
+    m_options.dropShare = dropShare;
+}
+
 void LedgerSimulation::compactIfDue(std::size_t index)
 {
     TestVoter &voter = *m_voters[index];
@@ -305,6 +385,9 @@
 
 void LedgerSimulation::runSchedule()
 {
+    std::uniform_int_distribution<std::size_t> lastingCuts(0, m_voters.size() / 2);
+    for (std::size_t cuts = m_options.oneWayCuts ? lastingCuts(m_random) : 0; cuts > 0; --cuts)
+        cutRandomLink(m_lastingCuts);
     for (int step = 0; step < m_options.steps; ++step) {
         run(TickInterval);
         if (withProbability(0.15))
@@ -315,6 +398,8 @@
             randomRead();
         if (withProbability(0.06))
             randomFault();
+        if (withProbability(0.003))
+            checkLiveness();
     }
 }
 
@@ -348,7 +433,7 @@
 {
     const std::size_t index = randomVoter();
     TestVoter &voter = *m_voters[index];
-    switch (std::uniform_int_distribution<int>(0, 9)(m_random)) {
+    switch (std::uniform_int_distribution<int>(0, 11)(m_random)) {
     case 0:
         if (m_options.crashes)
             withProbability(0.5) ? crash(index) : kill(index);
@@ -371,6 +456,7 @@
         break;
     case 6:
         m_isolated.clear();
+        m_cutLinks.clear();
         break;
     case 7:
         if (m_options.diskFaults && voter.replica)
@@ -380,6 +466,11 @@
         if (m_options.lostDisks && canLoseFolder(index))
             loseDisk(index);
         break;
+    case 9:
+    case 10:
+        if (m_options.oneWayCuts)
+            cutRandomLink(m_cutLinks);
+        break;
     default:
         if (m_options.staleDisks && withProbability(0.5))
             voter.folderCopy = voter.disk.files;
@@ -389,6 +480,14 @@
     }
 }
 
+void LedgerSimulation::cutRandomLink(std::set<std::pair<std::size_t, std::size_t>> &links)
+{
+    const std::size_t from = randomVoter();
+    const std::size_t to = randomVoter();
+    if (from != to)
+        links.insert({from, to});
+}
+
 /// True when the ledger can recover from the loss of this folder: a majority of folders remains,
 /// each admitted in the logs of a majority. Otherwise the ledger stops for good, as designed.
 bool LedgerSimulation::canLoseFolder(std::size_t index) const
@@ -471,6 +570,8 @@
 void LedgerSimulation::settle()
 {
     m_isolated.clear();
+    m_cutLinks.clear();
+    m_lastingCuts.clear();
     m_options.dropShare = 0;
     for (std::size_t i = 0; i < m_voters.size(); ++i) {
         m_voters[i]->paused = false;
--- a/src/gentianramp/ledger/ledger_simulation.hpp
+++ b/src/gentianramp/ledger/ledger_simulation.hpp
@@ -10,6 +10,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace gentianramp::testing {
@@ -24,6 +25,8 @@
     bool crashes = true;
     bool pauses = true;
     bool partitions = true;
+    /// Links that lose all messages in one direction: a few until settle(), others for a while.
+    bool oneWayCuts = true;
     bool lostDisks = false;
     bool staleDisks = false;
     bool diskFaults = true;
@@ -88,12 +91,17 @@
     void setIsolated(std::size_t voter, bool isolated) { m_isolated[voter] = isolated; }
     /// Index of the running leader of the highest term.
     std::optional<std::size_t> leader() const;
+    /// Loses all messages from one voter to the other until mendLink() is called.
+    void cutLink(std::size_t from, std::size_t to) { m_cutLinks.insert({from, to}); }
+    void mendLink(std::size_t from, std::size_t to) { m_cutLinks.erase({from, to}); }
     /// Proposes on the leader's current revision; returns the command id.
     std::string propose(const std::string &configuration);
     bool accepted(const std::string &command) const;
     TestVoter &voter(std::size_t index) { return *m_voters[index]; }
     const std::vector<std::string> &violations() const { return m_violations; }
     std::size_t acceptedCount() const { return m_accepted; }
+    /// Number of times that a majority was connected and had to elect a leader.
+    std::size_t livenessChecks() const { return m_livenessChecks; }
 
 private:
     struct MessageInTransit
@@ -114,6 +122,13 @@
     void checkState(std::size_t voter);
     void checkAnswer(const std::string &command, const CommandAnswer &answer);
     void checkLeader(std::size_t voter);
+    void checkConfirmation(std::size_t voter);
+    /// If a majority is connected, keeps the faults as they are for a bounded time and checks that
+    /// a leader then confirms a read and accepts a change.
+    void checkLiveness();
+    bool connected(std::size_t first, std::size_t second) const;
+    bool majorityConnected() const;
+    void cutRandomLink(std::set<std::pair<std::size_t, std::size_t>> &links);
     void compactIfDue(std::size_t voter);
     void deliver(const MessageInTransit &inTransit);
     void tickAll();
@@ -137,9 +152,11 @@
     std::vector<std::unique_ptr<TestVoter>> m_voters;
     std::multimap<TimePoint, MessageInTransit> m_network;
     std::map<std::size_t, bool> m_isolated;
-    std::map<std::uint64_t, std::string> m_leaders;   ///< Instance by term.
-    std::map<std::uint64_t, std::string> m_committed; ///< Entry bytes by index.
-    std::map<std::uint64_t, std::string> m_states;    ///< State bytes by index.
+    std::set<std::pair<std::size_t, std::size_t>> m_cutLinks;    ///< Sender and receiver.
+    std::set<std::pair<std::size_t, std::size_t>> m_lastingCuts; ///< Until settle().
+    std::map<std::uint64_t, std::string> m_leaders;              ///< Instance by term.
+    std::map<std::uint64_t, std::string> m_committed;            ///< Entry bytes by index.
+    std::map<std::uint64_t, std::string> m_states;               ///< State bytes by index.
     std::map<std::string, Command> m_commands;
     std::vector<std::string> m_commandOrder;
     std::map<std::uint64_t, std::uint64_t> m_reads; ///< Lowest revision allowed by read id.
@@ -147,6 +164,8 @@
     std::uint64_t m_highestAccepted = 0;
     std::uint64_t m_nextRead = 1;
     std::size_t m_accepted = 0;
+    std::vector<TimePoint> m_acceptedAt; ///< In the order of revisions.
+    std::size_t m_livenessChecks = 0;
     std::vector<std::string> m_violations;
 };
 
--- a/src/gentianramp/ledger/replica_follower.cpp
+++ b/src/gentianramp/ledger/replica_follower.cpp
@@ -9,7 +9,7 @@
                                           const proto::LedgerMessage &message)
 {
     const proto::AppendRequest &request = message.append_request();
-    if (!followLeader(from, message))
+    if (!followLeader(from, message, request.probe()))
         return answerAppend(from, false, log.lastIndex(), request.probe());
     if (!logsMatchAt(request.prev_index(), request.prev_term())) {
         const bool beyond = request.prev_index() > log.lastIndex();
@@ -22,9 +22,8 @@
         witnesses.recordAcknowledgement(from, peers[from].incarnation, hard.term(), match,
                                         request.commit());
     advanceCommit(std::min(request.commit(), match));
-    noteConfirmation(request.commit(),
-                     request.has_confirmed_ms() ? std::optional(request.confirmed_ms())
-                                                : std::nullopt);
+    if (request.has_confirmation())
+        noteConfirmation(request.commit(), request.confirmation());
     answerAppend(from, true, match, request.probe());
 }
 
@@ -32,7 +31,7 @@
                                             const proto::LedgerMessage &message)
 {
     const proto::SnapshotRequest &request = message.snapshot_request();
-    if (!followLeader(from, message))
+    if (!followLeader(from, message, request.probe()))
         return answerAppend(from, false, log.lastIndex(), request.probe());
     if (request.snapshot().index() > commit) {
         log.install(request.snapshot());
@@ -42,25 +41,48 @@
         output.loadSnapshot = true;
         output.committed.clear();
     }
-    noteConfirmation(request.commit(),
-                     request.has_confirmed_ms() ? std::optional(request.confirmed_ms())
-                                                : std::nullopt);
+    if (request.has_confirmation())
+        noteConfirmation(request.commit(), request.confirmation());
     answerAppend(from, true, request.snapshot().index(), request.probe());
 }
 
+/// Remembers when a round was first answered, until the leader has answers to newer ones.
+void Replica::State::noteAnswer(std::uint64_t requestRound)
+{
+    if (answersTerm != hard.term()) {
+        answersTerm = hard.term();
+        answers.clear();
+    }
+    // A request that was delayed may be answered a second time.
+    if (answers.empty() || requestRound > answers.rbegin()->first)
+        answers.emplace(requestRound, now);
+}
+
 /// Notes when a majority confirmed the leader, unless entries that it had committed are missing
-/// here: the leader's message alone does not show that this voter is up to date.
+/// here: the leader's message alone does not show that this voter is up to date. The time that the
+/// message needed is unknown, so that its arrival says nothing: the leader sent it `answered_ms` or
+/// more after the answer that it names had been sent from here.
 void Replica::State::noteConfirmation(std::uint64_t leaderCommit,
-                                      std::optional<std::uint32_t> ageMs)
+                                      const proto::Confirmation &confirmation)
 {
-    if (!ageMs || commit < leaderCommit)
+    const auto answer = answers.find(confirmation.answered_probe());
+    if (answer == answers.end() || confirmation.answered_session() != session)
+        return;
+    answers.erase(answers.begin(), answer);
+    std::erase_if(answers, [&](const auto &each) {
+        return each.first != answer->first && each.first != answers.rbegin()->first
+            && now - each.second > options.electionTimeout;
+    });
+    if (commit < leaderCommit)
         return;
-    const TimePoint at = now - std::chrono::milliseconds(*ageMs);
+    const TimePoint at = answer->second + std::chrono::milliseconds(confirmation.answered_ms())
+        - std::chrono::milliseconds(confirmation.age_ms());
     confirmedAt = std::max(confirmedAt.value_or(at), at);
 }
 
 /// Accepts @p from as leader of the current term; false when the message is from an older term.
-bool Replica::State::followLeader(const std::string &from, const proto::LedgerMessage &message)
+bool Replica::State::followLeader(const std::string &from, const proto::LedgerMessage &message,
+                                  std::uint64_t requestRound)
 {
     if (message.term() < hard.term())
         return false;
@@ -71,6 +93,7 @@
     leader = from;
     leaderContact = now;
     resetElectionTimer();
+    noteAnswer(requestRound);
     return true;
 }
 
--- a/src/gentianramp/ledger/replica_leader.cpp
+++ b/src/gentianramp/ledger/replica_leader.cpp
@@ -49,8 +49,8 @@
     request.set_prev_term(*prevTerm);
     request.set_commit(commit);
     request.set_probe(round);
-    if (const auto ageMs = confirmationAgeMs())
-        request.set_confirmed_ms(*ageMs);
+    if (const auto confirmation = confirmationFor(peer))
+        *request.mutable_confirmation() = *confirmation;
     std::size_t bytes = 0;
     while (peer.next <= log.lastIndex()
            && static_cast<std::size_t>(request.entries_size()) < options.maxEntriesPerMessage) {
@@ -77,8 +77,8 @@
     *request.mutable_snapshot() = log.snapshot();
     request.set_commit(commit);
     request.set_probe(round);
-    if (const auto ageMs = confirmationAgeMs())
-        request.set_confirmed_ms(*ageMs);
+    if (const auto confirmation = confirmationFor(peer))
+        *request.mutable_confirmation() = *confirmation;
     send(to, std::move(message));
 }
 
@@ -163,6 +163,7 @@
     if (answered <= peer.round)
         return;
     peer.round = answered;
+    peer.roundAnsweredAt = now;
     if (const auto sent = roundTimes.find(answered); sent != roundTimes.end())
         peer.roundSentAt = sent->second;
 }
@@ -190,15 +191,23 @@
     return confirmedAt;
 }
 
-/// Age of the last confirmation for followers; empty until an entry of the own term is committed,
-/// since earlier leaders may have committed more than this one knows.
-std::optional<std::uint32_t> Replica::State::confirmationAgeMs() const
+std::optional<proto::Confirmation> Replica::State::confirmationFor(const PeerState &peer) const
 {
     const std::optional<TimePoint> confirmed = lastConfirmation();
-    if (!confirmed || !committedOwnTerm())
+    if (!confirmed || !committedOwnTerm() || peer.round == 0)
         return std::nullopt;
-    return static_cast<std::uint32_t>(std::min<std::int64_t>(
-        toMilliseconds(now - *confirmed), std::numeric_limits<std::uint32_t>::max()));
+    const auto clamped = [](std::chrono::milliseconds age) {
+        return static_cast<std::uint32_t>(
+            std::min<std::int64_t>(age.count(), std::numeric_limits<std::uint32_t>::max()));
+    };
+    proto::Confirmation confirmation;
+    confirmation.set_age_ms(
+        clamped(std::chrono::ceil<std::chrono::milliseconds>(now - *confirmed)));
+    confirmation.set_answered_probe(peer.round);
+    confirmation.set_answered_session(peer.incarnation.session);
+    confirmation.set_answered_ms(
+        clamped(std::chrono::floor<std::chrono::milliseconds>(now - peer.roundAnsweredAt)));
+    return confirmation;
 }
 
 /// Appends the next entry that retires or admits a data folder. Each such entry is appended only
--- a/src/gentianramp/ledger/replica_state.hpp
+++ b/src/gentianramp/ledger/replica_state.hpp
@@ -14,11 +14,12 @@
 {
     VoterIncarnation incarnation;
     std::optional<TimePoint> lastContact;
-    TimePoint roundSentAt{};    ///< Time at which `round` was broadcast.
-    std::uint64_t next = 1;     ///< Index of the next entry to send.
-    std::uint64_t match = 0;    ///< Last index up to which its log is known to agree.
-    std::uint64_t round = 0;    ///< Newest broadcast round that it answered.
-    TimePoint snapshotSentAt{}; ///< Repeated only after an election timeout.
+    TimePoint roundSentAt{};     ///< Time at which `round` was broadcast.
+    std::uint64_t next = 1;      ///< Index of the next entry to send.
+    std::uint64_t match = 0;     ///< Last index up to which its log is known to agree.
+    std::uint64_t round = 0;     ///< Newest broadcast round that it answered.
+    TimePoint roundAnsweredAt{}; ///< Time at which that answer was received.
+    TimePoint snapshotSentAt{};  ///< Repeated only after an election timeout.
 };
 
 /// A read that waits until a majority has answered its broadcast round or a later one.
@@ -97,7 +98,9 @@
     void noteAnsweredRound(PeerState &peer, std::uint64_t answered);
     std::optional<TimePoint> lastConfirmation() const;
     std::optional<TimePoint> currentConfirmation() const;
-    std::optional<std::uint32_t> confirmationAgeMs() const;
+    /// What followers are told of lastConfirmation(); empty until an entry of the own term is
+    /// committed, since earlier leaders may have committed more than this one knows.
+    std::optional<proto::Confirmation> confirmationFor(const PeerState &peer) const;
     void replaceFolders();
     void retireFolder(const std::string &instance);
     void admitFolder(const std::string &instance, std::uint64_t identity);
@@ -106,8 +109,10 @@
     // Follower
     void receiveAppendRequest(const std::string &from, const proto::LedgerMessage &message);
     void receiveSnapshotRequest(const std::string &from, const proto::LedgerMessage &message);
-    bool followLeader(const std::string &from, const proto::LedgerMessage &message);
-    void noteConfirmation(std::uint64_t leaderCommit, std::optional<std::uint32_t> ageMs);
+    bool followLeader(const std::string &from, const proto::LedgerMessage &message,
+                      std::uint64_t requestRound);
+    void noteAnswer(std::uint64_t requestRound);
+    void noteConfirmation(std::uint64_t leaderCommit, const proto::Confirmation &confirmation);
     bool logsMatchAt(std::uint64_t index, std::uint64_t term) const;
     void appendAsFollower(const proto::LogEntry &entry);
     void answerAppend(const std::string &to, bool accepted, std::uint64_t index,
@@ -131,6 +136,9 @@
     TimePoint electionDeadline{};
     std::optional<TimePoint> leaderContact;
     std::optional<TimePoint> confirmedAt; ///< See Replica::confirmedAt(); updated by followers.
+    /// When rounds of the leader of term `answersTerm` were answered, see noteConfirmation().
+    std::map<std::uint64_t, TimePoint> answers;
+    std::uint64_t answersTerm = 0;
     std::set<std::string> votes;
 
     TimePoint nextHeartbeatAt{};
--- a/src/gentianramp/ledger/replica_test.cpp
+++ b/src/gentianramp/ledger/replica_test.cpp
@@ -212,6 +212,50 @@
     cr_assert(replica.role() == ReplicaRole::Follower);
 }
 
+// The arrival of a delayed message was taken for the time of the confirmation that it tells of, so
+// that a voter claimed to have changes that had been accepted while the message was on its way.
+Test(Replica, ADelayedMessageDoesNotMakeAConfirmationNewer)
+{
+    Replica replica(optionsOfA(), foundedLog(), Start);
+    const auto request = [&](std::uint64_t round) {
+        proto::LedgerMessage message = messageOf(2, 2);
+        message.mutable_append_request()->set_prev_index(10);
+        message.mutable_append_request()->set_prev_term(1);
+        message.mutable_append_request()->set_commit(10);
+        message.mutable_append_request()->set_probe(round);
+        return message;
+    };
+    const ReplicaOutput answer = replica.step(InstanceId("b"), request(1), Start + 1s);
+    replica.step(InstanceId("b"), request(2), Start + 1200ms);
+    replica.step(InstanceId("b"), request(1), Start + 1300ms);
+    cr_assert_not(replica.confirmedAt());
+    proto::LedgerMessage delayed = request(3);
+    proto::Confirmation &confirmation = *delayed.mutable_append_request()->mutable_confirmation();
+    confirmation.set_answered_probe(1);
+    confirmation.set_answered_session(answer.messages.front().message.session());
+    confirmation.set_answered_ms(400);
+    confirmation.set_age_ms(100);
+    replica.step(InstanceId("b"), delayed, Start + 9s);
+    cr_assert(replica.confirmedAt() == Start + 1300ms);
+}
+
+Test(Replica, AConfirmationForAnEarlierIncarnationIsNotUsed)
+{
+    Replica replica(optionsOfA(), foundedLog(), Start);
+    proto::LedgerMessage message = messageOf(2, 2);
+    proto::AppendRequest &request = *message.mutable_append_request();
+    request.set_prev_index(10);
+    request.set_prev_term(1);
+    request.set_commit(10);
+    request.set_probe(1);
+    replica.step(InstanceId("b"), message, Start + 1s);
+    request.set_probe(2);
+    request.mutable_confirmation()->set_answered_probe(1);
+    request.mutable_confirmation()->set_answered_session(1);
+    replica.step(InstanceId("b"), message, Start + 2s);
+    cr_assert_not(replica.confirmedAt());
+}
+
 // A leader whose messages reached nobody stayed in office, and confirmed no read, as long as other
 // voters asked it for their votes.
 Test(Replica, LeaderThatIsOnlyAskedForVotesStepsDown)
