--- a/src/gentianramp/ledger/ledger_simulation.cpp
+++ b/src/gentianramp/ledger/ledger_simulation.cpp
@@ -385,7 +385,7 @@
 
 void LedgerSimulation::runSchedule()
 {
-    std::uniform_int_distribution<std::size_t> lastingCuts(0, m_voters.size() / 2);
+    std::uniform_int_distribution<std::size_t> lastingCuts(0, m_voters.size() / 4);
     for (std::size_t cuts = m_options.oneWayCuts ? lastingCuts(m_random) : 0; cuts > 0; --cuts)
         cutRandomLink(m_lastingCuts);
     for (int step = 0; step < m_options.steps; ++step) {
@@ -480,12 +480,21 @@
     }
 }
 
+/// Cuts one link in one direction, all links from a voter, or all links to a voter.
 void LedgerSimulation::cutRandomLink(std::set<std::pair<std::size_t, std::size_t>> &links)
 {
-    const std::size_t from = randomVoter();
-    const std::size_t to = randomVoter();
-    if (from != to)
-        links.insert({from, to});
+    const std::size_t voter = randomVoter();
+    const bool all = withProbability(0.4);
+    const bool outgoing = withProbability(0.5);
+    for (std::size_t other = 0; all && other < m_voters.size(); ++other) {
+        if (other != voter)
+            links.insert(outgoing ? std::pair(voter, other) : std::pair(other, voter));
+    }
+    if (all)
+        return;
+    const std::size_t other = randomVoter();
+    if (other != voter)
+        links.insert({voter, other});
 }
 
 /// True when the ledger can recover from the loss of this folder: a majority of folders remains,
