Let a damaged folder of a registry process take a seat again

Cause: a folder that can be read but holds something else than was written was refused at each start, every 0.4 s, and was not offered another seat, for it had one. Change: Error::StorageDamaged tells such content from reads and writes that fail. A process whose ledger ended with it says that its folder can take a seat; the leader offers it the vacant one after 2 s, the folder is emptied and counts as a new one, as after the loss of a disk: a committed entry retires the former identity, another one admits the new one. Why it is safe: only a leader makes offers, and it has a majority without this voter, whose ledger does not run. What it committed is in that majority; entries that only the damaged folder had were not acknowledged. An offer that arrives after the majority broke up (messages live a second) takes a folder that could not have helped it. Without a leader nothing is emptied, and a full, failing or unreadable disk, and a record with a valid checksum that this program can't parse, keep their seats. Not played with real processes.

--- a/include/gentianramp/core/error.hpp
+++ b/include/gentianramp/core/error.hpp
@@ -19,6 +19,7 @@
     StaleAuthority,      ///< A newer holder of authority exists.
     StorageFailed,       ///< The data folder cannot be trusted or written.
     Cancelled,           ///< The caller gave up.
+    StorageDamaged, ///< The data folder can be read, but what it holds is not what was written.
 };
 
 const std::error_category &gentianrampCategory() noexcept;
--- a/include/gentianramp/ledger/log_store.hpp
+++ b/include/gentianramp/ledger/log_store.hpp
@@ -13,9 +13,9 @@
 /// `snapshot-N` holds a snapshot and `log-G` the records after it; G grows with each snapshot and
 /// each opening, and only the log with the largest G is read. A record is a frame of length, kind
 /// and XXH64 checksum around a PersistRecord. A corrupt frame at the end of the log is left out,
-/// because a crash during a write leaves one. A corrupt frame before an intact one, a corrupt
-/// snapshot, and every failed write or sync are Error::StorageFailed, after which write() always
-/// fails.
+/// because a crash during a write leaves one. A corrupt frame before an intact one and a corrupt or
+/// missing snapshot are Error::StorageDamaged, every failed read, write or sync is
+/// Error::StorageFailed; after both write() always fails.
 class LogStore
 {
 public:
@@ -41,6 +41,7 @@
     std::error_code startLog(const proto::PersistRecord &record);
     std::error_code removeOld(std::uint64_t snapshotIndex);
     std::error_code fail(std::error_code error);
+    std::error_code failOpening(std::error_code error);
 
     DataFolder m_folder;
     std::uint64_t m_generation = 0;
--- a/include/gentianramp/registry/seat_storage.hpp
+++ b/include/gentianramp/registry/seat_storage.hpp
@@ -28,6 +28,14 @@
     /// Removes all files, so that the process is a spare.
     std::error_code release();
 
+    /// Notes how starting a ledger on the folder ended.
+    void noteLedger(const std::error_code &error);
+    /// True when the leader may offer a seat and prepare() may follow: the folder was prepared for
+    /// no seat, or what it holds is damaged. Such a folder is of no use to its seat; a leader, who
+    /// alone makes offers, has a majority without it. A folder that is full or can't be read now
+    /// keeps its seat.
+    bool takesSeat() const { return m_usable && (m_seat.empty() || m_damaged); }
+
     /// Empty until open() has succeeded in opening the folder.
     const std::optional<DataFolder> &folder() const { return m_folder; }
     /// False after a failure until the next success: the folder can't take a seat now.
@@ -37,7 +45,9 @@
     std::filesystem::path m_path;
     OpenFolderHook m_open;
     std::optional<DataFolder> m_folder;
+    std::string m_seat;
     bool m_usable = false;
+    bool m_damaged = false;
 };
 
 } // namespace gentianramp
--- a/src/gentianramp/core/error.cpp
+++ b/src/gentianramp/core/error.cpp
@@ -32,6 +32,8 @@
             return "unavailable";
         case Error::StaleAuthority:
             return "stale authority";
+        case Error::StorageDamaged:
+            return "storage damaged";
         case Error::StorageFailed:
             return "storage failed";
         case Error::Cancelled:
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -286,6 +286,7 @@
         storageFailed = false;
         auto started = std::make_unique<DeclarationLedger>(replica, *storage.folder(), hooks);
         const Result<bool> result = started->start(now);
+        storage.noteLedger(result.error());
         if (!result || storageFailed) {
             logWarning("ledger_not_opened", {{"seat", seat}, {"reason", result.message()}});
             storageFailed = false;
@@ -533,7 +534,7 @@
         presence.set_seat(ledger ? seat : std::string());
         presence.set_folder(ledger ? ledger->replica().identity() : 0);
         presence.set_entries(static_cast<std::uint32_t>(entryProcesses.size()));
-        presence.set_takes_seat(seat.empty() && storage.usable());
+        presence.set_takes_seat(!ledger && storage.takesSeat());
         presence.set_leads(leads());
         presence.set_term(ledger ? ledger->replica().term().value() : 0);
         addToProto(ownDelays(now), *presence.mutable_delays());
@@ -654,9 +655,10 @@
 
     void receiveOffer(const proto::SeatOffer &offer, TimePoint now)
     {
-        if (!seat.empty() || !storage.usable()
+        if (ledger || !storage.takesSeat()
             || std::find(seats.begin(), seats.end(), offer.seat()) == seats.end())
             return;
+        seat.clear();
         takeSeat(offer.seat(), false);
         if (!seat.empty())
             startLedger(now);
--- a/src/gentianramp/registry/seat_storage.cpp
+++ b/src/gentianramp/registry/seat_storage.cpp
@@ -20,6 +20,7 @@
     }
     Result<std::string> seat = readSeat(*m_folder);
     m_usable = static_cast<bool>(seat);
+    m_seat = seat ? seat.value() : std::string();
     return seat;
 }
 
@@ -29,6 +30,8 @@
         return make_error_code(Error::StorageFailed);
     const std::error_code error = prepareSeat(*m_folder, seat, founding, seed);
     m_usable = !error;
+    m_seat = error ? std::string() : seat;
+    m_damaged = false;
     return error;
 }
 
@@ -38,7 +41,14 @@
         return make_error_code(Error::StorageFailed);
     const std::error_code error = emptyFolder(*m_folder);
     m_usable = !error;
+    m_seat.clear();
+    m_damaged = false;
     return error;
 }
 
+void SeatStorage::noteLedger(const std::error_code &error)
+{
+    m_damaged = error == Error::StorageDamaged;
+}
+
 } // namespace gentianramp
--- a/src/gentianramp/registry/seat_storage_test.cpp
+++ b/src/gentianramp/registry/seat_storage_test.cpp
@@ -76,6 +76,49 @@
     cr_assert_eq(storage.open().value(), "seat-2");
 }
 
+// A voter whose folder was damaged was refused at each start, as long as nobody emptied the folder.
+Test(seat_storage, damagedFolderTakesASeatAgain)
+{
+    LockedFolder disk;
+    SeatStorage storage("folder", disk.hook());
+    cr_assert(storage.open());
+    cr_assert_not(storage.prepare("seat-1", true, 7));
+    const std::uint64_t identity = LogStore(*storage.folder()).open(8)->hardState.identity();
+    for (auto &[name, file] : disk.memory.files) {
+        if (name != "seat")
+            file.bytes.front() ^= 1;
+    }
+    cr_assert_eq(storage.open().value(), "seat-1");
+    cr_assert_not(storage.takesSeat(), "the damage is not known yet");
+    storage.noteLedger(LogStore(*storage.folder()).open(8).error());
+    cr_assert(storage.takesSeat());
+    cr_assert_not(storage.prepare("seat-1", false, 9));
+    cr_assert_not(storage.takesSeat());
+    const Result<StoredLog> log = LogStore(*storage.folder()).open(10);
+    cr_assert(log);
+    cr_assert_neq(log->hardState.identity(), identity, "the folder counts as a new one");
+    cr_assert_not(log->hardState.founding());
+}
+
+Test(seat_storage, folderThatCannotBeReadOrWrittenKeepsItsSeat)
+{
+    for (const DiskFault fault :
+         {DiskFault::FullDisk, DiskFault::FailedReplace, DiskFault::FailedFolderSync}) {
+        LockedFolder disk;
+        SeatStorage storage("folder", disk.hook());
+        cr_assert(storage.open());
+        cr_assert(storage.takesSeat());
+        cr_assert_not(storage.prepare("seat-1", false, 7));
+        cr_assert_not(LogStore(*storage.folder()).open(8).error());
+        disk.memory.fault = fault;
+        cr_assert_eq(storage.open().value(), "seat-1");
+        const std::error_code error = LogStore(*storage.folder()).open(9).error();
+        cr_assert(error);
+        storage.noteLedger(error);
+        cr_assert_not(storage.takesSeat());
+    }
+}
+
 Test(seat_storage, anotherProcessKeepsTheFolder)
 {
     LockedFolder disk;
