--- a/include/gentianramp/control/ledger_driver.hpp
+++ b/include/gentianramp/control/ledger_driver.hpp
@@ -89,8 +89,7 @@
     struct WaitingOutput
     {
         ReplicaOutput output;
-        TimePoint createdAt;
-        std::optional<TimePoint> confirmedAt;
+        std::optional<TimePoint> confirmedAt; ///< Replica::confirmedAt() at this output.
     };
 
     void perform(ReplicaOutput output);
@@ -101,7 +100,6 @@
     void writeFirst();
     void onWritten(std::size_t outputs, std::error_code error, TimePoint startedAt);
     void finish(WaitingOutput waiting);
-    void send(OutgoingMessage outgoing, Duration waited);
     void applyEntry(const proto::LogEntry &entry);
     void announceNewest();
     void completeReads(const ReplicaOutput &output);
--- a/src/gentianramp/control/ledger_driver.cpp
+++ b/src/gentianramp/control/ledger_driver.cpp
@@ -92,7 +92,7 @@
 {
     if (m_writing && !output.record && answersMayPass())
         sendAnswers(output);
-    m_waiting.push_back({std::move(output), RuntimeClock::now(), m_replica->confirmedAt()});
+    m_waiting.push_back({std::move(output), m_replica->confirmedAt()});
     processQueue();
 }
 
@@ -207,27 +207,12 @@
     announceNewest();
     m_confirmedAt = waiting.confirmedAt;
     reportLeadershipChange();
-    const Duration waited = RuntimeClock::now() - waiting.createdAt;
-    for (OutgoingMessage &outgoing : output.messages)
-        send(std::move(outgoing), waited);
+    for (const OutgoingMessage &outgoing : output.messages)
+        m_hooks.send(outgoing.to, outgoing.message.SerializeAsString());
     completeReads(output);
     compactIfNeeded();
 }
 
-/// Sends a message of the replica; ages in it grow while it waits for the disk.
-void LedgerDriver::send(OutgoingMessage outgoing, Duration waited)
-{
-    const auto waitedMs = static_cast<std::uint32_t>(toMilliseconds(waited));
-    proto::LedgerMessage &message = outgoing.message;
-    if (message.has_append_request() && message.append_request().has_confirmed_ms())
-        message.mutable_append_request()->set_confirmed_ms(message.append_request().confirmed_ms()
-                                                           + waitedMs);
-    if (message.has_snapshot_request() && message.snapshot_request().has_confirmed_ms())
-        message.mutable_snapshot_request()->set_confirmed_ms(
-            message.snapshot_request().confirmed_ms() + waitedMs);
-    m_hooks.send(outgoing.to, message.SerializeAsString());
-}
-
 void LedgerDriver::applyEntry(const proto::LogEntry &entry)
 {
     m_applied = entry.index();
--- a/src/gentianramp/registry/seat_storage.cpp
+++ b/src/gentianramp/registry/seat_storage.cpp
@@ -36,6 +36,7 @@
     if (seat && seat->empty() && m_writeFailed)
         m_writeFailed = !isWritable(*m_folder);
     m_usable = seat && !m_writeFailed;
+    m_seat = seat ? seat.value() : std::string();
     return seat;
 }
 
@@ -46,6 +47,8 @@
     const std::error_code error = prepareSeat(*m_folder, seat, founding, seed);
     m_writeFailed = static_cast<bool>(error);
     m_usable = !error;
+    m_seat = error ? std::string() : seat;
+    m_damaged = false;
     return error;
 }
 
@@ -56,7 +59,14 @@
     const std::error_code error = emptyFolder(*m_folder);
     m_writeFailed = static_cast<bool>(error);
     m_usable = !error;
+    m_seat.clear();
+    m_damaged = false;
     return error;
 }
 
+void SeatStorage::noteLedger(const std::error_code &error)
+{
+    m_damaged = error == Error::StorageDamaged;
+}
+
 } // namespace gentianramp
