--- a/src/gentianramp/ledger/ledger_simulation.cpp
+++ b/src/gentianramp/ledger/ledger_simulation.cpp
@@ -602,9 +602,9 @@
 
 DiskFault LedgerSimulation::randomDiskFault()
 {
-    constexpr std::array Faults{DiskFault::FailedSync, DiskFault::FullDisk,
+    constexpr std::array faults{DiskFault::FailedSync, DiskFault::FullDisk,
                                 DiskFault::FailedFolderSync};
-    return Faults[std::uniform_int_distribution<std::size_t>(0, Faults.size() - 1)(m_random)];
+    return faults[std::uniform_int_distribution<std::size_t>(0, faults.size() - 1)(m_random)];
 }
 
 bool LedgerSimulation::withProbability(double share)
