Sync the data folder before the names in it are trusted

What callers saw (trial with real processes): a read of the configuration returned one that was older than an acknowledged one, or no read succeeded for good, after all registry processes had been killed and later lost power. A process that ended, or whose disk failed, between the renaming and the sync of the folder left a name that was not durable. With disks that hang for a moment the window lasts as long as the disks hang. Change: LogStore::open() syncs the folder before it reads the names, and fails when it can't. Evidence: the two new tests of LogStore fail without the sync. The fake folder now has names that are not durable, which are kept or lost when it loses power.

--- a/include/gentianramp/ledger/data_folder.hpp
+++ b/include/gentianramp/ledger/data_folder.hpp
@@ -26,6 +26,9 @@
     /// Replaces the file atomically: temporary file, sync, rename, sync of the folder.
     std::function<std::error_code(const std::string &name, std::string_view bytes)> replace;
     std::function<std::error_code(const std::string &name)> remove;
+    /// Makes all names durable as list() returns them, including those of files that an earlier
+    /// process renamed or removed without getting to the sync of the folder.
+    std::function<std::error_code()> syncNames;
 };
 
 /// Opens @p folder, which is created when it is missing, and locks it against other processes.
--- a/src/gentianramp/ledger/data_folder.cpp
+++ b/src/gentianramp/ledger/data_folder.cpp
@@ -148,7 +148,7 @@
         }
         if (::rename(temporary.c_str(), (m_path / name).c_str()) != 0)
             return lastError();
-        return syncFolder();
+        return syncNames();
     }
 
     std::error_code remove(const std::string &name)
@@ -156,11 +156,10 @@
         m_open.erase(name);
         if (::unlink((m_path / name).c_str()) != 0)
             return lastError();
-        return syncFolder();
+        return syncNames();
     }
 
-private:
-    std::error_code syncFolder() const
+    std::error_code syncNames() const
     {
         const Descriptor folder(::open(m_path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
         if (!folder.valid() || ::fsync(folder.fd()) != 0)
@@ -168,6 +167,7 @@
         return {};
     }
 
+private:
     fs::path m_path;
     Descriptor m_lock;
     std::map<std::string, Descriptor> m_open;
@@ -201,6 +201,7 @@
         return state->replace(name, bytes);
     };
     operations.remove = [state](const std::string &name) { return state->remove(name); };
+    operations.syncNames = [state] { return state->syncNames(); };
     return operations;
 }
 
--- a/src/gentianramp/ledger/log_store.cpp
+++ b/src/gentianramp/ledger/log_store.cpp
@@ -81,6 +81,10 @@
 
 Result<StoredLog> LogStore::open(std::uint64_t seed)
 {
+    // The newest log file may have been renamed by a process that ended before it synced the
+    // folder. What is written to the file now is lost with its name at a loss of power.
+    if (const std::error_code error = m_folder.syncNames())
+        return {fail(error), "cannot sync the data folder"};
     Result<StoredLog> loaded = load();
     if (!loaded)
         return {fail(loaded.error()), loaded.message()};
--- a/src/gentianramp/ledger/log_store_test.cpp
+++ b/src/gentianramp/ledger/log_store_test.cpp
@@ -175,3 +175,46 @@
     cr_assert_eq(log->entries.size(), 1);
     std::filesystem::remove_all(folder);
 }
+
+// A process that ended, or whose disk failed, between the renaming of a new log file and the sync
+// of the folder left a name that was not durable. The next one wrote to that file and lost all of
+// it, and what it had acknowledged, at a loss of power.
+Test(LogStore, KeepsRecordsOfALogFileWhoseNameWasNotDurable)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        MemoryDataFolder disk = filledDisk();
+        DataFolder folder = disk.disk();
+        folder.replace = [&disk, replace = folder.replace](const std::string &name,
+                                                           std::string_view bytes) {
+            disk.fault = name.starts_with("log-") ? DiskFault::FailedFolderSync : DiskFault::None;
+            return replace(name, bytes);
+        };
+        LogStore store(folder);
+        cr_assert(store.open(2));
+        proto::LedgerSnapshot snapshot;
+        snapshot.set_index(3);
+        proto::PersistRecord record;
+        record.set_base_index(3);
+        cr_assert(store.write(snapshot, record));
+        disk.fault = DiskFault::None;
+        LogStore next(disk.disk());
+        cr_assert(next.open(3));
+        cr_assert_not(next.write(std::nullopt, recordWith(4, "acknowledged")));
+        std::mt19937_64 random(seed);
+        disk.crash(random);
+        LogStore last(disk.disk());
+        const Result<StoredLog> log = last.open(4);
+        cr_assert(log, "seed %zu: %s", static_cast<std::size_t>(seed), log.message().c_str());
+        cr_assert_not(log->entries.empty());
+        cr_assert_eq(log->entries.back().command(), "acknowledged");
+    }
+}
+
+Test(LogStore, DoesNotOpenWhileTheFolderCannotBeSynced)
+{
+    MemoryDataFolder disk = filledDisk();
+    disk.fault = DiskFault::FailedFolderSync;
+    cr_assert(openError(disk));
+    disk.fault = DiskFault::None;
+    cr_assert_eq(entriesOnDisk(disk), 3);
+}
--- a/src/gentianramp/ledger/memory_data_folder.cpp
+++ b/src/gentianramp/ledger/memory_data_folder.cpp
@@ -22,6 +22,12 @@
     return {};
 }
 
+std::optional<MemoryFile> find(const MemoryFiles &files, const std::string &name)
+{
+    const auto file = files.find(name);
+    return file == files.end() ? std::nullopt : std::optional(file->second);
+}
+
 } // namespace
 
 DataFolder MemoryDataFolder::disk()
@@ -54,21 +60,47 @@
         return std::error_code{};
     };
     hooks.replace = [this](const std::string &name, std::string_view bytes) {
-        if (fault != DiskFault::None)
+        if (fault != DiskFault::None && fault != DiskFault::FailedFolderSync)
             return ioError();
+        const std::optional<MemoryFile> before = find(files, name);
         files[name] = {.bytes = std::string(bytes), .synced = bytes.size()};
-        return std::error_code{};
+        return finishNameChange(name, before);
     };
     hooks.remove = [this](const std::string &name) {
+        const std::optional<MemoryFile> before = find(files, name);
         files.erase(name);
-        return std::error_code{};
+        return finishNameChange(name, before);
     };
+    hooks.syncNames = [this] { return syncNames(); };
     return hooks;
 }
 
+std::error_code MemoryDataFolder::finishNameChange(const std::string &name,
+                                                   const std::optional<MemoryFile> &before)
+{
+    m_durableNames.try_emplace(name, before);
+    return syncNames();
+}
+
+std::error_code MemoryDataFolder::syncNames()
+{
+    if (fault == DiskFault::FailedFolderSync)
+        return ioError();
+    m_durableNames.clear();
+    return {};
+}
+
 void MemoryDataFolder::crash(std::mt19937_64 &random)
 {
     fault = DiskFault::None;
+    for (const auto &[name, durable] : m_durableNames) {
+        if (std::bernoulli_distribution()(random))
+            continue;
+        files.erase(name);
+        if (durable)
+            files.emplace(name, *durable);
+    }
+    m_durableNames.clear();
     for (auto &[name, file] : files) {
         std::uniform_int_distribution<std::size_t> kept(file.synced, file.bytes.size());
         file.bytes.resize(kept(random));
