Sync the log before a new record is written behind it

Cause: a process whose sync failed or hung and that ended left a record that was not durable. The next one appended its boot record without a sync between. A loss of power may keep either of two writes that were not synced; the later one alone looks like a corrupt record in the middle of the log, and the folder can't be opened any more: the voter is lost for good. Change: LogStore::open() syncs the log that it read before it writes to it. The sync of a data folder opens the file itself, where it failed for files that had not been appended to. Evidence: the new test can't open the log with the former code ("corrupt record at the start or in the middle").

--- a/include/gentianramp/ledger/data_folder.hpp
+++ b/include/gentianramp/ledger/data_folder.hpp
@@ -20,6 +20,7 @@
     std::function<Result<std::string>(const std::string &name)> read;
     /// Appends to an existing file; the bytes are durable only after sync().
     std::function<std::error_code(const std::string &name, std::string_view bytes)> append;
+    /// Makes all bytes of an existing file durable, also those that an earlier process wrote.
     std::function<std::error_code(const std::string &name)> sync;
     /// Truncates the file to @p size bytes and syncs it.
     std::function<std::error_code(const std::string &name, std::uint64_t size)> truncate;
--- a/src/gentianramp/ledger/data_folder.cpp
+++ b/src/gentianramp/ledger/data_folder.cpp
@@ -107,20 +107,14 @@
 
     std::error_code append(const std::string &name, std::string_view bytes)
     {
-        Descriptor &file = m_open[name];
-        if (!file.valid())
-            file = Descriptor(::open((m_path / name).c_str(), O_WRONLY | O_APPEND | O_CLOEXEC));
-        if (!file.valid())
-            return lastError();
-        return writeAll(file.fd(), bytes);
+        const Descriptor &file = openForAppending(name);
+        return file.valid() ? writeAll(file.fd(), bytes) : lastError();
     }
 
     std::error_code sync(const std::string &name)
     {
-        const auto file = m_open.find(name);
-        if (file == m_open.end() || !file->second.valid())
-            return std::make_error_code(std::errc::bad_file_descriptor);
-        return ::fdatasync(file->second.fd()) == 0 ? std::error_code{} : lastError();
+        const Descriptor &file = openForAppending(name);
+        return file.valid() && ::fdatasync(file.fd()) == 0 ? std::error_code{} : lastError();
     }
 
     std::error_code truncate(const std::string &name, std::uint64_t size)
@@ -168,6 +162,14 @@
     }
 
 private:
+    const Descriptor &openForAppending(const std::string &name)
+    {
+        Descriptor &file = m_open[name];
+        if (!file.valid())
+            file = Descriptor(::open((m_path / name).c_str(), O_WRONLY | O_APPEND | O_CLOEXEC));
+        return file;
+    }
+
     fs::path m_path;
     Descriptor m_lock;
     std::map<std::string, Descriptor> m_open;
--- a/src/gentianramp/ledger/log_store.cpp
+++ b/src/gentianramp/ledger/log_store.cpp
@@ -93,6 +93,12 @@
     if (empty)
         log.hardState.set_identity(newIdentity(seed));
     log.hardState.set_boot(log.hardState.boot() + 1);
+    // Of two writes that were not synced, a loss of power may keep the later one alone, which would
+    // look like a corrupt record. What an earlier process wrote is therefore made durable first.
+    if (!empty) {
+        if (const std::error_code error = m_folder.sync(logName(m_generation)))
+            return {fail(error), "cannot sync the log in the data folder"};
+    }
     proto::PersistRecord record;
     *record.mutable_hard_state() = log.hardState;
     if (const std::error_code error = empty ? startLog(record) : write(std::nullopt, record))
--- a/src/gentianramp/ledger/log_store_test.cpp
+++ b/src/gentianramp/ledger/log_store_test.cpp
@@ -1,6 +1,7 @@
 #include "frame.hpp"
 #include "memory_data_folder.hpp"
 
+#include <algorithm>
 #include <filesystem>
 #include <gentianramp/ledger/log_store.hpp>
 #include <unistd.h>
@@ -218,3 +219,27 @@
     disk.fault = DiskFault::None;
     cr_assert_eq(entriesOnDisk(disk), 3);
 }
+
+// After a sync that failed, or a process that ended during one, the next process wrote its record
+// behind bytes that were not durable. A loss of power may keep the later of two such writes alone,
+// which looks like a corrupt record in the middle, and the folder could not be opened any more.
+Test(LogStore, WritesNothingBehindBytesThatAreNotDurable)
+{
+    MemoryDataFolder disk = filledDisk();
+    disk.fault = DiskFault::FailedSync;
+    cr_assert(openError(disk));
+    disk.fault = DiskFault::None;
+    DataFolder folder = disk.disk();
+    folder.append
+        = [&disk, append = folder.append](const std::string &name, std::string_view bytes) {
+              MemoryFile &file = disk.files[name];
+              std::fill(file.bytes.begin() + static_cast<std::ptrdiff_t>(file.synced),
+                        file.bytes.end(), '\0');
+              cr_assert_not(append(name, bytes));
+              file.synced = file.bytes.size();
+              return std::make_error_code(std::errc::io_error);
+          };
+    LogStore interrupted(folder);
+    cr_assert_not(interrupted.open(3));
+    cr_assert_eq(entriesOnDisk(disk), 3);
+}
