Correct a reported stage that the listing showed before the engine reached it

Cause: sends an engine's stage only while the platform's list shows another one, and entry processes keep what was reported last until the next list. When the list shows an ordered change before the engine has carried it out, the report of the former stage goes out as news; once the engine has changed, report and list agree and nothing more is sent. A list that does not change is not published again, so that the former stage stayed. Change: StageAnnouncement goes on sending the stage for as long as entry processes prefer reports to the list; an entry process goes back to the list when the stage is no longer reported, without waiting for another list.

--- a/include/gentianramp/registry/backend_listing.hpp
+++ b/include/gentianramp/registry/backend_listing.hpp
@@ -57,7 +57,8 @@
     bool silent = false; ///< The engine did not answer the last load requests.
     /// A change of stage was ordered or is in progress; the engine takes no requests until done.
     bool changing = false;
-    ReportedStage stage = ReportedStage::Unknown; ///< Set while the platform's list shows another.
+    ReportedStage stage
+        = ReportedStage::Unknown; ///< Set only around a change; see StageAnnouncement.
     bool operator==(const ReportedLoad &) const = default;
 };
 
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -16,6 +16,7 @@
 #include <gentianramp/registry/member_directory.hpp>
 #include <gentianramp/registry/packed_text.hpp>
 #include <gentianramp/registry/seat_storage.hpp>
+#include <gentianramp/registry/stage_announcement.hpp>
 #include <gentianramp/registry/versioned_load_table.hpp>
 #include <gentianramp/wire/mesh.hpp>
 #include <limits>
@@ -107,6 +108,7 @@
 struct EngineLoadState
 {
     ReportedLoad load;
+    StageAnnouncement announcement;
     TimePoint answeredAt{};
     bool requestPending = false;
     unsigned missedCount = 0; ///< Consecutive requests without an answer.
@@ -390,11 +392,11 @@
             loads.engines.push_back(known->second.load);
             ReportedLoad &load = loads.engines.back();
             load.changing = load.changing || stageController.changing(server, takenAt);
-            // Only news is sent: a stage that the listing does not show yet.
+            if (takenAt - known->second.answeredAt > MaxStageAge)
+                load.stage = ReportedStage::Unknown;
             const ReportedStage listed
                 = server.prefillOnly ? ReportedStage::Prefill : ReportedStage::Decode;
-            if (load.stage == listed || takenAt - known->second.answeredAt > MaxStageAge)
-                load.stage = ReportedStage::Unknown;
+            load.stage = known->second.announcement.stageToSend(load.stage, listed, takenAt);
         }
         std::erase_if(engineLoadStates, [&](const auto &entry) {
             return !entry.second.requestPending
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -131,6 +131,7 @@
     TimePoint avoidUntil{};
     bool leaving = false;  ///< It said so in an answer; the listing may not show it yet.
     TimePoint heldUntil{}; ///< It asked not to be sent anything before.
+    bool listedPrefillOnly = false;
     ReportedStage reportedStage = ReportedStage::Unknown;
     TimePoint stageReportedAt{};
     TimePoint prefillSince{}; ///< When it was first listed as a prefill engine; empty: it decodes.
@@ -238,18 +239,20 @@
             backend->hash = splitMix(std::hash<std::string>{}(server.id.value()));
         }
         backend->server = server;
+        backend->listedPrefillOnly = server.prefillOnly;
         setStage(*backend, listing.takenAt);
         next.emplace(server.id, std::move(backend));
     }
     m_backends = std::move(next);
 }
 
-/// Takes the stage from the engine's last report unless the listing was read long after it.
+/// Takes the stage from the engine's last report, or from the listing if that is long ago.
 void BackendTable::setStage(Backend &backend, TimePoint now)
 {
-    if (backend.reportedStage != ReportedStage::Unknown
-        && now - backend.stageReportedAt < ListingLag)
-        backend.server.prefillOnly = backend.reportedStage == ReportedStage::Prefill;
+    const bool isReported = backend.reportedStage != ReportedStage::Unknown
+        && now - backend.stageReportedAt < ListingLag;
+    backend.server.prefillOnly
+        = isReported ? backend.reportedStage == ReportedStage::Prefill : backend.listedPrefillOnly;
     if (!backend.server.prefillOnly)
         backend.prefillSince = {};
     else if (backend.prefillSince == TimePoint{})
@@ -803,8 +806,8 @@
     if (load.stage != ReportedStage::Unknown && takenAt > backend.stageReportedAt) {
         backend.reportedStage = load.stage;
         backend.stageReportedAt = takenAt;
-        setStage(backend, takenAt);
     }
+    setStage(backend, takenAt);
     if (load.changing)
         backend.avoidUntil = std::max(backend.avoidUntil, takenAt + StageChangePause);
     if (at <= backend.loadAt)
--- a/src/gentianramp/relay/backend_table_test.cpp
+++ b/src/gentianramp/relay/backend_table_test.cpp
@@ -270,6 +270,25 @@
     cr_assert_eq(choose(table, makePrompt(1), at(2500))->responder.backend, BackendId("e1"));
 }
 
+Test(backend_table, aReportedStageThatIsNotReportedAgainGivesWayToTheListing)
+{
+    // The listing shows a change of stage before the engine has carried it out, and does not change
+    // afterwards.
+    BackendTable table = makeTable(1);
+    BackendListing listing = makeEngineListing(12, 3);
+    listing.takenAt = at(0);
+    table.publish(listing);
+    table.noteReport({.engine = BackendId("e7"), .stage = ReportedStage::Decode}, at(100));
+    table.noteReport({.engine = BackendId("e7")}, at(6000));
+    std::set<BackendId> prefillEngines;
+    for (std::uint64_t session = 1; session <= 200; ++session) {
+        const auto placement = choose(table, makePrompt(session), at(6000));
+        cr_assert_neq(placement->responder.backend, BackendId("e7"));
+        prefillEngines.insert(placement->prefillEngine->backend);
+    }
+    cr_assert(prefillEngines.contains(BackendId("e7")));
+}
+
 Test(backend_table, aReportedStageGoesBeforeAnOlderListing)
 {
     // An engine restarts, or carries out a late order; the listing shows the new stage seconds
