Admit a folder as soon as it has the whole log

What callers may see: a second loss of a disk, more than CatchUpS after the first, leaves no majority. Cause: the leader admitted a learnt folder only if it had the whole log at the moment of a heartbeat; under a stream of changes it mostly lacked the newest entry then. Change: the leader also looks when the folder's answer arrives. Evidence: the new test fails without the change.

--- a/src/gentianramp/ledger/replica_leader.cpp
+++ b/src/gentianramp/ledger/replica_leader.cpp
@@ -98,6 +98,12 @@
             witnesses.recordAcknowledgement(from, peer.incarnation, hard.term(), peer.match,
                                             std::min(peer.match, commit));
         advanceLeaderCommit();
+        // Under a stream of changes, the folder may lack an entry again at the next heartbeat.
+        if (role == ReplicaRole::Leader && !isAdmitted(from, message.identity())
+            && peer.match == log.lastIndex()) {
+            replaceFolders();
+            broadcast(true);
+        }
     } else {
         peer.next = std::min(response.match_index(), log.lastIndex()) + 1;
     }
--- a/src/gentianramp/ledger/replica_test.cpp
+++ b/src/gentianramp/ledger/replica_test.cpp
@@ -184,6 +184,24 @@
     cr_assert_eq(entriesOfKind(replica, proto::ENTRY_ADMIT), 1);
 }
 
+// A new folder was admitted only if it had the whole log at a heartbeat, which it seldom had while
+// changes came one after the other.
+Test(Replica, AdmitsAFolderAsSoonAsItHasTheWholeLog)
+{
+    Replica replica = leaderFrom(foundedLog());
+    const TimePoint now = Start + 10s;
+    replica.step(InstanceId("b"), acknowledged(2, 2, 11), now);
+    replica.step(InstanceId("c"), acknowledged(30, 2, 0), now);
+    const std::uint64_t round = roundOf(replica.tick(now + 500ms));
+    cr_assert_eq(entriesOfKind(replica, proto::ENTRY_RETIRE), 1);
+    replica.step(InstanceId("b"), acknowledged(2, 2, 12, round), now + 510ms);
+    ReplicaOutput output;
+    replica.propose("one more", now + 520ms, output);
+    replica.step(InstanceId("c"), acknowledged(30, 2, 13, round), now + 530ms);
+    replica.propose("the next one", now + 540ms, output);
+    cr_assert_eq(entriesOfKind(replica, proto::ENTRY_ADMIT), 1);
+}
+
 Test(Replica, RecordsMatchAndCommitIndexOfTheLeadersFolder)
 {
     Replica replica(optionsOfA(), foundedLog(), Start);
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -292,6 +292,7 @@
         hooks.leadership = [this](bool nowLeads, Term term) {
             logInfo(nowLeads ? "leadership_gained" : "leadership_lost",
                     {{"seat", seat}, {"term", term.value()}});
+            missingVoters.clear();
             seatUpdatesAllowedAt = RuntimeClock::now() + PeerDiscoveryTime;
             ordersAllowedAt = RuntimeClock::now() + options.successorOrderDelay + OrderMargin;
             nextPresenceAt = {};
