Log why a registry process without a leader can't elect one

The leader logs a voter that is missing, but without a leader nobody did, and four ways to be missing left no line: a process that waits for a seat, a vote that doesn't count because the folder was found to be rolled back, a folder that found this out itself, and a peer whose messages are all dropped as expired. Change: leader_missing every 3 s for each other voter (contact, admitted, rolled back), folder_rolled_back, seat_awaited, and messages_dropped by peer and reason once a second. AbsenceWatch holds the times of leader_missing and voter_missing. No decision changes.

--- a/include/gentianramp/ledger/replica.hpp
+++ b/include/gentianramp/ledger/replica.hpp
@@ -70,6 +70,8 @@
     InstanceId instance;
     std::uint64_t identity = 0; ///< Of the admitted data folder; 0 when the slot is empty.
     bool admitted = false;      ///< The data folder in its last message is the admitted one.
+    /// Its last vote did not count because its folder was found to be rolled back.
+    bool rolledBack = false;
     LogIndex match;
     std::optional<TimePoint> lastContact;
     bool operator==(const VoterView &) const = default;
--- a/src/gentianramp/ledger/replica.cpp
+++ b/src/gentianramp/ledger/replica.cpp
@@ -171,6 +171,7 @@
         } else {
             const PeerState &peer = m_state->peers.at(voter.value());
             view.admitted = m_state->isAdmitted(voter.value(), peer.incarnation.identity);
+            view.rolledBack = peer.rolledBack;
             view.match = LogIndex(peer.match);
             view.lastContact = peer.lastContact;
         }
--- a/src/gentianramp/ledger/replica_election.cpp
+++ b/src/gentianramp/ledger/replica_election.cpp
@@ -102,15 +102,18 @@
     return !leader.empty() && leaderContact && now - *leaderContact < options.electionTimeout;
 }
 
-bool Replica::State::voteCounts(const std::string &from, const proto::LedgerMessage &message) const
+bool Replica::State::voteCounts(const std::string &from, const proto::LedgerMessage &message)
 {
     const proto::VoteResponse &response = message.vote_response();
     if (isLedgerEmpty())
         return response.founding() && response.last_index() == 0;
     const VoterIncarnation incarnation{message.identity(), message.boot(), message.session(),
                                        message.term()};
-    return isAdmitted(from, message.identity())
-        && !witnesses.showsRollback(from, incarnation, response.last_index());
+    if (!isAdmitted(from, message.identity()))
+        return false;
+    PeerState &peer = peers[from];
+    peer.rolledBack = witnesses.showsRollback(from, incarnation, response.last_index());
+    return !peer.rolledBack;
 }
 
 void Replica::State::countVotes()
--- a/src/gentianramp/ledger/replica_state.hpp
+++ b/src/gentianramp/ledger/replica_state.hpp
@@ -20,6 +20,7 @@
     std::uint64_t round = 0;     ///< Newest broadcast round that it answered.
     TimePoint roundAnsweredAt{}; ///< Time at which that answer was received.
     TimePoint snapshotSentAt{};  ///< Repeated only after an election timeout.
+    bool rolledBack = false;     ///< Its last granted vote proved its folder to be rolled back.
 };
 
 /// A read that waits until a majority has answered its broadcast round or a later one.
@@ -81,7 +82,7 @@
     void receiveHandOver(const proto::LedgerMessage &message);
     bool isUpToDate(const proto::VoteRequest &request) const;
     bool heardFromLeader() const;
-    bool voteCounts(const std::string &from, const proto::LedgerMessage &message) const;
+    bool voteCounts(const std::string &from, const proto::LedgerMessage &message);
     void countVotes();
     void becomeLeader();
 
--- a/src/gentianramp/ledger/replica_test.cpp
+++ b/src/gentianramp/ledger/replica_test.cpp
@@ -163,6 +163,22 @@
     cr_assert(replica.role() == ReplicaRole::Candidate);
 }
 
+// A voter whose votes were silently ruled out looked like any other in the logs.
+Test(Replica, TellsThatAVoteOfARolledBackFolderDidNotCount)
+{
+    StoredLog stored = foundedLog();
+    proto::Witness &witness = *stored.hardState.add_witnesses();
+    witness.set_instance("b");
+    witness.set_identity(2);
+    witness.mutable_before()->set_committed(12);
+    Replica replica(optionsOfA(), stored, Start);
+    replica.tick(Start + 10s);
+    cr_assert_not(replica.voters()[1].rolledBack);
+    replica.step(InstanceId("b"), granted(2, 1, true), Start + 10s);
+    cr_assert(replica.voters()[1].rolledBack);
+    cr_assert(replica.role() == ReplicaRole::PreCandidate);
+}
+
 Test(Replica, AdmitsAFolderOnlyAfterRetirementAndReplication)
 {
     Replica replica = leaderFrom(foundedLog());
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -12,6 +12,7 @@
 #include <cmath>
 #include <gentianramp/core/log.hpp>
 #include <gentianramp/core/random_seed.hpp>
+#include <gentianramp/registry/absence_watch.hpp>
 #include <gentianramp/registry/listing_history.hpp>
 #include <gentianramp/registry/load_poll_scheduler.hpp>
 #include <gentianramp/registry/member_directory.hpp>
@@ -91,6 +92,8 @@
 constexpr Duration StallThreshold = std::chrono::milliseconds(500);
 /// A voter that restarts or is replaced is back earlier.
 constexpr Duration MissingVoterInterval = std::chrono::seconds(10);
+/// An election takes less unless something prevents it.
+constexpr Duration MissingLeaderInterval = std::chrono::seconds(3);
 constexpr Duration EntryProcessTimeout = std::chrono::seconds(3);
 /// An entry process that asks another registry process would be counted twice for longer.
 constexpr Duration DelaysTimeout = std::chrono::seconds(1);
@@ -129,18 +132,6 @@
     ServiceDelays delays;
 };
 
-/// A seat without a voter, as the leader sees it.
-struct MissingVoter
-{
-    MissingVoter(TimePoint start, TimePoint reported)
-        : since(start)
-        , reportedAt(reported)
-    { }
-
-    TimePoint since;
-    TimePoint reportedAt;
-};
-
 /// A call to another process and its answer once received.
 struct WaitingCall
 {
@@ -200,6 +191,8 @@
             openFolderWhenDue(now);
             if (ledger)
                 ledger->tick(now);
+            reportRollback();
+            reportMissingLeader(now);
             if (now >= nextPresenceAt) {
                 nextPresenceAt = now + PresenceInterval;
                 sendPresence(now);
@@ -239,11 +232,13 @@
         seat = std::move(found).value();
         if (seat.empty())
             takeFoundingSeat();
-        if (!seat.empty())
+        if (!seat.empty()) {
             startLedger(now);
-        else if (storage.usable())
+        } else if (storage.usable()) {
+            logInfo("seat_awaited", {});
             nextFolderAttemptAt
                 = TimePoint::max(); // A spare opens no ledger until it takes a seat.
+        }
     }
 
     /// At the first start of the system, the seeds take the first seats in the order of their
@@ -335,6 +330,7 @@
             return;
         storageFailed = false;
         ledger.reset();
+        folderIdentity = 0;
         nextFolderAttemptAt = RuntimeClock::now() + FolderRetryInterval;
     }
 
@@ -342,6 +338,7 @@
     {
         logInfo("seat_released", {{"seat", seat}});
         ledger.reset();
+        folderIdentity = 0;
         seat.clear();
         nextFolderAttemptAt = TimePoint::max();
         if (const std::error_code error = storage.release()) {
@@ -705,19 +702,50 @@
             const bool votes = holder && voter.admittedFolderId != 0
                 && holder->folderId == voter.admittedFolderId
                 && holder->contactAge <= EntryProcessTimeout;
-            if (votes) {
-                missingVoters.erase(voter.seat);
-                continue;
-            }
-            MissingVoter &missing = missingVoters.try_emplace(voter.seat, now, now).first->second;
-            if (now - missing.reportedAt < MissingVoterInterval)
+            AbsenceWatch &watch
+                = missingVoters.try_emplace(voter.seat, MissingVoterInterval).first->second;
+            if (const std::optional<Duration> missing = watch.note(votes, now))
+                logWarning("voter_missing",
+                           {{"seat", voter.seat}, {"for_ms", toMilliseconds(*missing)}});
+        }
+    }
+
+    /// A voter without a leader logs what it knows of the other voters, so that the logs show why
+    /// no election succeeds.
+    void reportMissingLeader(TimePoint now)
+    {
+        const std::optional<Duration> missing
+            = leaderWatch.note(!ledger || ledger->replica().leader(), now);
+        if (!missing)
+            return;
+        const Replica &replica = ledger->replica();
+        for (const VoterView &voter : replica.voters()) {
+            if (voter.instance.value() == seat)
                 continue;
-            missing.reportedAt = now;
-            logWarning("voter_missing",
-                       {{"seat", voter.seat}, {"for_ms", toMilliseconds(now - missing.since)}});
+            logWarning("leader_missing",
+                       {{"for_ms", toMilliseconds(*missing)},
+                        {"seat", seat},
+                        {"term", replica.term().value()},
+                        {"last_index", replica.lastIndex().value()},
+                        {"admitted", replica.admitted() ? "yes" : "no"},
+                        {"voter", voter.instance.value()},
+                        {"voter_admitted", voter.admitted ? "yes" : "no"},
+                        {"voter_rolled_back", voter.rolledBack ? "yes" : "no"},
+                        {"voter_contact_ms",
+                         voter.lastContact ? toMilliseconds(now - *voter.lastContact) : -1}});
         }
     }
 
+    /// Logs that the own data folder was found to be rolled back, so that its votes do not count
+    /// until a leader admits it again.
+    void reportRollback()
+    {
+        const std::uint64_t identity = ledger ? ledger->replica().identity() : 0;
+        const std::uint64_t earlier = std::exchange(folderIdentity, identity);
+        if (earlier != 0 && identity != 0 && identity != earlier)
+            logWarning("folder_rolled_back", {{"seat", seat}, {"folder", identity}});
+    }
+
     void receiveOffer(const proto::SeatOffer &offer, TimePoint now)
     {
         if (ledger || !storage.takesSeat()
@@ -1067,7 +1095,9 @@
     TimePoint ordersAllowedAt{};
     StageController stageController;
     std::map<std::string, InstanceId> lastHolders;
-    std::map<std::string, MissingVoter> missingVoters;
+    std::map<std::string, AbsenceWatch> missingVoters; ///< By seat; used while this process leads.
+    AbsenceWatch leaderWatch{MissingLeaderInterval};
+    std::uint64_t folderIdentity = 0; ///< Of the open ledger.
     std::uint64_t packedNumber = 0;
     std::string packed;
     ListingHistory history;
--- a/src/gentianramp/wire/mesh.cpp
+++ b/src/gentianramp/wire/mesh.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <gentianramp/core/log.hpp>
 #include <gentianramp/wire/mesh.hpp>
+#include <map>
 #include <mutex>
 #include <set>
 #include <sys/eventfd.h>
@@ -37,6 +38,7 @@
 constexpr int UnacknowledgedTimeoutMs = 2000; // TCP_USER_TIMEOUT; below the heartbeat timeouts
 /// After this time without a successful send, the peer's next key is tried.
 constexpr Duration KeyTrialTimeout = std::chrono::seconds(1);
+constexpr Duration DropReportInterval = std::chrono::seconds(1);
 constexpr std::uint64_t TimelineSampleInterval = 16; // every 16th message is recorded
 
 /// A queued message, either to a peer or, when `route` is set, to the connection of a received
@@ -217,6 +219,7 @@
             countRejectedHandshakes(authenticator.handlePending());
             sendQueued();
             receiveAll();
+            reportReceivedDrops(now);
         }
     }
 
@@ -354,8 +357,10 @@
         if (!envelope.ParseFromArray(frame.data(), static_cast<int>(frame.size())))
             return drop(DropReason::Malformed, owner.instance);
         const InstanceId sender(envelope.sender());
-        if (const auto reason = dropReasonFor(envelope, owner, sender, route.empty()))
+        if (const auto reason = dropReasonFor(envelope, owner, sender, route.empty())) {
+            ++receivedDrops[{sender, *reason}];
             return drop(*reason, sender);
+        }
         countTraffic("received", frame.size());
         recordSample(EventKind::MessageReceived, envelope, sender);
         onMessage({sender, Incarnation(envelope.incarnation()),
@@ -408,6 +413,20 @@
             logWarning("message_refused", {{"reason", toString(reason)}, {"peer", peer.value()}});
     }
 
+    /// A peer whose messages are all dropped is silent for this process alone.
+    void reportReceivedDrops(TimePoint now)
+    {
+        if (receivedDrops.empty() || now < nextDropReportAt)
+            return;
+        nextDropReportAt = now + DropReportInterval;
+        for (const auto &[dropped, count] : receivedDrops)
+            logWarning("messages_dropped",
+                       {{"peer", dropped.first.value()},
+                        {"reason", toString(dropped.second)},
+                        {"count", count}});
+        receivedDrops.clear();
+    }
+
     void countRejectedHandshakes(std::uint64_t rejected)
     {
         if (rejected > 0 && options.metrics)
@@ -490,6 +509,8 @@
     std::set<InstanceId> blocked;
     std::set<InstanceId> blockedByFile;
     TimePoint faultFileReadAt;
+    std::map<std::pair<InstanceId, DropReason>, std::uint64_t> receivedDrops; ///< Not yet logged.
+    TimePoint nextDropReportAt{};
     std::uint64_t lastSequence = 0;
 
     const KeyOwner unauthenticatedOwner; ///< Owner of every message when CURVE is off.
