Let records that are written together be lost together

Callers would have seen a configuration that nobody gives, or that is older than an acknowledged one: a loss of power may leave any part of a write that was not synced. Records that wait for a slow disk are written in one go, each with a checksum of its own; where the first was torn and a later one was not, the log counted as damaged, and the voter gave up its folder, with everything that it had synced and answered for. With the disk of another voter lost at that moment, no majority was left. A write now is one record with one checksum, so that a torn one is an incomplete tail.

RecordsWrittenTogetherAreLostTogether fails on the code before with "corrupt record at the start or in the middle of the log file"; RecordsWrittenTogetherReadAsIfWrittenOneByOne holds the joined record to the single ones.

--- a/include/gentianramp/ledger/log_store.hpp
+++ b/include/gentianramp/ledger/log_store.hpp
@@ -31,7 +31,7 @@
     /// Writes and syncs @p snapshot, if there is one, and then @p record.
     std::error_code write(const std::optional<proto::LedgerSnapshot> &snapshot,
                           const proto::PersistRecord &record);
-    /// Writes @p records with a single sync.
+    /// Writes @p records as one, with a single sync.
     std::error_code write(const std::vector<proto::PersistRecord> &records);
     /// Size of the current log file in bytes.
     std::uint64_t logBytes() const { return m_logBytes; }
--- a/src/gentianramp/ledger/log_store.cpp
+++ b/src/gentianramp/ledger/log_store.cpp
@@ -47,6 +47,25 @@
     log.entries.insert(log.entries.end(), record.entries().begin(), record.entries().end());
 }
 
+/// One record with the effect of @p records in their order, which are not the first of a file.
+proto::PersistRecord joined(const std::vector<proto::PersistRecord> &records)
+{
+    proto::PersistRecord all;
+    for (const proto::PersistRecord &record : records) {
+        if (record.has_hard_state())
+            *all.mutable_hard_state() = record.hard_state();
+        auto &entries = *all.mutable_entries();
+        if (const std::uint64_t from = record.truncate_from(); from != 0) {
+            while (!entries.empty() && entries.rbegin()->index() >= from)
+                entries.RemoveLast();
+            const std::uint64_t earlier = all.truncate_from();
+            all.set_truncate_from(earlier == 0 ? from : std::min(earlier, from));
+        }
+        entries.MergeFrom(record.entries());
+    }
+    return all;
+}
+
 /// The record with which a log file that holds @p log starts.
 proto::PersistRecord fullRecord(const StoredLog &log)
 {
@@ -126,14 +145,14 @@
 {
     if (m_failed)
         return make_error_code(Error::StorageFailed);
-    std::string frames;
-    for (const proto::PersistRecord &record : records)
-        frames += encodeFrame(FrameKind::Record, record.SerializeAsString());
-    if (const std::error_code error = m_folder.append(logName(m_generation), frames))
+    // A loss of power may leave any part of a write that was not synced. With one checksum for all
+    // of it, such a write can't be taken for damage to what was synced before.
+    const std::string frame = encodeFrame(FrameKind::Record, joined(records).SerializeAsString());
+    if (const std::error_code error = m_folder.append(logName(m_generation), frame))
         return fail(error);
     if (const std::error_code error = m_folder.sync(logName(m_generation)))
         return fail(error);
-    m_logBytes += frames.size();
+    m_logBytes += frame.size();
     return {};
 }
 
--- a/src/gentianramp/ledger/log_store_test.cpp
+++ b/src/gentianramp/ledger/log_store_test.cpp
@@ -111,6 +111,51 @@
     }
 }
 
+Test(LogStore, RecordsWrittenTogetherAreLostTogether)
+{
+    // A loss of power may leave out any part of a write that was not synced, also its beginning.
+    MemoryDataFolder disk;
+    LogStore store(disk.disk());
+    cr_assert(store.open(1));
+    cr_assert_not(store.write(std::nullopt, recordWith(1, "command")));
+    const std::string synced = disk.files.at(FirstLog).bytes;
+    cr_assert_not(store.write({recordWith(2, "command"), recordWith(3, "command")}));
+    std::string &bytes = disk.files.at(FirstLog).bytes;
+    bytes.replace(synced.size(), 24, 24, '\0');
+    cr_assert_eq(entriesOnDisk(disk), 1);
+}
+
+Test(LogStore, RecordsWrittenTogetherReadAsIfWrittenOneByOne)
+{
+    proto::PersistRecord overwriting = recordWith(3, "newer");
+    overwriting.set_truncate_from(3);
+    proto::PersistRecord shortening = recordWith(5, "newest");
+    shortening.set_truncate_from(5);
+    shortening.mutable_hard_state()->set_term(7);
+    const std::vector<proto::PersistRecord> records{recordWith(4, "old"), overwriting,
+                                                    recordWith(4, "newer"), recordWith(5, "old"),
+                                                    shortening};
+    MemoryDataFolder together = filledDisk();
+    MemoryDataFolder apart = filledDisk();
+    LogStore first(together.disk());
+    LogStore second(apart.disk());
+    cr_assert(first.open(2) && second.open(2));
+    cr_assert_not(first.write(records));
+    for (const proto::PersistRecord &record : records)
+        cr_assert_not(second.write(std::nullopt, record));
+    LogStore third(together.disk());
+    LogStore fourth(apart.disk());
+    const Result<StoredLog> merged = third.open(3);
+    const Result<StoredLog> single = fourth.open(3);
+    cr_assert(merged && single);
+    cr_assert_eq(merged->entries.size(), 5);
+    cr_assert_eq(merged->hardState.term(), 7);
+    cr_assert_eq(merged->hardState.SerializeAsString(), single->hardState.SerializeAsString());
+    for (std::size_t i = 0; i < single->entries.size(); ++i)
+        cr_assert_eq(merged->entries[i].SerializeAsString(),
+                     single->entries[i].SerializeAsString());
+}
+
 Test(LogStore, FailedSyncStopsTheStore)
 {
     MemoryDataFolder disk = filledDisk();
