--- a/src/gentianramp/control/ledger_driver.cpp
+++ b/src/gentianramp/control/ledger_driver.cpp
@@ -216,6 +216,10 @@
 void LedgerDriver::applyEntry(const proto::LogEntry &entry)
 {
     m_applied = entry.index();
+    if (entry.kind() == proto::ENTRY_ADMIT && m_replica->role() == ReplicaRole::Leader) {
+        for (const proto::SlotIdentity &slot : entry.identities())
+            logInfo("voter_admitted", {{"seat", slot.instance()}, {"index", entry.index()}});
+    }
     if (entry.kind() != proto::ENTRY_COMMAND)
         return;
     const CommandAnswer answer = m_store.apply(entry.command());
