Write records that are synced together under one checksum

What callers may see: after a loss of power a voter can't open its folder; with the disk of another one lost, no change is accepted and no configuration read for good. Cause: records that wait together are written at once, one frame each. Until the sync returns, a loss of power may keep the end of this write without its start. The intact frame behind the torn one then looked like damage in the middle of the log, and the folder, with all that had been synced, was refused. Change: the records are merged into one, so that a torn write has no intact frame and is left out as the torn tail that it is. Evidence: MemoryDataFolder may now clear the start of what was not synced; the new test of LogStore then fails with the former write() ("corrupt record at the start or in the middle of the log file").

--- a/src/gentianramp/ledger/log_store.cpp
+++ b/src/gentianramp/ledger/log_store.cpp
@@ -47,6 +47,21 @@
     log.entries.insert(log.entries.end(), record.entries().begin(), record.entries().end());
 }
 
+/// Adds @p next to @p record, which then has the effect of both in this order.
+void mergeRecord(proto::PersistRecord &record, const proto::PersistRecord &next)
+{
+    if (next.has_hard_state())
+        *record.mutable_hard_state() = next.hard_state();
+    if (const std::uint64_t from = next.truncate_from(); from != 0) {
+        auto &entries = *record.mutable_entries();
+        while (!entries.empty() && entries.rbegin()->index() >= from)
+            entries.RemoveLast();
+        const std::uint64_t earlier = record.truncate_from();
+        record.set_truncate_from(earlier == 0 ? from : std::min(earlier, from));
+    }
+    record.mutable_entries()->MergeFrom(next.entries());
+}
+
 /// The record with which a log file that holds @p log starts.
 proto::PersistRecord fullRecord(const StoredLog &log)
 {
@@ -126,14 +141,17 @@
 {
     if (m_failed)
         return make_error_code(Error::StorageFailed);
-    std::string frames;
+    // A loss of power may keep the end of a write without its start. With one checksum for all that
+    // is synced together, such a write is not taken for damage in the middle of the log.
+    proto::PersistRecord merged;
     for (const proto::PersistRecord &record : records)
-        frames += encodeFrame(FrameKind::Record, record.SerializeAsString());
-    if (const std::error_code error = m_folder.append(logName(m_generation), frames))
+        mergeRecord(merged, record);
+    const std::string frame = encodeFrame(FrameKind::Record, merged.SerializeAsString());
+    if (const std::error_code error = m_folder.append(logName(m_generation), frame))
         return fail(error);
     if (const std::error_code error = m_folder.sync(logName(m_generation)))
         return fail(error);
-    m_logBytes += frames.size();
+    m_logBytes += frame.size();
     return {};
 }
 
--- a/src/gentianramp/ledger/log_store_test.cpp
+++ b/src/gentianramp/ledger/log_store_test.cpp
@@ -266,6 +266,52 @@
     }
 }
 
+Test(LogStore, RecordsWrittenTogetherHaveTheEffectOfEachInTurn)
+{
+    MemoryDataFolder disk = filledDisk();
+    proto::PersistRecord truncation = recordWith(3, "replaced twice");
+    truncation.set_truncate_from(3);
+    proto::PersistRecord deeper = recordWith(2, "replaced");
+    deeper.set_truncate_from(2);
+    deeper.mutable_hard_state()->set_term(7);
+    proto::PersistRecord last;
+    last.mutable_hard_state()->set_identity(9);
+    last.mutable_hard_state()->set_term(8);
+    {
+        LogStore store(disk.disk());
+        cr_assert(store.open(2));
+        cr_assert_not(store.write({recordWith(4, "cut off"), truncation, recordWith(4, "cut off"),
+                                   deeper, recordWith(3, "kept"), last}));
+    }
+    LogStore store(disk.disk());
+    const Result<StoredLog> log = store.open(2);
+    cr_assert(log, "%s", log.message().c_str());
+    std::vector<std::string> commands;
+    for (const proto::LogEntry &entry : log->entries)
+        commands.push_back(entry.command());
+    const std::vector<std::string> expected{"command", "replaced", "kept"};
+    cr_assert(commands == expected);
+    cr_assert_eq(log->hardState.term(), 8);
+}
+
+// Records that were written together were torn by a loss of power: the second one was on the disk,
+// the first one was not, and the log could not be opened again, although all that had been synced
+// was there.
+Test(LogStore, OpensAfterACrashThatToreRecordsWrittenTogether)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        MemoryDataFolder disk = filledDisk();
+        DataFolder hooks = disk.disk();
+        hooks.sync = [](const std::string &) { return std::make_error_code(std::errc::io_error); };
+        LogStore store(hooks);
+        cr_assert(store.open(2));
+        cr_assert(store.write({recordWith(4, "written"), recordWith(5, "together")}));
+        std::mt19937_64 random(seed);
+        disk.crash(random);
+        cr_assert_geq(lastIndexOnDisk(disk), 3, "seed %lu", static_cast<unsigned long>(seed));
+    }
+}
+
 Test(LogStore, KeepsOneLogAndItsSnapshot)
 {
     MemoryDataFolder disk = filledDisk();
--- a/src/gentianramp/ledger/memory_data_folder.cpp
+++ b/src/gentianramp/ledger/memory_data_folder.cpp
@@ -65,7 +65,14 @@
 void loseUnsynced(MemoryFile &file, std::mt19937_64 &random)
 {
     std::uniform_int_distribution<std::size_t> kept(file.synced, file.bytes.size());
-    file.bytes.resize(kept(random));
+    if (std::bernoulli_distribution(0.5)(random)) {
+        file.bytes.resize(kept(random));
+    } else {
+        // The blocks of a write reach the disk in any order.
+        std::uniform_int_distribution<std::size_t> missing(0, file.bytes.size() - file.synced);
+        std::fill_n(file.bytes.begin() + static_cast<std::ptrdiff_t>(file.synced), missing(random),
+                    '\0');
+    }
     file.synced = file.bytes.size();
     for (const ByteRange &range : std::exchange(file.lost, {})) {
         const std::size_t end = std::min(range.end, file.bytes.size());
