--- a/src/gentianramp/ledger/log_store_test.cpp
+++ b/src/gentianramp/ledger/log_store_test.cpp
@@ -311,6 +311,24 @@
     }
 }
 
+// Records that were written together were torn by a loss of power: the second one was on the disk,
+// the first one was not, and the log could not be opened again, although all that had been synced
+// was there.
+Test(LogStore, OpensAfterACrashThatToreRecordsWrittenTogether)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        MemoryDataFolder disk = filledDisk();
+        DataFolder hooks = disk.disk();
+        hooks.sync = [](const std::string &) { return std::make_error_code(std::errc::io_error); };
+        LogStore store(hooks);
+        cr_assert(store.open(2));
+        cr_assert(store.write({recordWith(4, "written"), recordWith(5, "together")}));
+        std::mt19937_64 random(seed);
+        disk.crash(random);
+        cr_assert_geq(lastIndexOnDisk(disk), 3, "seed %lu", static_cast<unsigned long>(seed));
+    }
+}
+
 Test(LogStore, KeepsOneLogAndItsSnapshot)
 {
     MemoryDataFolder disk = filledDisk();
