Show how many voters are up to date

The log says so every 10 s only, which no check can wait for. gentianramp_registry_current_voters counts, at the leader, the admitted voters that answered within an election timeout and hold all committed entries; gentianramp_registry_seats is what it should be.

--- a/include/gentianramp/registry/seat_assignment.hpp
+++ b/include/gentianramp/registry/seat_assignment.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <gentianramp/core/clock.hpp>
 #include <gentianramp/core/ids.hpp>
+#include <gentianramp/ledger/replica.hpp>
 #include <map>
 #include <string>
 #include <vector>
@@ -67,4 +68,9 @@
 const PeerStatus *holderOf(const LedgerSeat &seat, const std::vector<PeerStatus> &peers,
                            const SeatOptions &options = {});
 
+/// Number of admitted voters that hold all entries up to @p committed and answered within @p
+/// contactTimeout before @p now.
+std::size_t currentVoters(const std::vector<VoterView> &voters, LogIndex committed, TimePoint now,
+                          Duration contactTimeout);
+
 } // namespace gentianramp
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -212,6 +212,7 @@
                 nextFlushAt = now + LogFlushInterval;
                 flushLog();
             }
+            publishVoters(now);
             co_await sleepFor(TickInterval);
         }
     }
@@ -718,6 +719,24 @@
         }
     }
 
+    /// Only the leader knows how current the voters are; elsewhere the gauge is 0.
+    void publishVoters(TimePoint now)
+    {
+        if (!options.metrics)
+            return;
+        std::size_t current = 0;
+        if (leads()) {
+            const Replica &replica = ledger->replica();
+            current = currentVoters(replica.voters(), replica.commitIndex(), now, ElectionTimeout);
+        }
+        options.metrics
+            ->gauge("gentianramp_registry_current_voters",
+                    "Admitted voters in contact with all committed entries, as the leader sees it")
+            .set(static_cast<double>(current));
+        options.metrics->gauge("gentianramp_registry_seats", "Voter positions of the ledger")
+            .set(static_cast<double>(seats.size()));
+    }
+
     void receiveOffer(const proto::SeatOffer &offer, TimePoint now)
     {
         if (ledger || !storage.takesSeat()
--- a/src/gentianramp/registry/seat_assignment.cpp
+++ b/src/gentianramp/registry/seat_assignment.cpp
@@ -91,4 +91,13 @@
     return changes;
 }
 
+std::size_t currentVoters(const std::vector<VoterView> &voters, LogIndex committed, TimePoint now,
+                          Duration contactTimeout)
+{
+    return std::count_if(voters.begin(), voters.end(), [&](const VoterView &voter) {
+        return voter.admitted && voter.match >= committed && voter.lastContact
+            && now - *voter.lastContact <= contactTimeout;
+    });
+}
+
 } // namespace gentianramp
--- a/src/gentianramp/registry/seat_assignment_test.cpp
+++ b/src/gentianramp/registry/seat_assignment_test.cpp
@@ -106,3 +106,40 @@
     const std::vector<PeerStatus> alone{peers.front()};
     cr_assert_eq(holderOf({"seat-1", 99}, alone)->instance, InstanceId("admitted"));
 }
+
+namespace {
+
+constexpr TimePoint Now{std::chrono::seconds(10)};
+constexpr Duration ContactTimeout = milliseconds(900);
+const LogIndex Committed(7);
+
+VoterView voter(const char *seat, std::uint64_t match, int silenceMs = 100, bool admitted = true)
+{
+    return {InstanceId(seat), 11, admitted, LogIndex(match), Now - milliseconds(silenceMs)};
+}
+
+std::size_t countCurrent(const std::vector<VoterView> &voters)
+{
+    return currentVoters(voters, Committed, Now, ContactTimeout);
+}
+
+} // namespace
+
+Test(seat_assignment, votersWithAllCommittedEntriesAreCurrent)
+{
+    cr_assert_eq(countCurrent({voter("seat-1", 8), voter("seat-2", 7), voter("seat-3", 7)}), 3U);
+}
+
+Test(seat_assignment, voterThatLacksACommittedEntryIsNotCurrent)
+{
+    cr_assert_eq(countCurrent({voter("seat-1", 7), voter("seat-2", 7), voter("seat-3", 6)}), 2U);
+}
+
+Test(seat_assignment, voterWithoutAdmittedFolderOrContactIsNotCurrent)
+{
+    VoterView neverHeard = voter("seat-3", 7);
+    neverHeard.lastContact.reset();
+    cr_assert_eq(countCurrent({voter("seat-1", 7), voter("seat-2", 7, 100, false), neverHeard}),
+                 1U);
+    cr_assert_eq(countCurrent({voter("seat-1", 7), voter("seat-2", 7, 901)}), 1U);
+}
