Assign seats as soon as a new leader knows all processes

Cause: every leader waited 1.2 s after its election to hear of all processes, and then up to 0.5 s for its next look, although it had heard them since they were back. Change: a leader may assign seats once it has run for as long as a silent holder is waited for (2 s) and heard the same processes for 1.2 s; at the latest 1.2 s after its election, as before. It looks at that moment. The new tests are of the rule that was put in its place.

--- a/include/gentianramp/registry/member_directory.hpp
+++ b/include/gentianramp/registry/member_directory.hpp
@@ -61,6 +61,8 @@
     std::vector<PeerStatus> peerStatuses(TimePoint now) const;
     /// The recently heard member that reports leadership in the highest term.
     std::optional<InstanceId> leader(TimePoint now) const;
+    /// When a member was last heard for the first time or after a silence.
+    std::optional<TimePoint> lastJoinedAt() const { return m_lastJoinedAt; }
     /// Entry processes served by the other members.
     /// Sum of the delays that other registry processes reported recently.
     ServiceDelays delaysElsewhere(TimePoint now) const;
@@ -79,6 +81,7 @@
     InstanceId m_self;
     std::vector<InstanceId> m_seeds;
     std::map<InstanceId, Member> m_members;
+    std::optional<TimePoint> m_lastJoinedAt;
 };
 
 } // namespace gentianramp
--- a/include/gentianramp/registry/seat_assignment.hpp
+++ b/include/gentianramp/registry/seat_assignment.hpp
@@ -5,6 +5,7 @@
 #include <gentianramp/core/ids.hpp>
 #include <gentianramp/ledger/replica.hpp>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,8 @@
     Duration replaceTimeout = std::chrono::seconds(2);
     /// An instance that was not heard for longer is not offered a seat.
     Duration maxCandidateContactAge = std::chrono::seconds(1);
+    /// After two rounds of presence messages, a process knows all others and their seats.
+    Duration peerDiscoveryTime = std::chrono::milliseconds(1200);
 };
 
 /// A seat to be offered to, or released by, an instance.
@@ -63,6 +66,18 @@
                         const std::map<std::string, InstanceId> &lastHolders,
                         const SeatOptions &options = {});
 
+/// What a leader knows of the others depends on how long it has heard them.
+struct LeaderHistory
+{
+    TimePoint startedAt{}; ///< Of the process.
+    TimePoint leadsSince{};
+    std::optional<TimePoint> lastJoinedAt; ///< When the last other process joined.
+};
+
+/// When the leader may assign seats: at once if it has heard the same processes for long enough,
+/// and SeatOptions::peerDiscoveryTime after its election otherwise.
+TimePoint seatUpdatesAllowedAt(const LeaderHistory &leader, const SeatOptions &options = {});
+
 /// The process whose messages for @p seat are accepted: the one with the admitted folder unless it
 /// has not been heard for SeatOptions::replaceTimeout, otherwise the most recently heard one.
 const PeerStatus *holderOf(const LedgerSeat &seat, const std::vector<PeerStatus> &peers,
--- a/src/gentianramp/registry/member_directory.cpp
+++ b/src/gentianramp/registry/member_directory.cpp
@@ -14,6 +14,8 @@
 constexpr Duration LeaderTimeout = std::chrono::milliseconds(1500);
 /// Several presence messages were lost on a connection that should have delivered them.
 constexpr Duration SilentConnectionTimeout = std::chrono::milliseconds(1200);
+/// Longer than several presence messages are apart.
+constexpr Duration SilenceBeforeJoining = std::chrono::milliseconds(1200);
 constexpr Duration EntryCountTimeout = std::chrono::seconds(3);
 /// Entry processes that ask another registry process would be counted twice for longer.
 constexpr Duration DelaysTimeout = std::chrono::seconds(1);
@@ -39,6 +41,8 @@
     member.dataCentre = state.dataCentre;
     if (!member.state)
         member.connectedAt = now;
+    if (!member.state || now - member.lastContactAt > SilenceBeforeJoining)
+        m_lastJoinedAt = now;
     member.state = std::move(state);
     member.lastContactAt = now;
     member.lastReportedAt = now;
--- a/src/gentianramp/registry/member_directory_test.cpp
+++ b/src/gentianramp/registry/member_directory_test.cpp
@@ -91,3 +91,16 @@
     cr_assert(directory.known(at(9)).front().contactAge == std::chrono::seconds(1));
     cr_assert(directory.known(at(9)).front().directContactAge == std::chrono::seconds(9));
 }
+
+Test(member_directory, memberJoinsAtItsFirstContactAndAfterASilence)
+{
+    MemberDirectory directory(A);
+    cr_assert_not(directory.lastJoinedAt().has_value());
+    directory.recordContact(B, {}, at(0));
+    directory.recordContact(B, {}, at(1));
+    cr_assert(directory.lastJoinedAt() == at(0));
+    directory.recordContact(B, {}, at(3));
+    cr_assert(directory.lastJoinedAt() == at(3));
+    directory.recordReport(C, DataCentreId("z"), std::chrono::seconds(0), at(4));
+    cr_assert(directory.lastJoinedAt() == at(3));
+}
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -41,8 +41,6 @@
 constexpr Duration MessageTtl = std::chrono::seconds(1);
 /// Time between two attempts to open a data folder whose disk is full or does not respond.
 constexpr Duration FolderRetryInterval = std::chrono::milliseconds(400);
-/// After two rounds of presence messages, a new leader knows all processes and their seats.
-constexpr Duration PeerDiscoveryTime = std::chrono::milliseconds(1200);
 constexpr Duration SeatUpdateInterval = std::chrono::milliseconds(500);
 /// Each process reads the list at this interval times the number of registry processes, so that
 /// their combined rate does not depend on that number.
@@ -294,7 +292,8 @@
             logInfo(nowLeads ? "leadership_gained" : "leadership_lost",
                     {{"seat", seat}, {"term", term.value()}});
             missingVoters.clear();
-            seatUpdatesAllowedAt = RuntimeClock::now() + PeerDiscoveryTime;
+            leadsSince = RuntimeClock::now();
+            nextSeatUpdateAt = {};
             ordersAllowedAt = RuntimeClock::now() + options.successorOrderDelay + OrderMargin;
             nextPresenceAt = {};
         };
@@ -675,8 +674,12 @@
             if (!peer.seat.empty() && peer.folderId == ledgerSeat(peer.seat).admittedFolderId)
                 lastHolders[peer.seat] = peer.instance;
         }
-        if (now < seatUpdatesAllowedAt)
+        const TimePoint allowedAt
+            = seatUpdatesAllowedAt({startedAt, leadsSince, directory.lastJoinedAt()});
+        if (now < allowedAt) {
+            nextSeatUpdateAt = allowedAt;
             return;
+        }
         peers.push_back({options.self, options.dataCentre, seat, ledger->replica().identity(), {}});
         reportMissingVoters(peers, now);
         const SeatChanges changes = assignSeats(ledgerSeats(), peers, lastHolders);
@@ -1075,14 +1078,15 @@
     bool hasHeldSeat = false;
     std::unique_ptr<DeclarationLedger> ledger;
     bool storageFailed = false;
-    TimePoint lastRunAt = RuntimeClock::now();
+    TimePoint startedAt = RuntimeClock::now();
+    TimePoint lastRunAt = startedAt;
     std::uint64_t expiredMessages
         = 0; ///< Dropped before they were handled, since the last log line.
     TimePoint nextFolderAttemptAt{};
     TimePoint nextPresenceAt{};
     TimePoint nextFlushAt{};
     TimePoint nextSeatUpdateAt{};
-    TimePoint seatUpdatesAllowedAt{};
+    TimePoint leadsSince{};
     TimePoint ordersAllowedAt{};
     StageController stageController;
     std::map<std::string, InstanceId> lastHolders;
--- a/src/gentianramp/registry/seat_assignment.cpp
+++ b/src/gentianramp/registry/seat_assignment.cpp
@@ -91,6 +91,16 @@
     return changes;
 }
 
+TimePoint seatUpdatesAllowedAt(const LeaderHistory &leader, const SeatOptions &options)
+{
+    const TimePoint elected = leader.leadsSince + options.peerDiscoveryTime;
+    // A holder that was never heard counts as lost as late as one that fell silent at the start.
+    TimePoint known = std::max(leader.leadsSince, leader.startedAt + options.replaceTimeout);
+    if (leader.lastJoinedAt)
+        known = std::max(known, *leader.lastJoinedAt + options.peerDiscoveryTime);
+    return std::min(elected, known);
+}
+
 std::size_t currentVoters(const std::vector<VoterView> &voters, LogIndex committed, TimePoint now,
                           Duration contactTimeout)
 {
--- a/src/gentianramp/registry/seat_assignment_test.cpp
+++ b/src/gentianramp/registry/seat_assignment_test.cpp
@@ -143,3 +143,29 @@
                  1U);
     cr_assert_eq(countCurrent({voter("seat-1", 7), voter("seat-2", 7, 901)}), 1U);
 }
+
+// The seat of a lost disk was offered 1.2 s after an election that may take 3 s itself, so that it
+// was filled later than 4 s after the machine was back.
+Test(seat_assignment, leaderThatKnowsAllProcessesAssignsSeatsAtOnce)
+{
+    const LeaderHistory leader{Now - std::chrono::seconds(9), Now, Now - std::chrono::seconds(3)};
+    cr_assert(seatUpdatesAllowedAt(leader) == Now);
+}
+
+Test(seat_assignment, leaderThatJustStartedWaitsForHoldersToBeHeard)
+{
+    const LeaderHistory leader{Now - milliseconds(1400), Now, Now - milliseconds(1300)};
+    cr_assert(seatUpdatesAllowedAt(leader) == Now + milliseconds(600));
+}
+
+Test(seat_assignment, leaderThatJustJoinedTheOthersWaitsForAllOfThem)
+{
+    const LeaderHistory leader{Now - std::chrono::seconds(60), Now, Now - milliseconds(200)};
+    cr_assert(seatUpdatesAllowedAt(leader) == Now + milliseconds(1000));
+}
+
+Test(seat_assignment, processesThatKeepJoiningDoNotPostponeTheAssignmentOfSeats)
+{
+    const LeaderHistory leader{Now - std::chrono::seconds(60), Now, Now + std::chrono::seconds(5)};
+    cr_assert(seatUpdatesAllowedAt(leader) == Now + milliseconds(1200));
+}
