Send calls to the successor of a lost leader

What callers see: for up to 0.85 s more than the election takes, a read or a change at a process that does not lead gets no answer, although the process knows the successor already. Cause: a call stays with the leader to which it was sent first, until its timeout. Change: when a successor shows itself, the calls that wait are sent to it under the same number. A declaration that reaches both is the same one, and a read is confirmed by a majority before it is answered.

--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -12,6 +12,7 @@
 #include <cmath>
 #include <gentianramp/core/log.hpp>
 #include <gentianramp/core/random_seed.hpp>
+#include <gentianramp/registry/leader_calls.hpp>
 #include <gentianramp/registry/listing_history.hpp>
 #include <gentianramp/registry/load_poll_scheduler.hpp>
 #include <gentianramp/registry/member_directory.hpp>
@@ -614,6 +615,19 @@
             if (InstanceId(member.instance()) == options.self)
                 receiveEcho(sender, std::chrono::milliseconds(member.contact_ms()), now);
         }
+        if (presence.leads())
+            redirectCalls(now);
+    }
+
+    /// Calls to a leader that was lost are sent to its successor. Either may answer: a declaration
+    /// that is sent again is the same one, and a read is confirmed by a majority.
+    void redirectCalls(TimePoint now)
+    {
+        const std::optional<InstanceId> successor = leader(now);
+        if (!successor)
+            return;
+        for (std::string &payload : leaderCalls.redirect(*successor))
+            link->send(*successor, PayloadKind::Registry, std::move(payload), MessageTtl);
     }
 
     /// @p sender last heard this process @p contactAge ago.
@@ -891,9 +905,11 @@
         const auto waiting = std::make_shared<WaitingCall>();
         waiting->timer = std::make_shared<Timer>(executor, CallTimeout);
         calls[call] = waiting;
+        leaderCalls.add(call, *to, message.SerializeAsString());
         send(*to, message);
         co_await waitFor(*waiting->timer);
         calls.erase(call);
+        leaderCalls.remove(call);
         if (!waiting->answer)
             logWarning("leader_silent",
                        {{"leader", to->value()},
@@ -1105,6 +1121,7 @@
     std::map<BackendId, EngineLoadState> engineLoadStates;
     std::uint64_t nextCall;
     std::map<std::uint64_t, std::shared_ptr<WaitingCall>> calls;
+    LeaderCalls leaderCalls;
     bool stopping = false;
     std::unique_ptr<Mesh> link; ///< Last member, so that its thread is stopped first.
 };
