--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -13,6 +13,7 @@
 #include <gentianramp/core/log.hpp>
 #include <gentianramp/core/random_seed.hpp>
 #include <gentianramp/registry/absence_watch.hpp>
+#include <gentianramp/registry/leader_calls.hpp>
 #include <gentianramp/registry/listing_history.hpp>
 #include <gentianramp/registry/load_poll_scheduler.hpp>
 #include <gentianramp/registry/member_directory.hpp>
@@ -42,8 +43,6 @@
 constexpr Duration MessageTtl = std::chrono::seconds(1);
 /// Time between two attempts to open a data folder whose disk is full or does not respond.
 constexpr Duration FolderRetryInterval = std::chrono::milliseconds(400);
-/// After two rounds of presence messages, a new leader knows all processes and their seats.
-constexpr Duration PeerDiscoveryTime = std::chrono::milliseconds(1200);
 constexpr Duration SeatUpdateInterval = std::chrono::milliseconds(500);
 /// Each process reads the list at this interval times the number of registry processes, so that
 /// their combined rate does not depend on that number.
@@ -205,6 +204,7 @@
                 nextFlushAt = now + LogFlushInterval;
                 flushLog();
             }
+            publishVoters(now);
             co_await sleepFor(TickInterval);
         }
     }
@@ -288,7 +288,8 @@
             logInfo(nowLeads ? "leadership_gained" : "leadership_lost",
                     {{"seat", seat}, {"term", term.value()}});
             missingVoters.clear();
-            seatUpdatesAllowedAt = RuntimeClock::now() + PeerDiscoveryTime;
+            leadsSince = RuntimeClock::now();
+            nextSeatUpdateAt = {};
             ordersAllowedAt = RuntimeClock::now() + options.successorOrderDelay + OrderMargin;
             nextPresenceAt = {};
         };
@@ -611,6 +612,19 @@
             if (InstanceId(member.instance()) == options.self)
                 receiveEcho(sender, std::chrono::milliseconds(member.contact_ms()), now);
         }
+        if (presence.leads())
+            redirectCalls(now);
+    }
+
+    /// Calls to a leader that was lost are sent to its successor. Either may answer: a declaration
+    /// that is sent again is the same one, and a read is confirmed by a majority.
+    void redirectCalls(TimePoint now)
+    {
+        const std::optional<InstanceId> successor = leader(now);
+        if (!successor)
+            return;
+        for (std::string &payload : leaderCalls.redirect(*successor))
+            link->send(*successor, PayloadKind::Registry, std::move(payload), MessageTtl);
     }
 
     /// @p sender last heard this process @p contactAge ago.
@@ -671,8 +685,12 @@
             if (!peer.seat.empty() && peer.folderId == ledgerSeat(peer.seat).admittedFolderId)
                 lastHolders[peer.seat] = peer.instance;
         }
-        if (now < seatUpdatesAllowedAt)
+        const TimePoint allowedAt
+            = seatUpdatesAllowedAt({startedAt, leadsSince, directory.lastJoinedAt()});
+        if (now < allowedAt) {
+            nextSeatUpdateAt = allowedAt;
             return;
+        }
         peers.push_back({options.self, options.dataCentre, seat, ledger->replica().identity(), {}});
         reportMissingVoters(peers, now);
         const SeatChanges changes = assignSeats(ledgerSeats(), peers, lastHolders);
@@ -746,6 +764,24 @@
             logWarning("folder_rolled_back", {{"seat", seat}, {"folder", identity}});
     }
 
+    /// Only the leader knows how current the voters are; elsewhere the gauge is 0.
+    void publishVoters(TimePoint now)
+    {
+        if (!options.metrics)
+            return;
+        std::size_t current = 0;
+        if (leads()) {
+            const Replica &replica = ledger->replica();
+            current = currentVoters(replica.voters(), replica.commitIndex(), now, ElectionTimeout);
+        }
+        options.metrics
+            ->gauge("gentianramp_registry_current_voters",
+                    "Admitted voters in contact with all committed entries, as the leader sees it")
+            .set(static_cast<double>(current));
+        options.metrics->gauge("gentianramp_registry_seats", "Voter positions of the ledger")
+            .set(static_cast<double>(seats.size()));
+    }
+
     void receiveOffer(const proto::SeatOffer &offer, TimePoint now)
     {
         if (ledger || !storage.takesSeat()
@@ -897,9 +933,11 @@
         const auto waiting = std::make_shared<WaitingCall>();
         waiting->timer = std::make_shared<Timer>(executor, CallTimeout);
         calls[call] = waiting;
+        leaderCalls.add(call, *to, message.SerializeAsString());
         send(*to, message);
         co_await waitFor(*waiting->timer);
         calls.erase(call);
+        leaderCalls.remove(call);
         if (!waiting->answer)
             logWarning("leader_silent",
                        {{"leader", to->value()},
@@ -1084,14 +1122,15 @@
     bool hasHeldSeat = false;
     std::unique_ptr<DeclarationLedger> ledger;
     bool storageFailed = false;
-    TimePoint lastRunAt = RuntimeClock::now();
+    TimePoint startedAt = RuntimeClock::now();
+    TimePoint lastRunAt = startedAt;
     std::uint64_t expiredMessages
         = 0; ///< Dropped before they were handled, since the last log line.
     TimePoint nextFolderAttemptAt{};
     TimePoint nextPresenceAt{};
     TimePoint nextFlushAt{};
     TimePoint nextSeatUpdateAt{};
-    TimePoint seatUpdatesAllowedAt{};
+    TimePoint leadsSince{};
     TimePoint ordersAllowedAt{};
     StageController stageController;
     std::map<std::string, InstanceId> lastHolders;
@@ -1112,6 +1151,7 @@
     std::map<BackendId, EngineLoadState> engineLoadStates;
     std::uint64_t nextCall;
     std::map<std::uint64_t, std::shared_ptr<WaitingCall>> calls;
+    LeaderCalls leaderCalls;
     bool stopping = false;
     std::unique_ptr<Mesh> link; ///< Last member, so that its thread is stopped first.
 };
