Answer a leader while entries wait for the disk

What callers would see: no voter becomes or stays leader while syncs need half a second and more at all voters, so that no change is acknowledged and no read answered in all that time, although every process runs and hears the others.

Cause: a new leader's first entry needs a sync at the leader, one at a voter, and the voter answered none of the leader's rounds during its own; after an election timeout without an answer the leader stepped down, and so did its successors. Voters answered only while nothing but a commit index waited. The tests of the ledger did not show it, because they ran with time-outs of 1.5 s instead of the 0.9 s of a registry process.

An answer now names the last index on the disk and may leave while entries wait. It confirms the round, which rests on term and vote alone; the entries are acknowledged by the answer that waits for them.

--- a/include/gentianramp/control/ledger_driver.hpp
+++ b/include/gentianramp/control/ledger_driver.hpp
@@ -99,6 +99,7 @@
     void processQueue();
     void writeFirst();
     void onWritten(std::size_t outputs, std::error_code error, TimePoint startedAt);
+    void noteSynced(const ReplicaOutput &output);
     void finish(WaitingOutput waiting);
     void applyEntry(const proto::LogEntry &entry);
     void announceNewest();
@@ -113,7 +114,8 @@
     bool m_writing = false;
     bool m_processing = false;
     std::uint64_t m_logBytes = 0;
-    proto::HardState m_synced; ///< Last one that reached the disk.
+    proto::HardState m_synced;       ///< Last one that reached the disk.
+    std::uint64_t m_syncedIndex = 0; ///< Last index of the log on the disk.
     std::optional<TimePoint> m_confirmedAt;
     LedgerHooks m_hooks;
     CompactionLimits m_limits;
--- a/src/gentianramp/control/ledger_driver.cpp
+++ b/src/gentianramp/control/ledger_driver.cpp
@@ -36,6 +36,8 @@
     m_applied = stored->snapshot.index();
     m_logBytes = m_logStore->logBytes();
     m_synced = stored->hardState;
+    m_syncedIndex
+        = stored->entries.empty() ? stored->snapshot.index() : stored->entries.back().index();
     m_replica = std::make_unique<Replica>(m_options, std::move(stored).value(), now);
     perform(m_replica->tick(now));
     return !m_failed;
@@ -96,9 +98,8 @@
     processQueue();
 }
 
-/// True while nothing waits for the disk but commit indices and what is known of other voters.
-/// Answers to the leader don't rest on these, and without them a slow disk would look like a lost
-/// voter.
+/// True while nothing waits for the disk that an answer to the leader rests on, except entries:
+/// those are left out of the answer. Without it a slow disk would look like a lost voter.
 bool LedgerDriver::answersMayPass() const
 {
     return std::all_of(m_waiting.begin(), m_waiting.end(), [this](const WaitingOutput &waiting) {
@@ -106,17 +107,20 @@
         if (!output.record)
             return true;
         const proto::HardState &state = output.record->hard_state();
-        return !output.snapshot && output.record->entries().empty()
-            && output.record->truncate_from() == 0 && state.term() == m_synced.term()
-            && state.voted_for() == m_synced.voted_for() && state.identity() == m_synced.identity();
+        return !output.snapshot && output.record->truncate_from() == 0
+            && state.term() == m_synced.term() && state.voted_for() == m_synced.voted_for()
+            && state.identity() == m_synced.identity();
     });
 }
 
 void LedgerDriver::sendAnswers(ReplicaOutput &output)
 {
-    std::erase_if(output.messages, [this](const OutgoingMessage &outgoing) {
+    std::erase_if(output.messages, [this](OutgoingMessage &outgoing) {
         if (!outgoing.message.has_append_response())
             return false;
+        proto::AppendResponse &response = *outgoing.message.mutable_append_response();
+        if (response.accepted())
+            response.set_match_index(std::min(response.match_index(), m_syncedIndex));
         m_hooks.send(outgoing.to, outgoing.message.SerializeAsString());
         return true;
     });
@@ -184,13 +188,27 @@
     if (took > SlowWrite)
         logWarning("storage_slow", {{"ms", toMilliseconds(took)}, {"outputs", outputs}});
     for (std::size_t i = 0; i < outputs; ++i) {
-        if (const auto &record = m_waiting[i].output.record; record && record->has_hard_state())
-            m_synced = record->hard_state();
+        noteSynced(m_waiting[i].output);
         m_waiting[i].output.record.reset();
     }
     processQueue();
 }
 
+void LedgerDriver::noteSynced(const ReplicaOutput &output)
+{
+    if (!output.record)
+        return;
+    const proto::PersistRecord &record = *output.record;
+    if (record.has_hard_state())
+        m_synced = record.hard_state();
+    if (output.snapshot)
+        m_syncedIndex = output.snapshot->index();
+    else if (record.truncate_from() != 0)
+        m_syncedIndex = std::min(m_syncedIndex, record.truncate_from() - 1);
+    if (!record.entries().empty())
+        m_syncedIndex = record.entries().rbegin()->index();
+}
+
 void LedgerDriver::finish(WaitingOutput waiting)
 {
     ReplicaOutput &output = waiting.output;
--- a/src/gentianramp/registry/declaration_ledger_test.cpp
+++ b/src/gentianramp/registry/declaration_ledger_test.cpp
@@ -40,6 +40,8 @@
         options.self = seat;
         options.voters = Seats;
         options.seed = ++m_seed;
+        options.electionTimeout = electionTimeout;
+        options.heartbeatInterval = electionTimeout / 4;
         DeclarationHooks hooks;
         hooks.send = [this, seat](const InstanceId &to, std::string payload) {
             m_messages.push_back({seat, to, std::move(payload)});
@@ -72,6 +74,7 @@
     void stallDisk(const InstanceId &seat) { m_stalled.insert(seat); }
     void resumeDisk(const InstanceId &seat) { m_stalled.erase(seat); }
     Duration syncTime{}; ///< Of all disks.
+    Duration electionTimeout = milliseconds(900);
     TimePoint now() const { return m_now; }
     MemoryDataFolder &disk(const InstanceId &seat) { return m_disks[seat]; }
     bool failed(const InstanceId &seat) const { return m_failed == seat; }
@@ -391,6 +394,25 @@
         cr_assert_eq(voters.ledgers[seat]->committed().number, 10);
 }
 
+// A new leader's first entry waited for its own disk before the voters got it, so that nobody had
+// answered it after an election timeout; it stepped down, and so did its successors.
+Test(declaration_ledger, aLeaderSettlesWhileAllDisksAreSlow)
+{
+    for (const int syncMs : {500, 600, 700}) {
+        VoterSimulation voters;
+        voters.run(6000);
+        cr_assert(voters.declare(voters.leader(), 1, "one") == true);
+        const InstanceId first = voters.leaderSeat();
+        voters.syncTime = milliseconds(syncMs);
+        voters.stop(first);
+        voters.run(10'000);
+        cr_assert_not_null(voters.leader(), "no leader with %d ms a sync", syncMs);
+        cr_expect(voters.declare(voters.leader(), 2, "two", 4000) == true, "%d ms a sync", syncMs);
+        cr_expect(voters.read(voters.leader()) == (RawDeclaration{2, "two"}), "%d ms a sync",
+                  syncMs);
+    }
+}
+
 // Two voters whose disks took 1.5 s to note a commit index did not answer the leader, so that no
 // read succeeded and the leader stepped down.
 Test(declaration_ledger, leaderIsConfirmedWhileVotersNoteACommit)
