Keep few declarations of the ledger's log in memory

What callers would see: under changes of a large configuration (300 KB) the registry processes that hold seats are killed for their memory, all within a short time, because all hold the same log.

Evidence: memoryDoesNotGrowWithTheNumberOfDeclarations failed before at all three voters (120 declarations of 200 KB).

A registry process keeps 8 entries.

--- a/include/gentianramp/ledger/replica.hpp
+++ b/include/gentianramp/ledger/replica.hpp
@@ -125,6 +125,8 @@
     /// True when the own log admits the own data folder.
     bool admitted() const;
     std::vector<VoterView> voters() const;
+    /// Size of the commands in memory, those before the snapshot included.
+    std::uint64_t logBytes() const;
     /// Entries after the snapshot, for checks.
     std::vector<proto::LogEntry> entries() const;
 
--- a/src/gentianramp/ledger/replica.cpp
+++ b/src/gentianramp/ledger/replica.cpp
@@ -180,6 +180,11 @@
     return views;
 }
 
+std::uint64_t Replica::logBytes() const
+{
+    return m_state->log.bytes();
+}
+
 std::vector<proto::LogEntry> Replica::entries() const
 {
     return m_state->log.entriesAfterSnapshot();
--- a/src/gentianramp/ledger/replicated_log.cpp
+++ b/src/gentianramp/ledger/replicated_log.cpp
@@ -1,6 +1,7 @@
 #include "replicated_log.hpp"
 
 #include <gentianramp/core/invariant.hpp>
+#include <numeric>
 
 namespace gentianramp {
 
@@ -120,6 +121,14 @@
     }
 }
 
+std::uint64_t ReplicatedLog::bytes() const
+{
+    return std::accumulate(m_entries.begin(), m_entries.end(), std::uint64_t{0},
+                           [](std::uint64_t sum, const proto::LogEntry &entry) {
+                               return sum + entry.command().size();
+                           });
+}
+
 std::vector<proto::LogEntry> ReplicatedLog::entriesAfterSnapshot() const
 {
     std::vector<proto::LogEntry> entries;
--- a/src/gentianramp/ledger/replicated_log.hpp
+++ b/src/gentianramp/ledger/replicated_log.hpp
@@ -26,6 +26,8 @@
     /// Index before the first entry in memory; entries after it can be sent.
     std::uint64_t baseIndex() const { return m_baseIndex; }
     const proto::LedgerSnapshot &snapshot() const { return m_snapshot; }
+    /// Size of the commands in memory.
+    std::uint64_t bytes() const;
 
     void append(const proto::LogEntry &entry);
     /// Removes the entry at @p index and all later ones.
--- a/src/gentianramp/registry/declaration_ledger.cpp
+++ b/src/gentianramp/registry/declaration_ledger.cpp
@@ -14,6 +14,16 @@
 constexpr CompactionLimits LogLimits{.entries = 32, .bytes = 1024 * 1024};
 constexpr ConfigurationStoreLimits StateLimits{.results = 256, .revisions = 1, .undoBytes = 0};
 
+/// Entries before a snapshot that stay in memory. A voter that lacks more gets the snapshot, which
+/// is not longer than an entry with a new declaration.
+constexpr std::size_t RetainedEntries = 8;
+
+ReplicaOptions withShortLog(ReplicaOptions options)
+{
+    options.retainedEntries = RetainedEntries;
+    return options;
+}
+
 std::string encode(const RawDeclaration &declaration)
 {
     proto::StoredDeclaration stored;
@@ -38,7 +48,7 @@
                                      DeclarationHooks hooks)
     : m_hooks(std::move(hooks))
     , m_incarnation(options.seed)
-    , m_driver(std::move(options), std::move(dataFolder),
+    , m_driver(withShortLog(std::move(options)), std::move(dataFolder),
                {.send = m_hooks.send,
                 .decided = [this](const CommandId &command,
                                   const CommandAnswer &answer) { onDecided(command, answer); },
--- a/src/gentianramp/registry/declaration_ledger_test.cpp
+++ b/src/gentianramp/registry/declaration_ledger_test.cpp
@@ -359,6 +359,26 @@
         cr_expect_lt(ledger->storedBytes(), maxStoredBytes, "%s", seat.value().c_str());
 }
 
+// The log in memory kept the last 256 entries, whatever their size, although only 32 stayed on the
+// disk.
+Test(declaration_ledger, memoryDoesNotGrowWithTheNumberOfDeclarations)
+{
+    constexpr std::size_t contentBytes = 200'000;
+    constexpr std::uint64_t declarations = 120;
+    constexpr std::size_t maxBytesOfAVoter = 10'000'000;
+    std::mt19937_64 random(3);
+    VoterSimulation voters;
+    voters.run(6000);
+    for (std::uint64_t number = 1; number <= declarations; ++number) {
+        std::string content(contentBytes, ' ');
+        for (char &byte : content)
+            byte = static_cast<char>(random());
+        cr_assert(voters.declare(voters.leader(), number, content, 300) == true);
+    }
+    for (const auto &[seat, ledger] : voters.ledgers)
+        cr_expect_lt(ledger->replica().logBytes(), maxBytesOfAVoter, "%s", seat.value().c_str());
+}
+
 // The thread of a leader stood still while its disk did, so that calls to it were not answered
 // although its presence said that it led.
 Test(declaration_ledger, leaderWithAStalledDiskIsReplaced)
