Destroy the pending handlers of an entry instance before its executors

Cause: each thread of an entry instance has an executor of its own, and these were destroyed one after the other, each with the coroutines that were still suspended on it. Every exchange with a backend server shares the pool of idle connections. When a read of BackendWatch or a request was under way at the end, its coroutine held the pool last and closed the idle connections of executors that no longer existed. The coroutine that accepts connections on the background thread likewise holds a socket of a worker.

The new test has answers awaited on two workers and an idle connection on one; under AddressSanitizer it failed 5 times of 5 before and passed 10 of 10 after.

WorkerPool now owns the background thread too. stop() joins all threads, then destroys the handlers of all executors while these and everything that the handlers refer to still exist. Nothing is left for the destructors of the executors.

--- a/src/gentianramp/entry/entry_service.cpp
+++ b/src/gentianramp/entry/entry_service.cpp
@@ -129,10 +129,10 @@
         , workers(options.settings.threads)
         , telemetry(metrics, timeline)
         , keyService(std::make_shared<SharedKeyService>(keyOptions(options), keySender()))
-        , backendWatch(std::make_shared<BackendWatch>(background.executor(), router, client,
+        , backendWatch(std::make_shared<BackendWatch>(workers.background(), router, client,
                                                       timeline, options.settings.dataCentre))
         , pipeline(pipelineOptions())
-        , server(background.executor(), serverOptions(),
+        , server(workers.background(), serverOptions(),
                  [this](HttpRequest request, ResponseWriter &writer) {
                      return handle(std::move(request), writer);
                  })
@@ -155,12 +155,12 @@
         result.context.telemetry = &telemetry;
         result.context.onStatedPhase = [this](const BackendId &backend, BackendPhase phase) {
             router.markPhase(backend, phase, RuntimeClock::now());
-            asio::post(background.executor(),
+            asio::post(workers.background(),
                        [this, backend, phase] { applyPhase(backend, phase, true); });
         };
         result.context.viewIsStale = [this] { return viewIsStale(); };
         result.context.spawn = [this](asio::awaitable<void> work) {
-            asio::co_spawn(background.executor(), std::move(work), asio::detached);
+            asio::co_spawn(workers.background(), std::move(work), asio::detached);
         };
         result.keyService = keyService;
         result.directory = [this] { return directory.load(); };
@@ -209,7 +209,7 @@
 
     void onMessage(ReceivedMessage message)
     {
-        asio::post(background.executor(), [this, message = std::move(message)]() mutable {
+        asio::post(workers.background(), [this, message = std::move(message)]() mutable {
             handleMessage(std::move(message));
         });
     }
@@ -324,7 +324,7 @@
     void publish(const FleetView &fleet)
     {
         router.publishFleet(fleet, RuntimeClock::now());
-        asio::post(background.executor(), [this, fleet] { backendWatch->setFleet(fleet); });
+        asio::post(workers.background(), [this, fleet] { backendWatch->setFleet(fleet); });
     }
 
     /// Publishes the declared backend servers of each data centre without a fleet table.
@@ -361,7 +361,6 @@
     MetricsRegistry metrics;
     TimelineWriter timeline;
     Router router;
-    WorkerThread background;
     WorkerPool workers;
     HttpClient client;
     Telemetry telemetry;
@@ -393,7 +392,6 @@
     m_state->server.stop();
     m_state->mesh.reset();
     m_state->workers.stop();
-    m_state->background.stop();
 }
 
 Result<std::uint16_t> EntryService::start()
@@ -411,11 +409,10 @@
         const std::lock_guard lock(state.installMutex);
         state.publishDeclared();
     }
-    const asio::any_io_executor executor = state.background.executor();
+    const asio::any_io_executor executor = state.workers.background();
     asio::co_spawn(executor, state.tickKeys(), asio::detached);
     asio::co_spawn(executor, state.tickRouter(), asio::detached);
     asio::co_spawn(executor, state.tickSlowly(), asio::detached);
-    state.background.start();
     state.workers.start();
     state.timeline.record({.kind = EventKind::ProcessStarted});
     return port;
--- a/src/gentianramp/entry/entry_service_test.cpp
+++ b/src/gentianramp/entry/entry_service_test.cpp
@@ -33,6 +33,11 @@
     return fixture.stream(tokens, withRequestId("long"));
 }
 
+Result<HttpResponse> unlock(EntryFixture &fixture, const std::string &key)
+{
+    return fixture.call("/bay/unlock", "{}", withKey(key, true));
+}
+
 } // namespace
 
 Test(EntryService, StreamIsResumedWhenEnginesCrash)
@@ -176,3 +181,19 @@
     cr_assert_not(fixture.service().applyConfiguration({}, Revision(2)));
     cr_assert(fixture.service().revision() == Revision(3));
 }
+
+Test(EntryService, EndsWhileAnswersOfSeveralThreadsAreAwaited)
+{
+    EntryFixture fixture(0, 1);
+    // Leaves an idle connection to the backend server with the first thread; the callers of the
+    // next two requests are connected to different threads.
+    cr_assert(verdictOf(unlock(fixture, "quick")) == "Complete");
+    fixture.fault(0, "hang", 2);
+    auto first = std::async(std::launch::async, unlock, std::ref(fixture), "first");
+    auto second = std::async(std::launch::async, unlock, std::ref(fixture), "second");
+    while (fixture.runs() < 3) {
+    }
+    fixture.destroyService();
+    cr_assert_not(first.get());
+    cr_assert_not(second.get());
+}
--- a/src/gentianramp/entry/entry_test_support.hpp
+++ b/src/gentianramp/entry/entry_test_support.hpp
@@ -36,6 +36,8 @@
     std::size_t runs();
 
     EntryService &service() { return *m_service; }
+    /// Destroys the entry instance; its callers and backend servers stay.
+    void destroyService() { m_service.reset(); }
 
 private:
     Result<HttpResponse> send(std::uint16_t port, HttpRequest request);
--- a/src/gentianramp/entry/worker_threads.cpp
+++ b/src/gentianramp/entry/worker_threads.cpp
@@ -25,14 +25,20 @@
         m_thread.join();
 }
 
-WorkerPool::WorkerPool(unsigned threads)
+void WorkerThread::destroyHandlers()
 {
-    for (unsigned index = 0; index < std::max(threads, 1U); ++index)
+    m_context.shutdown();
+}
+
+WorkerPool::WorkerPool(unsigned workers)
+{
+    for (unsigned index = 0; index < std::max(workers, 1U); ++index)
         m_workers.push_back(std::make_unique<WorkerThread>());
 }
 
 void WorkerPool::start()
 {
+    m_background.start();
     for (const auto &worker : m_workers)
         worker->start();
 }
@@ -41,6 +47,18 @@
 {
     for (const auto &worker : m_workers)
         worker->stop();
+    m_background.stop();
+    // A destroyed handler may post to a thread that has none left: a released claim of a key wakes
+    // the requests that wait for it. What is posted then posts nothing more.
+    destroyHandlers();
+    destroyHandlers();
+}
+
+void WorkerPool::destroyHandlers()
+{
+    for (const auto &worker : m_workers)
+        worker->destroyHandlers();
+    m_background.destroyHandlers();
 }
 
 boost::asio::any_io_executor WorkerPool::next()
--- a/src/gentianramp/entry/worker_threads.hpp
+++ b/src/gentianramp/entry/worker_threads.hpp
@@ -22,25 +22,43 @@
     void start();
     /// Lets the current handler finish and joins the thread.
     void stop();
+    /// Destroys all handlers that have not run; the thread has been stopped.
+    void destroyHandlers();
     boost::asio::any_io_executor executor() { return m_context.get_executor(); }
 
 private:
-    boost::asio::io_context m_context{1};
+    /// Its handlers can be destroyed before it is.
+    class Context : public boost::asio::io_context
+    {
+    public:
+        using boost::asio::execution_context::shutdown;
+        using boost::asio::io_context::io_context;
+    };
+
+    Context m_context{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     std::thread m_thread;
 };
 
-/// Threads that process requests; connections are assigned to them round-robin.
+/// The threads of an entry instance: one for its own work and workers that process requests.
 class WorkerPool
 {
 public:
-    explicit WorkerPool(unsigned threads);
+    explicit WorkerPool(unsigned workers);
 
     void start();
+    /// Joins all threads, then destroys the handlers that have not run. Both are done for all
+    /// threads before any executor ends, since a handler of one may own a socket of another.
     void stop();
+    /// Executor of the instance's own work.
+    boost::asio::any_io_executor background() { return m_background.executor(); }
+    /// Executor of a worker, round-robin.
     boost::asio::any_io_executor next();
 
 private:
+    void destroyHandlers();
+
+    WorkerThread m_background;
     std::vector<std::unique_ptr<WorkerThread>> m_workers;
     std::atomic<std::size_t> m_next{0};
 };
