--- a/src/gentianramp/registry/seat_assignment_test.cpp
+++ b/src/gentianramp/registry/seat_assignment_test.cpp
@@ -115,7 +115,11 @@
 
 VoterView voter(const char *seat, std::uint64_t match, int silenceMs = 100, bool admitted = true)
 {
-    return {InstanceId(seat), 11, admitted, LogIndex(match), Now - milliseconds(silenceMs)};
+    return {.instance = InstanceId(seat),
+            .identity = 11,
+            .admitted = admitted,
+            .match = LogIndex(match),
+            .lastContact = Now - milliseconds(silenceMs)};
 }
 
 std::size_t countCurrent(const std::vector<VoterView> &voters)
