Name the time zone, so that the C library sets it up once

Cause: glog asks for the local time for each line. While TZ is not set, the C library frees and copies the name of its zone each time, under a lock that is not instrumented. tzset() at the start does not change that: the name is only compared when TZ is set. So the race is no fault of the program, but each line paid for the work.

startLogging() sets TZ to the file that is used anyway, unless it is set, and the name stays. A new /etc/localtime counts from the next start.

--- a/src/gentianramp/core/log.cpp
+++ b/src/gentianramp/core/log.cpp
@@ -2,6 +2,7 @@
 
 #include "log_buffer.hpp"
 
+#include <cstdlib>
 #include <ctime>
 #include <fcntl.h>
 #include <gentianramp/core/clock.hpp>
@@ -146,7 +147,9 @@
     static std::string programName;
     programName = name;
     FLAGS_logtostderr = true;
-    // The C library sets up its time zone at the first use; do it before other threads log.
+    // While TZ is not set, the C library sets up its time zone anew for each line that glog writes.
+    setenv("TZ", ":/etc/localtime", 0);
+    // With TZ it does so at the first use only; do it before other threads log.
     tzset();
     google::InitGoogleLogging(programName.c_str());
     if (target == LogTarget::StandardOutput)
