--- a/scripts/lib/daemon_check.py
+++ b/scripts/lib/daemon_check.py
@@ -17,7 +17,8 @@
 SILENCE_S = 60
 REQUESTS = 60
 CALLERS = 4
-REPORTS = ("WARNING: ThreadSanitizer", "ERROR: AddressSanitizer", "runtime error:")
+REPORTS = ("WARNING: ThreadSanitizer", "ERROR: AddressSanitizer", "ERROR: LeakSanitizer", "runtime error:")
+SHOWN_CHARACTERS = 8000
 
 
 def layout():
@@ -65,9 +66,11 @@
     found = []
     for log in sorted((folder / "logs").glob("*.log")):
         text = log.read_text(errors="replace")
-        if any(mark in text for mark in REPORTS):
+        starts = [text.index(mark) for mark in REPORTS if mark in text]
+        if starts:
             found.append(log.name)
-            print(f"--- {log.name}\n{text[-4000:]}", file=sys.stderr)
+            first = min(starts)
+            print(f"--- {log.name}\n{text[first:first + SHOWN_CHARACTERS]}", file=sys.stderr)
     return found
 
 
