Ask for pre-votes soon after a start

A voter that has heard no leader since its start asks for pre-votes after a third to two thirds of the timeout: voters that hear a leader refuse, nothing is written, and an election itself keeps its full time, so that slow disks don't make it fail.

AsksForPreVotesSoonerUntilItHasHeardALeader fails on the code before.

--- a/src/gentianramp/ledger/replica.cpp
+++ b/src/gentianramp/ledger/replica.cpp
@@ -202,7 +202,7 @@
     }
     for (const proto::Witness &witness : hard.witnesses())
         witnesses.merge(witness);
-    resetElectionTimer();
+    resetPreVoteTimer();
     // Entries committed before the restart are returned again, so that their effect is in force at
     // once.
     advanceCommit(hard.commit());
@@ -312,6 +312,17 @@
     resetElectionTimer();
 }
 
+/// A voter that has heard no leader since its start asks sooner than the others: after a loss of
+/// power everything waits for the first leader, and voters that hear one refuse.
+void Replica::State::resetPreVoteTimer()
+{
+    if (leaderContact)
+        return resetElectionTimer();
+    const Duration share = options.electionTimeout / 3;
+    std::uniform_int_distribution<Duration::rep> jitter(0, share.count());
+    electionDeadline = now + share + Duration(jitter(random));
+}
+
 void Replica::State::resetElectionTimer()
 {
     std::uniform_int_distribution<Duration::rep> jitter(0, options.electionTimeout.count());
--- a/src/gentianramp/ledger/replica_election.cpp
+++ b/src/gentianramp/ledger/replica_election.cpp
@@ -7,7 +7,7 @@
 
 void Replica::State::startPreVote()
 {
-    resetElectionTimer();
+    resetPreVoteTimer();
     if (!canStandForElection())
         return;
     role = ReplicaRole::PreCandidate;
--- a/src/gentianramp/ledger/replica_state.hpp
+++ b/src/gentianramp/ledger/replica_state.hpp
@@ -46,6 +46,7 @@
     void renewIdentity();
     void notePeer(const std::string &from, const proto::LedgerMessage &message);
     void becomeFollower(std::uint64_t term);
+    void resetPreVoteTimer();
     void resetElectionTimer();
     void persistHardState();
     void persistEntry(const proto::LogEntry &entry);
--- a/src/gentianramp/ledger/replica_test.cpp
+++ b/src/gentianramp/ledger/replica_test.cpp
@@ -222,6 +222,33 @@
     cr_assert_eq(ofLeader->life().committed(), 10);
 }
 
+Test(Replica, AsksForPreVotesSoonerUntilItHasHeardALeader)
+{
+    const ReplicaOptions options = optionsOfA();
+    const Duration soon = options.electionTimeout * 2 / 3;
+    Replica replica(options, foundedLog(), Start);
+    TimePoint now = Start;
+    for (int attempt = 0; attempt < 3; ++attempt) {
+        cr_assert_leq((replica.nextTick() - now).count(), soon.count());
+        now = replica.nextTick();
+        const ReplicaOutput output = replica.tick(now);
+        cr_assert_eq(output.messages.size(), 2);
+        cr_assert(output.messages[0].message.vote_request().pre_vote());
+    }
+    // An election waits for disks, and gets the whole time.
+    replica.step(InstanceId("b"), granted(2, 1, true), now);
+    cr_assert_eq(replica.role(), ReplicaRole::Candidate);
+    cr_assert_geq((replica.nextTick() - now).count(), options.electionTimeout.count());
+    proto::LedgerMessage request = messageOf(2, 2);
+    request.mutable_append_request()->set_prev_index(10);
+    request.mutable_append_request()->set_prev_term(1);
+    replica.step(InstanceId("b"), request, now);
+    cr_assert_geq((replica.nextTick() - now).count(), options.electionTimeout.count());
+    now = replica.nextTick();
+    replica.tick(now);
+    cr_assert_geq((replica.nextTick() - now).count(), options.electionTimeout.count());
+}
+
 Test(Replica, StepsDownWithoutAMajority)
 {
     Replica replica = leaderFrom(foundedLog());
