--- a/src/gentianramp/registry/declaration_ledger_test.cpp
+++ b/src/gentianramp/registry/declaration_ledger_test.cpp
@@ -40,6 +40,8 @@
         options.self = seat;
         options.voters = Seats;
         options.seed = ++m_seed;
+        options.electionTimeout = electionTimeout;
+        options.heartbeatInterval = electionTimeout / 4;
         DeclarationHooks hooks;
         hooks.send = [this, seat](const InstanceId &to, std::string payload) {
             m_messages.push_back({seat, to, std::move(payload)});
@@ -72,6 +74,7 @@
     void stallDisk(const InstanceId &seat) { m_stalled.insert(seat); }
     void resumeDisk(const InstanceId &seat) { m_stalled.erase(seat); }
     Duration syncTime{}; ///< Of all disks.
+    Duration electionTimeout = milliseconds(900);
     TimePoint now() const { return m_now; }
     MemoryDataFolder &disk(const InstanceId &seat) { return m_disks[seat]; }
     bool failed(const InstanceId &seat) const { return m_failed == seat; }
@@ -356,6 +359,26 @@
         cr_expect_lt(ledger->storedBytes(), maxStoredBytes, "%s", seat.value().c_str());
 }
 
+// The log in memory kept the last 256 entries, whatever their size, although only 32 stayed on the
+// disk.
+Test(declaration_ledger, memoryDoesNotGrowWithTheNumberOfDeclarations)
+{
+    constexpr std::size_t contentBytes = 200'000;
+    constexpr std::uint64_t declarations = 120;
+    constexpr std::size_t maxBytesOfAVoter = 10'000'000;
+    std::mt19937_64 random(3);
+    VoterSimulation voters;
+    voters.run(6000);
+    for (std::uint64_t number = 1; number <= declarations; ++number) {
+        std::string content(contentBytes, ' ');
+        for (char &byte : content)
+            byte = static_cast<char>(random());
+        cr_assert(voters.declare(voters.leader(), number, content, 300) == true);
+    }
+    for (const auto &[seat, ledger] : voters.ledgers)
+        cr_expect_lt(ledger->replica().logBytes(), maxBytesOfAVoter, "%s", seat.value().c_str());
+}
+
 // The thread of a leader stood still while its disk did, so that calls to it were not answered
 // although its presence said that it led.
 Test(declaration_ledger, leaderWithAStalledDiskIsReplaced)
@@ -391,6 +414,25 @@
         cr_assert_eq(voters.ledgers[seat]->committed().number, 10);
 }
 
+// A new leader's first entry waited for its own disk before the voters got it, so that nobody had
+// answered it after an election timeout; it stepped down, and so did its successors.
+Test(declaration_ledger, aLeaderSettlesWhileAllDisksAreSlow)
+{
+    for (const int syncMs : {500, 600, 700}) {
+        VoterSimulation voters;
+        voters.run(6000);
+        cr_assert(voters.declare(voters.leader(), 1, "one") == true);
+        const InstanceId first = voters.leaderSeat();
+        voters.syncTime = milliseconds(syncMs);
+        voters.stop(first);
+        voters.run(10'000);
+        cr_assert_not_null(voters.leader(), "no leader with %d ms a sync", syncMs);
+        cr_expect(voters.declare(voters.leader(), 2, "two", 4000) == true, "%d ms a sync", syncMs);
+        cr_expect(voters.read(voters.leader()) == (RawDeclaration{2, "two"}), "%d ms a sync",
+                  syncMs);
+    }
+}
+
 // Two voters whose disks took 1.5 s to note a commit index did not answer the leader, so that no
 // read succeeded and the leader stepped down.
 Test(declaration_ledger, leaderIsConfirmedWhileVotersNoteACommit)
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -12,6 +12,8 @@
 #include <cmath>
 #include <gentianramp/core/log.hpp>
 #include <gentianramp/core/random_seed.hpp>
+#include <gentianramp/registry/absence_watch.hpp>
+#include <gentianramp/registry/leader_calls.hpp>
 #include <gentianramp/registry/listing_history.hpp>
 #include <gentianramp/registry/load_poll_scheduler.hpp>
 #include <gentianramp/registry/member_directory.hpp>
@@ -41,8 +43,6 @@
 constexpr Duration MessageTtl = std::chrono::seconds(1);
 /// Time between two attempts to open a data folder whose disk is full or does not respond.
 constexpr Duration FolderRetryInterval = std::chrono::milliseconds(400);
-/// After two rounds of presence messages, a new leader knows all processes and their seats.
-constexpr Duration PeerDiscoveryTime = std::chrono::milliseconds(1200);
 constexpr Duration SeatUpdateInterval = std::chrono::milliseconds(500);
 /// Each process reads the list at this interval times the number of registry processes, so that
 /// their combined rate does not depend on that number.
@@ -91,6 +91,8 @@
 constexpr Duration StallThreshold = std::chrono::milliseconds(500);
 /// A voter that restarts or is replaced is back earlier.
 constexpr Duration MissingVoterInterval = std::chrono::seconds(10);
+/// An election takes less unless something prevents it.
+constexpr Duration MissingLeaderInterval = std::chrono::seconds(3);
 constexpr Duration EntryProcessTimeout = std::chrono::seconds(3);
 /// An entry process that asks another registry process would be counted twice for longer.
 constexpr Duration DelaysTimeout = std::chrono::seconds(1);
@@ -129,18 +131,6 @@
     ServiceDelays delays;
 };
 
-/// A seat without a voter, as the leader sees it.
-struct MissingVoter
-{
-    MissingVoter(TimePoint start, TimePoint reported)
-        : since(start)
-        , reportedAt(reported)
-    { }
-
-    TimePoint since;
-    TimePoint reportedAt;
-};
-
 /// A call to another process and its answer once received.
 struct WaitingCall
 {
@@ -200,6 +190,8 @@
             openFolderWhenDue(now);
             if (ledger)
                 ledger->tick(now);
+            reportRollback();
+            reportMissingLeader(now);
             if (now >= nextPresenceAt) {
                 nextPresenceAt = now + PresenceInterval;
                 sendPresence(now);
@@ -212,6 +204,7 @@
                 nextFlushAt = now + LogFlushInterval;
                 flushLog();
             }
+            publishVoters(now);
             co_await sleepFor(TickInterval);
         }
     }
@@ -239,11 +232,13 @@
         seat = std::move(found).value();
         if (seat.empty())
             takeFoundingSeat();
-        if (!seat.empty())
+        if (!seat.empty()) {
             startLedger(now);
-        else if (storage.usable())
+        } else if (storage.usable()) {
+            logInfo("seat_awaited", {});
             nextFolderAttemptAt
                 = TimePoint::max(); // A spare opens no ledger until it takes a seat.
+        }
     }
 
     /// At the first start of the system, the seeds take the first seats in the order of their
@@ -293,7 +288,8 @@
             logInfo(nowLeads ? "leadership_gained" : "leadership_lost",
                     {{"seat", seat}, {"term", term.value()}});
             missingVoters.clear();
-            seatUpdatesAllowedAt = RuntimeClock::now() + PeerDiscoveryTime;
+            leadsSince = RuntimeClock::now();
+            nextSeatUpdateAt = {};
             ordersAllowedAt = RuntimeClock::now() + options.successorOrderDelay + OrderMargin;
             nextPresenceAt = {};
         };
@@ -335,6 +331,7 @@
             return;
         storageFailed = false;
         ledger.reset();
+        folderIdentity = 0;
         nextFolderAttemptAt = RuntimeClock::now() + FolderRetryInterval;
     }
 
@@ -342,6 +339,7 @@
     {
         logInfo("seat_released", {{"seat", seat}});
         ledger.reset();
+        folderIdentity = 0;
         seat.clear();
         nextFolderAttemptAt = TimePoint::max();
         if (const std::error_code error = storage.release()) {
@@ -614,6 +612,19 @@
             if (InstanceId(member.instance()) == options.self)
                 receiveEcho(sender, std::chrono::milliseconds(member.contact_ms()), now);
         }
+        if (presence.leads())
+            redirectCalls(now);
+    }
+
+    /// Calls to a leader that was lost are sent to its successor. Either may answer: a declaration
+    /// that is sent again is the same one, and a read is confirmed by a majority.
+    void redirectCalls(TimePoint now)
+    {
+        const std::optional<InstanceId> successor = leader(now);
+        if (!successor)
+            return;
+        for (std::string &payload : leaderCalls.redirect(*successor))
+            link->send(*successor, PayloadKind::Registry, std::move(payload), MessageTtl);
     }
 
     /// @p sender last heard this process @p contactAge ago.
@@ -674,8 +685,12 @@
             if (!peer.seat.empty() && peer.folderId == ledgerSeat(peer.seat).admittedFolderId)
                 lastHolders[peer.seat] = peer.instance;
         }
-        if (now < seatUpdatesAllowedAt)
+        const TimePoint allowedAt
+            = seatUpdatesAllowedAt({startedAt, leadsSince, directory.lastJoinedAt()});
+        if (now < allowedAt) {
+            nextSeatUpdateAt = allowedAt;
             return;
+        }
         peers.push_back({options.self, options.dataCentre, seat, ledger->replica().identity(), {}});
         reportMissingVoters(peers, now);
         const SeatChanges changes = assignSeats(ledgerSeats(), peers, lastHolders);
@@ -705,17 +720,66 @@
             const bool votes = holder && voter.admittedFolderId != 0
                 && holder->folderId == voter.admittedFolderId
                 && holder->contactAge <= EntryProcessTimeout;
-            if (votes) {
-                missingVoters.erase(voter.seat);
-                continue;
-            }
-            MissingVoter &missing = missingVoters.try_emplace(voter.seat, now, now).first->second;
-            if (now - missing.reportedAt < MissingVoterInterval)
+            AbsenceWatch &watch
+                = missingVoters.try_emplace(voter.seat, MissingVoterInterval).first->second;
+            if (const std::optional<Duration> missing = watch.note(votes, now))
+                logWarning("voter_missing",
+                           {{"seat", voter.seat}, {"for_ms", toMilliseconds(*missing)}});
+        }
+    }
+
+    /// A voter without a leader logs what it knows of the other voters, so that the logs show why
+    /// no election succeeds.
+    void reportMissingLeader(TimePoint now)
+    {
+        const std::optional<Duration> missing
+            = leaderWatch.note(!ledger || ledger->replica().leader(), now);
+        if (!missing)
+            return;
+        const Replica &replica = ledger->replica();
+        for (const VoterView &voter : replica.voters()) {
+            if (voter.instance.value() == seat)
                 continue;
-            missing.reportedAt = now;
-            logWarning("voter_missing",
-                       {{"seat", voter.seat}, {"for_ms", toMilliseconds(now - missing.since)}});
+            logWarning("leader_missing",
+                       {{"for_ms", toMilliseconds(*missing)},
+                        {"seat", seat},
+                        {"term", replica.term().value()},
+                        {"last_index", replica.lastIndex().value()},
+                        {"admitted", replica.admitted() ? "yes" : "no"},
+                        {"voter", voter.instance.value()},
+                        {"voter_admitted", voter.admitted ? "yes" : "no"},
+                        {"voter_rolled_back", voter.rolledBack ? "yes" : "no"},
+                        {"voter_contact_ms",
+                         voter.lastContact ? toMilliseconds(now - *voter.lastContact) : -1}});
+        }
+    }
+
+    /// Logs that the own data folder was found to be rolled back, so that its votes do not count
+    /// until a leader admits it again.
+    void reportRollback()
+    {
+        const std::uint64_t identity = ledger ? ledger->replica().identity() : 0;
+        const std::uint64_t earlier = std::exchange(folderIdentity, identity);
+        if (earlier != 0 && identity != 0 && identity != earlier)
+            logWarning("folder_rolled_back", {{"seat", seat}, {"folder", identity}});
+    }
+
+    /// Only the leader knows how current the voters are; elsewhere the gauge is 0.
+    void publishVoters(TimePoint now)
+    {
+        if (!options.metrics)
+            return;
+        std::size_t current = 0;
+        if (leads()) {
+            const Replica &replica = ledger->replica();
+            current = currentVoters(replica.voters(), replica.commitIndex(), now, ElectionTimeout);
         }
+        options.metrics
+            ->gauge("gentianramp_registry_current_voters",
+                    "Admitted voters in contact with all committed entries, as the leader sees it")
+            .set(static_cast<double>(current));
+        options.metrics->gauge("gentianramp_registry_seats", "Voter positions of the ledger")
+            .set(static_cast<double>(seats.size()));
     }
 
     void receiveOffer(const proto::SeatOffer &offer, TimePoint now)
@@ -869,9 +933,11 @@
         const auto waiting = std::make_shared<WaitingCall>();
         waiting->timer = std::make_shared<Timer>(executor, CallTimeout);
         calls[call] = waiting;
+        leaderCalls.add(call, *to, message.SerializeAsString());
         send(*to, message);
         co_await waitFor(*waiting->timer);
         calls.erase(call);
+        leaderCalls.remove(call);
         if (!waiting->answer)
             logWarning("leader_silent",
                        {{"leader", to->value()},
@@ -1056,18 +1122,21 @@
     bool hasHeldSeat = false;
     std::unique_ptr<DeclarationLedger> ledger;
     bool storageFailed = false;
-    TimePoint lastRunAt = RuntimeClock::now();
+    TimePoint startedAt = RuntimeClock::now();
+    TimePoint lastRunAt = startedAt;
     std::uint64_t expiredMessages
         = 0; ///< Dropped before they were handled, since the last log line.
     TimePoint nextFolderAttemptAt{};
     TimePoint nextPresenceAt{};
     TimePoint nextFlushAt{};
     TimePoint nextSeatUpdateAt{};
-    TimePoint seatUpdatesAllowedAt{};
+    TimePoint leadsSince{};
     TimePoint ordersAllowedAt{};
     StageController stageController;
     std::map<std::string, InstanceId> lastHolders;
-    std::map<std::string, MissingVoter> missingVoters;
+    std::map<std::string, AbsenceWatch> missingVoters; ///< By seat; used while this process leads.
+    AbsenceWatch leaderWatch{MissingLeaderInterval};
+    std::uint64_t folderIdentity = 0; ///< Of the open ledger.
     std::uint64_t packedNumber = 0;
     std::string packed;
     ListingHistory history;
@@ -1082,6 +1151,7 @@
     std::map<BackendId, EngineLoadState> engineLoadStates;
     std::uint64_t nextCall;
     std::map<std::uint64_t, std::shared_ptr<WaitingCall>> calls;
+    LeaderCalls leaderCalls;
     bool stopping = false;
     std::unique_ptr<Mesh> link; ///< Last member, so that its thread is stopped first.
 };
