Replace connections to a registry process that fell silent

Cause: connections that are silent in both directions stayed in use until their heartbeats ended them. Only a process that is heard, but does not hear, replaced its connection.

--- a/include/gentianramp/registry/member_directory.hpp
+++ b/include/gentianramp/registry/member_directory.hpp
@@ -51,6 +51,9 @@
     /// Records that @p instance last heard this process @p contactAge ago. True when the connection
     /// to it has to be replaced, because it is silent: @p instance is heard but does not hear.
     bool recordEcho(const InstanceId &instance, Duration contactAge, TimePoint now);
+    /// Members that fell silent; the connection to each has to be replaced, since connections may
+    /// go silent in both directions. Each is returned once per interval.
+    std::vector<InstanceId> takeSilentMembers(TimePoint now);
     /// Drops members that no process has heard for 60 s.
     void expire(TimePoint now);
 
--- a/src/gentianramp/registry/member_directory.cpp
+++ b/src/gentianramp/registry/member_directory.cpp
@@ -69,6 +69,19 @@
     return true;
 }
 
+std::vector<InstanceId> MemberDirectory::takeSilentMembers(TimePoint now)
+{
+    std::vector<InstanceId> silent;
+    for (auto &[instance, member] : m_members) {
+        if (!member.state || now - member.lastContactAt < SilentConnectionTimeout
+            || now - member.connectedAt < SilentConnectionTimeout)
+            continue;
+        member.connectedAt = now;
+        silent.push_back(instance);
+    }
+    return silent;
+}
+
 void MemberDirectory::expire(TimePoint now)
 {
     std::erase_if(m_members, [&](const auto &entry) {
--- a/src/gentianramp/registry/member_directory_test.cpp
+++ b/src/gentianramp/registry/member_directory_test.cpp
@@ -104,3 +104,17 @@
     directory.recordReport(C, DataCentreId("z"), std::chrono::seconds(0), at(4));
     cr_assert(directory.lastJoinedAt() == at(3));
 }
+
+// Connections that went silent in both directions stayed in use until their heartbeats ended them.
+Test(member_directory, connectionToASilentMemberIsReplacedAtIntervals)
+{
+    MemberDirectory directory(A);
+    directory.recordReport(C, DataCentreId("z"), std::chrono::seconds(0), at(0));
+    directory.recordContact(B, {}, at(0));
+    cr_assert(directory.takeSilentMembers(at(1)).empty());
+    cr_assert(directory.takeSilentMembers(at(2)) == std::vector<InstanceId>{B});
+    cr_assert(directory.takeSilentMembers(at(3)).empty());
+    cr_assert(directory.takeSilentMembers(at(4)) == std::vector<InstanceId>{B});
+    directory.recordContact(B, {}, at(5));
+    cr_assert(directory.takeSilentMembers(at(6)).empty());
+}
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -555,6 +555,8 @@
     void sendPresence(TimePoint now)
     {
         directory.expire(now);
+        for (const InstanceId &silent : directory.takeSilentMembers(now))
+            link->reconnect(silent);
         std::erase_if(entryProcesses, [&](const auto &entry) {
             return now - entry.second.heardAt > EntryProcessTimeout;
         });
