--- a/src/gentianramp/ledger/replica_test.cpp
+++ b/src/gentianramp/ledger/replica_test.cpp
@@ -238,6 +238,33 @@
     cr_assert_eq(ofLeader->life().committed(), 10);
 }
 
+Test(Replica, AsksForPreVotesSoonerUntilItHasHeardALeader)
+{
+    const ReplicaOptions options = optionsOfA();
+    const Duration soon = options.electionTimeout * 2 / 3;
+    Replica replica(options, foundedLog(), Start);
+    TimePoint now = Start;
+    for (int attempt = 0; attempt < 3; ++attempt) {
+        cr_assert_leq((replica.nextTick() - now).count(), soon.count());
+        now = replica.nextTick();
+        const ReplicaOutput output = replica.tick(now);
+        cr_assert_eq(output.messages.size(), 2);
+        cr_assert(output.messages[0].message.vote_request().pre_vote());
+    }
+    // An election waits for disks, and gets the whole time.
+    replica.step(InstanceId("b"), granted(2, 1, true), now);
+    cr_assert_eq(replica.role(), ReplicaRole::Candidate);
+    cr_assert_geq((replica.nextTick() - now).count(), options.electionTimeout.count());
+    proto::LedgerMessage request = messageOf(2, 2);
+    request.mutable_append_request()->set_prev_index(10);
+    request.mutable_append_request()->set_prev_term(1);
+    replica.step(InstanceId("b"), request, now);
+    cr_assert_geq((replica.nextTick() - now).count(), options.electionTimeout.count());
+    now = replica.nextTick();
+    replica.tick(now);
+    cr_assert_geq((replica.nextTick() - now).count(), options.electionTimeout.count());
+}
+
 Test(Replica, StepsDownWithoutAMajority)
 {
     Replica replica = leaderFrom(foundedLog());
@@ -347,6 +374,26 @@
         cr_expect(false, "%s", what.c_str());
 }
 
+// Changes that came one after the other put off the heartbeat, and with it the retirement and the
+// admission: the next loss of a disk, long after the first, left one voter of three.
+Test(Ledger, AdmitsAnEmptyFolderUnderAStreamOfChanges)
+{
+    LedgerSimulation run({.seed = 11, .dropShare = 0, .duplicateShare = 0});
+    run.found();
+    const std::size_t leader = *run.leader();
+    const std::size_t lost = (leader + 1) % 3;
+    run.loseDisk(lost);
+    run.start(lost);
+    for (int change = 0; change < 40; ++change) {
+        run.propose("change " + std::to_string(change));
+        run.run(200ms);
+    }
+    cr_assert(run.voter(lost).replica->admitted());
+    run.settle();
+    for (const std::string &what : run.violations())
+        cr_expect(false, "%s", what.c_str());
+}
+
 Test(Ledger, RolledBackFolderDoesNotCountAsTheAdmittedOne)
 {
     LedgerSimulation run({.seed = 7, .dropShare = 0, .duplicateShare = 0});
