--- a/include/gentianramp/ledger/replica.hpp
+++ b/include/gentianramp/ledger/replica.hpp
@@ -70,6 +70,8 @@
     InstanceId instance;
     std::uint64_t identity = 0; ///< Of the admitted data folder; 0 when the slot is empty.
     bool admitted = false;      ///< The data folder in its last message is the admitted one.
+    /// Its last vote did not count because its folder was found to be rolled back.
+    bool rolledBack = false;
     LogIndex match;
     std::optional<TimePoint> lastContact;
     bool operator==(const VoterView &) const = default;
@@ -123,6 +125,8 @@
     /// True when the own log admits the own data folder.
     bool admitted() const;
     std::vector<VoterView> voters() const;
+    /// Size of the commands in memory, those before the snapshot included.
+    std::uint64_t logBytes() const;
     /// Entries after the snapshot, for checks.
     std::vector<proto::LogEntry> entries() const;
 
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -12,6 +12,7 @@
 #include <cmath>
 #include <gentianramp/core/log.hpp>
 #include <gentianramp/core/random_seed.hpp>
+#include <gentianramp/registry/absence_watch.hpp>
 #include <gentianramp/registry/leader_calls.hpp>
 #include <gentianramp/registry/listing_history.hpp>
 #include <gentianramp/registry/load_poll_scheduler.hpp>
@@ -90,6 +91,8 @@
 constexpr Duration StallThreshold = std::chrono::milliseconds(500);
 /// A voter that restarts or is replaced is back earlier.
 constexpr Duration MissingVoterInterval = std::chrono::seconds(10);
+/// An election takes less unless something prevents it.
+constexpr Duration MissingLeaderInterval = std::chrono::seconds(3);
 constexpr Duration EntryProcessTimeout = std::chrono::seconds(3);
 /// An entry process that asks another registry process would be counted twice for longer.
 constexpr Duration DelaysTimeout = std::chrono::seconds(1);
@@ -128,18 +131,6 @@
     ServiceDelays delays;
 };
 
-/// A seat without a voter, as the leader sees it.
-struct MissingVoter
-{
-    MissingVoter(TimePoint start, TimePoint reported)
-        : since(start)
-        , reportedAt(reported)
-    { }
-
-    TimePoint since;
-    TimePoint reportedAt;
-};
-
 /// A call to another process and its answer once received.
 struct WaitingCall
 {
@@ -199,6 +190,8 @@
             openFolderWhenDue(now);
             if (ledger)
                 ledger->tick(now);
+            reportRollback();
+            reportMissingLeader(now);
             if (now >= nextPresenceAt) {
                 nextPresenceAt = now + PresenceInterval;
                 sendPresence(now);
@@ -239,11 +232,13 @@
         seat = std::move(found).value();
         if (seat.empty())
             takeFoundingSeat();
-        if (!seat.empty())
+        if (!seat.empty()) {
             startLedger(now);
-        else if (storage.usable())
+        } else if (storage.usable()) {
+            logInfo("seat_awaited", {});
             nextFolderAttemptAt
                 = TimePoint::max(); // A spare opens no ledger until it takes a seat.
+        }
     }
 
     /// At the first start of the system, the seeds take the first seats in the order of their
@@ -336,6 +331,7 @@
             return;
         storageFailed = false;
         ledger.reset();
+        folderIdentity = 0;
         nextFolderAttemptAt = RuntimeClock::now() + FolderRetryInterval;
     }
 
@@ -343,6 +339,7 @@
     {
         logInfo("seat_released", {{"seat", seat}});
         ledger.reset();
+        folderIdentity = 0;
         seat.clear();
         nextFolderAttemptAt = TimePoint::max();
         if (const std::error_code error = storage.release()) {
@@ -504,6 +501,16 @@
         link->send(to, PayloadKind::Registry, message.SerializeAsString(), MessageTtl);
     }
 
+    /// Sends to a member that may not hear this process on the connection to it. Not for calls,
+    /// whose answers need that connection.
+    void sendToMember(const InstanceId &to, const proto::RegistryMessage &message)
+    {
+        const std::string route = directory.returnRoute(to, RuntimeClock::now());
+        if (route.empty())
+            return send(to, message);
+        link->reply(route, PayloadKind::Registry, message.SerializeAsString(), MessageTtl);
+    }
+
     void answer(const ReceivedMessage &received, const proto::RegistryMessage &message)
     {
         link->reply(received.replyRoute, PayloadKind::Registry, message.SerializeAsString(),
@@ -524,7 +531,7 @@
         }
         switch (message.body_case()) {
         case proto::RegistryMessage::kPresence:
-            return receivePresence(received.sender, message.presence(), now);
+            return receivePresence(received, message.presence(), now);
         case proto::RegistryMessage::kSeat:
             return receiveSeatMessage(received.sender, message.seat(), now);
         case proto::RegistryMessage::kOffer:
@@ -571,8 +578,11 @@
         presence.set_term(ledger ? ledger->replica().term().value() : 0);
         addToProto(ownDelays(now), *presence.mutable_delays());
         addKnown(*presence.mutable_known(), now);
-        for (const InstanceId &member : directory.contacts())
+        for (const InstanceId &member : directory.contacts()) {
             send(member, message);
+            if (!directory.returnRoute(member, now).empty())
+                sendToMember(member, message);
+        }
     }
 
     /// Delays that the entry processes measured that ask this process reported.
@@ -598,8 +608,10 @@
         }
     }
 
-    void receivePresence(const InstanceId &sender, const proto::Presence &presence, TimePoint now)
+    void receivePresence(const ReceivedMessage &received, const proto::Presence &presence,
+                         TimePoint now)
     {
+        const InstanceId &sender = received.sender;
         directory.recordContact(sender,
                                 {.dataCentre = DataCentreId(presence.data_centre()),
                                  .seat = presence.seat(),
@@ -609,14 +621,19 @@
                                  .term = presence.term(),
                                  .entryProcessCount = presence.entries(),
                                  .delays = fromProto(presence.delays())},
-                                now);
+                                now, !received.replyRoute.empty());
+        std::optional<Duration> heardAge;
         for (const proto::RegistryMember &member : presence.known()) {
             directory.recordReport(InstanceId(member.instance()),
                                    DataCentreId(member.data_centre()),
                                    std::chrono::milliseconds(member.heard_ms()), now);
             if (InstanceId(member.instance()) == options.self)
-                receiveEcho(sender, std::chrono::milliseconds(member.contact_ms()), now);
+                heardAge = std::chrono::milliseconds(member.contact_ms());
         }
+        if (!received.replyRoute.empty())
+            directory.recordReturnRoute(sender, received.replyRoute, heardAge);
+        if (heardAge)
+            receiveEcho(sender, *heardAge, now);
         if (presence.leads())
             redirectCalls(now);
     }
@@ -669,7 +686,7 @@
         message.mutable_seat()->set_from_seat(seat);
         message.mutable_seat()->set_to_seat(to);
         message.mutable_seat()->set_ledger(std::move(payload));
-        send(holder->instance, message);
+        sendToMember(holder->instance, message);
     }
 
     void receiveSeatMessage(const InstanceId &sender, const proto::SeatMessage &message,
@@ -703,7 +720,7 @@
             logInfo("seat_offered", {{"seat", change.seat}, {"to", change.instance.value()}});
             proto::RegistryMessage message;
             message.mutable_offer()->set_seat(change.seat);
-            send(change.instance, message);
+            sendToMember(change.instance, message);
         }
         for (const SeatChange &change : changes.releases) {
             const auto peer
@@ -713,7 +730,7 @@
             proto::RegistryMessage message;
             message.mutable_release()->set_seat(change.seat);
             message.mutable_release()->set_folder(peer->folderId);
-            send(change.instance, message);
+            sendToMember(change.instance, message);
         }
     }
 
@@ -725,19 +742,50 @@
             const bool votes = holder && voter.admittedFolderId != 0
                 && holder->folderId == voter.admittedFolderId
                 && holder->contactAge <= EntryProcessTimeout;
-            if (votes) {
-                missingVoters.erase(voter.seat);
-                continue;
-            }
-            MissingVoter &missing = missingVoters.try_emplace(voter.seat, now, now).first->second;
-            if (now - missing.reportedAt < MissingVoterInterval)
+            AbsenceWatch &watch
+                = missingVoters.try_emplace(voter.seat, MissingVoterInterval).first->second;
+            if (const std::optional<Duration> missing = watch.note(votes, now))
+                logWarning("voter_missing",
+                           {{"seat", voter.seat}, {"for_ms", toMilliseconds(*missing)}});
+        }
+    }
+
+    /// A voter without a leader logs what it knows of the other voters, so that the logs show why
+    /// no election succeeds.
+    void reportMissingLeader(TimePoint now)
+    {
+        const std::optional<Duration> missing
+            = leaderWatch.note(!ledger || ledger->replica().leader(), now);
+        if (!missing)
+            return;
+        const Replica &replica = ledger->replica();
+        for (const VoterView &voter : replica.voters()) {
+            if (voter.instance.value() == seat)
                 continue;
-            missing.reportedAt = now;
-            logWarning("voter_missing",
-                       {{"seat", voter.seat}, {"for_ms", toMilliseconds(now - missing.since)}});
+            logWarning("leader_missing",
+                       {{"for_ms", toMilliseconds(*missing)},
+                        {"seat", seat},
+                        {"term", replica.term().value()},
+                        {"last_index", replica.lastIndex().value()},
+                        {"admitted", replica.admitted() ? "yes" : "no"},
+                        {"voter", voter.instance.value()},
+                        {"voter_admitted", voter.admitted ? "yes" : "no"},
+                        {"voter_rolled_back", voter.rolledBack ? "yes" : "no"},
+                        {"voter_contact_ms",
+                         voter.lastContact ? toMilliseconds(now - *voter.lastContact) : -1}});
         }
     }
 
+    /// Logs that the own data folder was found to be rolled back, so that its votes do not count
+    /// until a leader admits it again.
+    void reportRollback()
+    {
+        const std::uint64_t identity = ledger ? ledger->replica().identity() : 0;
+        const std::uint64_t earlier = std::exchange(folderIdentity, identity);
+        if (earlier != 0 && identity != 0 && identity != earlier)
+            logWarning("folder_rolled_back", {{"seat", seat}, {"folder", identity}});
+    }
+
     /// Only the leader knows how current the voters are; elsewhere the gauge is 0.
     void publishVoters(TimePoint now)
     {
@@ -1108,7 +1156,9 @@
     TimePoint ordersAllowedAt{};
     StageController stageController;
     std::map<std::string, InstanceId> lastHolders;
-    std::map<std::string, MissingVoter> missingVoters;
+    std::map<std::string, AbsenceWatch> missingVoters; ///< By seat; used while this process leads.
+    AbsenceWatch leaderWatch{MissingLeaderInterval};
+    std::uint64_t folderIdentity = 0; ///< Of the open ledger.
     std::uint64_t packedNumber = 0;
     std::string packed;
     ListingHistory history;
