Test that a folder is admitted under a stream of changes

Where changes come faster than heartbeats, each commit puts the next heartbeat off, and before folders were retired and admitted at heartbeats only.

--- a/src/gentianramp/ledger/replica_test.cpp
+++ b/src/gentianramp/ledger/replica_test.cpp
@@ -347,6 +347,26 @@
         cr_expect(false, "%s", what.c_str());
 }
 
+// Changes that came one after the other put off the heartbeat, and with it the retirement and the
+// admission: the next loss of a disk, long after the first, left one voter of three.
+Test(Ledger, AdmitsAnEmptyFolderUnderAStreamOfChanges)
+{
+    LedgerSimulation run({.seed = 11, .dropShare = 0, .duplicateShare = 0});
+    run.found();
+    const std::size_t leader = *run.leader();
+    const std::size_t lost = (leader + 1) % 3;
+    run.loseDisk(lost);
+    run.start(lost);
+    for (int change = 0; change < 40; ++change) {
+        run.propose("change " + std::to_string(change));
+        run.run(200ms);
+    }
+    cr_assert(run.voter(lost).replica->admitted());
+    run.settle();
+    for (const std::string &what : run.violations())
+        cr_expect(false, "%s", what.c_str());
+}
+
 Test(Ledger, RolledBackFolderDoesNotCountAsTheAdmittedOne)
 {
     LedgerSimulation run({.seed = 7, .dropShare = 0, .duplicateShare = 0});
