--- a/src/gentianramp/registry/declaration_ledger_test.cpp
+++ b/src/gentianramp/registry/declaration_ledger_test.cpp
@@ -433,6 +433,24 @@
     }
 }
 
+// Candidates and new leaders gave up after an election timeout, while their own first write and the
+// voters' were not done yet: no election ended.
+Test(declaration_ledger, aLeaderSettlesWhileSyncsTakeLongerThanAnElection)
+{
+    for (const int syncMs : {850, 1000, 1500}) {
+        VoterSimulation voters;
+        voters.run(6000);
+        cr_assert(voters.declare(voters.leader(), 1, "one") == true);
+        voters.syncTime = milliseconds(syncMs);
+        voters.stop(voters.leaderSeat());
+        voters.run(20'000);
+        cr_expect_not_null(voters.leader(), "no leader with %d ms a sync", syncMs);
+        if (voters.leader())
+            cr_expect(voters.declare(voters.leader(), 2, "two", 10'000) == true, "%d ms a sync",
+                      syncMs);
+    }
+}
+
 // Two voters whose disks took 1.5 s to note a commit index did not answer the leader, so that no
 // read succeeded and the leader stepped down.
 Test(declaration_ledger, leaderIsConfirmedWhileVotersNoteACommit)
