--- a/include/gentianramp/registry/member_directory.hpp
+++ b/include/gentianramp/registry/member_directory.hpp
@@ -54,6 +54,9 @@
     /// Records that @p instance last heard this process @p contactAge ago. True when the connection
     /// to it has to be replaced, because it is silent: @p instance is heard but does not hear.
     bool recordEcho(const InstanceId &instance, Duration contactAge, TimePoint now);
+    /// Members that fell silent; the connection to each has to be replaced, since connections may
+    /// go silent in both directions. Each is returned once per interval.
+    std::vector<InstanceId> takeSilentMembers(TimePoint now);
     /// Records the connection on which @p instance was heard, and how long ago it last heard this
     /// process; empty when it does not know this process.
     void recordReturnRoute(const InstanceId &instance, std::string route,
--- a/src/gentianramp/registry/member_directory.cpp
+++ b/src/gentianramp/registry/member_directory.cpp
@@ -73,6 +73,19 @@
     return true;
 }
 
+std::vector<InstanceId> MemberDirectory::takeSilentMembers(TimePoint now)
+{
+    std::vector<InstanceId> silent;
+    for (auto &[instance, member] : m_members) {
+        if (!member.state || now - member.lastContactAt < SilentConnectionTimeout
+            || now - member.connectedAt < SilentConnectionTimeout)
+            continue;
+        member.connectedAt = now;
+        silent.push_back(instance);
+    }
+    return silent;
+}
+
 void MemberDirectory::recordReturnRoute(const InstanceId &instance, std::string route,
                                         std::optional<Duration> contactAge)
 {
