--- a/include/gentianramp/registry/member_directory.hpp
+++ b/include/gentianramp/registry/member_directory.hpp
@@ -76,9 +76,9 @@
     std::optional<InstanceId> leader(TimePoint now) const;
     /// When a member was last heard for the first time or after a silence.
     std::optional<TimePoint> lastJoinedAt() const { return m_lastJoinedAt; }
-    /// Entry processes served by the other members.
     /// Sum of the delays that other registry processes reported recently.
     ServiceDelays delaysElsewhere(TimePoint now) const;
+    /// Entry processes served by the other members.
     std::uint32_t entryProcessesElsewhere(TimePoint now) const;
 
 private:
