Keep a seat in its data centre while its holder may come back

Cause: the voter of another data centre had been cut off for 3.6 s before. After 2 s its seat was offered to the one spare, in a data centre that held a seat already, and it did not move back when the former holder was heard again. Change: a seat moves to a data centre that holds more seats than the former holder's only after 20 s without that one. Evidence: seatStaysInItsDataCentreWhileItsHolderMayComeBack fails before. Deployments with as many core machines as seats never had a spare to move to.

--- a/include/gentianramp/registry/seat_assignment.hpp
+++ b/include/gentianramp/registry/seat_assignment.hpp
@@ -38,6 +38,10 @@
     /// than the time in which the replacement has to be able to vote, which is 4 s on the smallest
     /// deployments.
     Duration replaceTimeout = std::chrono::seconds(2);
+    /// A seat moves to a data centre that holds more seats than the former holder's only when that
+    /// one was not heard for longer: the loss of a data centre must not cost the majority. Longer
+    /// than partitions and restarts last; a successor in the same data centre need not wait.
+    Duration relocationTimeout = std::chrono::seconds(20);
     /// An instance that was not heard for longer is not offered a seat.
     Duration maxCandidateContactAge = std::chrono::seconds(1);
     /// After two rounds of presence messages, a process knows all others and their seats.
--- a/src/gentianramp/registry/seat_assignment.cpp
+++ b/src/gentianramp/registry/seat_assignment.cpp
@@ -9,6 +9,12 @@
 
 using SeatsPerSite = std::map<DataCentreId, int>;
 
+int seatsAt(const SeatsPerSite &seatsPerSite, const DataCentreId &dataCentre)
+{
+    const auto found = seatsPerSite.find(dataCentre);
+    return found == seatsPerSite.end() ? 0 : found->second;
+}
+
 /// The instance to offer a vacant seat: its last holder if unseated, else an instance of the data
 /// centre with the fewest seats.
 const PeerStatus *candidateFor(const std::string &seat,
@@ -22,8 +28,7 @@
     for (const PeerStatus *peer : unseated) {
         if (last != lastHolders.end() && last->second == peer->instance)
             return peer;
-        const auto found = seatsPerSite.find(peer->dataCentre);
-        const int seats = found == seatsPerSite.end() ? 0 : found->second;
+        const int seats = seatsAt(seatsPerSite, peer->dataCentre);
         if (!best || seats < bestSeats) {
             best = peer;
             bestSeats = seats;
@@ -32,6 +37,15 @@
     return best;
 }
 
+/// True when the seats would be spread worse over the data centres if @p candidate took the seat
+/// of @p holder, who may come back.
+bool isPremature(const PeerStatus &candidate, const PeerStatus *holder,
+                 const SeatsPerSite &seatsPerSite, const SeatOptions &options)
+{
+    return holder && holder->contactAge <= options.relocationTimeout
+        && seatsAt(seatsPerSite, candidate.dataCentre) > seatsAt(seatsPerSite, holder->dataCentre);
+}
+
 } // namespace
 
 const PeerStatus *holderOf(const LedgerSeat &seat, const std::vector<PeerStatus> &peers,
@@ -82,7 +96,7 @@
         if (heldSeats.contains(seat.seat))
             continue;
         const PeerStatus *candidate = candidateFor(seat.seat, unseated, lastHolders, seatsPerSite);
-        if (!candidate)
+        if (!candidate || isPremature(*candidate, holder, seatsPerSite, options))
             continue;
         changes.offers.push_back({candidate->instance, seat.seat});
         ++seatsPerSite[candidate->dataCentre];
--- a/src/gentianramp/registry/seat_assignment_test.cpp
+++ b/src/gentianramp/registry/seat_assignment_test.cpp
@@ -82,6 +82,32 @@
     cr_assert_neq(changes.offers[1].instance, InstanceId("e"));
 }
 
+// A seat moved to a spare in another data centre while its holder was cut off for 3 s and stayed
+// there: that data centre held two of three seats, and its loss left no majority outside.
+Test(seat_assignment, seatStaysInItsDataCentreWhileItsHolderMayComeBack)
+{
+    std::vector<PeerStatus> peers{peer("a", "x", "seat-1", 11), peer("b", "y", "seat-2", 12, 2500),
+                                  peer("c", "z", "seat-3", 13), peer("d", "x", "", 0)};
+    cr_assert(assignSeats(Seats, peers, {}) == SeatChanges{});
+    peers[1].contactAge = milliseconds(20'001);
+    const SeatChanges changes = assignSeats(Seats, peers, {});
+    cr_assert_eq(changes.offers.size(), 1U);
+    cr_assert(changes.offers.front() == (SeatChange{InstanceId("d"), "seat-2"}));
+}
+
+Test(seat_assignment, seatMovesAtOnceWhereTheDataCentresStayAsEvenlyFilled)
+{
+    const std::vector<LedgerSeat> five{
+        {"seat-1", 11}, {"seat-2", 12}, {"seat-3", 13}, {"seat-4", 14}, {"seat-5", 15}};
+    const std::vector<PeerStatus> peers{
+        peer("a", "x", "seat-1", 11), peer("b", "x", "seat-2", 12, 2500),
+        peer("c", "y", "seat-3", 13), peer("d", "y", "seat-4", 14),
+        peer("e", "z", "seat-5", 15), peer("f", "z", "", 0)};
+    const SeatChanges changes = assignSeats(five, peers, {});
+    cr_assert_eq(changes.offers.size(), 1U);
+    cr_assert(changes.offers.front() == (SeatChange{InstanceId("f"), "seat-2"}));
+}
+
 Test(seat_assignment, silentCandidateIsNotOfferedASeat)
 {
     const std::vector<PeerStatus> peers{peer("a", "x", "seat-1", 11), peer("b", "y", "seat-2", 12),
