Keep a request at a silent server that no other one can replace

Callers saw a stream end after its first events, or a 502, although the server was sound and went on a second later.

Cause: watchSilence() cancelled a repeatable request at a server whose health check went unanswered, and only then asked whether it may be sent again and to whom. Without an allowance for a repeat, or without another usable server, nothing was left but to end the answer. Class: an act that can't be undone comes before the check that it depends on.

The request now leaves a silent server only after another usable server was found and the repeats were taken (two where the prompt has to be prefilled again); otherwise it waits. silent_server_left and silent_server_kept say which and why.

Shown by four tests with a server that sends nothing for 1.5 s in the middle of a stream or before an answer. That a stream moves to another server where it may still holds.

--- a/include/gentianramp/relay/backend_table.hpp
+++ b/include/gentianramp/relay/backend_table.hpp
@@ -85,6 +85,8 @@
     void publish(const BackendListing &listing);
     /// Chooses where to send a request; empty when no backend server may take it now.
     std::optional<RequestPlacement> choose(const PlacementQuery &request, TimePoint now);
+    /// Whether a request could be sent now to a server whose circuit breaker lets requests pass.
+    bool canPlace(const PlacementQuery &request, TimePoint now) const;
     /// Sets the declaration of a service: its engines' properties, and the connections that each
     /// backend server accepts from all instances together.
     void setService(const DeclaredService &service);
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -545,6 +545,15 @@
     return placement;
 }
 
+bool BackendTable::canPlace(const PlacementQuery &request, TimePoint now) const
+{
+    return std::any_of(m_backends.begin(), m_backends.end(), [&](const auto &entry) {
+        const Backend &backend = *entry.second;
+        return usable(backend, request, false, now)
+            && !(request.prompt && backend.server.prefillOnly);
+    });
+}
+
 std::optional<RequestPlacement>
 BackendTable::chooseLeastLoaded(const std::vector<Backend *> &usable, TimePoint now)
 {
--- a/src/gentianramp/relay/relay_service_test.cpp
+++ b/src/gentianramp/relay/relay_service_test.cpp
@@ -55,10 +55,11 @@
 class RelayFixture
 {
 public:
-    RelayFixture()
+    explicit RelayFixture(RetryBounds retries = {})
         : relay(m_context.get_executor(),
                 {.dataCentre = DataCentreId("a"),
                  .protocol = makeProtocol(),
+                 .retries = retries,
                  .seed = 1,
                  .declarationAge = [this] { return declarationAge; }})
     {
@@ -314,6 +315,48 @@
     };
 }
 
+/// Streams events 1 to 6 and sends nothing for over a second after the second one; health checks
+/// stay unanswered meanwhile.
+Handler streamsWithASilence(TimePoint &silentUntil)
+{
+    return [&silentUntil](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
+        if (!request.path().starts_with("/p/")) {
+            while (RuntimeClock::now() < silentUntil)
+                co_await sleepFor(std::chrono::milliseconds(20));
+            co_await writer.send(signedAnswer(request));
+            co_return;
+        }
+        HttpResponse head = signedAnswer(request);
+        head.headers.add("Content-Type", "text/event-stream");
+        co_await writer.startStream(std::move(head));
+        for (int id = 1; id <= 6; ++id) {
+            const std::string event
+                = "id: " + std::to_string(id) + "\ndata: " + std::to_string(id) + "\n\n";
+            co_await writer.writePiece(event);
+            if (id != 2)
+                continue;
+            silentUntil = RuntimeClock::now() + std::chrono::milliseconds(1500);
+            while (RuntimeClock::now() < silentUntil && !writer.callerGone())
+                co_await sleepFor(std::chrono::milliseconds(20));
+        }
+        co_await writer.finishStream();
+    };
+}
+
+/// Answers after over a second, in which health checks stay unanswered.
+Handler answersAfterASilence(TimePoint &silentUntil)
+{
+    return [&silentUntil](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
+        if (request.path().starts_with("/p/"))
+            silentUntil = RuntimeClock::now() + std::chrono::milliseconds(1500);
+        while (RuntimeClock::now() < silentUntil && !writer.callerGone())
+            co_await sleepFor(std::chrono::milliseconds(20));
+        co_await writer.send(signedAnswer(request));
+    };
+}
+
+constexpr RetryBounds NoRepeats{.ratio = 0, .slack = 0};
+
 std::string eventsUpTo(int last)
 {
     std::string events;
@@ -709,3 +752,58 @@
         cr_assert_eq(fixture.requestsAt("one"), 3, "%s", value);
     }
 }
+
+// A stream that had begun was cut because its server fell silent, although nothing could go on
+// with it elsewhere.
+Test(relay_service, aSilentServerKeepsAStreamThatNoOtherServerCanGoOnWith)
+{
+    RelayFixture fixture;
+    TimePoint silentUntil{};
+    fixture.addServer("only", streamsWithASilence(silentUntil));
+    fixture.declare({.kind = RouteKind::Stream, .attempts = 2, .resumable = true});
+    const Result<HttpResponse> answer = fixture.call({.method = "POST"});
+    cr_assert(answer);
+    cr_assert_eq(answer->body, eventsUpTo(6));
+    cr_assert_eq(fixture.requestsAt("only"), 1);
+}
+
+Test(relay_service, aSilentServerKeepsAStreamThatMayNotBeSentAgain)
+{
+    RelayFixture fixture(NoRepeats);
+    TimePoint silentUntil{};
+    fixture.addServer("first", streamsWithASilence(silentUntil));
+    fixture.declare({.kind = RouteKind::Stream, .attempts = 2, .resumable = true});
+    fixture.addServer("second", streamsWithASilence(silentUntil));
+    const Result<HttpResponse> answer = fixture.call({.method = "POST"});
+    cr_assert(answer);
+    cr_assert_eq(answer->body, eventsUpTo(6));
+    cr_assert_eq(fixture.requestsAt("first") + fixture.requestsAt("second"), 1);
+}
+
+Test(relay_service, aSilentServerKeepsACallThatNoOtherServerCanTake)
+{
+    RelayFixture fixture;
+    TimePoint silentUntil{};
+    fixture.addServer("only", answersAfterASilence(silentUntil));
+    fixture.declare({.kind = RouteKind::Repeatable, .attempts = 2});
+    cr_assert_eq(fixture.call({})->status, 200U);
+    cr_assert_eq(fixture.requestsAt("only"), 1);
+}
+
+Test(relay_service, aStreamLeavesASilentServerForAnother)
+{
+    RelayFixture fixture;
+    TimePoint silentUntil{};
+    fixture.addServer("silent", streamsWithASilence(silentUntil));
+    fixture.declare({.kind = RouteKind::Stream, .attempts = 2, .resumable = true});
+    bool moved = false;
+    fixture.addServer("other", streams(1, 6, true));
+    for (int count = 0; count < 6 && !moved; ++count) {
+        const Result<HttpResponse> answer = fixture.call({.method = "POST"});
+        cr_assert(answer);
+        cr_assert_eq(answer->body, eventsUpTo(6));
+        moved = fixture.requestsAt("silent") > 0;
+    }
+    cr_assert(moved);
+    cr_assert_geq(fixture.requestsAt("other"), 1);
+}
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -245,12 +245,13 @@
             = prefillFailed ? m_prefillCount < MaxPrefillAttempts : mayRepeat(result);
         // Prefilling the prompt again costs a second repeat in addition to that of the request.
         const bool needsSecondPrefill = !prefillFailed && m_prefillCount > 0 && !m_prefilledPrompt;
-        if (!mayTryAgain || !takeRepeat() || (needsSecondPrefill && !takeRepeat()))
+        const bool repeatsTaken = std::exchange(m_repeatsTaken, false);
+        if (!mayTryAgain || (!repeatsTaken && !takeRepeats(needsSecondPrefill ? 2 : 1)))
             co_return co_await fail();
     }
 }
 
-std::optional<RequestPlacement> RelayedRequest::choosePlacement()
+PlacementQuery RelayedRequest::placementQuery() const
 {
     PlacementQuery request;
     request.service = m_service;
@@ -259,6 +260,12 @@
     request.prefilledAt = m_prefilledPrompt ? &m_prefilledPrompt->prefillEngine : nullptr;
     request.latencyTarget = m_route->latencyTarget;
     request.excluded = m_tried;
+    return request;
+}
+
+std::optional<RequestPlacement> RelayedRequest::choosePlacement()
+{
+    PlacementQuery request = placementQuery();
     std::optional<RequestPlacement> placement = m_state->table.choose(request, RuntimeClock::now());
     if (!placement && !m_tried.empty()) {
         // A server that failed this request before is used when there are no others.
@@ -287,6 +294,15 @@
     return granted;
 }
 
+bool RelayedRequest::takeRepeats(std::uint32_t count)
+{
+    for (; count > 0; --count) {
+        if (!takeRepeat())
+            return false;
+    }
+    return true;
+}
+
 HttpCall RelayedRequest::makeCall(const SendTarget &target) const
 {
     const BackendProtocol &protocol = m_state->options.protocol;
@@ -387,6 +403,7 @@
     m_exchange = attempt.exchange;
     m_backend = m_prefillEngine = prefillEngine.backend;
     ++m_prefillCount;
+    m_prefilling = true;
     m_state->table.sent(prefillEngine, &*m_prompt, attempt.sentAt);
     noteProgress();
     watchSilence();
@@ -407,6 +424,7 @@
         result = AttemptResult::Unreached;
     }
     m_silenceTimer.cancel();
+    m_prefilling = false;
     m_prefillTime += RuntimeClock::now() - attempt.sentAt;
     if (!error && attempt.exchange->status() == protocol.wrongTargetStatus)
         m_state->table.noteMisdirected(prefillEngine.backend, RuntimeClock::now());
@@ -714,7 +732,7 @@
 }
 
 /// Starts a health check when the backend server sends nothing. If the check fails, a repeatable
-/// request is cancelled there and sent to another server.
+/// request is cancelled there and sent to another server, if there is one.
 void RelayedRequest::watchSilence()
 {
     m_silenceTimer.expires_after(SilenceCheckInterval);
@@ -728,8 +746,7 @@
             const bool quiet = now - self->m_progressAt >= SilenceBeforeHealthCheck
                 && (!silence || *silence >= SilenceBeforeHealthCheck);
             if (quiet) {
-                if (self->m_state->table.isSilent(self->m_backend) && self->m_route->repeatable()
-                    && self->m_sendCount < self->m_route->attempts)
+                if (self->m_state->table.isSilent(self->m_backend) && self->leavesSilentServer())
                     return self->m_exchange->cancel();
                 self->m_state->checkHealth(self->m_backend, self->m_service);
             }
@@ -737,4 +754,38 @@
         });
 }
 
+/// Decides whether the request leaves a silent server, which may go on a moment later. It stays
+/// unless it may be sent again and another server can take it; the repeats are taken then.
+bool RelayedRequest::leavesSilentServer()
+{
+    if (!m_route->repeatable() || m_sendCount >= m_route->attempts)
+        return false;
+    if (m_prefilling && m_prefillCount >= MaxPrefillAttempts)
+        return keepSilentServer("prefilled_twice");
+    std::vector<BackendId> excluded = m_tried;
+    excluded.push_back(m_backend);
+    PlacementQuery query = placementQuery();
+    query.excluded = excluded;
+    if (!m_state->table.canPlace(query, RuntimeClock::now()))
+        return keepSilentServer("no_other_server");
+    // The KV cache of a prefilled prompt is lost with the attempt.
+    const bool needsSecondPrefill = !m_prefilling && m_prefillCount > 0;
+    if (m_repeatRefused || !takeRepeats(needsSecondPrefill ? 2 : 1)) {
+        m_repeatRefused = true;
+        return keepSilentServer("no_repeat");
+    }
+    m_repeatsTaken = true;
+    logInfo("silent_server_left",
+            {{"request", m_id}, {"backend", m_backend.value()}, {"sends", m_sendCount}});
+    return true;
+}
+
+bool RelayedRequest::keepSilentServer(std::string_view reason)
+{
+    if (!std::exchange(m_keepsSilent, true))
+        logInfo("silent_server_kept",
+                {{"request", m_id}, {"backend", m_backend.value()}, {"reason", reason}});
+    return false;
+}
+
 } // namespace gentianramp
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -43,6 +43,7 @@
 
     // Attempts
     boost::asio::awaitable<void> sendUntilDone();
+    PlacementQuery placementQuery() const;
     std::optional<RequestPlacement> choosePlacement();
     boost::asio::awaitable<AttemptResult> sendOnce(const SendTarget &target);
     /// Asks the engine to prefill the prompt and sets m_prefilledPrompt. NotRun or Unreached when
@@ -54,6 +55,7 @@
                        const std::error_code &error, unsigned status, TimePoint sentAt) const;
     bool mayRepeat(AttemptResult result) const;
     bool takeRepeat();
+    bool takeRepeats(std::uint32_t count);
 
     // Relay
     boost::asio::awaitable<AttemptResult> relay(Attempt &attempt);
@@ -76,6 +78,8 @@
     void startDeadline();
     void onCallerGone();
     void watchSilence();
+    bool leavesSilentServer();
+    bool keepSilentServer(std::string_view reason);
     void noteProgress() { m_progressAt = RuntimeClock::now(); }
     Duration timeLeft() const;
     /// The caller disconnected or the request was given up.
@@ -118,6 +122,10 @@
     std::optional<std::uint64_t> m_lastEventId;
     /// Complete 5xx answer, sent to the caller if all repeats fail.
     std::optional<HttpResponse> m_backendFailure;
+    bool m_prefilling = false;    ///< The current exchange is a prefill.
+    bool m_repeatsTaken = false;  ///< The repeats for the next attempt were taken already.
+    bool m_repeatRefused = false; ///< No repeat was allowed while a server was silent.
+    bool m_keepsSilent = false;   ///< It was logged that the request stays at a silent server.
     bool m_callerGone = false;
     bool m_expired = false;
     bool m_ended = false;
