Share evidence on prompt parts that crash backend servers

CrashEvidence holds what waited for an answer at a server when it crashed, clears what is answered afterwards, and blames the part that explains most of the crashes; it is merged from all processes in any order. Entry instances report with their feed requests until it was received, registry processes send on every 100 ms and in full where their digests differ, and the leader grants trials by which a wrong blame is withdrawn.

Nothing acts on the blame yet.

--- a/include/gentianramp/registry/registry_feed.hpp
+++ b/include/gentianramp/registry/registry_feed.hpp
@@ -3,6 +3,7 @@
 #include <gentianramp/core/clock.hpp>
 #include <gentianramp/core/ids.hpp>
 #include <gentianramp/registry/backend_listing.hpp>
+#include <gentianramp/registry/crash_evidence.hpp>
 #include <gentianramp/registry/declaration_ledger.hpp>
 #include <gentianramp/registry/stage_delays.hpp>
 #include <gentianramp/registry/versioned_load_table.hpp>
@@ -15,6 +16,7 @@
 
 namespace proto {
 class FeedAnswer;
+class FeedRequest;
 } // namespace proto
 
 /// Options of a RegistryFeed.
@@ -48,6 +50,8 @@
     /// A process that timed out or was out of date is avoided for this time. Then the data centre's
     /// own process is preferred again.
     Duration returnInterval = std::chrono::seconds(2);
+    /// Crashes to report; has to outlive the feed. Null: none are reported.
+    const CrashEvidence *crashes = nullptr;
 };
 
 /// Result of one step of a RegistryFeed.
@@ -59,6 +63,7 @@
     std::optional<RawDeclaration> declaration; ///< Set if its number is higher than before.
     std::optional<BackendListing> listing;     ///< Set if its content has changed.
     std::optional<LoadReports> loads;          ///< Set if newer than before.
+    CrashReports crashes;                      ///< What changed in the source's evidence.
 };
 
 /// Keeps an entry process up to date with the registry: the newest declaration, the platform's list
@@ -77,6 +82,8 @@
 
     /// Sets the delays at engines to report with the next request.
     void setDelays(ServiceDelays delays) { m_delays = std::move(delays); }
+    /// Sets the prompt parts because of which requests were refused lately.
+    void setRefusedParts(std::vector<std::uint64_t> parts) { m_refusedParts = std::move(parts); }
     /// Number of entry processes in the system, including this one.
     std::uint32_t entryProcessCount() const { return m_entryProcessCount; }
     /// Time since a majority last confirmed the current declaration; empty: never.
@@ -88,8 +95,17 @@
     {
         DataCentreId dataCentre;
         TimePoint avoidUntil{};
-        TimePoint silentUntil{}; ///< No registry process has heard it, as far as is known.
-        bool answered = false;   ///< At least once on the current connection.
+        TimePoint silentUntil{};          ///< No registry process has heard it, as far as is known.
+        bool answered = false;            ///< At least once on the current connection.
+        std::uint64_t crashesEpoch = 0;   ///< Of its crash reports.
+        std::uint64_t crashesVersion = 0; ///< Newest received version of its crash reports.
+        /// Version of this process's evidence that it has received.
+        std::uint64_t reportedVersion = 0;
+    };
+    struct OpenRequest
+    {
+        TimePoint sentAt{};
+        std::uint64_t reportedVersion = 0; ///< Version of this process's evidence.
     };
 
     Duration currentAnswerTimeout() const;
@@ -99,14 +115,17 @@
     void noteSilentSources(const InstanceId &sender, const proto::FeedAnswer &answer,
                            TimePoint now);
     std::optional<RawDeclaration> takeFirstDeclaration(TimePoint now);
+    void addCrashes(proto::FeedRequest &request, OpenRequest &open, TimePoint now) const;
+    CrashReports receiveCrashes(const InstanceId &sender, const proto::FeedAnswer &answer,
+                                std::uint64_t reportedVersion, TimePoint now);
     void logStale(const InstanceId &source, const proto::FeedAnswer &answer, TimePoint now);
 
     FeedOptions m_options;
     std::map<InstanceId, Source> m_sources;
     std::optional<InstanceId> m_current;
     std::uint64_t m_call;
-    std::optional<TimePoint> m_requestedAt;            ///< Empty: no request is pending.
-    std::map<std::uint64_t, TimePoint> m_openRequests; ///< Recent calls and when they were sent.
+    std::optional<TimePoint> m_requestedAt;              ///< Empty: no request is pending.
+    std::map<std::uint64_t, OpenRequest> m_openRequests; ///< Recent calls.
     TimePoint m_nextRequestAt{};
     TimePoint m_resendAt{};
     std::string m_request;
@@ -126,6 +145,7 @@
     TimePoint m_loadsAt{};
     std::uint32_t m_entryProcessCount = 1;
     ServiceDelays m_delays;
+    std::vector<std::uint64_t> m_refusedParts;
     std::uint64_t m_random;
 };
 
--- a/src/gentianramp/registry/registry_codec.cpp
+++ b/src/gentianramp/registry/registry_codec.cpp
@@ -24,6 +24,19 @@
         std::clamp(value * 1000, 0.0, double{std::numeric_limits<std::uint32_t>::max()})));
 }
 
+/// Of an unknown number: Cleared, which blames nothing.
+PartSuspicion suspicionOf(std::uint32_t number)
+{
+    const bool known = number <= static_cast<std::uint32_t>(PartSuspicion::Cleared);
+    return known ? static_cast<PartSuspicion>(number) : PartSuspicion::Cleared;
+}
+
+std::uint32_t ageMs(TimePoint time, TimePoint now)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        toMilliseconds(now - time), 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
 proto::ListedBackend toProto(const ListedServer &server)
 {
     proto::ListedBackend backend;
@@ -135,6 +148,54 @@
     return change;
 }
 
+proto::CrashReports toProto(const CrashReports &reports, TimePoint now)
+{
+    proto::CrashReports message;
+    for (const ServerCrash &crash : reports.crashes) {
+        proto::ServerCrash &entry = *message.add_crashes();
+        entry.set_server(crash.server.value());
+        entry.set_born_ms(crash.startedAtMs);
+        entry.set_service(crash.service);
+        entry.set_age_ms(ageMs(crash.crashedAt, now));
+        for (const auto &[number, part] : crash.parts) {
+            proto::CrashPart &added = *entry.add_parts();
+            added.set_part(number);
+            added.set_position(part.position);
+            added.set_suspicion(static_cast<std::uint32_t>(part.suspicion));
+        }
+        entry.set_service_works(crash.serviceWorks);
+    }
+    for (const PartTrial &trial : reports.trials) {
+        proto::PartTrial &entry = *message.add_trials();
+        entry.set_part(trial.part);
+        entry.set_number(trial.number);
+        entry.set_instance(trial.instance.value());
+        entry.set_age_ms(ageMs(trial.grantedAt, now));
+    }
+    return message;
+}
+
+CrashReports fromProto(const proto::CrashReports &message, TimePoint now)
+{
+    CrashReports reports;
+    for (const proto::ServerCrash &entry : message.crashes()) {
+        ServerCrash crash{.server = BackendId(entry.server()),
+                          .startedAtMs = entry.born_ms(),
+                          .service = entry.service(),
+                          .crashedAt = now - std::chrono::milliseconds(entry.age_ms()),
+                          .serviceWorks = entry.service_works()};
+        for (const proto::CrashPart &part : entry.parts())
+            crash.parts[part.part()] = {suspicionOf(part.suspicion()), part.position()};
+        reports.crashes.push_back(std::move(crash));
+    }
+    for (const proto::PartTrial &entry : message.trials())
+        reports.trials.push_back({.part = entry.part(),
+                                  .number = entry.number(),
+                                  .instance = InstanceId(entry.instance()),
+                                  .grantedAt = now - std::chrono::milliseconds(entry.age_ms())});
+    return reports;
+}
+
 void addToProto(const ServiceDelays &delays,
                 google::protobuf::RepeatedPtrField<proto::StageDelays> &list)
 {
--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -148,20 +148,52 @@
     proto::RegistryMessage message;
     proto::FeedRequest &request = *message.mutable_feed();
     request.set_call(++m_call);
-    m_openRequests.emplace(m_call, now);
+    OpenRequest &open = m_openRequests[m_call];
+    open.sentAt = now;
     std::erase_if(m_openRequests,
-                  [&](const auto &entry) { return now - entry.second > RequestRetention; });
+                  [&](const auto &entry) { return now - entry.second.sentAt > RequestRetention; });
     request.set_number(m_number);
     request.set_list_digest(m_digest);
     request.set_loads_epoch(m_loads.epoch());
     request.set_loads_version(m_loads.version());
     addToProto(m_delays, *request.mutable_delays());
+    addCrashes(request, open, now);
     output.requestTo = target;
     output.request = m_request = message.SerializeAsString();
     m_resendAt = now + m_options.resendInterval;
     return output;
 }
 
+void RegistryFeed::addCrashes(proto::FeedRequest &request, OpenRequest &open, TimePoint now) const
+{
+    if (!m_options.crashes)
+        return;
+    const Source &source = m_sources.at(*m_current);
+    request.set_crashes_epoch(source.crashesEpoch);
+    request.set_crashes_version(source.crashesVersion);
+    open.reportedVersion = m_options.crashes->version();
+    const CrashReports reports = m_options.crashes->observedSince(source.reportedVersion);
+    if (reports != CrashReports())
+        *request.mutable_crashes() = toProto(reports, now);
+    for (const std::uint64_t part : m_refusedParts)
+        request.add_refused_parts(part);
+}
+
+CrashReports RegistryFeed::receiveCrashes(const InstanceId &sender, const proto::FeedAnswer &answer,
+                                          std::uint64_t reportedVersion, TimePoint now)
+{
+    Source &source = m_sources[sender];
+    const bool isNewProcess = answer.crashes_epoch() != source.crashesEpoch;
+    // A process that has restarted received only the last part of what its predecessor was told.
+    const bool hasRestarted = isNewProcess && source.crashesEpoch != 0;
+    source.reportedVersion = hasRestarted ? 0 : std::max(source.reportedVersion, reportedVersion);
+    source.crashesVersion = isNewProcess
+        ? answer.crashes_version()
+        : std::max<std::uint64_t>(source.crashesVersion, answer.crashes_version());
+    source.crashesEpoch = answer.crashes_epoch();
+    return fromProto(answer.crashes(), now);
+}
+
 FeedOutput RegistryFeed::onMessage(const InstanceId &sender, std::string_view payload,
                                    TimePoint now)
 {
@@ -174,11 +206,12 @@
     }
     proto::FeedAnswer &answer = *message.mutable_feed_answer();
     const auto request = m_openRequests.find(answer.call());
-    if (request == m_openRequests.end() || now - request->second > RequestRetention)
+    if (request == m_openRequests.end() || now - request->second.sentAt > RequestRetention)
         return output;
     // An answer to an abandoned request is used too: if every process takes longer than the
     // time-out, nothing else arrives.
-    const TimePoint requestedAt = request->second;
+    const TimePoint requestedAt = request->second.sentAt;
+    output.crashes = receiveCrashes(sender, answer, request->second.reportedVersion, now);
     m_openRequests.erase(request);
     const bool isCurrent = answer.call() == m_call;
     if (isCurrent)
--- a/src/gentianramp/registry/registry_feed_test.cpp
+++ b/src/gentianramp/registry/registry_feed_test.cpp
@@ -23,6 +23,20 @@
 const InstanceId Near("10.1.0.1:7000");
 const InstanceId Far("10.2.0.1:7000");
 
+proto::FeedRequest requestIn(const FeedOutput &output)
+{
+    proto::RegistryMessage request;
+    request.ParseFromString(output.request);
+    return request.feed();
+}
+
+ServerCrash crashOf(const std::string &server, TimePoint crashedAt)
+{
+    ServerCrash crash{.server = BackendId(server), .service = "s", .crashedAt = crashedAt};
+    crash.parts[7] = {};
+    return crash;
+}
+
 RegistryFeed makeFeed()
 {
     return RegistryFeed({.dataCentre = DataCentreId("a"), .seeds = {Near, Far}, .seed = 7}, at(0));
@@ -49,6 +63,15 @@
     return answer;
 }
 
+/// An answer that names no other registry process.
+proto::FeedAnswer nearAnswerTo(const FeedOutput &output, std::uint64_t number)
+{
+    proto::FeedAnswer answer = answerTo(output, number);
+    answer.mutable_known()->RemoveLast();
+    answer.set_crashes_epoch(5);
+    return answer;
+}
+
 FeedOutput deliver(RegistryFeed &feed, const InstanceId &from, const proto::FeedAnswer &answer,
                    TimePoint now)
 {
@@ -375,3 +398,76 @@
     const std::vector<InstanceId> asked = askedInSilence(feed, begin, begin + 2000);
     cr_assert_geq(std::count(asked.begin(), asked.end(), Third), 1);
 }
+
+Test(registry_feed, crashesAreReportedUntilTheyAreReceived)
+{
+    CrashEvidence evidence;
+    RegistryFeed feed(
+        {.dataCentre = DataCentreId("a"), .seeds = {Near}, .seed = 7, .crashes = &evidence}, at(0));
+    FeedOutput output = feed.tick(at(0));
+    cr_assert_not(requestIn(output).has_crashes());
+    proto::FeedAnswer answer = nearAnswerTo(output, 1);
+    deliver(feed, Near, answer, at(5));
+    evidence.addCrash(crashOf("one", at(100)), at(100));
+    output = feed.tick(at(300));
+    cr_assert_eq(requestIn(output).crashes().crashes_size(), 1);
+    // No answer arrives, so that it is not known whether the request did.
+    feed.tick(at(1000));
+    output = feed.tick(at(1300));
+    cr_assert_eq(requestIn(output).crashes().crashes_size(), 1);
+    answer = nearAnswerTo(output, 1);
+    deliver(feed, Near, answer, at(1305));
+    output = feed.tick(at(1600));
+    cr_assert_eq(requestIn(output).crashes().crashes_size(), 0);
+    evidence.addCrash(crashOf("two", at(1700)), at(1700));
+    deliver(feed, Near, nearAnswerTo(output, 1), at(1700));
+    output = feed.tick(at(1900));
+    cr_assert_geq(requestIn(output).crashes().crashes_size(), 1);
+}
+
+// A registry process that restarted knows nothing of what its predecessor was told.
+Test(registry_feed, aRestartedRegistryProcessIsToldAllCrashes)
+{
+    CrashEvidence evidence;
+    RegistryFeed feed(
+        {.dataCentre = DataCentreId("a"), .seeds = {Near}, .seed = 7, .crashes = &evidence}, at(0));
+    evidence.addCrash(crashOf("one", at(0)), at(0));
+    for (int ms = 0; ms < 900; ms += 300) {
+        proto::FeedAnswer answer = nearAnswerTo(feed.tick(at(ms)), 1);
+        deliver(feed, Near, answer, at(ms + 5));
+    }
+    FeedOutput output = feed.tick(at(900));
+    cr_assert_eq(requestIn(output).crashes().crashes_size(), 0);
+    proto::FeedAnswer answer = nearAnswerTo(output, 1);
+    answer.set_crashes_epoch(6);
+    deliver(feed, Near, answer, at(905));
+    cr_assert_eq(requestIn(feed.tick(at(1200))).crashes().crashes_size(), 1);
+}
+
+Test(registry_feed, crashesThatOthersObservedAreHandedOn)
+{
+    CrashEvidence evidence;
+    RegistryFeed feed(
+        {.dataCentre = DataCentreId("a"), .seeds = {Near}, .seed = 7, .crashes = &evidence}, at(0));
+    const FeedOutput request = feed.tick(at(1000));
+    proto::FeedAnswer answer = nearAnswerTo(request, 1);
+    answer.set_crashes_version(9);
+    proto::ServerCrash &crash = *answer.mutable_crashes()->add_crashes();
+    crash.set_server("one");
+    crash.set_service("s");
+    crash.set_age_ms(400);
+    proto::CrashPart &part = *crash.add_parts();
+    part.set_part(7);
+    part.set_position(1);
+    part.set_suspicion(99); // Of a newer version of the program.
+    const FeedOutput output = deliver(feed, Near, answer, at(1010));
+    cr_assert_eq(output.crashes.crashes.size(), 1U);
+    const ServerCrash &received = output.crashes.crashes.front();
+    cr_assert_eq(received.crashedAt, at(610));
+    cr_assert_eq(received.parts.at(7), (CrashPart{PartSuspicion::Cleared, 1}));
+    feed.setRefusedParts({7});
+    const proto::FeedRequest next = requestIn(feed.tick(at(1300)));
+    cr_assert_eq(next.crashes_epoch(), 5U);
+    cr_assert_eq(next.crashes_version(), 9U);
+    cr_assert_eq(next.refused_parts(0), 7U);
+}
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -3,16 +3,19 @@
 #include "registry_codec.hpp"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/thread_pool.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <charconv>
 #include <cmath>
 #include <gentianramp/core/log.hpp>
 #include <gentianramp/core/random_seed.hpp>
 #include <gentianramp/registry/absence_watch.hpp>
+#include <gentianramp/registry/crash_evidence.hpp>
 #include <gentianramp/registry/leader_calls.hpp>
 #include <gentianramp/registry/listing_history.hpp>
 #include <gentianramp/registry/load_poll_scheduler.hpp>
@@ -96,6 +99,11 @@
 constexpr Duration EntryProcessTimeout = std::chrono::seconds(3);
 /// An entry process that asks another registry process would be counted twice for longer.
 constexpr Duration DelaysTimeout = std::chrono::seconds(1);
+/// Time in which reports of several entry processes on one crash are sent on together.
+constexpr Duration CrashExchangeInterval = std::chrono::milliseconds(100);
+/// Interval between two full sets of crash reports to one process; longer than a report is on its
+/// way.
+constexpr Duration AllCrashesInterval = std::chrono::milliseconds(600);
 constexpr std::uint32_t NeverConfirmed = std::numeric_limits<std::uint32_t>::max();
 
 std::string seatName(unsigned number)
@@ -119,6 +127,13 @@
     unsigned missedCount = 0; ///< Consecutive requests without an answer.
 };
 
+std::string hexadecimal(std::uint64_t value)
+{
+    std::array<char, 16> text{};
+    const auto end = std::to_chars(text.data(), text.data() + text.size(), value, 16).ptr;
+    return {text.data(), end};
+}
+
 std::int64_t thousandths(double value)
 {
     return std::llround(value * 1000);
@@ -129,6 +144,8 @@
 {
     TimePoint heardAt{};
     ServiceDelays delays;
+    /// Prompt parts because of which it refused requests lately.
+    std::vector<std::uint64_t> refusedParts;
 };
 
 /// A call to another process and its answer once received.
@@ -196,6 +213,10 @@
                 nextPresenceAt = now + PresenceInterval;
                 sendPresence(now);
             }
+            if (now >= nextCrashExchangeAt) {
+                nextCrashExchangeAt = now + CrashExchangeInterval;
+                exchangeCrashes(now);
+            }
             if (leads() && now >= nextSeatUpdateAt) {
                 nextSeatUpdateAt = now + SeatUpdateInterval;
                 updateSeats(now);
@@ -546,6 +567,9 @@
             return receiveFeed(received, message.feed(), now);
         case proto::RegistryMessage::kLoads:
             return receiveLoads(message.loads(), now);
+        case proto::RegistryMessage::kCrashes:
+            crashes.merge(fromProto(message.crashes(), now), now);
+            return;
         case proto::RegistryMessage::kDeclareAnswer:
             return finishCall(message.declare_answer().call(), message);
         case proto::RegistryMessage::kReadAnswer:
@@ -577,6 +601,7 @@
         presence.set_leads(leads());
         presence.set_term(ledger ? ledger->replica().term().value() : 0);
         addToProto(ownDelays(now), *presence.mutable_delays());
+        presence.set_crashes_digest(crashes.digest());
         addKnown(*presence.mutable_known(), now);
         for (const InstanceId &member : directory.contacts()) {
             send(member, message);
@@ -636,6 +661,80 @@
             receiveEcho(sender, *heardAge, now);
         if (presence.leads())
             redirectCalls(now);
+        if (presence.crashes_digest() != crashes.digest())
+            sendAllCrashes(sender, now);
+    }
+
+    // Crashes of backend servers
+
+    /// Sends what entry processes reported to this process to all others, grants trials of blamed
+    /// prompt parts while this process leads, and logs what is blamed.
+    void exchangeCrashes(TimePoint now)
+    {
+        crashes.expire(now);
+        const std::vector<BlamedPart> blamedParts = crashes.blamed(now);
+        logBlame(blamedParts, now);
+        if (leads())
+            grantTrials(blamedParts, now);
+        const CrashReports news = crashes.observedSince(sentCrashesVersion);
+        sentCrashesVersion = crashes.version();
+        if (news == CrashReports())
+            return;
+        proto::RegistryMessage message;
+        *message.mutable_crashes() = toProto(news, now);
+        for (const InstanceId &member : directory.contacts())
+            send(member, message);
+    }
+
+    /// Sends all crash reports to a process that has other ones, unless that was done lately: a
+    /// difference usually means that messages are on their way.
+    void sendAllCrashes(const InstanceId &to, TimePoint now)
+    {
+        TimePoint &sentAt = allCrashesSentAt[to];
+        if (now - sentAt < AllCrashesInterval || crashes.crashCount() == 0)
+            return;
+        sentAt = now;
+        proto::RegistryMessage message;
+        *message.mutable_crashes() = toProto(crashes.changedSince(0), now);
+        sendToMember(to, message);
+    }
+
+    void grantTrials(const std::vector<BlamedPart> &blamedParts, TimePoint now)
+    {
+        for (const BlamedPart &blamedPart : blamedParts) {
+            for (const auto &[instance, process] : entryProcesses) {
+                const auto &refused = process.refusedParts;
+                if (now - process.heardAt > DelaysTimeout
+                    || std::find(refused.begin(), refused.end(), blamedPart.part) == refused.end())
+                    continue;
+                if (const auto trial = crashes.grantTrial(blamedPart, instance, now))
+                    logInfo("part_trial",
+                            {{"part", hexadecimal(trial->part)},
+                             {"trial", trial->number},
+                             {"instance", instance.value()},
+                             {"last_crash_ms", toMilliseconds(now - blamedPart.lastCrashAt)}});
+                break;
+            }
+        }
+    }
+
+    void logBlame(const std::vector<BlamedPart> &blamedParts, TimePoint now)
+    {
+        std::set<std::uint64_t> parts;
+        for (const BlamedPart &blamedPart : blamedParts) {
+            parts.insert(blamedPart.part);
+            if (!loggedBlame.contains(blamedPart.part))
+                logWarning("part_blamed",
+                           {{"part", hexadecimal(blamedPart.part)},
+                            {"crashes", blamedPart.crashes},
+                            {"last_crash_ms", toMilliseconds(now - blamedPart.lastCrashAt)},
+                            {"known_crashes", crashes.crashCount()}});
+        }
+        for (const std::uint64_t part : loggedBlame) {
+            if (!parts.contains(part))
+                logInfo("part_discharged", {{"part", hexadecimal(part)}});
+        }
+        loggedBlame = std::move(parts);
     }
 
     /// Calls to a leader that was lost are sent to its successor. Either may answer: a declaration
@@ -997,7 +1096,12 @@
                      TimePoint now)
     {
         if (!request.registry())
-            entryProcesses[received.sender] = {now, fromProto(request.delays())};
+            entryProcesses[received.sender]
+                = {now,
+                   fromProto(request.delays()),
+                   {request.refused_parts().begin(), request.refused_parts().end()}};
+        for (const ServerCrash &crash : fromProto(request.crashes(), now).crashes)
+            crashes.addCrash(crash, now);
         proto::RegistryMessage message;
         proto::FeedAnswer &feed = *message.mutable_feed_answer();
         feed.set_call(request.call());
@@ -1021,6 +1125,15 @@
         if (now - loadTable.reports().takenAt < LoadRetention && !request.registry())
             *feed.mutable_loads()
                 = toProto(loadTable.since(request.loads_epoch(), request.loads_version()), now);
+        // Tells the versions of this process's evidence from those of others.
+        const std::uint64_t crashesEpoch = std::max<std::uint64_t>(options.seed, 1);
+        feed.set_crashes_epoch(crashesEpoch);
+        feed.set_crashes_version(crashes.version());
+        const bool sameEvidence = request.crashes_epoch() == crashesEpoch;
+        const CrashReports news
+            = crashes.changedSince(sameEvidence ? request.crashes_version() : 0);
+        if (news != CrashReports() && !request.registry())
+            *feed.mutable_crashes() = toProto(news, now);
         addKnown(*feed.mutable_known(), now);
         feed.set_entries(static_cast<std::uint32_t>(entryProcesses.size())
                          + directory.entryProcessesElsewhere(now));
@@ -1138,6 +1251,11 @@
     std::vector<std::string> seats;
     MemberDirectory directory;
     std::map<InstanceId, EntryProcess> entryProcesses;
+    CrashEvidence crashes;
+    std::uint64_t sentCrashesVersion = 0;
+    std::map<InstanceId, TimePoint> allCrashesSentAt;
+    std::set<std::uint64_t> loggedBlame;
+    TimePoint nextCrashExchangeAt{};
     asio::thread_pool writer{1}; ///< Waits for the disk.
     SeatStorage storage;
     std::string seat; ///< Empty for a spare.
--- a/src/gentianramp/registry/registry_node_test.cpp
+++ b/src/gentianramp/registry/registry_node_test.cpp
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <fstream>
 #include <gentianramp/core/clock.hpp>
+#include <gentianramp/wire/mesh.hpp>
 #include <iterator>
 #include <string>
 #include <sys/socket.h>
@@ -13,6 +14,8 @@
 
 #include <netinet/in.h>
 
+#include "gentianramp/registry/generated/registry.pb.h"
+
 #include <criterion/criterion.h>
 
 using namespace gentianramp;
@@ -128,6 +131,63 @@
     context.stop();
 }
 
+/// Asks registry processes for the feed like an entry process.
+class FeedClient
+{
+public:
+    explicit FeedClient(asio::io_context &context)
+        : m_mesh(options(), [this, &context](ReceivedMessage message) {
+            asio::post(context, [this, message = std::move(message)] {
+                proto::RegistryMessage answer;
+                if (answer.ParseFromString(message.payload))
+                    m_answers[message.sender] = answer.feed_answer();
+            });
+        })
+    { }
+
+    void ask(const InstanceId &node, const proto::FeedRequest &request)
+    {
+        proto::RegistryMessage message;
+        *message.mutable_feed() = request;
+        m_mesh.send(node, PayloadKind::Registry, message.SerializeAsString(),
+                    std::chrono::seconds(1));
+    }
+
+    const proto::FeedAnswer &answerOf(const InstanceId &node) { return m_answers[node]; }
+
+private:
+    static MeshOptions options()
+    {
+        MeshOptions options;
+        options.instance = freeAddress();
+        options.curveEnabled = false;
+        return options;
+    }
+
+    std::map<InstanceId, proto::FeedAnswer> m_answers;
+    Mesh m_mesh;
+};
+
+/// Reports a crash to @p reportedTo until @p asked answers with it.
+asio::awaitable<void> reportCrash(FeedClient &client, InstanceId reportedTo, InstanceId asked,
+                                  bool &arrived, asio::io_context &context)
+{
+    proto::FeedRequest report;
+    proto::ServerCrash &crash = *report.mutable_crashes()->add_crashes();
+    crash.set_server("engine");
+    crash.set_service("s");
+    crash.add_parts()->set_part(7);
+    for (int attempt = 0; attempt < MaxAttempts && !arrived; ++attempt) {
+        // One report may be lost while connections are established.
+        client.ask(reportedTo, report);
+        client.ask(asked, {});
+        co_await sleepFor(AttemptInterval);
+        for (const proto::ServerCrash &known : client.answerOf(asked).crashes().crashes())
+            arrived = known.server() == "engine" && known.parts(0).part() == 7;
+    }
+    context.stop();
+}
+
 } // namespace
 
 // A process that had lost its disk was heard, but the connections to it did not open for seconds,
@@ -180,3 +240,28 @@
     cr_assert_not(result.before);
     cr_assert(result.after);
 }
+
+// Requests with the part come at any instance, which may ask any registry process.
+Test(registry_node, aCrashThatOneProcessIsToldOfReachesTheOthers)
+{
+    const TemporaryFolder first("first");
+    const TemporaryFolder second("second");
+    const std::vector<InstanceId> founders{freeAddress(), freeAddress()};
+    asio::io_context context;
+    RegistryOptions options = optionsOf(founders[0], first.path);
+    options.seeds = founders;
+    options.firstStart = true;
+    RegistryNode firstNode(context.get_executor(), options);
+    options = optionsOf(founders[1], second.path);
+    options.seeds = founders;
+    options.firstStart = true;
+    RegistryNode secondNode(context.get_executor(), options);
+    firstNode.start();
+    secondNode.start();
+    FeedClient client(context);
+    bool arrived = false;
+    asio::co_spawn(context, reportCrash(client, founders[0], founders[1], arrived, context),
+                   asio::detached);
+    context.run();
+    cr_assert(arrived);
+}
