Refuse requests with a prompt part that crashes engines

Cause: nothing remembered what waited at an engine when it crashed. Class: a failure that the request causes is treated as one of the server.

An instance now tells a crash from a broken connection (the next connection is refused), reports the shared parts of the prompts that waited there, clears parts by complete answers, and refuses a prompt with a blamed part before it reaches an engine. After a crash a request isn't sent to a second engine if one of its parts was at an earlier crash and not answered since.

With the check and the hold on repeats taken out, three of the new tests fail: what is refused is sent (503 wanted), the trial is not the only send, and a second server gets the prompt. With them the relay program passes (79 tests).

--- a/include/gentianramp/http/client.hpp
+++ b/include/gentianramp/http/client.hpp
@@ -64,6 +64,8 @@
     virtual void cancel() = 0;
     /// True once bytes of the request may have been sent.
     virtual bool anyBytesWritten() const = 0;
+    /// True when the connection was refused at the address: the machine runs, but nothing listens.
+    virtual bool refusedByPeer() const = 0;
 };
 
 /// Options of an HttpClient.
--- /dev/null
+++ b/include/gentianramp/relay/crash_watch.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <gentianramp/registry/crash_evidence.hpp>
+#include <gentianramp/relay/backend_protocol.hpp>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace gentianramp {
+
+/// Tells crashes of backend servers from single broken connections, and keeps the prompt parts that
+/// waited for an answer there. Performs no I/O.
+class CrashWatch
+{
+public:
+    /// A server ended a connection before the answer on it was complete. @p unanswered is the
+    /// prompt of a request whose answer had not begun, else null. Returns the crash if the server
+    /// is known to have crashed; otherwise its health has to be checked.
+    std::optional<ServerCrash> noteLost(const BackendId &server, std::int64_t startedAtMs,
+                                        const std::string &service,
+                                        const PromptDescription *unanswered, TimePoint now);
+    /// Nothing listens at the address of the server any more. Returns the crash if connections were
+    /// lost there lately.
+    std::optional<ServerCrash> noteRefused(const BackendId &server, TimePoint now);
+    /// The server answers: the connections broke for another reason.
+    void noteAnswered(const BackendId &server);
+
+private:
+    struct Losses
+    {
+        ServerCrash crash;
+        TimePoint lastLossAt{};
+        bool confirmed = false;
+    };
+
+    void expire(TimePoint now);
+
+    std::map<BackendId, Losses> m_losses;
+};
+
+} // namespace gentianramp
--- a/include/gentianramp/relay/relay_service.hpp
+++ b/include/gentianramp/relay/relay_service.hpp
@@ -7,6 +7,7 @@
 #include <gentianramp/http/client.hpp>
 #include <gentianramp/http/server.hpp>
 #include <gentianramp/registry/backend_listing.hpp>
+#include <gentianramp/registry/crash_evidence.hpp>
 #include <gentianramp/registry/stage_delays.hpp>
 #include <gentianramp/relay/backend_protocol.hpp>
 #include <gentianramp/relay/retry_allowance.hpp>
@@ -27,6 +28,9 @@
     /// While the declaration was confirmed longer ago, a missing route may have been declared.
     Duration maxDeclarationAge = std::chrono::seconds(2);
     std::function<std::optional<Duration>()> listingAge = [] { return std::nullopt; };
+    InstanceId instance; ///< Name of this process at the registry.
+    /// What is known of crashes of backend servers; null: only what this service observes.
+    std::shared_ptr<CrashEvidence> crashes;
 };
 
 struct RelayState;
@@ -46,6 +50,10 @@
     void publish(Declaration declaration);
     void publish(const BackendListing &listing);
     void publish(const LoadReports &loads);
+    /// Adds what other processes observed.
+    void publish(const CrashReports &reports);
+    /// Prompt parts because of which requests were refused lately.
+    std::vector<std::uint64_t> refusedParts(TimePoint now) const;
     void setInstances(std::uint32_t instances);
     /// Delays at engines that this instance measured.
     ServiceDelays delays(TimePoint now) const;
--- a/src/gentianramp/http/client_exchange.cpp
+++ b/src/gentianramp/http/client_exchange.cpp
@@ -95,6 +95,7 @@
     m_watchdog->expireAfter(m_call.connectTimeout);
     co_await m_socket->async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
     m_watchdog->clearDeadline();
+    m_refusedByPeer = error == asio::error::connection_refused;
     if (error || m_cancelled || m_watchdog->expired())
         co_return make_error_code(Error::ConnectionRefused);
     setSocketOptions(*m_socket, m_call.silenceTimeout);
--- a/src/gentianramp/http/client_exchange.hpp
+++ b/src/gentianramp/http/client_exchange.hpp
@@ -30,6 +30,7 @@
     void setSilenceTimeout(Duration timeout) override { m_call.silenceTimeout = timeout; }
     void cancel() override;
     bool anyBytesWritten() const override { return m_anyBytesWritten; }
+    bool refusedByPeer() const override { return m_refusedByPeer; }
 
 private:
     static constexpr std::size_t PieceBytes = 8192;
@@ -62,6 +63,7 @@
     bool m_cancelled = false;
     bool m_anyBytesWritten = false;
     bool m_complete = false;
+    bool m_refusedByPeer = false;
     bool m_writing = false; ///< The request is being written in the background.
     bool m_writeFailed = false;
 };
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -513,6 +513,7 @@
     target.seemedIdle = backend.takenSlots(now) < 1;
     target.sentAt = now;
     target.incarnation = backend.incarnation;
+    target.startedAtMs = backend.server.startedAtMs;
     return target;
 }
 
--- /dev/null
+++ b/src/gentianramp/relay/crash_watch.cpp
@@ -0,0 +1,58 @@
+#include <gentianramp/relay/crash_watch.hpp>
+
+namespace gentianramp {
+
+namespace {
+
+/// Connections that a crash breaks are noticed within this time, and so is that nothing listens.
+constexpr Duration LossRetention = std::chrono::seconds(2);
+
+/// The parts that other prompts may share: all but the last of several.
+void addSharedParts(const PromptDescription &prompt, ServerCrash &crash)
+{
+    for (std::size_t index = 0; index + 1 < prompt.parts.size(); ++index)
+        crash.parts[prompt.parts[index].id]
+            = {PartSuspicion::Unanswered, static_cast<std::uint32_t>(index)};
+}
+
+} // namespace
+
+std::optional<ServerCrash> CrashWatch::noteLost(const BackendId &server, std::int64_t startedAtMs,
+                                                const std::string &service,
+                                                const PromptDescription *unanswered, TimePoint now)
+{
+    expire(now);
+    const auto [found, isNew] = m_losses.try_emplace(server);
+    Losses &losses = found->second;
+    if (isNew || losses.crash.startedAtMs != startedAtMs)
+        losses = {
+            .crash
+            = {.server = server, .startedAtMs = startedAtMs, .service = service, .crashedAt = now}};
+    losses.lastLossAt = now;
+    if (unanswered)
+        addSharedParts(*unanswered, losses.crash);
+    return losses.confirmed ? std::optional(losses.crash) : std::nullopt;
+}
+
+std::optional<ServerCrash> CrashWatch::noteRefused(const BackendId &server, TimePoint now)
+{
+    expire(now);
+    const auto found = m_losses.find(server);
+    if (found == m_losses.end())
+        return std::nullopt;
+    found->second.confirmed = true;
+    return found->second.crash;
+}
+
+void CrashWatch::noteAnswered(const BackendId &server)
+{
+    m_losses.erase(server);
+}
+
+void CrashWatch::expire(TimePoint now)
+{
+    std::erase_if(m_losses,
+                  [&](const auto &entry) { return now - entry.second.lastLossAt > LossRetention; });
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/relay/crash_watch_test.cpp
@@ -0,0 +1,74 @@
+#include <gentianramp/relay/crash_watch.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+
+namespace {
+
+const BackendId Engine("engine");
+
+TimePoint at(int ms)
+{
+    return TimePoint(std::chrono::seconds(1000) + std::chrono::milliseconds(ms));
+}
+
+PromptDescription prompt(std::uint64_t shared, std::uint64_t own)
+{
+    return {.parts = {{1, 100}, {shared, 100}, {own, 100}}, .outputTokens = 5};
+}
+
+} // namespace
+
+Test(crash_watch, aRefusedConnectionAfterLostOnesIsACrash)
+{
+    CrashWatch watch;
+    const PromptDescription first = prompt(2, 90);
+    const PromptDescription second = prompt(3, 91);
+    cr_assert_not(watch.noteLost(Engine, 7, "s", &first, at(0)).has_value());
+    cr_assert_not(watch.noteLost(Engine, 7, "s", &second, at(1)).has_value());
+    cr_assert_not(watch.noteLost(Engine, 7, "s", nullptr, at(1)).has_value());
+    const std::optional<ServerCrash> crash = watch.noteRefused(Engine, at(5));
+    cr_assert_eq(crash->server, Engine);
+    cr_assert_eq(crash->startedAtMs, 7);
+    cr_assert_eq(crash->service, "s");
+    cr_assert_eq(crash->crashedAt, at(0));
+    // The last part of a prompt belongs to one request alone.
+    cr_assert_eq(crash->parts,
+                 (std::map<std::uint64_t, CrashPart>{{1, {PartSuspicion::Unanswered, 0}},
+                                                     {2, {PartSuspicion::Unanswered, 1}},
+                                                     {3, {PartSuspicion::Unanswered, 1}}}));
+}
+
+Test(crash_watch, lossesThatAreNoticedAfterTheCrashIsKnownBelongToIt)
+{
+    CrashWatch watch;
+    const PromptDescription first = prompt(2, 90);
+    const PromptDescription late = prompt(3, 91);
+    watch.noteLost(Engine, 7, "s", &first, at(0));
+    watch.noteRefused(Engine, at(5));
+    const std::optional<ServerCrash> crash = watch.noteLost(Engine, 7, "s", &late, at(20));
+    cr_assert(crash->parts.contains(3));
+    cr_assert_eq(crash->crashedAt, at(0));
+    // The server has started again since.
+    cr_assert_not(watch.noteLost(Engine, 8, "s", &late, at(1500)).has_value());
+}
+
+Test(crash_watch, brokenConnectionsOfAServerThatAnswersAreNoCrash)
+{
+    CrashWatch watch;
+    const PromptDescription lost = prompt(2, 90);
+    watch.noteLost(Engine, 7, "s", &lost, at(0));
+    watch.noteAnswered(Engine);
+    cr_assert_not(watch.noteRefused(Engine, at(100)).has_value());
+}
+
+// A server that ends in peace, or long after a connection broke, crashed for no request.
+Test(crash_watch, aRefusedConnectionWithoutLostOnesIsNoCrash)
+{
+    CrashWatch watch;
+    cr_assert_not(watch.noteRefused(Engine, at(0)).has_value());
+    const PromptDescription lost = prompt(2, 90);
+    watch.noteLost(Engine, 7, "s", &lost, at(0));
+    cr_assert_not(watch.noteRefused(Engine, at(2500)).has_value());
+}
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -40,11 +40,13 @@
     State(asio::any_io_executor ioExecutor, RelayNodeOptions nodeOptions)
         : executor(std::move(ioExecutor))
         , options(std::move(nodeOptions))
+        , crashes(std::make_shared<CrashEvidence>())
         , feed({.dataCentre = options.relay.dataCentre,
                 .seeds = options.seeds,
                 .seed = options.relay.seed,
                 .maxConfirmationAge = options.relay.maxDeclarationAge / 2,
-                .firstDeclarationTimeout = 2 * options.contactTime},
+                .firstDeclarationTimeout = 2 * options.contactTime,
+                .crashes = crashes.get()},
                RuntimeClock::now())
         , relay(executor, relayOptions())
     { }
@@ -53,6 +55,8 @@
     {
         RelayOptions result = options.relay;
         result.declarationAge = [this] { return feed.declarationAge(RuntimeClock::now()); };
+        result.instance = options.self;
+        result.crashes = crashes;
         result.listingAge = [this] { return feed.listingAge(RuntimeClock::now()); };
         return result;
     }
@@ -127,6 +131,7 @@
         while (!stopping) {
             const TimePoint now = RuntimeClock::now();
             feed.setDelays(relay.delays(now));
+            feed.setRefusedParts(relay.refusedParts(now));
             applyFeedOutput(feed.tick(now));
             if (now >= nextFlushAt) {
                 flushLog();
@@ -155,6 +160,7 @@
         }
         if (output.loads)
             relay.publish(*output.loads);
+        relay.publish(output.crashes);
         relay.setInstances(feed.entryProcessCount());
         if (!hadRoutingData && relay.hasRoutingData())
             logInfo("ready", {{"declaration", relay.declarationNumber()}});
@@ -208,6 +214,7 @@
 
     asio::any_io_executor executor;
     RelayNodeOptions options;
+    std::shared_ptr<CrashEvidence> crashes;
     RegistryFeed feed;
     RelayService relay;
     std::unique_ptr<HttpServer> callers;
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -26,6 +26,10 @@
 /// backend servers.
 constexpr Duration MaxIdleAge = std::chrono::seconds(4);
 
+constexpr Duration BlameInterval = std::chrono::milliseconds(50);
+/// A trial of a blamed part is granted to an instance that refused a request with it this lately.
+constexpr Duration RefusedPartRetention = std::chrono::seconds(2);
+
 HttpClientOptions clientOptions()
 {
     HttpClientOptions options;
@@ -44,6 +48,10 @@
     , repeats(registry.counter("gentianramp_relay_repeats_total", "Sent again"))
     , resumes(registry.counter("gentianramp_relay_resumes_total", "Streams gone on with"))
     , callersGone(registry.counter("gentianramp_relay_callers_gone_total", "Callers that left"))
+    , crashes(
+          registry.counter("gentianramp_relay_crashes_total", "Crashes of backend servers seen"))
+    , blamedRefusals(registry.counter("gentianramp_relay_blamed_refusals_total",
+                                      "Refused for a prompt part that crashes backend servers"))
     , firstEventTime(registry.latency("gentianramp_relay_first_event_seconds",
                                       "From the request to its answer's first event"))
     , answerTime(
@@ -57,6 +65,7 @@
     , metrics(options.metrics ? *options.metrics : *ownMetrics)
     , client(clientOptions())
     , table({.dataCentre = options.dataCentre, .seed = options.seed})
+    , crashes(options.crashes ? options.crashes : std::make_shared<CrashEvidence>())
     , random(options.seed)
 { }
 
@@ -109,6 +118,89 @@
     }
 }
 
+void RelayState::noteConnectionLost(const SendTarget &target, const std::string &service,
+                                    const PromptDescription *unanswered)
+{
+    const std::optional<ServerCrash> crash = crashWatch.noteLost(
+        target.backend, target.startedAtMs, service, unanswered, RuntimeClock::now());
+    if (crash)
+        noteCrash(*crash);
+    else
+        checkHealth(target.backend, service);
+}
+
+void RelayState::noteCrash(const ServerCrash &crash)
+{
+    const std::size_t known = crashes->crashCount();
+    const TimePoint now = RuntimeClock::now();
+    crashes->addCrash(crash, now);
+    if (crashes->crashCount() == known)
+        return;
+    metrics.crashes.add();
+    logWarning("server_crashed",
+               {{"backend", crash.server.value()},
+                {"service", crash.service},
+                {"suspects", crash.parts.size()},
+                {"after_ms", toMilliseconds(now - crash.crashedAt)},
+                {"known_crashes", crashes->crashCount()}});
+}
+
+void RelayState::noteServed(const std::string &service, const PromptDescription &prompt,
+                            TimePoint beganAt)
+{
+    if (crashes->crashCount() == 0)
+        return;
+    std::vector<std::uint64_t> parts;
+    parts.reserve(prompt.parts.size());
+    for (const PromptPart &part : prompt.parts)
+        parts.push_back(part.id);
+    crashes->noteServed(service, parts, beganAt);
+}
+
+const std::vector<BlamedPart> &RelayState::blamedParts()
+{
+    const TimePoint now = RuntimeClock::now();
+    if (now - blameUpdatedAt < BlameInterval)
+        return currentBlame;
+    blameUpdatedAt = now;
+    crashes->expire(now);
+    currentBlame = crashes->blamed(now);
+    return currentBlame;
+}
+
+PromptAdmission RelayState::admitPrompt(const PromptDescription &prompt)
+{
+    PromptAdmission admission;
+    if (crashes->crashCount() == 0)
+        return admission;
+    const TimePoint now = RuntimeClock::now();
+    for (const BlamedPart &blamedPart : blamedParts()) {
+        const bool contained
+            = std::any_of(prompt.parts.begin(), prompt.parts.end(),
+                          [&](const PromptPart &part) { return part.id == blamedPart.part; });
+        if (!contained)
+            continue;
+        const std::optional<PartTrial> trial = crashes->lastTrial(blamedPart.part);
+        std::uint32_t &done = trialsDone[blamedPart.part];
+        if (trial && trial->instance == options.instance && trial->number > done) {
+            done = trial->number;
+            admission.isTrial = true;
+            continue;
+        }
+        partRefusedAt[blamedPart.part] = now;
+        admission.refusedFor = blamedPart;
+        break;
+    }
+    return admission;
+}
+
+bool RelayState::wasAtEarlierCrash(const PromptDescription &prompt) const
+{
+    const TimePoint now = RuntimeClock::now();
+    return std::any_of(prompt.parts.begin(), prompt.parts.end(),
+                       [&](const PromptPart &part) { return crashes->isUncleared(part.id, now); });
+}
+
 void RelayState::checkHealth(const BackendId &backend, const std::string &service)
 {
     if (!routes || table.isHeld(backend, RuntimeClock::now())
@@ -135,13 +227,20 @@
         // The server may have asked for a pause in an answer to a request.
         if (table.isHeld(backend, RuntimeClock::now()))
             break;
-        const Result<HttpResponse> answer = co_await client.request(std::move(call));
+        const std::shared_ptr<HttpExchange> check = client.exchange(std::move(call));
+        const std::error_code error = co_await check->open();
+        const bool answered = !error && co_await check->readAll();
         // Any answer shows that the process runs; a full server may refuse the health check.
-        table.noteSilent(backend, !answer, RuntimeClock::now());
-        if (answer) {
-            noteAnswerHead(backend, answer->status, answer->headers);
+        table.noteSilent(backend, !answered, RuntimeClock::now());
+        if (answered) {
+            crashWatch.noteAnswered(backend);
+            noteAnswerHead(backend, check->status(), check->headers());
             break;
         }
+        if (check->refusedByPeer()) {
+            if (const auto crash = crashWatch.noteRefused(backend, RuntimeClock::now()))
+                noteCrash(*crash);
+        }
         co_await sleepFor(HealthCheckInterval);
     }
     pendingHealthChecks.erase(backend);
@@ -187,6 +286,21 @@
             m_state->checkHealth(load.engine, {});
 }
 
+void RelayService::publish(const CrashReports &reports)
+{
+    m_state->crashes->merge(reports, RuntimeClock::now());
+}
+
+std::vector<std::uint64_t> RelayService::refusedParts(TimePoint now) const
+{
+    std::erase_if(m_state->partRefusedAt,
+                  [&](const auto &entry) { return now - entry.second > RefusedPartRetention; });
+    std::vector<std::uint64_t> parts;
+    for (const auto &[part, refusedAt] : m_state->partRefusedAt)
+        parts.push_back(part);
+    return parts;
+}
+
 void RelayService::setInstances(std::uint32_t instances)
 {
     m_state->instances = instances;
--- a/src/gentianramp/relay/relay_service_test.cpp
+++ b/src/gentianramp/relay/relay_service_test.cpp
@@ -17,6 +17,9 @@
 
 using Handler = std::function<asio::awaitable<void>(HttpRequest, ResponseWriter &)>;
 
+/// Number of the part of a prompt that crashes servers.
+constexpr std::uint64_t DeadlyPart = 0xdead;
+
 BackendProtocol makeProtocol()
 {
     BackendProtocol names;
@@ -42,7 +45,11 @@
         // The number names the part that belongs to the request alone.
         const std::uint64_t own
             = std::strtoull(std::string(headers.find("X-Prompt")).c_str(), nullptr, 10);
-        return PromptDescription{.parts = {{1, 10'000}, {2 + own, 1000}}, .outputTokens = 50};
+        PromptDescription prompt{.parts = {{1, 10'000}}, .outputTokens = 50};
+        if (headers.contains("X-Middle-Part"))
+            prompt.parts.push_back({DeadlyPart, 100});
+        prompt.parts.push_back({2 + own, 1000});
+        return prompt;
     };
     names.handle = [](std::string_view body) { return std::string(body); };
     names.freeHandle = [](const std::string &handle) {
@@ -61,7 +68,8 @@
                  .protocol = makeProtocol(),
                  .retries = retries,
                  .seed = 1,
-                 .declarationAge = [this] { return declarationAge; }})
+                 .declarationAge = [this] { return declarationAge; },
+                 .instance = InstanceId("entry")})
     {
         m_callerServer
             = std::make_unique<HttpServer>(m_context.get_executor(), options(), relay.handler());
@@ -138,6 +146,11 @@
         return *answer;
     }
 
+    /// Ends the server as in a crash: its connections break and nothing listens at its address.
+    void crash(const std::string &id) { m_servers.at(id)->stop(); }
+
+    void wait(Duration time) { m_context.run_for(time); }
+
     /// Publishes a listing in which the server has restarted under its id.
     void restart(const std::string &id)
     {
@@ -221,6 +234,14 @@
     return [](HttpRequest, ResponseWriter &) -> asio::awaitable<void> { co_return; };
 }
 
+Handler closesWithoutAnswerButIsHealthy()
+{
+    return [](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
+        if (!request.path().starts_with("/p/"))
+            co_await writer.send(signedAnswer(request));
+    };
+}
+
 /// Streams the events after the request's Last-Event-Id, or from @p first, up to @p last. Without
 /// @p whole the stream breaks off within an event.
 Handler streams(int first, int last, bool whole)
@@ -307,6 +328,64 @@
     };
 }
 
+/// Streams events; crashes as it begins to answer a prompt with the deadly part.
+Handler crashesOnDeadlyPart(RelayFixture &fixture, const std::string &id)
+{
+    return [&fixture, id](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
+        if (!request.headers.contains("X-Middle-Part"))
+            co_return co_await streams(1, 3, true)(std::move(request), writer);
+        HttpResponse head = signedAnswer(request);
+        head.headers.add("Content-Type", "text/event-stream");
+        co_await writer.startStream(std::move(head));
+        fixture.crash(id);
+    };
+}
+
+HttpRequest promptRequest(int own, bool deadly)
+{
+    HttpRequest request{.method = "POST"};
+    request.headers.add("X-Prompt", std::to_string(own));
+    if (deadly)
+        request.headers.add("X-Middle-Part", "yes");
+    return request;
+}
+
+/// Servers that crash on the deadly part, and a route whose prompts name their parts.
+void addCrashingServers(RelayFixture &fixture, int count, std::uint32_t attempts)
+{
+    for (int number = 0; number < count; ++number) {
+        const std::string id = "engine-" + std::to_string(number);
+        fixture.addServer(id, crashesOnDeadlyPart(fixture, id));
+    }
+    fixture.declare({.kind = RouteKind::Stream,
+                     .attempts = attempts,
+                     .carriesPrompt = true,
+                     .resumable = attempts > 1});
+}
+
+int deadlyRequests(const RelayFixture &fixture)
+{
+    return static_cast<int>(std::count_if(
+        fixture.receivedRequests.begin(), fixture.receivedRequests.end(),
+        [](const auto &entry) { return entry.second.headers.contains("X-Middle-Part"); }));
+}
+
+/// Longer than crashes with a common cause are apart.
+constexpr Duration BetweenCrashes = std::chrono::milliseconds(150);
+/// Longer than answers have time to clear a part.
+constexpr Duration UntilBlame = std::chrono::milliseconds(1100);
+
+/// Lets the deadly part crash three servers while sound requests are answered.
+void crashThreeServers(RelayFixture &fixture)
+{
+    for (int own = 0; own < 3; ++own) {
+        cr_assert_eq(fixture.call(promptRequest(own, true))->status, 502U);
+        fixture.wait(BetweenCrashes);
+        cr_assert(fixture.call(promptRequest(100 + own, false)));
+    }
+    fixture.wait(UntilBlame);
+}
+
 Handler neverAnswers()
 {
     return [](HttpRequest, ResponseWriter &writer) -> asio::awaitable<void> {
@@ -807,3 +886,74 @@
     cr_assert(moved);
     cr_assert_geq(fixture.requestsAt("other"), 1);
 }
+
+// Requests with one part crashed one engine after the other.
+Test(relay_service, aPartThatCrashesServersIsRefusedAndWhatSharesItsOtherPartsIsServed)
+{
+    RelayFixture fixture;
+    addCrashingServers(fixture, 5, 1);
+    crashThreeServers(fixture);
+    for (int own = 10; own < 15; ++own) {
+        const Result<HttpResponse> refused = fixture.call(promptRequest(own, true));
+        cr_assert_eq(refused->status, 503U);
+        cr_assert(refused->headers.contains("Retry-After"));
+        const Result<HttpResponse> sound = fixture.call(promptRequest(own, false));
+        cr_assert(sound);
+        cr_assert_eq(sound->body, eventsUpTo(3));
+    }
+    cr_assert_eq(deadlyRequests(fixture), 3);
+    cr_assert_eq(fixture.relay.refusedParts(RuntimeClock::now()),
+                 std::vector<std::uint64_t>{DeadlyPart});
+}
+
+Test(relay_service, oneTrialOfABlamedPartIsSentAndItsAnswerWithdrawsTheBlame)
+{
+    RelayFixture fixture;
+    addCrashingServers(fixture, 4, 1);
+    crashThreeServers(fixture);
+    cr_assert_eq(fixture.call(promptRequest(20, true))->status, 503U);
+    // A trial of another instance changes nothing here.
+    fixture.relay.publish(
+        CrashReports{.trials = {{DeadlyPart, 1, InstanceId("other"), RuntimeClock::now()}}});
+    cr_assert_eq(fixture.call(promptRequest(21, true))->status, 503U);
+    fixture.relay.publish(
+        CrashReports{.trials = {{DeadlyPart, 2, InstanceId("entry"), RuntimeClock::now()}}});
+    fixture.crash("engine-0");
+    fixture.crash("engine-1");
+    fixture.crash("engine-2");
+    fixture.crash("engine-3");
+    fixture.addServer("mended", streams(1, 3, true));
+    // The trial may reach servers that are gone first; it is one send all the same.
+    cr_assert_eq(fixture.call(promptRequest(22, true))->status, 200U);
+    cr_assert_eq(fixture.requestsAt("mended"), 1);
+    fixture.wait(BetweenCrashes);
+    cr_assert_eq(fixture.call(promptRequest(23, true))->status, 200U);
+    cr_assert_eq(fixture.requestsAt("mended"), 2);
+}
+
+Test(relay_service, aPromptThatWasAtAnEarlierCrashIsNotSentToASecondServer)
+{
+    RelayFixture fixture;
+    addCrashingServers(fixture, 6, 2);
+    cr_assert_eq(fixture.call(promptRequest(0, true))->status, 502U);
+    cr_assert_eq(deadlyRequests(fixture), 2); // One crash may have had any cause.
+    fixture.wait(BetweenCrashes);
+    cr_assert(fixture.call(promptRequest(100, false)));
+    fixture.wait(UntilBlame);
+    cr_assert_eq(fixture.call(promptRequest(1, true))->status, 502U);
+    cr_assert_eq(deadlyRequests(fixture), 3);
+}
+
+// Connections that break while the server goes on, as with a lost answer, are no crash.
+Test(relay_service, brokenConnectionsOfAServerThatGoesOnBlameNothing)
+{
+    RelayFixture fixture;
+    fixture.addServer("cuts", closesWithoutAnswerButIsHealthy());
+    fixture.declare({.kind = RouteKind::Stream, .carriesPrompt = true});
+    for (int own = 0; own < 6; ++own) {
+        cr_assert_eq(fixture.call(promptRequest(own, true))->status, 502U);
+        fixture.wait(BetweenCrashes);
+    }
+    fixture.wait(UntilBlame);
+    cr_assert_eq(fixture.call(promptRequest(9, true))->status, 502U);
+}
--- a/src/gentianramp/relay/relay_state.hpp
+++ b/src/gentianramp/relay/relay_state.hpp
@@ -3,6 +3,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <gentianramp/core/metrics.hpp>
 #include <gentianramp/relay/backend_table.hpp>
+#include <gentianramp/relay/crash_watch.hpp>
 #include <gentianramp/relay/relay_service.hpp>
 #include <map>
 #include <random>
@@ -22,6 +23,8 @@
     Counter &repeats;
     Counter &resumes;
     Counter &callersGone;
+    Counter &crashes;
+    Counter &blamedRefusals;
     Distribution &firstEventTime;
     Distribution &answerTime;
 };
@@ -34,6 +37,14 @@
     return age ? toMilliseconds(*age) : -1;
 }
 
+/// Whether a request may be sent in view of the prompt parts that are blamed for crashes.
+struct PromptAdmission
+{
+    std::optional<BlamedPart> refusedFor; ///< Empty: the request may be sent.
+    bool isTrial = false;                 ///< It may be sent although a part is blamed.
+    bool operator==(const PromptAdmission &) const = default;
+};
+
 /// State that all requests of a RelayService share.
 struct RelayState : std::enable_shared_from_this<RelayState>
 {
@@ -41,6 +52,21 @@
 
     /// Notes what a backend server states about itself in the head of any answer.
     void noteAnswerHead(const BackendId &backend, unsigned status, const HttpHeaders &headers);
+    /// A backend server ended a connection before the answer on it was complete; its health is
+    /// checked. @p unanswered is the prompt whose answer had not begun, else null.
+    void noteConnectionLost(const SendTarget &target, const std::string &service,
+                            const PromptDescription *unanswered);
+    void noteCrash(const ServerCrash &crash);
+    /// A complete answer to a prompt began at @p beganAt.
+    void noteServed(const std::string &service, const PromptDescription &prompt, TimePoint beganAt);
+    /// Updates which prompt parts are blamed for crashes, at most every BlameInterval.
+    const std::vector<BlamedPart> &blamedParts();
+    /// Decides whether a request with this prompt may be sent. Uses up a trial that this instance
+    /// was granted.
+    PromptAdmission admitPrompt(const PromptDescription &prompt);
+    /// Whether a part of the prompt waited for an answer at an earlier crash and was not answered
+    /// since.
+    bool wasAtEarlierCrash(const PromptDescription &prompt) const;
     /// Starts a health check of a backend server unless one is in progress.
     void checkHealth(const BackendId &backend, const std::string &service);
     /// Repeats the health check until the backend server answers or is no longer listed.
@@ -64,7 +90,13 @@
     std::optional<TimePoint> shutdownDeadline;        ///< Set while the process shuts down.
     std::map<std::string, RetryAllowance> allowances; ///< By service.
     std::set<BackendId> pendingHealthChecks;
-    std::set<RelayedRequest *> openRequests; ///< Requests that are being served.
+    std::shared_ptr<CrashEvidence> crashes;
+    CrashWatch crashWatch;
+    std::vector<BlamedPart> currentBlame; ///< As of blameUpdatedAt.
+    TimePoint blameUpdatedAt{};
+    std::map<std::uint64_t, TimePoint> partRefusedAt;
+    std::map<std::uint64_t, std::uint32_t> trialsDone; ///< Last trial of each part that was used.
+    std::set<RelayedRequest *> openRequests;           ///< Requests that are being served.
     std::mt19937_64 random;
 };
 
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -207,6 +207,8 @@
             co_return;
         if (m_expired || timeLeft() < MinTimeLeftForSend)
             co_return co_await fail();
+        if (const std::optional<BlamedPart> blamedPart = admitPrompt())
+            co_return co_await refusePart(*blamedPart);
         const std::optional<RequestPlacement> placement = choosePlacement();
         if (!placement && m_sendCount == 0)
             co_return co_await refuse("no_backend");
@@ -280,9 +282,23 @@
 {
     if (m_sendCount >= m_route->attempts)
         return false;
+    // The prompt may be what crashes the servers.
+    if (result == AttemptResult::MayHaveRun && m_prompt
+        && (m_isTrial || m_state->wasAtEarlierCrash(*m_prompt)))
+        return false;
     return result == AttemptResult::NotRun || m_route->repeatable();
 }
 
+/// The part of the prompt because of which the request must not be sent; empty when it may be.
+std::optional<BlamedPart> RelayedRequest::admitPrompt()
+{
+    if (!m_prompt || m_isTrial)
+        return std::nullopt;
+    const PromptAdmission admission = m_state->admitPrompt(*m_prompt);
+    m_isTrial = admission.isTrial;
+    return admission.refusedFor;
+}
+
 bool RelayedRequest::takeRepeat()
 {
     const bool granted
@@ -359,6 +375,7 @@
     watchSilence();
     const std::error_code error = co_await attempt.exchange->open();
     m_silenceTimer.cancel();
+    attempt.error = error;
     AttemptResult result = AttemptResult::MayHaveRun;
     if (!error) {
         result = co_await relay(attempt);
@@ -428,6 +445,7 @@
     m_prefillTime += RuntimeClock::now() - attempt.sentAt;
     if (!error && attempt.exchange->status() == protocol.wrongTargetStatus)
         m_state->table.noteMisdirected(prefillEngine.backend, RuntimeClock::now());
+    attempt.error = error;
     attempt.answered = result == AttemptResult::Done;
     if (attempt.answered)
         m_state->table.answered(attempt.target, RuntimeClock::now());
@@ -490,10 +508,19 @@
     else if (result != AttemptResult::Done)
         outcome = SendOutcome::Failed;
     m_state->table.ended(attempt.target, attempt.answered, outcome, now);
+    reportLostConnection(attempt);
     if (result == AttemptResult::Unreached)
         m_state->checkHealth(attempt.target.backend, m_service);
 }
 
+/// A server that ended the connection may have crashed, and a part of the prompt may be the cause.
+void RelayedRequest::reportLostConnection(const Attempt &attempt)
+{
+    if (m_prompt && !isOver() && attempt.error == make_error_code(Error::ConnectionLost))
+        m_state->noteConnectionLost(attempt.target, m_service,
+                                    attempt.answered ? nullptr : &*m_prompt);
+}
+
 // Relay
 
 asio::awaitable<RelayedRequest::AttemptResult> RelayedRequest::relay(Attempt &attempt)
@@ -527,6 +554,7 @@
 asio::awaitable<RelayedRequest::AttemptResult> RelayedRequest::relayWholeAnswer(Attempt &attempt)
 {
     Result<std::string> body = co_await attempt.exchange->readAll();
+    attempt.error = body.error();
     if (!body)
         co_return AttemptResult::MayHaveRun;
     markAnswered(attempt);
@@ -555,6 +583,7 @@
         watchSilence();
         const Result<std::string_view> piece = co_await exchange.readPiece();
         m_silenceTimer.cancel();
+        attempt.error = piece.error();
         if (!piece || events.overflowed())
             co_return AttemptResult::MayHaveRun;
         if (piece->empty())
@@ -570,6 +599,8 @@
         co_return AttemptResult::MayHaveRun;
     if (!m_writer->started() && !co_await deliverEvents(attempt, {}))
         co_return AttemptResult::Done;
+    if (m_prompt)
+        m_state->noteServed(m_service, *m_prompt, attempt.answeredAt);
     m_state->metrics.served.add();
     m_verdict = Verdict::Complete;
     logOutcome("request_answered", Ok, "stream");
@@ -602,6 +633,7 @@
         return;
     attempt.answered = true;
     const TimePoint now = RuntimeClock::now();
+    attempt.answeredAt = now;
     if (!m_firstEventAt)
         m_firstEventAt = now;
     m_state->table.answered(attempt.target, now);
@@ -647,6 +679,17 @@
     co_await answerLocally(502, "backend_failed");
 }
 
+/// Ends a request whose prompt has a part that crashes backend servers.
+asio::awaitable<void> RelayedRequest::refusePart(const BlamedPart &blamedPart)
+{
+    m_state->metrics.blamedRefusals.add();
+    if (m_verdict != Verdict::NotRun || m_writer->started())
+        co_return co_await fail();
+    const Duration untilTrial = m_state->crashes->timeToTrial(blamedPart, RuntimeClock::now());
+    co_await answerLocally(503, "part_crashes_servers",
+                           std::max<Duration>(untilTrial, retryAfter()));
+}
+
 asio::awaitable<void> RelayedRequest::refuse(std::string_view reason)
 {
     co_await answerLocally(503, reason, retryAfter());
@@ -758,7 +801,7 @@
 /// unless it may be sent again and another server can take it; the repeats are taken then.
 bool RelayedRequest::leavesSilentServer()
 {
-    if (!m_route->repeatable() || m_sendCount >= m_route->attempts)
+    if (!m_route->repeatable() || !mayRepeat(AttemptResult::MayHaveRun))
         return false;
     if (m_prefilling && m_prefillCount >= MaxPrefillAttempts)
         return keepSilentServer("prefilled_twice");
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -34,6 +34,8 @@
         std::shared_ptr<HttpExchange> exchange;
         bool answered = false;
         TimePoint sentAt{};
+        TimePoint answeredAt{};
+        std::error_code error; ///< Why the answer is incomplete.
     };
 
     // Routing
@@ -44,6 +46,7 @@
     // Attempts
     boost::asio::awaitable<void> sendUntilDone();
     PlacementQuery placementQuery() const;
+    std::optional<BlamedPart> admitPrompt();
     std::optional<RequestPlacement> choosePlacement();
     boost::asio::awaitable<AttemptResult> sendOnce(const SendTarget &target);
     /// Asks the engine to prefill the prompt and sets m_prefilledPrompt. NotRun or Unreached when
@@ -66,11 +69,13 @@
     void noteHead(const Attempt &attempt);
     bool isEventStream(const HttpExchange &exchange) const;
     void markAnswered(Attempt &attempt);
+    void reportLostConnection(const Attempt &attempt);
     void reportOutcome(Attempt &attempt, AttemptResult result);
 
     // Final answers
     boost::asio::awaitable<void> refuse(std::string_view reason);
     boost::asio::awaitable<void> fail();
+    boost::asio::awaitable<void> refusePart(const BlamedPart &blamedPart);
     Duration retryAfter() const;
     void logOutcome(std::string_view event, unsigned status, std::string_view reason);
 
@@ -126,6 +131,7 @@
     bool m_repeatsTaken = false;  ///< The repeats for the next attempt were taken already.
     bool m_repeatRefused = false; ///< No repeat was allowed while a server was silent.
     bool m_keepsSilent = false;   ///< It was logged that the request stays at a silent server.
+    bool m_isTrial = false;       ///< Sent although one of its parts is blamed for crashes.
     bool m_callerGone = false;
     bool m_expired = false;
     bool m_ended = false;
