Answer a request whose handler fails with 500

Before the response has started, such a request now gets 500 with "Connection: close". The headers of this response are an option of their own, handlerErrorHeaders: errorResponseHeaders of the entry service say NotRun, which is not certain once the handler was called. The entry service sends MayHaveRun. A stream that has started is truncated as before. Exceptions that are not derived from std::exception are caught too.

A handler that closes the connection on purpose says so with ResponseWriter::closeWithoutResponse(). The fake backend server and closesWithoutAnswer() of the relay's tests use it, so that they do on the wire what they did before.

Evidence: HttpServer::AnswersARequestWhoseHandlerFailsWith500 failed before (the connection closed without a byte). Afterwards the tests of http (23), relay (71), fakes (6) and entry (19) passed.

--- a/include/gentianramp/http/server.hpp
+++ b/include/gentianramp/http/server.hpp
@@ -38,10 +38,14 @@
     virtual void setCallerGoneHook(std::function<void()> hook) = 0;
     /// Closes the connection after this response and sends "Connection: close" in its head.
     virtual void closeAfterResponse() = 0;
+    /// Closes the connection when the handler returns; the caller gets nothing further.
+    virtual void closeWithoutResponse() = 0;
 };
 
-/// Handles one request and responds through the writer. An exception closes the connection unless
-/// the response was already complete.
+/// Handles one request and responds through the writer. If the handler throws or returns before the
+/// response has started, the server sends 500 and closes the connection, unless callerGone() or
+/// closeWithoutResponse(): then no response is needed. An exception after the response has started
+/// closes the connection, unless the response was already complete.
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpRequest, ResponseWriter &)>;
 
 /// Options of an HttpServer.
@@ -56,9 +60,11 @@
     Duration bodyTimeout = std::chrono::seconds(30);
     Duration idleTimeout = std::chrono::seconds(75);  ///< Between two requests.
     Duration writeTimeout = std::chrono::seconds(15); ///< For each write.
-    /// Added to error responses that the server generates itself, for example for malformed
-    /// requests.
+    /// Added to error responses to requests that were not passed to the handler, for example
+    /// malformed ones.
     HttpHeaders errorResponseHeaders;
+    /// Added to the 500 that is sent when the handler failed; it may have run the request.
+    HttpHeaders handlerErrorHeaders;
     /// Returns the executor for the next connection; the default is a new strand on the server's
     /// executor. All work of a connection runs on it, so it must not run two handlers concurrently.
     std::function<boost::asio::any_io_executor()> connectionExecutor;
--- a/src/gentianramp/entry/entry_service.cpp
+++ b/src/gentianramp/entry/entry_service.cpp
@@ -175,6 +175,7 @@
         server.port = options.settings.httpPort;
         server.maxConnections = options.settings.maxConnections;
         server.errorResponseHeaders.add(header::Verdict, std::string(toString(Verdict::NotRun)));
+        server.handlerErrorHeaders.add(header::Verdict, std::string(toString(Verdict::MayHaveRun)));
         server.connectionExecutor = [this] { return workers.next(); };
         return server;
     }
--- a/src/gentianramp/fakes/fake_backend.cpp
+++ b/src/gentianramp/fakes/fake_backend.cpp
@@ -53,6 +53,9 @@
             co_await completions.answer(request, writer);
         else
             co_await writer.send(notRun(404, "no such path"));
+        // An engine that fails closes its connections.
+        if (!writer.started())
+            writer.closeWithoutResponse();
     }
 
     asio::awaitable<void> handleControl(const std::string &path, const HttpRequest &request,
--- a/src/gentianramp/http/http_test_support.cpp
+++ b/src/gentianramp/http/http_test_support.cpp
@@ -61,6 +61,7 @@
 asio::awaitable<void> TestServer::handle(HttpRequest request, ResponseWriter &writer)
 {
     HttpResponse response;
+    ++requestCount;
     if (request.path() == "/stream") {
         co_await writer.startStream(response);
         co_await writer.writePiece("one ");
@@ -69,6 +70,16 @@
     } else if (request.path() == "/cut") {
         co_await writer.startStream(response);
         co_await writer.writePiece("half");
+    } else if (request.path() == "/throw") {
+        throw std::runtime_error("the handler failed");
+    } else if (request.path() == "/throw-in-stream") {
+        co_await writer.startStream(response);
+        co_await writer.writePiece("half");
+        throw std::runtime_error("the handler failed");
+    } else if (request.path() == "/forget") {
+        co_return;
+    } else if (request.path() == "/close") {
+        writer.closeWithoutResponse();
     } else if (request.path() == "/stall") {
         auto timer = std::make_shared<Timer>(co_await asio::this_coro::executor, StallTime);
         writer.setCallerGoneHook([this, timer] {
--- a/src/gentianramp/http/http_test_support.hpp
+++ b/src/gentianramp/http/http_test_support.hpp
@@ -10,8 +10,9 @@
 namespace gentianramp {
 
 /// A server on a free port. The path selects what its handler does: "/stream" streams, "/cut"
-/// leaves a stream unfinished, "/stall" waits until the caller disconnects, any other path returns
-/// the body.
+/// leaves a stream unfinished, "/stall" waits until the caller disconnects, "/throw" throws,
+/// "/throw-in-stream" throws after a stream has started, "/forget" returns without a response,
+/// "/close" asks to close without one, any other path returns the body.
 class TestServer
 {
 public:
@@ -19,6 +20,7 @@
 
     boost::asio::io_context context;
     int callerGoneCount = 0;
+    int requestCount = 0; ///< Requests passed to the handler.
     HttpServer server;
     std::uint16_t port = 0;
 
--- a/src/gentianramp/http/server_session.cpp
+++ b/src/gentianramp/http/server_session.cpp
@@ -179,7 +179,8 @@
 {
     const auto self = shared_from_this();
     if (m_shared->count() > m_shared->options.maxConnections) {
-        co_await sendErrorResponse(503, "too many connections");
+        co_await sendErrorResponse(503, "too many connections",
+                                   m_shared->options.errorResponseHeaders);
         co_return;
     }
     while (m_keepAlive && m_socket.is_open()) {
@@ -230,7 +231,8 @@
     if (error) {
         ErrorResponse errorResponse = errorResponseFor(error, m_watchdog->expired());
         if (errorResponse.status != 0)
-            co_await sendErrorResponse(errorResponse.status, std::move(errorResponse.message));
+            co_await sendErrorResponse(errorResponse.status, std::move(errorResponse.message),
+                                       options.errorResponseHeaders);
         co_return false;
     }
     m_watchdog->clearDeadline();
@@ -241,7 +243,8 @@
     co_return true;
 }
 
-asio::awaitable<void> ServerSession::sendErrorResponse(unsigned status, std::string message)
+asio::awaitable<void> ServerSession::sendErrorResponse(unsigned status, std::string message,
+                                                       const HttpHeaders &headers)
 {
     if (!m_socket.is_open())
         co_return;
@@ -249,7 +252,7 @@
     m_started = false;
     HttpResponse response;
     response.status = status;
-    response.headers = m_shared->options.errorResponseHeaders;
+    response.headers = headers;
     response.headers.set("Content-Type", "text/plain");
     response.body = std::move(message) + "\n";
     co_await send(std::move(response));
@@ -272,18 +275,29 @@
     m_finished = false;
     watchForDisconnect();
     m_shared->activeRequests.fetch_add(1);
-    try {
-        co_await m_shared->handler(std::move(request), *this);
-    } catch (const std::exception &exception) {
-        logError("handler_failed", {{"error", exception.what()}});
-    }
+    co_await callHandler(std::move(request));
+    if (!m_started && !m_callerGone && !m_closedByHandler)
+        co_await sendErrorResponse(500, "internal error", m_shared->options.handlerErrorHeaders);
     m_shared->activeRequests.fetch_sub(1);
     m_callerGoneHook = nullptr;
     // Ends the wait that watchForDisconnect() started.
     boost::system::error_code ignored;
     if (m_socket.is_open())
         m_socket.cancel(ignored);
-    co_return m_finished && !m_callerGone;
+    co_return m_finished && !m_callerGone && !m_closedByHandler;
+}
+
+asio::awaitable<void> ServerSession::callHandler(HttpRequest request)
+{
+    try {
+        co_await m_shared->handler(std::move(request), *this);
+        if (!m_started && !m_callerGone && !m_closedByHandler)
+            logError("handler_failed", {{"error", "it returned without a response"}});
+    } catch (const std::exception &exception) {
+        logError("handler_failed", {{"error", exception.what()}});
+    } catch (...) {
+        logError("handler_failed", {{"error", "an exception of an unknown type"}});
+    }
 }
 
 void ServerSession::watchForDisconnect()
--- a/src/gentianramp/http/server_session.hpp
+++ b/src/gentianramp/http/server_session.hpp
@@ -58,11 +58,14 @@
     bool callerGone() const override { return m_callerGone; }
     void setCallerGoneHook(std::function<void()> hook) override;
     void closeAfterResponse() override { m_keepAlive = false; }
+    void closeWithoutResponse() override { m_closedByHandler = true; }
 
 private:
     boost::asio::awaitable<bool> readRequest(HttpRequest &request);
-    boost::asio::awaitable<void> sendErrorResponse(unsigned status, std::string message);
+    boost::asio::awaitable<void> sendErrorResponse(unsigned status, std::string message,
+                                                   const HttpHeaders &headers);
     boost::asio::awaitable<bool> handle(HttpRequest request);
+    boost::asio::awaitable<void> callHandler(HttpRequest request);
     boost::asio::awaitable<std::error_code> writeText(std::string_view text);
     /// Starts a wait for input that detects when the caller closes the connection.
     void watchForDisconnect();
@@ -84,6 +87,7 @@
     bool m_started = false;
     bool m_finished = false;
     bool m_callerGone = false;
+    bool m_closedByHandler = false; ///< The handler asked to close without a response.
 };
 
 } // namespace gentianramp
--- a/src/gentianramp/http/server_test.cpp
+++ b/src/gentianramp/http/server_test.cpp
@@ -64,6 +64,23 @@
     cr_assert(slowBody.find("200") == std::string::npos);
 }
 
+// A whole request was read, so that the caller is due a response.
+Test(HttpServer, AnswersARequestWhoseHandlerFailsWith500)
+{
+    const std::string failed = responseTo("GET /throw HTTP/1.1\r\n\r\n");
+    cr_assert(failed.starts_with("HTTP/1.1 500"), "%s", failed.c_str());
+    cr_assert(failed.find("Connection: close") != std::string::npos);
+    // The handler may have run the request before it failed.
+    cr_assert(failed.find("NotRun") == std::string::npos);
+    cr_assert(responseTo("GET /forget HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 500"));
+    cr_assert(responseTo("GET /close HTTP/1.1\r\n\r\n").empty());
+}
+
+Test(HttpServer, TruncatesAStreamWhoseHandlerFails)
+{
+    cr_assert(responseTo("GET /throw-in-stream HTTP/1.1\r\n\r\n").ends_with("4\r\nhalf\r\n"));
+}
+
 Test(HttpServer, UnfinishedStreamIsTruncated)
 {
     const std::string response = responseTo("GET /cut HTTP/1.1\r\n\r\n");
--- a/src/gentianramp/relay/relay_service_test.cpp
+++ b/src/gentianramp/relay/relay_service_test.cpp
@@ -218,7 +218,10 @@
 /// Takes the request and closes the connection without an answer.
 Handler closesWithoutAnswer()
 {
-    return [](HttpRequest, ResponseWriter &) -> asio::awaitable<void> { co_return; };
+    return [](HttpRequest, ResponseWriter &writer) -> asio::awaitable<void> {
+        writer.closeWithoutResponse();
+        co_return;
+    };
 }
 
 /// Streams the events after the request's Last-Event-Id, or from @p first, up to @p last. Without
