Answer a relayed request after an exception

serve() now catches it and sends the final answer: 503 with Retry-After while no byte of the request can have reached a backend server, otherwise 502. The verdict is set by a guard around each attempt, which also closes the attempt's connection and returns its slot in the backend table; before, a slot stayed taken until the instance restarted. A stream that has started is truncated as before and logged as stream_broken.

--- a/src/gentianramp/relay/relay_service_test.cpp
+++ b/src/gentianramp/relay/relay_service_test.cpp
@@ -17,7 +17,7 @@
 
 using Handler = std::function<asio::awaitable<void>(HttpRequest, ResponseWriter &)>;
 
-BackendProtocol makeProtocol()
+BackendProtocol makeProtocol(const std::function<void(BackendProtocol &)> &change = {})
 {
     BackendProtocol names;
     names.requestId = "X-Id";
@@ -48,6 +48,8 @@
     names.freeHandle = [](const std::string &handle) {
         return HttpRequest{.method = "DELETE", .target = "/handle/" + handle};
     };
+    if (change)
+        change(names);
     return names;
 }
 
@@ -55,10 +57,11 @@
 class RelayFixture
 {
 public:
-    explicit RelayFixture(RetryBounds retries = {})
+    explicit RelayFixture(RetryBounds retries = {},
+                          const std::function<void(BackendProtocol &)> &changeProtocol = {})
         : relay(m_context.get_executor(),
                 {.dataCentre = DataCentreId("a"),
-                 .protocol = makeProtocol(),
+                 .protocol = makeProtocol(changeProtocol),
                  .retries = retries,
                  .seed = 1,
                  .declarationAge = [this] { return declarationAge; }})
@@ -437,6 +440,47 @@
     cr_assert_eq(fixture.requestsAt("one") + fixture.requestsAt("two"), 1);
 }
 
+// A caller without an answer can't tell whether its request ran.
+Test(relay_service, aFailureBeforeTheFirstSendIsRefusedAsNotRun)
+{
+    RelayFixture fixture({}, [](BackendProtocol &protocol) {
+        protocol.prompt = [](const HttpHeaders &) -> std::optional<PromptDescription> {
+            throw std::runtime_error("the prompt can't be read");
+        };
+    });
+    fixture.addServer("one", answers(200));
+    fixture.declare({.kind = RouteKind::RunOnce, .attempts = 1, .carriesPrompt = true});
+    const Result<HttpResponse> answer = fixture.call({.method = "POST"});
+    cr_assert(answer);
+    cr_assert_eq(answer->status, 503U);
+    cr_assert(answer->headers.contains("Retry-After"));
+    cr_assert_eq(fixture.requestsAt("one"), 0);
+}
+
+Test(relay_service, aFailureAfterTheFirstSendIsNotRefusedAsNotRun)
+{
+    constexpr int moreThanTheSlots = 20;
+    int failuresLeft = moreThanTheSlots;
+    RelayFixture fixture({}, [&](BackendProtocol &protocol) {
+        protocol.parseLoad = [&](std::string_view) -> std::optional<StatedLoad> {
+            if (failuresLeft-- > 0)
+                throw std::runtime_error("the load can't be read");
+            return std::nullopt;
+        };
+    });
+    fixture.addServer("one", answersWith(200, "X-Load", "1"));
+    fixture.declare({.kind = RouteKind::RunOnce, .attempts = 1});
+    for (int count = 0; count < moreThanTheSlots; ++count) {
+        const Result<HttpResponse> answer = fixture.call({.method = "POST"});
+        cr_assert(answer);
+        cr_assert_eq(answer->status, 502U);
+        cr_assert_not(answer->headers.contains("X-Signature"));
+    }
+    cr_assert_eq(fixture.requestsAt("one"), moreThanTheSlots);
+    // The failed attempts hold no slot at the server.
+    cr_assert_eq(fixture.call({.method = "POST"})->status, 200U);
+}
+
 Test(relay_service, aRequestThatDidNotRunIsRefusedWithRetryAfter)
 {
     RelayFixture fixture;
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -96,6 +96,26 @@
 
 } // namespace
 
+class RelayedRequest::AttemptGuard
+{
+public:
+    AttemptGuard(RelayedRequest &request, Attempt &attempt)
+        : m_request(request)
+        , m_attempt(attempt)
+    { }
+    ~AttemptGuard()
+    {
+        if (m_attempt.open)
+            m_request.abandon(m_attempt);
+    }
+    AttemptGuard(const AttemptGuard &) = delete;
+    AttemptGuard &operator=(const AttemptGuard &) = delete;
+
+private:
+    RelayedRequest &m_request;
+    Attempt &m_attempt;
+};
+
 RelayedRequest::RelayedRequest(std::shared_ptr<RelayState> state, HttpRequest request,
                                ResponseWriter &writer)
     : m_state(std::move(state))
@@ -117,6 +137,27 @@
 {
     const auto self = shared_from_this();
     m_state->metrics.requests.add();
+    std::string exceptionText;
+    try {
+        co_await resolveAndSend();
+    } catch (const std::exception &exception) {
+        exceptionText = exception.what();
+        exceptionText += exceptionText.empty() ? "unknown" : "";
+    }
+    if (!exceptionText.empty())
+        co_await failAfterException(exceptionText);
+    releasePrefilledPrompt();
+    m_ended = true;
+    m_deadlineTimer.cancel();
+    m_silenceTimer.cancel();
+    if (m_callerGone) {
+        m_state->metrics.callersGone.add();
+        logOutcome("caller_gone", 0, "left");
+    }
+}
+
+asio::awaitable<void> RelayedRequest::resolveAndSend()
+{
     if (!co_await resolveRoute())
         co_return;
     m_writer->setCallerGoneHook([weak = weak_from_this()] {
@@ -127,14 +168,6 @@
     m_state->openRequests.insert(this);
     m_state->allowance(m_service).noteRequest(m_startedAt);
     co_await sendUntilDone();
-    releasePrefilledPrompt();
-    m_ended = true;
-    m_deadlineTimer.cancel();
-    m_silenceTimer.cancel();
-    if (m_callerGone) {
-        m_state->metrics.callersGone.add();
-        logOutcome("caller_gone", 0, "left");
-    }
 }
 
 // Routing
@@ -354,7 +387,8 @@
     m_exchange = attempt.exchange;
     m_backend = target.backend;
     ++m_sendCount;
-    m_state->table.sent(target, m_prompt ? &*m_prompt : nullptr, attempt.sentAt);
+    const AttemptGuard guard(*this, attempt);
+    noteSent(attempt);
     noteProgress();
     watchSilence();
     const std::error_code error = co_await attempt.exchange->open();
@@ -404,7 +438,8 @@
     m_backend = m_prefillEngine = prefillEngine.backend;
     ++m_prefillCount;
     m_prefilling = true;
-    m_state->table.sent(prefillEngine, &*m_prompt, attempt.sentAt);
+    const AttemptGuard guard(*this, attempt);
+    noteSent(attempt);
     noteProgress();
     watchSilence();
     std::error_code error = co_await attempt.exchange->open();
@@ -479,8 +514,29 @@
                 {"expired", m_expired ? 1 : 0}});
 }
 
+void RelayedRequest::noteSent(Attempt &attempt)
+{
+    m_state->table.sent(attempt.target, m_prompt ? &*m_prompt : nullptr, attempt.sentAt);
+    attempt.open = true;
+}
+
+/// Ends an attempt whose result is not known because of an exception.
+void RelayedRequest::abandon(Attempt &attempt)
+{
+    m_silenceTimer.cancel();
+    attempt.exchange->cancel();
+    m_exchange.reset();
+    if (!m_prefilling && attempt.exchange->anyBytesWritten())
+        m_verdict = Verdict::MayHaveRun;
+    m_prefilling = false;
+    attempt.open = false;
+    m_state->table.ended(attempt.target, attempt.answered, SendOutcome::Abandoned,
+                         RuntimeClock::now());
+}
+
 void RelayedRequest::reportOutcome(Attempt &attempt, AttemptResult result)
 {
+    attempt.open = false;
     const TimePoint now = RuntimeClock::now();
     SendOutcome outcome = SendOutcome::Served;
     if (m_callerGone || (m_expired && result != AttemptResult::Done))
@@ -647,6 +703,22 @@
     co_await answerLocally(502, "backend_failed");
 }
 
+/// Sends the final answer after an exception, if none has started.
+asio::awaitable<void> RelayedRequest::failAfterException(std::string_view what)
+{
+    logError("request_exception", {{"request", m_id}, {"error", what}});
+    if (m_callerGone || m_ended)
+        co_return;
+    if (m_writer->started()) {
+        m_state->metrics.failed.add();
+        logOutcome("stream_broken", Ok, "internal_error");
+        co_return;
+    }
+    if (m_verdict == Verdict::NotRun)
+        co_return co_await refuse("internal_error");
+    co_await answerLocally(502, "internal_error");
+}
+
 asio::awaitable<void> RelayedRequest::refuse(std::string_view reason)
 {
     co_await answerLocally(503, reason, retryAfter());
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -34,7 +34,12 @@
         std::shared_ptr<HttpExchange> exchange;
         bool answered = false;
         TimePoint sentAt{};
+        bool open = false; ///< The table counts the attempt as being served.
     };
+    /// Ends an attempt that an exception leaves open.
+    class AttemptGuard;
+
+    boost::asio::awaitable<void> resolveAndSend();
 
     // Routing
     boost::asio::awaitable<bool> resolveRoute();
@@ -66,11 +71,14 @@
     void noteHead(const Attempt &attempt);
     bool isEventStream(const HttpExchange &exchange) const;
     void markAnswered(Attempt &attempt);
+    void noteSent(Attempt &attempt);
+    void abandon(Attempt &attempt);
     void reportOutcome(Attempt &attempt, AttemptResult result);
 
     // Final answers
     boost::asio::awaitable<void> refuse(std::string_view reason);
     boost::asio::awaitable<void> fail();
+    boost::asio::awaitable<void> failAfterException(std::string_view what);
     Duration retryAfter() const;
     void logOutcome(std::string_view event, unsigned status, std::string_view reason);
 
