Send the 408 that is due when a request takes too long

The deadlines of reading now cancel the operations of the socket and leave it open for the response. The cancellation is repeated until the deadline is changed, since a composed read that was between two reads when the deadline passed would start another one without a bound. Deadlines of writing, and all of the client, close the socket as before. A connection that is idle too long is still closed without a response.

Evidence: HttpServer::AnswersSlowRequestsWith408 failed before (nothing was received). AnswersARequestThatMeetsTheIdleTimeout is a guard that passed before as well: over 48 interleavings of the idle time-out and the arrival of a whole request, on a strand and without one, each request is answered or not passed to the handler, and both outcomes occur.

--- a/src/gentianramp/http/server_session.cpp
+++ b/src/gentianramp/http/server_session.cpp
@@ -207,7 +207,7 @@
     m_keepAlive = true;
     m_headOnly = false;
     if (m_buffer.size() == 0) {
-        m_watchdog->expireAfter(options.idleTimeout);
+        m_watchdog->expireAfter(options.idleTimeout, ExpiryAction::CancelOperations);
         const std::size_t bytesRead = co_await m_socket.async_read_some(
             m_buffer.prepare(ReadBytes), asio::redirect_error(asio::use_awaitable, error));
         m_buffer.commit(bytesRead);
@@ -217,14 +217,14 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(options.maxHeaderBytes);
     parser.body_limit(options.maxBodyBytes);
-    m_watchdog->expireAfter(options.headerTimeout);
+    // The socket stays open for the 408.
+    m_watchdog->expireAfter(options.headerTimeout, ExpiryAction::CancelOperations);
     co_await http::async_read_header(m_socket, m_buffer, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
     if (!error && !parser.is_done()) {
-        m_watchdog->expireAfter(options.bodyTimeout);
         if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
             co_await writeText("HTTP/1.1 100 Continue\r\n\r\n");
-        m_watchdog->expireAfter(options.bodyTimeout);
+        m_watchdog->expireAfter(options.bodyTimeout, ExpiryAction::CancelOperations);
         co_await http::async_read(m_socket, m_buffer, parser,
                                   asio::redirect_error(asio::use_awaitable, error));
     }
--- a/src/gentianramp/http/server_test.cpp
+++ b/src/gentianramp/http/server_test.cpp
@@ -1,6 +1,8 @@
 #include "http_test_support.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <random>
+#include <thread>
 
 #include <criterion/criterion.h>
 
@@ -9,7 +11,12 @@
 
 namespace {
 
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
 constexpr std::uint64_t Seed = 20261203;
+/// A paused clock is looked at this often at least.
+constexpr Duration WakeUpTime = 2ms;
 
 HttpServerOptions lowLimits()
 {
@@ -29,6 +36,57 @@
     return exchangeRaw(test.context, test.port, std::move(bytes));
 }
 
+/// A caller on the test's own thread whose reads and writes do not wait.
+class PlainCaller
+{
+public:
+    explicit PlainCaller(std::uint16_t port, int receiveBufferBytes = 0)
+        : m_socket(m_context, tcp::v4())
+    {
+        if (receiveBufferBytes > 0)
+            m_socket.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes));
+        m_socket.connect({asio::ip::address_v4::loopback(), port});
+        m_socket.non_blocking(true);
+    }
+
+    /// Returns the number of bytes that the kernel took.
+    std::size_t write(std::string_view bytes)
+    {
+        if (bytes.empty())
+            return 0;
+        boost::system::error_code error;
+        return m_socket.write_some(asio::buffer(bytes), error);
+    }
+
+    /// Reads a few kilobytes at most.
+    void readPart()
+    {
+        boost::system::error_code error;
+        m_received.append(m_part.data(), m_socket.read_some(asio::buffer(m_part), error));
+        m_ended = error && error != asio::error::would_block;
+    }
+
+    const std::string &received() const { return m_received; }
+    bool ended() const { return m_ended; }
+
+private:
+    asio::io_context m_context;
+    tcp::socket m_socket;
+    std::array<char, 4096> m_part{};
+    std::string m_received;
+    bool m_ended = false;
+};
+
+/// Stops the runtime's clock for the time of a test.
+class PausedClock
+{
+public:
+    PausedClock() { RuntimeClock::pause(); }
+    ~PausedClock() { RuntimeClock::resume(); }
+    PausedClock(const PausedClock &) = delete;
+    PausedClock &operator=(const PausedClock &) = delete;
+};
+
 } // namespace
 
 Test(HttpServer, RespondsToPipelinedRequestsInOrder)
@@ -64,6 +122,63 @@
     cr_assert(slowBody.find("200") == std::string::npos);
 }
 
+// A caller that gets no response can't tell whether its request was read.
+Test(HttpServer, AnswersSlowRequestsWith408)
+{
+    cr_assert(responseTo("GET / HTTP/1.1\r\nHalf: ").starts_with("HTTP/1.1 408"));
+    const std::string slowBody = responseTo("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf");
+    cr_assert(slowBody.starts_with("HTTP/1.1 408"));
+    cr_assert(slowBody.find("Gentianramp-Verdict: NotRun") != std::string::npos);
+}
+
+// A request that arrives while the idle time-out passes is answered, or not read at all.
+Test(HttpServer, AnswersARequestThatMeetsTheIdleTimeout)
+{
+    const std::string whole = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
+    int answeredCount = 0;
+    int closedCount = 0;
+    for (const bool strand : {true, false}) {
+        for (const bool timeoutFirst : {true, false}) {
+            for (int steps = 0; steps < 12; ++steps) {
+                const PausedClock clock;
+                HttpServerOptions options = lowLimits();
+                TestServer *server = nullptr;
+                if (!strand)
+                    options.connectionExecutor
+                        = [&]() -> asio::any_io_executor { return server->context.get_executor(); };
+                TestServer test(options);
+                server = &test;
+                PlainCaller caller(test.port);
+                cr_assert(runUntil(test.context, [&] { return test.server.connections() == 1; }));
+                test.context.restart();
+                test.context.run_for(2ms);
+                test.context.restart();
+                // The time-out passes some steps of the server before or after the request arrives.
+                const auto passTimeout = [&] {
+                    RuntimeClock::advance(options.idleTimeout);
+                    std::this_thread::sleep_for(WakeUpTime);
+                };
+                const auto writeRequest = [&] { cr_assert_eq(caller.write(whole), whole.size()); };
+                timeoutFirst ? passTimeout() : writeRequest();
+                for (int step = 0; step < steps; ++step)
+                    test.context.poll_one();
+                timeoutFirst ? writeRequest() : passTimeout();
+                test.context.restart();
+                runUntil(test.context, [&] {
+                    caller.readPart();
+                    return caller.ended();
+                });
+                const bool answered = caller.received().starts_with("HTTP/1.1 200");
+                ++(answered ? answeredCount : closedCount);
+                cr_assert(answered == (test.requestCount == 1), "%d steps: %d requests, \"%s\"",
+                          steps, test.requestCount, caller.received().c_str());
+            }
+        }
+    }
+    cr_assert_gt(answeredCount, 0);
+    cr_assert_gt(closedCount, 0);
+}
+
 // A whole request was read, so that the caller is due a response.
 Test(HttpServer, AnswersARequestWhoseHandlerFailsWith500)
 {
--- a/src/gentianramp/http/watchdog.cpp
+++ b/src/gentianramp/http/watchdog.cpp
@@ -4,14 +4,24 @@
 
 namespace gentianramp {
 
+namespace {
+
+/// A composed operation that was between two reads when the deadline passed starts another one.
+constexpr Duration RepeatedCancelDelay = std::chrono::milliseconds(10);
+
+} // namespace
+
 Watchdog::Watchdog(boost::asio::any_io_executor executor, boost::asio::ip::tcp::socket &socket)
     : m_executor(std::move(executor))
     , m_socket(&socket)
     , m_timer(m_executor)
 { }
 
-void Watchdog::expireAfter(Duration delay)
+void Watchdog::expireAfter(Duration delay, ExpiryAction action)
 {
+    if (m_action == ExpiryAction::CancelOperations)
+        m_expired = false;
+    m_action = action;
     m_deadline = RuntimeClock::now() + delay;
     if (m_deadline < m_timerAt)
         arm();
@@ -52,7 +62,13 @@
     }
     m_expired = true;
     boost::system::error_code ignored;
-    m_socket->close(ignored);
+    if (m_action == ExpiryAction::Close) {
+        m_socket->close(ignored);
+        return;
+    }
+    m_socket->cancel(ignored);
+    m_deadline = RuntimeClock::now() + RepeatedCancelDelay;
+    arm();
 }
 
 } // namespace gentianramp
--- a/src/gentianramp/http/watchdog.hpp
+++ b/src/gentianramp/http/watchdog.hpp
@@ -7,7 +7,13 @@
 
 namespace gentianramp {
 
-/// Closes a socket when a deadline passes; used only on one executor.
+/// What a Watchdog does to its socket when the deadline passes.
+enum class ExpiryAction {
+    Close,
+    CancelOperations, ///< The socket stays open; operations are cancelled until the next call.
+};
+
+/// Acts on a socket when a deadline passes; used only on one executor.
 ///
 /// Postponing the deadline only stores it and leaves the timer as it is, so it is cheap enough for
 /// every read.
@@ -17,12 +23,12 @@
     Watchdog(boost::asio::any_io_executor executor, boost::asio::ip::tcp::socket &socket);
 
     /// Sets the deadline to @p delay from now.
-    void expireAfter(Duration delay);
+    void expireAfter(Duration delay, ExpiryAction action = ExpiryAction::Close);
     /// Removes the deadline until the next expireAfter().
     void clearDeadline() noexcept;
     /// Stops permanently; the socket may be destroyed afterwards.
     void stop();
-    /// True when the deadline passed and the socket was closed.
+    /// True when the socket was closed, or the last deadline passed.
     bool expired() const noexcept { return m_expired; }
 
 private:
@@ -32,6 +38,7 @@
     boost::asio::any_io_executor m_executor;
     boost::asio::ip::tcp::socket *m_socket;
     Timer m_timer;
+    ExpiryAction m_action = ExpiryAction::Close;
     TimePoint m_deadline = TimePoint::max();
     TimePoint m_timerAt = TimePoint::max(); ///< When the timer fires; not later than m_deadline.
     bool m_expired = false;
