Keep the last response when more was sent behind its request

Only error responses of the server itself were protected.

Each connection on which a response was sent now ends in the same way: the server shuts down its side, then discards what arrives until the caller closes, at most LingerTimeout and MaxLingerBytes. A connection that ends without a response, by an idle time-out for example, closes at once as before, so that no request is read there without being served.

--- a/src/gentianramp/http/server_session.cpp
+++ b/src/gentianramp/http/server_session.cpp
@@ -181,6 +181,7 @@
     if (m_shared->count() > m_shared->options.maxConnections) {
         co_await sendErrorResponse(503, "too many connections",
                                    m_shared->options.errorResponseHeaders);
+        co_await closeGracefully();
         co_return;
     }
     while (m_keepAlive && m_socket.is_open()) {
@@ -192,11 +193,27 @@
         if (!answered)
             break;
     }
-    m_watchdog->stop();
-    if (m_socket.is_open()) {
-        boost::system::error_code ignored;
-        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    co_await closeGracefully();
+}
+
+asio::awaitable<void> ServerSession::closeGracefully()
+{
+    boost::system::error_code error;
+    if (m_socket.is_open())
+        m_socket.shutdown(tcp::socket::shutdown_send, error);
+    // Closing a socket with unread bytes, or on which more arrive, resets the connection, and the
+    // caller could lose the response.
+    const bool waits
+        = m_closesGracefully && !m_callerGone && !m_shared->stopped && m_socket.is_open();
+    if (waits)
+        m_watchdog->expireAfter(LingerTimeout);
+    std::size_t discardedBytes = 0;
+    while (waits && !error && discardedBytes < MaxLingerBytes) {
+        m_buffer.consume(m_buffer.size());
+        discardedBytes += co_await m_socket.async_read_some(
+            m_buffer.prepare(ReadBytes), asio::redirect_error(asio::use_awaitable, error));
     }
+    m_watchdog->stop();
     closeSocket();
 }
 
@@ -206,6 +223,7 @@
     boost::system::error_code error;
     m_keepAlive = true;
     m_headOnly = false;
+    m_closesGracefully = false;
     if (m_buffer.size() == 0) {
         m_watchdog->expireAfter(options.idleTimeout, ExpiryAction::CancelOperations);
         const std::size_t bytesRead = co_await m_socket.async_read_some(
@@ -256,17 +274,6 @@
     response.headers.set("Content-Type", "text/plain");
     response.body = std::move(message) + "\n";
     co_await send(std::move(response));
-    // Closing a socket with unread bytes resets the connection, and the caller could lose the
-    // response.
-    boost::system::error_code error;
-    m_socket.shutdown(tcp::socket::shutdown_send, error);
-    m_watchdog->expireAfter(LingerTimeout);
-    std::size_t discardedBytes = 0;
-    while (!error && discardedBytes < MaxLingerBytes) {
-        m_buffer.consume(m_buffer.size());
-        discardedBytes += co_await m_socket.async_read_some(
-            m_buffer.prepare(ReadBytes), asio::redirect_error(asio::use_awaitable, error));
-    }
 }
 
 asio::awaitable<bool> ServerSession::handle(HttpRequest request)
@@ -329,6 +336,7 @@
 void ServerSession::beginResponse()
 {
     m_started = true;
+    m_closesGracefully = true;
     if (m_shared->keepAliveDisabled)
         m_keepAlive = false;
 }
--- a/src/gentianramp/http/server_session.hpp
+++ b/src/gentianramp/http/server_session.hpp
@@ -67,6 +67,8 @@
     boost::asio::awaitable<bool> handle(HttpRequest request);
     boost::asio::awaitable<void> callHandler(HttpRequest request);
     boost::asio::awaitable<std::error_code> writeText(std::string_view text);
+    /// Ends a connection on which a response was sent.
+    boost::asio::awaitable<void> closeGracefully();
     /// Starts a wait for input that detects when the caller closes the connection.
     void watchForDisconnect();
     void markCallerGone();
@@ -86,6 +88,7 @@
     bool m_http10 = false;
     bool m_started = false;
     bool m_finished = false;
+    bool m_closesGracefully = false; ///< The caller may not have read the last response yet.
     bool m_callerGone = false;
     bool m_closedByHandler = false; ///< The handler asked to close without a response.
 };
--- a/src/gentianramp/http/server_test.cpp
+++ b/src/gentianramp/http/server_test.cpp
@@ -64,10 +64,12 @@
         boost::system::error_code error;
         m_received.append(m_part.data(), m_socket.read_some(asio::buffer(m_part), error));
         m_ended = error && error != asio::error::would_block;
+        m_reset = m_ended && error != asio::error::eof;
     }
 
     const std::string &received() const { return m_received; }
     bool ended() const { return m_ended; }
+    bool reset() const { return m_reset; }
 
 private:
     asio::io_context m_context;
@@ -75,6 +77,7 @@
     std::array<char, 4096> m_part{};
     std::string m_received;
     bool m_ended = false;
+    bool m_reset = false;
 };
 
 /// Stops the runtime's clock for the time of a test.
@@ -179,6 +182,32 @@
     cr_assert_gt(closedCount, 0);
 }
 
+// Closing a socket with unread bytes resets the connection, which discards the rest of a response
+// that the caller has not read yet.
+Test(HttpServer, KeepsTheResponseWhenMoreIsPipelinedBehindTheLastRequest)
+{
+    constexpr std::size_t bodyBytes = 256 * 1024;
+    constexpr std::size_t pipelinedBytes = 512 * 1024;
+    constexpr int smallBuffer = 4096;
+    TestServer test;
+    PlainCaller caller(test.port, smallBuffer);
+    std::string unsent = "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: "
+        + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x')
+        + "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(pipelinedBytes) + "\r\n\r\n"
+        + std::string(pipelinedBytes, 'y');
+    runUntil(test.context, [&] {
+        unsent.erase(0, caller.write(unsent));
+        if (test.requestCount == 1)
+            caller.readPart();
+        return caller.ended();
+    });
+    cr_assert(caller.received().starts_with("HTTP/1.1 200"));
+    cr_assert(caller.received().ends_with("\r\n\r\n" + std::string(bodyBytes, 'x')),
+              "%zu bytes received", caller.received().size());
+    cr_assert_not(caller.reset());
+    cr_assert_eq(test.requestCount, 1);
+}
+
 // A whole request was read, so that the caller is due a response.
 Test(HttpServer, AnswersARequestWhoseHandlerFailsWith500)
 {
