--- a/src/gentianramp/http/server_session.cpp
+++ b/src/gentianramp/http/server_session.cpp
@@ -179,7 +179,9 @@
 {
     const auto self = shared_from_this();
     if (m_shared->count() > m_shared->options.maxConnections) {
-        co_await sendErrorResponse(503, "too many connections");
+        co_await sendErrorResponse(503, "too many connections",
+                                   m_shared->options.errorResponseHeaders);
+        co_await closeGracefully();
         co_return;
     }
     while (m_keepAlive && m_socket.is_open()) {
@@ -191,11 +193,27 @@
         if (!answered)
             break;
     }
-    m_watchdog->stop();
-    if (m_socket.is_open()) {
-        boost::system::error_code ignored;
-        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    co_await closeGracefully();
+}
+
+asio::awaitable<void> ServerSession::closeGracefully()
+{
+    boost::system::error_code error;
+    if (m_socket.is_open())
+        m_socket.shutdown(tcp::socket::shutdown_send, error);
+    // Closing a socket with unread bytes, or on which more arrive, resets the connection, and the
+    // caller could lose the response.
+    const bool waits
+        = m_closesGracefully && !m_callerGone && !m_shared->stopped && m_socket.is_open();
+    if (waits)
+        m_watchdog->expireAfter(LingerTimeout);
+    std::size_t discardedBytes = 0;
+    while (waits && !error && discardedBytes < MaxLingerBytes) {
+        m_buffer.consume(m_buffer.size());
+        discardedBytes += co_await m_socket.async_read_some(
+            m_buffer.prepare(ReadBytes), asio::redirect_error(asio::use_awaitable, error));
     }
+    m_watchdog->stop();
     closeSocket();
 }
 
@@ -205,8 +223,9 @@
     boost::system::error_code error;
     m_keepAlive = true;
     m_headOnly = false;
+    m_closesGracefully = false;
     if (m_buffer.size() == 0) {
-        m_watchdog->expireAfter(options.idleTimeout);
+        m_watchdog->expireAfter(options.idleTimeout, ExpiryAction::CancelOperations);
         const std::size_t bytesRead = co_await m_socket.async_read_some(
             m_buffer.prepare(ReadBytes), asio::redirect_error(asio::use_awaitable, error));
         m_buffer.commit(bytesRead);
@@ -216,21 +235,22 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(options.maxHeaderBytes);
     parser.body_limit(options.maxBodyBytes);
-    m_watchdog->expireAfter(options.headerTimeout);
+    // The socket stays open for the 408.
+    m_watchdog->expireAfter(options.headerTimeout, ExpiryAction::CancelOperations);
     co_await http::async_read_header(m_socket, m_buffer, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
     if (!error && !parser.is_done()) {
-        m_watchdog->expireAfter(options.bodyTimeout);
         if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
             co_await writeText("HTTP/1.1 100 Continue\r\n\r\n");
-        m_watchdog->expireAfter(options.bodyTimeout);
+        m_watchdog->expireAfter(options.bodyTimeout, ExpiryAction::CancelOperations);
         co_await http::async_read(m_socket, m_buffer, parser,
                                   asio::redirect_error(asio::use_awaitable, error));
     }
     if (error) {
         ErrorResponse errorResponse = errorResponseFor(error, m_watchdog->expired());
         if (errorResponse.status != 0)
-            co_await sendErrorResponse(errorResponse.status, std::move(errorResponse.message));
+            co_await sendErrorResponse(errorResponse.status, std::move(errorResponse.message),
+                                       options.errorResponseHeaders);
         co_return false;
     }
     m_watchdog->clearDeadline();
@@ -241,7 +261,8 @@
     co_return true;
 }
 
-asio::awaitable<void> ServerSession::sendErrorResponse(unsigned status, std::string message)
+asio::awaitable<void> ServerSession::sendErrorResponse(unsigned status, std::string message,
+                                                       const HttpHeaders &headers)
 {
     if (!m_socket.is_open())
         co_return;
@@ -249,21 +270,10 @@
     m_started = false;
     HttpResponse response;
     response.status = status;
-    response.headers = m_shared->options.errorResponseHeaders;
+    response.headers = headers;
     response.headers.set("Content-Type", "text/plain");
     response.body = std::move(message) + "\n";
     co_await send(std::move(response));
-    // Closing a socket with unread bytes resets the connection, and the caller could lose the
-    // response.
-    boost::system::error_code error;
-    m_socket.shutdown(tcp::socket::shutdown_send, error);
-    m_watchdog->expireAfter(LingerTimeout);
-    std::size_t discardedBytes = 0;
-    while (!error && discardedBytes < MaxLingerBytes) {
-        m_buffer.consume(m_buffer.size());
-        discardedBytes += co_await m_socket.async_read_some(
-            m_buffer.prepare(ReadBytes), asio::redirect_error(asio::use_awaitable, error));
-    }
 }
 
 asio::awaitable<bool> ServerSession::handle(HttpRequest request)
@@ -272,18 +282,29 @@
     m_finished = false;
     watchForDisconnect();
     m_shared->activeRequests.fetch_add(1);
-    try {
-        co_await m_shared->handler(std::move(request), *this);
-    } catch (const std::exception &exception) {
-        logError("handler_failed", {{"error", exception.what()}});
-    }
+    co_await callHandler(std::move(request));
+    if (!m_started && !m_callerGone && !m_closedByHandler)
+        co_await sendErrorResponse(500, "internal error", m_shared->options.handlerErrorHeaders);
     m_shared->activeRequests.fetch_sub(1);
     m_callerGoneHook = nullptr;
     // Ends the wait that watchForDisconnect() started.
     boost::system::error_code ignored;
     if (m_socket.is_open())
         m_socket.cancel(ignored);
-    co_return m_finished && !m_callerGone;
+    co_return m_finished && !m_callerGone && !m_closedByHandler;
+}
+
+asio::awaitable<void> ServerSession::callHandler(HttpRequest request)
+{
+    try {
+        co_await m_shared->handler(std::move(request), *this);
+        if (!m_started && !m_callerGone && !m_closedByHandler)
+            logError("handler_failed", {{"error", "it returned without a response"}});
+    } catch (const std::exception &exception) {
+        logError("handler_failed", {{"error", exception.what()}});
+    } catch (...) {
+        logError("handler_failed", {{"error", "an exception of an unknown type"}});
+    }
 }
 
 void ServerSession::watchForDisconnect()
@@ -315,6 +336,7 @@
 void ServerSession::beginResponse()
 {
     m_started = true;
+    m_closesGracefully = true;
     if (m_shared->keepAliveDisabled)
         m_keepAlive = false;
 }
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -36,7 +36,12 @@
         TimePoint sentAt{};
         TimePoint answeredAt{};
         std::error_code error; ///< Why the answer is incomplete.
+        bool open = false; ///< The table counts the attempt as being served.
     };
+    /// Ends an attempt that an exception leaves open.
+    class AttemptGuard;
+
+    boost::asio::awaitable<void> resolveAndSend();
 
     // Routing
     boost::asio::awaitable<bool> resolveRoute();
@@ -70,12 +75,15 @@
     bool isEventStream(const HttpExchange &exchange) const;
     void markAnswered(Attempt &attempt);
     void reportLostConnection(const Attempt &attempt);
+    void noteSent(Attempt &attempt);
+    void abandon(Attempt &attempt);
     void reportOutcome(Attempt &attempt, AttemptResult result);
 
     // Final answers
     boost::asio::awaitable<void> refuse(std::string_view reason);
     boost::asio::awaitable<void> fail();
     boost::asio::awaitable<void> refusePart(const BlamedPart &blamedPart);
+    boost::asio::awaitable<void> failAfterException(std::string_view what);
     Duration retryAfter() const;
     void logOutcome(std::string_view event, unsigned status, std::string_view reason);
 
