Skip interim answers of servers

Callers got a "100 Continue" or "103 Early Hints" of a server as their final answer, without the answer itself, and the connection could be kept for another request while the answer was still on its way.

Cause: ClientExchange took every head for the answer's. Statuses below 200 are now skipped, 8 at most; a 101, which nobody asked for, is malformed.

Shown by InterimAnswersAreSkipped, which failed before (status 100). Three tests with raw answers pass before and after: a body with neither a length nor chunks is complete at the connection's end and its connection isn't used again; one that is reset, or that ends before its length or last chunk, is lost.

--- /dev/null
+++ b/src/gentianramp/http/client_answer_test.cpp
@@ -0,0 +1,129 @@
+// Answers of servers that use the protocol's less common forms, or that break it.
+
+#include "http_test_support.hpp"
+#include "raw_server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+/// Bound on a test that would never end.
+constexpr Duration TestTime = 5s;
+constexpr std::size_t MaxBody = 1024 * 1024;
+
+const std::string OkAnswer = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nok";
+
+struct Fixture
+{
+    explicit Fixture(RawServer::Script script)
+        : server(context, std::move(script))
+    { }
+
+    explicit Fixture(const RawAnswer &answer)
+        : Fixture([answer](const std::string &) { return answer; })
+    { }
+
+    ~Fixture() { context.run_for(10ms); }
+
+    HttpCall makeCall() const
+    {
+        HttpCall call;
+        call.address = {"127.0.0.1", server.port()};
+        call.request.target = "/";
+        call.maxBodyBytes = MaxBody;
+        call.echoedHeader = {"X-Id", "mine"};
+        return call;
+    }
+
+    Result<HttpResponse> call() { return call(makeCall()); }
+
+    Result<HttpResponse> call(HttpCall httpCall)
+    {
+        std::optional<Result<HttpResponse>> answer;
+        asio::co_spawn(
+            context,
+            [this, &answer, httpCall = std::move(httpCall)]() mutable -> asio::awaitable<void> {
+                answer.emplace(co_await client.request(std::move(httpCall)));
+            },
+            asio::detached);
+        const TimePoint end = RuntimeClock::now() + TestTime;
+        while (!answer && RuntimeClock::now() < end) {
+            context.restart();
+            context.run_one_for(20ms);
+        }
+        cr_assert(answer.has_value(), "the call did not end");
+        return *answer;
+    }
+
+    /// Checks that the call fails with @p expected and that the connection is closed.
+    void checkFails(HttpCall httpCall, Error expected, const char *name)
+    {
+        const Result<HttpResponse> answer = call(std::move(httpCall));
+        cr_assert_not(static_cast<bool>(answer), "%s: an answer", name);
+        cr_assert(answer.error() == expected, "%s: %s", name, answer.error().message().c_str());
+        cr_assert(runUntil(context, [&] { return server.openConnections() == 0; }), "%s", name);
+    }
+
+    asio::io_context context;
+    RawServer server;
+    HttpClient client;
+};
+
+} // namespace
+
+Test(HttpClientAnswers, ABodyWithoutLengthEndsWithItsConnection)
+{
+    for (const char *body : {"whole", ""}) {
+        Fixture fixture({.bytes = std::string("HTTP/1.1 200 OK\r\n\r\n") + body,
+                         .end = AnswerEnd::Finish});
+        for (int count = 1; count <= 3; ++count) {
+            const auto answer = fixture.call();
+            cr_assert(static_cast<bool>(answer));
+            cr_assert_eq(answer->body, body);
+            cr_assert_eq(fixture.server.connections(), count);
+        }
+    }
+}
+
+Test(HttpClientAnswers, ABodyThatIsResetIsLost)
+{
+    for (const char *bytes :
+         {"HTTP/1.1 200 OK\r\n\r\nhalf", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"}) {
+        Fixture fixture({.bytes = bytes, .end = AnswerEnd::Reset});
+        fixture.checkFails(fixture.makeCall(), Error::ConnectionLost, bytes);
+    }
+}
+
+Test(HttpClientAnswers, ABodyShorterThanItsHeadSaysIsLost)
+{
+    for (const char *bytes : {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+                              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+                              "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                              "HTTP/1.1 200 OK\r\nContent-Le"}) {
+        Fixture fixture({.bytes = bytes, .end = AnswerEnd::Finish});
+        fixture.checkFails(fixture.makeCall(), Error::ConnectionLost, bytes);
+    }
+}
+
+Test(HttpClientAnswers, InterimAnswersAreSkipped)
+{
+    Fixture fixture({.bytes = "HTTP/1.1 100 Continue\r\n\r\n"
+                              "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+                         + OkAnswer});
+    for (int count = 0; count < 2; ++count) {
+        const auto answer = fixture.call();
+        cr_assert(static_cast<bool>(answer));
+        cr_assert_eq(answer->status, 200U);
+        cr_assert_eq(answer->body, "ok");
+    }
+    cr_assert_eq(fixture.server.connections(), 1);
+}
--- a/src/gentianramp/http/client_exchange.cpp
+++ b/src/gentianramp/http/client_exchange.cpp
@@ -21,6 +21,8 @@
 /// respond before it has read the whole request.
 constexpr std::size_t MaxForegroundWriteBytes = 16 * 1024;
 constexpr int MaxSkippedResponses = 3;
+constexpr int MaxInterimResponses = 8;
+constexpr unsigned SwitchingProtocols = 101;
 /// A pooled connection is discarded this long before the server may close it.
 constexpr Duration KeepAliveMargin = std::chrono::milliseconds(500);
 
@@ -135,22 +137,34 @@
 
 asio::awaitable<std::error_code> ClientExchange::readHead()
 {
-    for (int skipped = 0; skipped <= MaxSkippedResponses; ++skipped) {
+    int skipped = 0;
+    for (int interim = 0; interim <= MaxInterimResponses && skipped <= MaxSkippedResponses;) {
         std::error_code error = co_await readOneHead();
         if (error)
             co_return error;
+        if (m_status == SwitchingProtocols)
+            break;
+        if (isInterimResponse()) {
+            ++interim;
+            resetParser();
+            continue;
+        }
         if (!isResponseToEarlierRequest()) {
             if (m_parser->is_done())
                 completeResponse();
             co_return std::error_code();
         }
+        ++skipped;
         error = co_await skipBody();
         if (error)
             co_return error;
         resetParser();
     }
-    // Too many skipped responses; reported as Error::ConnectionLost.
-    co_return closeWithError(asio::error::make_error_code(asio::error::invalid_argument));
+    // Too many skipped responses are reported as Error::ConnectionLost, too many interim ones and a
+    // change of the protocol as Error::Malformed.
+    co_return closeWithError(skipped > MaxSkippedResponses
+                                 ? asio::error::make_error_code(asio::error::invalid_argument)
+                                 : make_error_code(http::error::bad_status));
 }
 
 asio::awaitable<std::error_code> ClientExchange::readOneHead()
--- a/src/gentianramp/http/client_exchange.hpp
+++ b/src/gentianramp/http/client_exchange.hpp
@@ -43,6 +43,7 @@
     boost::asio::awaitable<std::error_code> skipBody();
     boost::asio::awaitable<boost::system::error_code> readSome(std::size_t &bytesRead);
     bool isResponseToEarlierRequest() const;
+    bool isInterimResponse() const { return m_status >= 100 && m_status < 200; }
     void resetParser();
     std::string requestText() const;
     /// Closes the socket; returns the Error that @p error stands for.
--- /dev/null
+++ b/src/gentianramp/http/raw_server.cpp
@@ -0,0 +1,146 @@
+#include "raw_server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <set>
+
+namespace gentianramp {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+/// Time in which the peer can read what was sent before the connection is reset.
+constexpr Duration ResetDelay = std::chrono::milliseconds(30);
+
+std::size_t contentLength(const std::string &head)
+{
+    const std::size_t at = head.find("Content-Length: ");
+    return at == std::string::npos ? 0 : std::stoul(head.substr(at + 16));
+}
+
+} // namespace
+
+struct RawServer::State : std::enable_shared_from_this<RawServer::State>
+{
+    State(asio::io_context &context, Script answers)
+        : script(std::move(answers))
+        , acceptor(context, {asio::ip::address_v4::loopback(), 0})
+    { }
+
+    asio::awaitable<void> accept()
+    {
+        const auto self = shared_from_this();
+        for (;;) {
+            boost::system::error_code error;
+            const auto socket = std::make_shared<tcp::socket>(
+                co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error)));
+            if (error)
+                co_return;
+            ++connections;
+            sockets.insert(socket);
+            asio::co_spawn(acceptor.get_executor(), serve(socket), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(std::shared_ptr<tcp::socket> socket)
+    {
+        const auto self = shared_from_this();
+        bool more = true;
+        while (more)
+            more = co_await answerOne(*socket);
+        boost::system::error_code ignored;
+        socket->close(ignored);
+        sockets.erase(socket);
+    }
+
+    /// Answers the next request; false when the connection has ended.
+    asio::awaitable<bool> answerOne(tcp::socket &socket)
+    {
+        boost::system::error_code error;
+        std::string received;
+        const std::size_t length
+            = co_await asio::async_read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n",
+                                              asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return false;
+        const std::string head = received.substr(0, length);
+        const std::size_t total = length + contentLength(head);
+        if (received.size() < total)
+            co_await asio::async_read(socket, asio::dynamic_buffer(received),
+                                      asio::transfer_exactly(total - received.size()),
+                                      asio::redirect_error(asio::use_awaitable, error));
+        const RawAnswer answer = script(head);
+        co_await asio::async_write(socket, asio::buffer(answer.bytes),
+                                   asio::redirect_error(asio::use_awaitable, error));
+        if (answer.end == AnswerEnd::KeepOpen)
+            co_return !error;
+        if (answer.end == AnswerEnd::Finish) {
+            socket.shutdown(tcp::socket::shutdown_send, error);
+            std::string rest;
+            co_await asio::async_read(socket, asio::dynamic_buffer(rest),
+                                      asio::redirect_error(asio::use_awaitable, error));
+        }
+        if (answer.end == AnswerEnd::Reset) {
+            co_await sleepFor(ResetDelay);
+            socket.set_option(asio::socket_base::linger(true, 0), error);
+        }
+        while (answer.end == AnswerEnd::Endless && !error) {
+            if (answer.fillerInterval > Duration::zero())
+                co_await sleepFor(answer.fillerInterval);
+            fillerBytes
+                += co_await asio::async_write(socket, asio::buffer(answer.filler),
+                                              asio::redirect_error(asio::use_awaitable, error));
+        }
+        co_return false;
+    }
+
+    Script script;
+    tcp::acceptor acceptor;
+    std::set<std::shared_ptr<tcp::socket>> sockets;
+    int connections = 0;
+    std::size_t fillerBytes = 0;
+};
+
+RawServer::RawServer(asio::io_context &context, Script script)
+    : m_state(std::make_shared<State>(context, std::move(script)))
+{
+    asio::co_spawn(context, m_state->accept(), asio::detached);
+}
+
+RawServer::~RawServer()
+{
+    boost::system::error_code ignored;
+    m_state->acceptor.close(ignored);
+    for (const auto &socket : m_state->sockets)
+        socket->close(ignored);
+}
+
+std::uint16_t RawServer::port() const
+{
+    return m_state->acceptor.local_endpoint().port();
+}
+
+int RawServer::connections() const
+{
+    return m_state->connections;
+}
+
+int RawServer::openConnections() const
+{
+    return static_cast<int>(m_state->sockets.size());
+}
+
+std::size_t RawServer::fillerBytes() const
+{
+    return m_state->fillerBytes;
+}
+
+} // namespace gentianramp
--- /dev/null
+++ b/src/gentianramp/http/raw_server.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <gentianramp/core/clock.hpp>
+#include <memory>
+#include <string>
+
+namespace gentianramp {
+
+/// How a RawServer's connection goes on after an answer.
+enum class AnswerEnd {
+    KeepOpen, ///< The next request is read.
+    Finish,   ///< Closed in order, with everything sent.
+    Reset,
+    Endless, ///< Sends RawAnswer::filler again and again until the peer closes.
+};
+
+/// Bytes of an answer, sent as they are.
+struct RawAnswer
+{
+    std::string bytes;
+    AnswerEnd end = AnswerEnd::KeepOpen;
+    std::string filler;
+    Duration fillerInterval{};
+};
+
+/// A server for tests that sends any bytes on a free port of loopback.
+class RawServer
+{
+public:
+    /// Called with the head of each request.
+    using Script = std::function<RawAnswer(const std::string &head)>;
+
+    RawServer(boost::asio::io_context &context, Script script);
+    ~RawServer();
+    RawServer(const RawServer &) = delete;
+    RawServer &operator=(const RawServer &) = delete;
+
+    std::uint16_t port() const;
+    int connections() const; ///< Accepted so far.
+    /// Open connections; an endless answer keeps one open until the peer closes it.
+    int openConnections() const;
+    std::size_t fillerBytes() const; ///< Sent by endless answers.
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace gentianramp
