End answers that come without end

A server whose bytes never ended kept the call open: HttpClient::request() came back only when the server fell silent for silenceTimeout. A health check, a poll of an engine's load or a page of a list ended never while a byte came now and then. Size bounds were missing too: a chunk's size, its extension and the trailers were gathered in memory for as long as they came, chunks of one byte took a core for the whole call, and a late answer to an earlier request, which is skipped, could take the whole time of the call and 64 MB.

Now HttpCall::totalTimeout bounds the whole call; HttpClient::request() takes the sum of the other limits where it isn't set. headTimeout counts from the request for all heads together. The buffer holds a head and one read at most. A body of more than 131,072 pieces has to bring 32 bytes a piece. Skipped answers end after 1 MB or a second in all. Each case closes the connection.

Shown by four tests with 21 kinds of answers, fast and slow.

--- a/include/gentianramp/http/client.hpp
+++ b/include/gentianramp/http/client.hpp
@@ -23,6 +23,9 @@
     /// Longest wait for the next bytes of the body, for writing a short request and, on new
     /// connections, for the peer to acknowledge sent data (TCP_USER_TIMEOUT).
     Duration silenceTimeout = std::chrono::seconds(10);
+    /// From HttpExchange::open() to the end of the body, however steadily bytes arrive.
+    /// HttpClient::request() replaces Duration::max() by the sum of the other limits.
+    Duration totalTimeout = Duration::max();
     std::size_t maxBodyBytes = 64 * 1024 * 1024; ///< Of the response.
     /// Opens a new connection instead of reusing a pooled one. Needed for requests that must not be
     /// repeated, since the server may already have closed a pooled connection.
--- a/src/gentianramp/http/client.cpp
+++ b/src/gentianramp/http/client.cpp
@@ -28,6 +28,8 @@
 
 asio::awaitable<Result<HttpResponse>> HttpClient::request(HttpCall call)
 {
+    if (call.totalTimeout == Duration::max())
+        call.totalTimeout = call.connectTimeout + call.headTimeout + call.silenceTimeout;
     const std::shared_ptr<HttpExchange> exchange = this->exchange(std::move(call));
     const std::error_code error = co_await exchange->open();
     if (error)
--- a/src/gentianramp/http/client_answer_test.cpp
+++ b/src/gentianramp/http/client_answer_test.cpp
@@ -16,8 +16,12 @@
 
 /// Bound on a test that would never end.
 constexpr Duration TestTime = 5s;
+constexpr Duration CallTime = 400ms;
 constexpr std::size_t MaxBody = 1024 * 1024;
+/// Body, header fields and what the sockets of both ends hold.
+constexpr std::size_t MaxSentBytes = 24 * 1024 * 1024;
 
+const std::string ChunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 const std::string OkAnswer = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nok";
 
 struct Fixture
@@ -69,6 +73,7 @@
         cr_assert_not(static_cast<bool>(answer), "%s: an answer", name);
         cr_assert(answer.error() == expected, "%s: %s", name, answer.error().message().c_str());
         cr_assert(runUntil(context, [&] { return server.openConnections() == 0; }), "%s", name);
+        cr_assert_leq(server.fillerBytes(), MaxSentBytes, "%s", name);
     }
 
     asio::io_context context;
@@ -76,13 +81,26 @@
     HttpClient client;
 };
 
+RawAnswer endless(std::string bytes, std::string filler, Duration interval = {})
+{
+    return {std::move(bytes), AnswerEnd::Endless, std::move(filler), interval};
+}
+
+std::string repeated(const std::string &text, int count)
+{
+    std::string result;
+    for (int number = 0; number < count; ++number)
+        result += text;
+    return result;
+}
+
 } // namespace
 
 Test(HttpClientAnswers, ABodyWithoutLengthEndsWithItsConnection)
 {
     for (const char *body : {"whole", ""}) {
-        Fixture fixture({.bytes = std::string("HTTP/1.1 200 OK\r\n\r\n") + body,
-                         .end = AnswerEnd::Finish});
+        Fixture fixture(
+            {.bytes = std::string("HTTP/1.1 200 OK\r\n\r\n") + body, .end = AnswerEnd::Finish});
         for (int count = 1; count <= 3; ++count) {
             const auto answer = fixture.call();
             cr_assert(static_cast<bool>(answer));
@@ -127,3 +145,78 @@
     }
     cr_assert_eq(fixture.server.connections(), 1);
 }
+
+// A server that sent bytes without end made the client hold a core, or memory, for as long as the
+// bytes came.
+Test(HttpClientAnswers, FastBytesWithoutEndAreCut)
+{
+    const std::string block(64 * 1024, 'x');
+    const std::string late = "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\nno";
+    const struct
+    {
+        const char *name;
+        RawAnswer answer;
+        Error expected;
+    } cases[] = {
+        {"status line", endless("", block), Error::Malformed},
+        {"reason", endless("HTTP/1.1 200 ", block), Error::TooLarge},
+        {"header fields", endless("HTTP/1.1 200 OK\r\n", repeated("A: b\r\n", 5000)),
+         Error::TooLarge},
+        {"interim answers", endless("", repeated("HTTP/1.1 100 Continue\r\n\r\n", 1000)),
+         Error::Malformed},
+        {"body", endless("HTTP/1.1 200 OK\r\n\r\n", block), Error::TooLarge},
+        {"chunks", endless(ChunkedHead, "10000\r\n" + block + "\r\n"), Error::TooLarge},
+        {"small chunks", endless(ChunkedHead, repeated("1\r\nx\r\n", 10000)), Error::TooLarge},
+        {"chunk size", endless(ChunkedHead, std::string(64 * 1024, '0')), Error::TooLarge},
+        {"chunk extension", endless(ChunkedHead + "1;a=", block), Error::TooLarge},
+        {"trailers", endless(ChunkedHead + "0\r\n", repeated("A: b\r\n", 10000)), Error::TooLarge},
+        {"late answer", endless("HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", block), Error::TooLarge},
+        {"late answers", endless("", repeated(late, 1000)), Error::ConnectionLost},
+    };
+    for (const auto &entry : cases) {
+        Fixture fixture(entry.answer);
+        fixture.checkFails(fixture.makeCall(), entry.expected, entry.name);
+    }
+}
+
+// Each byte in time, but the answer without end.
+Test(HttpClientAnswers, SlowBytesWithoutEndAreCut)
+{
+    const struct
+    {
+        const char *name;
+        RawAnswer answer;
+    } cases[] = {
+        {"status line", endless("HTTP/1.1 200 ", "x", 20ms)},
+        {"header fields", endless("HTTP/1.1 200 OK\r\n", "A: b\r\n", 20ms)},
+        {"interim answers", endless("", "HTTP/1.1 100 Continue\r\n\r\n", 200ms)},
+        {"body", endless("HTTP/1.1 200 OK\r\n\r\n", "x", 20ms)},
+        {"body with a length",
+         endless("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n", "x", 20ms)},
+        {"chunks", endless(ChunkedHead, "1\r\nx\r\n", 20ms)},
+        {"chunk extension", endless(ChunkedHead + "1;a=", "x", 20ms)},
+        {"trailers", endless(ChunkedHead + "0\r\n", "A: b\r\n", 20ms)},
+        {"late answer", endless("HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", "x", 20ms)},
+    };
+    for (const auto &entry : cases) {
+        Fixture fixture(entry.answer);
+        HttpCall limited = fixture.makeCall();
+        limited.totalTimeout = CallTime;
+        fixture.checkFails(std::move(limited), Error::TimedOut, entry.name);
+    }
+}
+
+Test(HttpClientAnswers, ACallWithoutATotalTimeEndsByTheSumOfItsLimits)
+{
+    Fixture fixture(endless("HTTP/1.1 200 OK\r\n\r\n", "x", 20ms));
+    HttpCall limited = fixture.makeCall();
+    limited.connectTimeout = limited.headTimeout = limited.silenceTimeout = CallTime / 3;
+    fixture.checkFails(std::move(limited), Error::TimedOut, "sum");
+}
+
+Test(HttpClientAnswers, ALateAnswerWithoutEndEndsBeforeItsCall)
+{
+    // A request that waits longer has to be sent elsewhere.
+    Fixture fixture(endless("HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", "x", 20ms));
+    fixture.checkFails(fixture.makeCall(), Error::TimedOut, "late answer");
+}
--- a/src/gentianramp/http/client_exchange.cpp
+++ b/src/gentianramp/http/client_exchange.cpp
@@ -2,12 +2,14 @@
 
 #include "socket_options.hpp"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
+#include <utility>
 
 namespace gentianramp {
 
@@ -21,8 +23,16 @@
 /// respond before it has read the whole request.
 constexpr std::size_t MaxForegroundWriteBytes = 16 * 1024;
 constexpr int MaxSkippedResponses = 3;
+/// Bounds on the responses that are skipped before the one that was asked for.
+constexpr std::size_t MaxSkippedBodyBytes = 1024 * 1024;
+constexpr Duration MaxSkipTime = std::chrono::seconds(1);
 constexpr int MaxInterimResponses = 8;
 constexpr unsigned SwitchingProtocols = 101;
+/// Bytes that the parser may hold at once beyond a head: one read of the socket.
+constexpr std::size_t MaxReadBytes = 64 * 1024;
+/// A chunk takes two pieces, its size and its bytes. Sound servers send some bytes in each.
+constexpr std::uint64_t MaxSmallPieces = 128 * 1024;
+constexpr std::uint64_t MinBytesPerPiece = 32;
 /// A pooled connection is discarded this long before the server may close it.
 constexpr Duration KeepAliveMargin = std::chrono::milliseconds(500);
 
@@ -46,6 +56,7 @@
     , m_pool(std::move(pool))
     , m_maxHeaderBytes(options.maxHeaderBytes)
 {
+    m_buffer.max_size(m_maxHeaderBytes + MaxReadBytes);
     resetParser();
 }
 
@@ -68,6 +79,8 @@
 asio::awaitable<std::error_code> ClientExchange::open()
 {
     const auto self = shared_from_this();
+    if (m_call.totalTimeout != Duration::max())
+        m_endAt = RuntimeClock::now() + m_call.totalTimeout;
     std::error_code error = co_await connect();
     if (!error)
         error = co_await writeRequest();
@@ -94,7 +107,7 @@
     if (error)
         co_return make_error_code(Error::ConnectionRefused);
     const tcp::endpoint endpoint(address, m_call.address.port);
-    m_watchdog->expireAfter(m_call.connectTimeout);
+    expireAfter(m_call.connectTimeout);
     co_await m_socket->async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
     m_watchdog->clearDeadline();
     if (error || m_cancelled || m_watchdog->expired())
@@ -111,7 +124,7 @@
     if (text.size() > MaxForegroundWriteBytes)
         co_return co_await writeInBackground(std::move(text));
     boost::system::error_code error;
-    m_watchdog->expireAfter(m_call.silenceTimeout);
+    expireAfter(m_call.silenceTimeout);
     m_anyBytesWritten = true;
     const std::size_t written = co_await asio::async_write(
         *m_socket, asio::buffer(text), asio::redirect_error(asio::use_awaitable, error));
@@ -137,9 +150,11 @@
 
 asio::awaitable<std::error_code> ClientExchange::readHead()
 {
+    const TimePoint headDeadline = RuntimeClock::now() + m_call.headTimeout;
+    TimePoint skipDeadline = TimePoint::max();
     int skipped = 0;
     for (int interim = 0; interim <= MaxInterimResponses && skipped <= MaxSkippedResponses;) {
-        std::error_code error = co_await readOneHead();
+        std::error_code error = co_await readOneHead(headDeadline - RuntimeClock::now());
         if (error)
             co_return error;
         if (m_status == SwitchingProtocols)
@@ -154,10 +169,13 @@
                 completeResponse();
             co_return std::error_code();
         }
-        ++skipped;
+        if (skipped++ == 0)
+            skipDeadline = RuntimeClock::now() + MaxSkipTime;
+        const TimePoint endAt = std::exchange(m_endAt, std::min(m_endAt, skipDeadline));
         error = co_await skipBody();
         if (error)
             co_return error;
+        m_endAt = endAt;
         resetParser();
     }
     // Too many skipped responses are reported as Error::ConnectionLost, too many interim ones and a
@@ -167,10 +185,10 @@
                                  : make_error_code(http::error::bad_status));
 }
 
-asio::awaitable<std::error_code> ClientExchange::readOneHead()
+asio::awaitable<std::error_code> ClientExchange::readOneHead(Duration limit)
 {
     boost::system::error_code error;
-    m_watchdog->expireAfter(m_call.headTimeout);
+    expireAfter(limit);
     co_await http::async_read_header(*m_socket, m_buffer, *m_parser,
                                      asio::redirect_error(asio::use_awaitable, error));
     m_watchdog->clearDeadline();
@@ -196,7 +214,9 @@
 {
     while (!m_parser->is_done()) {
         std::size_t bytesRead = 0;
-        const boost::system::error_code error = co_await readSome(bytesRead);
+        boost::system::error_code error = co_await readSome(bytesRead);
+        if (!error && m_bodyBytes > MaxSkippedBodyBytes)
+            error = http::error::body_limit;
         if (error)
             co_return closeWithError(error);
     }
@@ -213,16 +233,35 @@
     body.data = m_piece.data();
     body.size = m_piece.size();
     boost::system::error_code error;
-    m_watchdog->expireAfter(m_call.silenceTimeout);
+    expireAfter(m_call.silenceTimeout);
     co_await http::async_read_some(*m_socket, m_buffer, *m_parser,
                                    asio::redirect_error(asio::use_awaitable, error));
     m_watchdog->clearDeadline();
     if (error == http::error::need_buffer)
         error = {};
     bytesRead = m_piece.size() - body.size;
+    m_bodyBytes += bytesRead;
+    ++m_bodyPieces;
+    if (!error && hasTooManyPieces())
+        error = http::error::body_limit;
+    // A server that sends fast leaves the watchdog's timer little time.
+    m_overdue = !error && !m_parser->is_done() && RuntimeClock::now() >= m_endAt;
+    if (m_overdue)
+        error = asio::error::make_error_code(asio::error::operation_aborted);
     co_return error;
 }
 
+void ClientExchange::expireAfter(Duration limit)
+{
+    const Duration left = m_endAt - RuntimeClock::now();
+    m_watchdog->expireAfter(std::max(std::min(limit, left), Duration::zero()));
+}
+
+bool ClientExchange::hasTooManyPieces() const
+{
+    return m_bodyPieces > MaxSmallPieces + m_bodyBytes / MinBytesPerPiece;
+}
+
 asio::awaitable<Result<std::string_view>> ClientExchange::readPiece()
 {
     const auto self = shared_from_this();
@@ -281,7 +320,7 @@
 
 std::error_code ClientExchange::closeWithError(const boost::system::error_code &error)
 {
-    const bool timedOut = m_watchdog && m_watchdog->expired();
+    const bool timedOut = m_overdue || (m_watchdog && m_watchdog->expired());
     boost::system::error_code ignored;
     if (m_socket)
         m_socket->close(ignored);
@@ -289,7 +328,8 @@
         return make_error_code(Error::Cancelled);
     if (timedOut)
         return make_error_code(Error::TimedOut);
-    if (error == http::error::body_limit || error == http::error::header_limit)
+    if (error == http::error::body_limit || error == http::error::header_limit
+        || error == http::error::buffer_overflow)
         return make_error_code(Error::TooLarge);
     // bad_target stands for the category of all errors of Beast's HTTP parser.
     const bool parsing = error.category() == make_error_code(http::error::bad_target).category();
--- a/src/gentianramp/http/client_exchange.hpp
+++ b/src/gentianramp/http/client_exchange.hpp
@@ -39,11 +39,15 @@
     boost::asio::awaitable<std::error_code> writeRequest();
     boost::asio::awaitable<std::error_code> writeInBackground(std::string text);
     boost::asio::awaitable<std::error_code> readHead();
-    boost::asio::awaitable<std::error_code> readOneHead();
+    boost::asio::awaitable<std::error_code> readOneHead(Duration limit);
     boost::asio::awaitable<std::error_code> skipBody();
     boost::asio::awaitable<boost::system::error_code> readSome(std::size_t &bytesRead);
     bool isResponseToEarlierRequest() const;
     bool isInterimResponse() const { return m_status >= 100 && m_status < 200; }
+    /// Limits the next operation to @p limit and to what is left of the whole call.
+    void expireAfter(Duration limit);
+    /// True when the body came in far more pieces than bytes of a sound server do.
+    bool hasTooManyPieces() const;
     void resetParser();
     std::string requestText() const;
     /// Closes the socket; returns the Error that @p error stands for.
@@ -58,6 +62,10 @@
     std::optional<Parser> m_parser;
     std::uint32_t m_maxHeaderBytes = 0;
     std::string m_piece;
+    TimePoint m_endAt = TimePoint::max(); ///< End of the whole call.
+    std::uint64_t m_bodyBytes = 0;        ///< Of all responses read, skipped ones too.
+    std::uint64_t m_bodyPieces = 0;
+    bool m_overdue = false; ///< The whole call took too long.
     unsigned m_status = 0;
     HttpHeaders m_headers;
     bool m_cancelled = false;
