Take a stream with bytes that are no events as broken off

Callers got any bytes of a server that ended with a blank line as part of a stream, and the stream could then be finished as complete. Bytes without a blank line were gathered up to 1 MB and searched from the start after each read, which took seconds of a core for one stream.

Cause: EventAssembler took each text up to a blank line as an event. A line now has to be a field (a name of letters, digits, hyphens and underscores, and a colon, or one of the four standard names alone) or a comment. At the first byte that can't be either, the server is given up; whole events before it are delivered, and the stream goes on at another server where its route allows it, or is cut. Bytes are searched once.

Tests that pass before and after: streams and whole answers in each framing (length, chunks, end of the connection), streams that end inside an event, resets, whole answers without end, and a health check without end, which the time of HttpClient::request() ends.

--- a/include/gentianramp/relay/event_assembler.hpp
+++ b/include/gentianramp/relay/event_assembler.hpp
@@ -19,17 +19,29 @@
     std::string feed(std::string_view bytes);
     /// Id of the last whole event.
     std::optional<std::uint64_t> lastId() const { return m_lastId; }
-    /// Bytes of an incomplete event are buffered.
+    /// Bytes after the last whole event are buffered.
     bool hasPartial() const { return !m_pending.empty(); }
-    /// Takes the buffered bytes, for a stream that ends within an event.
+    /// The buffered bytes are more than whole comment lines: the stream would end inside an event.
+    bool insideEvent() const { return m_hasFields || m_lineStart < m_pending.size(); }
+    /// Takes the buffered bytes, at the end of a stream.
     std::string takePartial() { return std::exchange(m_pending, {}); }
+    /// At least one whole event was fed, skipped ones included. Comments alone are no event.
+    bool hasEvents() const { return m_hasEvents; }
     /// One event exceeded the size bound; the stream can't be used any more.
     bool overflowed() const { return m_pending.size() > MaxEventBytes; }
+    /// Bytes that belong to no event were fed; nothing is returned from there on.
+    bool malformed() const { return m_malformed; }
 
 private:
     static constexpr std::size_t MaxEventBytes = 1024 * 1024;
 
+    void takeEvent(std::string_view event, std::string &whole);
+
     std::string m_pending;
+    std::size_t m_lineStart = 0; ///< In m_pending; the line that isn't complete yet.
+    bool m_hasFields = false;    ///< m_pending has a complete line that is no comment.
+    bool m_hasEvents = false;
+    bool m_malformed = false;
     std::optional<std::uint64_t> m_after;
     std::optional<std::uint64_t> m_lastId;
 };
--- a/src/gentianramp/http/raw_server.cpp
+++ b/src/gentianramp/http/raw_server.cpp
@@ -92,6 +92,7 @@
             co_await sleepFor(ResetDelay);
             socket.set_option(asio::socket_base::linger(true, 0), error);
         }
+        endlessAnswers += answer.end == AnswerEnd::Endless ? 1 : 0;
         while (answer.end == AnswerEnd::Endless && !error) {
             if (answer.fillerInterval > Duration::zero())
                 co_await sleepFor(answer.fillerInterval);
@@ -99,6 +100,7 @@
                 += co_await asio::async_write(socket, asio::buffer(answer.filler),
                                               asio::redirect_error(asio::use_awaitable, error));
         }
+        endlessAnswers -= answer.end == AnswerEnd::Endless ? 1 : 0;
         co_return false;
     }
 
@@ -106,6 +108,7 @@
     tcp::acceptor acceptor;
     std::set<std::shared_ptr<tcp::socket>> sockets;
     int connections = 0;
+    int endlessAnswers = 0;
     std::size_t fillerBytes = 0;
 };
 
@@ -138,6 +141,11 @@
     return static_cast<int>(m_state->sockets.size());
 }
 
+int RawServer::endlessAnswers() const
+{
+    return m_state->endlessAnswers;
+}
+
 std::size_t RawServer::fillerBytes() const
 {
     return m_state->fillerBytes;
--- a/src/gentianramp/http/raw_server.hpp
+++ b/src/gentianramp/http/raw_server.hpp
@@ -40,8 +40,8 @@
 
     std::uint16_t port() const;
     int connections() const; ///< Accepted so far.
-    /// Open connections; an endless answer keeps one open until the peer closes it.
     int openConnections() const;
+    int endlessAnswers() const;      ///< Still being sent.
     std::size_t fillerBytes() const; ///< Sent by endless answers.
 
 private:
--- a/src/gentianramp/relay/event_assembler.cpp
+++ b/src/gentianramp/relay/event_assembler.cpp
@@ -1,25 +1,34 @@
 #include <gentianramp/relay/event_assembler.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace gentianramp {
 
 namespace {
 
-/// Length of the first event in @p bytes, including the blank line that ends it; 0 when the event
-/// is incomplete.
-std::size_t eventLength(std::string_view bytes)
+/// Fields that may have no value, and thus no colon.
+constexpr std::string_view StandardFields[] = {"data", "event", "id", "retry"};
+
+bool isNameCharacter(char character)
 {
-    std::size_t lineStart = 0;
-    for (std::size_t at = 0; at < bytes.size(); ++at) {
-        if (bytes[at] != '\n')
-            continue;
-        const std::size_t length = at - lineStart;
-        if (length == 0 || (length == 1 && bytes[lineStart] == '\r'))
-            return at + 1;
-        lineStart = at + 1;
-    }
-    return 0;
+    return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z')
+        || (character >= '0' && character <= '9') || character == '-' || character == '_';
+}
+
+/// True for a field or a comment, or the beginning of one if the line is not @p complete.
+bool isEventLine(std::string_view line, bool complete)
+{
+    if (!complete && line.ends_with('\r'))
+        line.remove_suffix(1);
+    const std::string_view name = line.substr(0, line.find(':'));
+    const bool hasColon = name.size() < line.size();
+    if (!std::all_of(name.begin(), name.end(), isNameCharacter))
+        return false;
+    if (hasColon || !complete)
+        return true;
+    return std::find(std::begin(StandardFields), std::end(StandardFields), name)
+        != std::end(StandardFields);
 }
 
 std::optional<std::uint64_t> idOf(std::string_view event)
@@ -50,21 +59,45 @@
 
 std::string EventAssembler::feed(std::string_view bytes)
 {
-    m_pending += bytes;
     std::string whole;
-    std::string_view rest = m_pending;
-    while (const std::size_t length = eventLength(rest)) {
-        const std::string_view event = rest.substr(0, length);
-        rest.remove_prefix(length);
-        const std::optional<std::uint64_t> id = idOf(event);
-        if (id && m_after && *id <= *m_after)
+    if (m_malformed)
+        return whole;
+    std::size_t scanned = m_pending.size();
+    std::size_t eventStart = 0;
+    m_pending += bytes;
+    const std::string_view pending = m_pending;
+    for (; (scanned = pending.find('\n', scanned)) != std::string_view::npos; ++scanned) {
+        std::string_view line = pending.substr(m_lineStart, scanned - m_lineStart);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        m_lineStart = scanned + 1;
+        if (line.empty()) {
+            takeEvent(pending.substr(eventStart, m_lineStart - eventStart), whole);
+            eventStart = m_lineStart;
             continue;
-        if (id)
-            m_lastId = id;
-        whole += event;
+        }
+        m_malformed = !isEventLine(line, true);
+        if (m_malformed)
+            return whole;
+        m_hasFields = m_hasFields || !line.starts_with(':');
     }
-    m_pending = std::string(rest);
+    m_malformed = !isEventLine(pending.substr(m_lineStart), false);
+    m_pending.erase(0, eventStart);
+    m_lineStart -= eventStart;
     return whole;
 }
 
+/// Appends an event, or comments, unless it was delivered before.
+void EventAssembler::takeEvent(std::string_view event, std::string &whole)
+{
+    m_hasEvents = m_hasEvents || m_hasFields;
+    m_hasFields = false;
+    const std::optional<std::uint64_t> id = idOf(event);
+    if (id && m_after && *id <= *m_after)
+        return;
+    if (id)
+        m_lastId = id;
+    whole += event;
+}
+
 } // namespace gentianramp
--- a/src/gentianramp/relay/event_assembler_test.cpp
+++ b/src/gentianramp/relay/event_assembler_test.cpp
@@ -54,3 +54,30 @@
         events.feed(piece);
     cr_assert(events.overflowed());
 }
+
+Test(event_assembler, bytesThatAreNoEventsEndTheStreamAfterTheLastEvent)
+{
+    const std::string event = "id: 1\ndata: a\n\n";
+    for (const std::string garbage : {"nonsense\n", "no name: x\n\n", "\x01", "{\"a\": 1}",
+                                      "HTTP/1.1 200 OK\r\n", "id: 2\n\r\r\n"}) {
+        EventAssembler events;
+        cr_assert_eq(events.feed(event + garbage), event, "%s", garbage.c_str());
+        cr_assert(events.malformed(), "%s", garbage.c_str());
+        cr_assert_eq(events.feed("\n\n" + event), "");
+    }
+}
+
+Test(event_assembler, commentLinesAfterTheLastEventAreNoEvent)
+{
+    EventAssembler events;
+    events.feed(": a\n\n");
+    cr_assert_not(events.hasEvents());
+    for (const char *piece : {"id: 1\nda", "ta\r", "\ndata:\n\n: b", "\n:\r", "\n"})
+        events.feed(piece);
+    cr_assert(events.hasEvents());
+    cr_assert_not(events.insideEvent());
+    cr_assert_eq(events.takePartial(), ": b\n:\r\n");
+    EventAssembler cut;
+    cut.feed("id: 1\n\n: b");
+    cr_assert(cut.insideEvent());
+}
--- /dev/null
+++ b/src/gentianramp/relay/relay_answer_test.cpp
@@ -0,0 +1,428 @@
+// Answers of backend servers that end or break off in unusual ways, at the relay's callers.
+
+#include "../http/raw_server.hpp"
+
+#include <gentianramp/relay/relay_service.hpp>
+
+#include <map>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace gentianramp;
+using namespace std::chrono_literals;
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration TestTime = 8s; ///< Bound on a test that would never end.
+
+BackendProtocol makeProtocol()
+{
+    BackendProtocol names;
+    names.requestId = "X-Id";
+    names.timeBudget = "X-Budget";
+    names.lastEventId = "Last-Event-Id";
+    names.signature = "X-Signature";
+    names.target = "X-Target";
+    names.notRun = "X-Not-Run";
+    names.priority = "X-Priority";
+    names.prefillOnly = "X-Stage";
+    names.prefillValue = "prefill";
+    names.kvSource = "X-Take";
+    names.reportPath = "/report";
+    names.prompt = [](const HttpHeaders &headers) -> std::optional<PromptDescription> {
+        if (!headers.contains("X-Prompt"))
+            return std::nullopt;
+        return PromptDescription{.parts = {{1, 10'000}, {2, 1000}}, .outputTokens = 50};
+    };
+    names.handle = [](std::string_view body) { return std::string(body); };
+    names.freeHandle = [](const std::string &handle) {
+        return HttpRequest{.method = "DELETE", .target = "/handle/" + handle};
+    };
+    return names;
+}
+
+/// Value of a field in the head of a request; empty when it is missing.
+std::string fieldOf(const std::string &head, const std::string &name)
+{
+    const std::size_t at = head.find("\r\n" + name + ": ");
+    if (at == std::string::npos)
+        return {};
+    const std::size_t from = at + name.size() + 4;
+    return head.substr(from, head.find("\r\n", from) - from);
+}
+
+std::string answerHead(const std::string &request, const std::string &fields)
+{
+    return "HTTP/1.1 200 OK\r\nX-Signature: signed\r\nX-Id: " + fieldOf(request, "X-Id") + "\r\n"
+        + fields + "\r\n";
+}
+
+/// A relay with backend servers that send raw bytes.
+class AnswerFixture
+{
+public:
+    AnswerFixture()
+        : m_relay(m_context.get_executor(),
+                  {.dataCentre = DataCentreId("a"),
+                   .protocol = makeProtocol(),
+                   .seed = 1,
+                   .declarationAge = [] { return Duration{}; }})
+        , m_callers(m_context.get_executor(), {}, m_relay.handler())
+        , m_port(m_callers.start().value())
+    { }
+
+    ~AnswerFixture()
+    {
+        m_callers.stop();
+        servers.clear();
+        m_context.restart();
+        m_context.run_for(20ms);
+    }
+
+    /// The server answers health checks properly unless @p health is set.
+    void addServer(const std::string &id, RawServer::Script answer, bool prefill = false,
+                   RawServer::Script health = {})
+    {
+        const auto script = [this, id, answer = std::move(answer),
+                             health = std::move(health)](const std::string &head) {
+            const bool check = head.starts_with("GET /health") || head.starts_with("GET /report");
+            if (check && health)
+                return health(head);
+            if (check)
+                return RawAnswer{.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"};
+            ++requests[id];
+            return answer(head);
+        };
+        servers[id] = std::make_unique<RawServer>(m_context, script);
+        m_listing.servers.push_back({.id = BackendId(id),
+                                     .service = "s",
+                                     .host = "127.0.0.1",
+                                     .port = servers[id]->port(),
+                                     .dataCentre = DataCentreId("a"),
+                                     .slots = 8,
+                                     .engine = prefill,
+                                     .prefillOnly = prefill});
+        m_listing.digest = listingDigest(m_listing.servers);
+        m_relay.publish(m_listing);
+    }
+
+    void declare(Route route)
+    {
+        route.name = "r";
+        route.host = "host.example";
+        route.pathPrefix = "/p/";
+        if (route.timeout == Duration{})
+            route.timeout = 5s;
+        route.shares = {{"s", 1}};
+        Declaration declaration;
+        declaration.number = 1;
+        declaration.routes = {route};
+        declaration.services = {{.name = "s", .healthPath = "/health"}};
+        m_relay.publish(std::move(declaration));
+    }
+
+    /// Sends a request and returns the whole answer, or the error that ended it.
+    Result<HttpResponse> call(bool prompt = false)
+    {
+        HttpCall httpCall;
+        httpCall.address = {"127.0.0.1", m_port};
+        httpCall.request.method = "POST";
+        httpCall.request.target = "/p/x";
+        httpCall.request.headers.set("Host", "host.example");
+        httpCall.request.headers.set("X-Id", "id-" + std::to_string(++m_calls));
+        if (prompt)
+            httpCall.request.headers.set("X-Prompt", "yes");
+        httpCall.freshConnection = true;
+        std::optional<Result<HttpResponse>> answer;
+        asio::co_spawn(
+            m_context,
+            [&, httpCall = std::move(httpCall)]() mutable -> asio::awaitable<void> {
+                answer.emplace(co_await m_client.request(std::move(httpCall)));
+            },
+            asio::detached);
+        cr_assert(runUntil([&] { return answer.has_value(); }), "the call did not end");
+        return *answer;
+    }
+
+    bool runUntil(const std::function<bool()> &done)
+    {
+        const TimePoint end = RuntimeClock::now() + TestTime;
+        while (!done() && RuntimeClock::now() < end) {
+            m_context.restart();
+            m_context.run_one_for(20ms);
+        }
+        return done();
+    }
+
+    /// Sends requests until @p id has got one; each must be answered with @p body.
+    void checkServed(const std::string &id, const std::string &body, bool prompt = false)
+    {
+        for (int count = 0; count < 10 && requests[id] == 0; ++count) {
+            const Result<HttpResponse> answer = call(prompt);
+            cr_assert(static_cast<bool>(answer), "%s", answer.error().message().c_str());
+            cr_assert_eq(answer->status, 200U, "status %u: %s", answer->status,
+                         answer->body.c_str());
+            cr_assert_eq(answer->body, body);
+        }
+        cr_assert_gt(requests[id], 0);
+    }
+
+    /// Checks that the relay closes the connections on which the server sends without end.
+    void checkClosed(const std::string &id)
+    {
+        cr_assert(runUntil([&] { return servers[id]->endlessAnswers() == 0; }));
+    }
+
+    std::map<std::string, int> requests; ///< Without health checks.
+    std::map<std::string, std::unique_ptr<RawServer>> servers;
+
+private:
+    asio::io_context m_context{1};
+    HttpClient m_client;
+    BackendListing m_listing;
+    RelayService m_relay;
+    HttpServer m_callers;
+    std::uint16_t m_port = 0;
+    int m_calls = 0;
+};
+
+const std::string StreamType = "Content-Type: text/event-stream\r\n";
+
+/// How a server shows the end of a body.
+enum class Framing { Length, Chunks, Connection };
+
+constexpr Framing Framings[] = {Framing::Length, Framing::Chunks, Framing::Connection};
+
+std::string chunk(const std::string &bytes)
+{
+    char size[20];
+    std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+    return bytes.empty() ? "" : size + bytes + "\r\n";
+}
+
+/// Answers with @p body, complete in @p framing.
+RawServer::Script answers(Framing framing, const std::string &fields, const std::string &body)
+{
+    return [=](const std::string &head) -> RawAnswer {
+        switch (framing) {
+        case Framing::Length:
+            return {.bytes
+                    = answerHead(head,
+                                 fields + "Content-Length: " + std::to_string(body.size()) + "\r\n")
+                        + body};
+        case Framing::Chunks:
+            return {.bytes = answerHead(head, fields + "Transfer-Encoding: chunked\r\n")
+                        + chunk(body) + "0\r\n\r\n"};
+        case Framing::Connection:
+            break;
+        }
+        return {.bytes = answerHead(head, fields) + body, .end = AnswerEnd::Finish};
+    };
+}
+
+/// Answers with @p body without a length and resets the connection.
+RawServer::Script resets(const std::string &fields, const std::string &body)
+{
+    return [=](const std::string &head) -> RawAnswer {
+        return {.bytes = answerHead(head, fields) + body, .end = AnswerEnd::Reset};
+    };
+}
+
+/// Begins an answer with @p begin and sends @p filler without end.
+RawServer::Script sendsWithoutEnd(const std::string &fields, const std::string &begin,
+                                  const std::string &filler, Duration interval = {})
+{
+    return [=](const std::string &head) -> RawAnswer {
+        return {answerHead(head, fields) + begin, AnswerEnd::Endless, filler, interval};
+    };
+}
+
+std::string events(int first, int last)
+{
+    std::string result;
+    for (int id = first; id <= last; ++id)
+        result += "id: " + std::to_string(id) + "\ndata: " + std::to_string(id) + "\n\n";
+    return result;
+}
+
+/// Streams the events after the request's Last-Event-Id up to @p last.
+RawServer::Script streamsOn(int last)
+{
+    return [=](const std::string &head) {
+        const std::string after = fieldOf(head, "Last-Event-Id");
+        const int first = after.empty() ? 1 : std::stoi(after) + 1;
+        return answers(Framing::Chunks, StreamType, events(first, last))(head);
+    };
+}
+
+Route resumableStream()
+{
+    return {.kind = RouteKind::Stream, .attempts = 2, .resumable = true};
+}
+
+Route runOnceStream()
+{
+    return {.kind = RouteKind::Stream, .attempts = 2};
+}
+
+} // namespace
+
+Test(relay_answers, aWholeAnswerMayEndWithItsConnection)
+{
+    for (const RouteKind kind : {RouteKind::RunOnce, RouteKind::Repeatable}) {
+        AnswerFixture fixture;
+        fixture.addServer("one", answers(Framing::Connection, {}, "body"));
+        fixture.declare({.kind = kind});
+        for (int count = 1; count <= 3; ++count) {
+            const Result<HttpResponse> answer = fixture.call();
+            cr_assert_eq(answer->status, 200U);
+            cr_assert_eq(answer->body, "body");
+            cr_assert_eq(answer->headers.find("Content-Length"), "4");
+            cr_assert_eq(fixture.servers["one"]->connections(), count);
+        }
+    }
+}
+
+Test(relay_answers, aWholeAnswerThatIsResetIsNotComplete)
+{
+    AnswerFixture once;
+    once.addServer("resets", resets({}, "half"));
+    once.declare({.kind = RouteKind::RunOnce});
+    const Result<HttpResponse> failure = once.call();
+    cr_assert_eq(failure->status, 502U);
+    cr_assert_not(failure->headers.contains("X-Signature"));
+    AnswerFixture again;
+    again.addServer("resets", resets({}, "half"));
+    again.addServer("other", answers(Framing::Length, {}, "body"));
+    again.declare({.kind = RouteKind::Repeatable, .attempts = 2});
+    again.checkServed("resets", "body");
+}
+
+Test(relay_answers, aStreamMayEndInEveryFraming)
+{
+    for (const Framing framing : Framings) {
+        AnswerFixture fixture;
+        fixture.addServer("one", answers(framing, StreamType, events(1, 4)));
+        fixture.declare(runOnceStream());
+        for (int count = 0; count < 2; ++count) {
+            const Result<HttpResponse> answer = fixture.call();
+            cr_assert(static_cast<bool>(answer));
+            cr_assert_eq(answer->body, events(1, 4));
+            cr_assert_eq(answer->headers.find("Transfer-Encoding"), "chunked");
+        }
+    }
+}
+
+Test(relay_answers, aStreamThatEndsInsideAnEventIsBrokenOff)
+{
+    for (const Framing framing : Framings) {
+        for (const char *part : {"id: 5", "id: 5\n", "id: 5\ndata: 5\n", "version: 2\n", "\r"}) {
+            const auto breaksOff = answers(framing, StreamType, events(1, 4) + part);
+            AnswerFixture resumed;
+            resumed.addServer("breaks-off", breaksOff);
+            resumed.addServer("other", streamsOn(9));
+            resumed.declare(resumableStream());
+            resumed.checkServed("breaks-off", events(1, 9));
+            AnswerFixture cut;
+            cut.addServer("breaks-off", breaksOff);
+            cut.declare(runOnceStream());
+            cr_assert_not(static_cast<bool>(cut.call()), "complete after: %s", part);
+            cr_assert_eq(cut.requests["breaks-off"], 1);
+        }
+    }
+}
+
+Test(relay_answers, aStreamThatIsResetBetweenEventsIsBrokenOff)
+{
+    AnswerFixture resumed;
+    resumed.addServer("resets", resets(StreamType, events(1, 4)));
+    resumed.addServer("other", streamsOn(9));
+    resumed.declare(resumableStream());
+    resumed.checkServed("resets", events(1, 9));
+    AnswerFixture cut;
+    cut.addServer("resets", resets(StreamType, events(1, 4)));
+    cut.declare(runOnceStream());
+    cr_assert_not(static_cast<bool>(cut.call()));
+}
+
+// Callers got bytes that are no events as part of a stream.
+Test(relay_answers, bytesThatAreNoEventsAreNotPassedOn)
+{
+    for (const std::string garbage : {"\x01\x02\x03\n\n", "HTTP/1.1 500 Oops\n\n",
+                                      "{\"error\": 1}\n\n", "id: 5\nnonsense!\n\n"}) {
+        AnswerFixture fixture;
+        fixture.addServer("garbles", answers(Framing::Chunks, StreamType, events(1, 4) + garbage));
+        fixture.addServer("other", streamsOn(9));
+        fixture.declare(resumableStream());
+        fixture.checkServed("garbles", events(1, 9));
+    }
+}
+
+Test(relay_answers, answersWithoutEndAreReplaced)
+{
+    const std::string block(64 * 1024, 'x');
+    const std::string head = "Transfer-Encoding: chunked\r\n";
+    for (const auto &endless :
+         {sendsWithoutEnd({}, {}, block), sendsWithoutEnd("A: b\r\nC", {}, block),
+          sendsWithoutEnd(head, "1;a=", block), sendsWithoutEnd(head, "0\r\n", "A: b\r\n")}) {
+        AnswerFixture fixture;
+        fixture.addServer("endless", endless);
+        fixture.addServer("other", answers(Framing::Length, {}, "body"));
+        fixture.declare({.kind = RouteKind::Repeatable, .attempts = 2});
+        fixture.checkServed("endless", "body");
+        fixture.checkClosed("endless");
+    }
+}
+
+Test(relay_answers, streamsOfBytesWithoutEndAreReplaced)
+{
+    const std::string block(64 * 1024, 'x');
+    for (const auto &endless : {sendsWithoutEnd(StreamType, events(1, 4), block),
+                                sendsWithoutEnd(StreamType, events(1, 4) + "id: 5\ndata: ", block),
+                                sendsWithoutEnd(StreamType, events(1, 4), block + "\n\n")}) {
+        AnswerFixture fixture;
+        fixture.addServer("endless", endless);
+        fixture.addServer("other", streamsOn(9));
+        fixture.declare(resumableStream());
+        fixture.checkServed("endless", events(1, 9));
+        fixture.checkClosed("endless");
+    }
+}
+
+Test(relay_answers, aPrefillsAnswerMayEndWithItsConnection)
+{
+    AnswerFixture fixture;
+    fixture.addServer("reader", answers(Framing::Connection, {}, "handle7"), true);
+    fixture.addServer("decoder", [](const std::string &head) {
+        cr_assert(fieldOf(head, "X-Take").ends_with("/handle7"));
+        return streamsOn(3)(head);
+    });
+    fixture.declare({.kind = RouteKind::Stream, .carriesPrompt = true});
+    fixture.checkServed("reader", events(1, 3), true);
+}
+
+// The check ended never, so that the server was taken for sound and was not checked again.
+Test(relay_answers, aHealthCheckWithoutEndFails)
+{
+    for (const Duration interval : {Duration{}, Duration(50ms)}) {
+        int checks = 0;
+        AnswerFixture fixture;
+        fixture.addServer(
+            "silent", [](const std::string &) { return RawAnswer{}; }, // Falls silent.
+            false,
+            [&](const std::string &) -> RawAnswer {
+                ++checks;
+                return {"HTTP/1.1 200 OK\r\n\r\n", AnswerEnd::Endless,
+                        interval == Duration{} ? std::string(64 * 1024, 'x') : "x", interval};
+            });
+        fixture.declare({.kind = RouteKind::Repeatable, .attempts = 2});
+        fixture.addServer("other", answers(Framing::Length, {}, "body"));
+        fixture.checkServed("silent", "body");
+        cr_assert(fixture.runUntil([&] { return checks >= 3; }), "%d checks", checks);
+    }
+}
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -555,7 +555,7 @@
         watchSilence();
         const Result<std::string_view> piece = co_await exchange.readPiece();
         m_silenceTimer.cancel();
-        if (!piece || events.overflowed())
+        if (!piece)
             co_return AttemptResult::MayHaveRun;
         if (piece->empty())
             break;
@@ -565,6 +565,8 @@
         m_lastEventId = events.lastId();
         if (!whole.empty() && !co_await deliverEvents(attempt, whole))
             co_return AttemptResult::Done;
+        if (events.overflowed() || events.malformed())
+            co_return AttemptResult::MayHaveRun;
     }
     if (events.hasPartial())
         co_return AttemptResult::MayHaveRun;
