Keep a stream that ends with comment lines

A stream that was complete was cut, or asked for again at another server, because a comment line without a blank line came after its last event.

Whole comment lines don't any more and are passed on unchanged. A comment without the end of its line still shows that the stream was broken off.

Shown by linesBetweenEventsAndAfterTheLastOnePassUnchanged, which failed before.

--- a/src/gentianramp/relay/relay_answer_test.cpp
+++ b/src/gentianramp/relay/relay_answer_test.cpp
@@ -350,6 +350,22 @@
     cr_assert_not(static_cast<bool>(cut.call()));
 }
 
+// A stream that was complete was cut, or sent again, because of a line after its last event.
+Test(relay_answers, linesBetweenEventsAndAfterTheLastOnePassUnchanged)
+{
+    for (const Framing framing : Framings) {
+        for (const char *rest : {"\n", "\r\n", ": end\n", ": end\r\n", ":\n\n: end\n"}) {
+            const std::string body = ": begin\n\n" + events(1, 2) + "\n" + events(3, 4) + rest;
+            AnswerFixture fixture;
+            fixture.addServer("one", answers(framing, StreamType, body));
+            fixture.declare(runOnceStream());
+            const Result<HttpResponse> answer = fixture.call();
+            cr_assert(static_cast<bool>(answer), "cut after: %s", rest);
+            cr_assert_eq(answer->body, body);
+        }
+    }
+}
+
 // Callers got bytes that are no events as part of a stream.
 Test(relay_answers, bytesThatAreNoEventsAreNotPassedOn)
 {
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -568,9 +568,10 @@
         if (events.overflowed() || events.malformed())
             co_return AttemptResult::MayHaveRun;
     }
-    if (events.hasPartial())
+    if (events.insideEvent())
         co_return AttemptResult::MayHaveRun;
-    if (!m_writer->started() && !co_await deliverEvents(attempt, {}))
+    const std::string comments = events.takePartial();
+    if ((!comments.empty() || !m_writer->started()) && !co_await deliverEvents(attempt, comments))
         co_return AttemptResult::Done;
     m_state->metrics.served.add();
     m_verdict = Verdict::Complete;
