Take a stream without a length and without events as broken off

A server that closed its connection directly after the head of a stream, with neither a length nor chunks, gave the caller a complete stream without events.

Cause: the connection's end completes such a body, and relayStream() finished every stream that ended outside an event. A body that only the connection's end completes now has to have at least one event; otherwise the stream goes on at another server, or fails. An empty stream with a length or a last chunk is still complete.

Shown by aStreamWithoutLengthAndEventsIsBrokenOff, which failed before.

--- a/src/gentianramp/relay/relay_answer_test.cpp
+++ b/src/gentianramp/relay/relay_answer_test.cpp
@@ -366,6 +366,27 @@
     }
 }
 
+Test(relay_answers, aStreamWithoutLengthAndEventsIsBrokenOff)
+{
+    for (const char *bytes : {"", "\n", ": begin\n\n"}) {
+        AnswerFixture resumed;
+        resumed.addServer("empty", answers(Framing::Connection, StreamType, bytes));
+        resumed.addServer("other", streamsOn(3));
+        resumed.declare(resumableStream());
+        for (int count = 0; count < 10 && resumed.requests["empty"] == 0; ++count) {
+            const Result<HttpResponse> answer = resumed.call();
+            cr_assert(static_cast<bool>(answer));
+            cr_assert_eq(answer->body, (resumed.requests["empty"] > 0 ? bytes : "") + events(1, 3));
+        }
+        cr_assert_gt(resumed.requests["empty"], 0);
+        AnswerFixture once;
+        once.addServer("empty", answers(Framing::Connection, StreamType, bytes));
+        once.declare(runOnceStream());
+        const Result<HttpResponse> failure = once.call();
+        cr_assert(!failure || failure->status == 502U);
+    }
+}
+
 // Callers got bytes that are no events as part of a stream.
 Test(relay_answers, bytesThatAreNoEventsAreNotPassedOn)
 {
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -49,6 +49,13 @@
     return status >= 200 && status < 300;
 }
 
+/// True when the end of the body does not have to be told from the connection's end.
+bool isDelimited(const HttpExchange &exchange)
+{
+    return exchange.headers().contains("Content-Length")
+        || exchange.headers().contains("Transfer-Encoding");
+}
+
 /// Fields that concern one connection only.
 constexpr std::string_view HopByHopNames[] = {"Connection",
                                               "Keep-Alive",
@@ -568,7 +575,8 @@
         if (events.overflowed() || events.malformed())
             co_return AttemptResult::MayHaveRun;
     }
-    if (events.insideEvent())
+    // Nothing shows that a stream without a length and without events is complete.
+    if (events.insideEvent() || (!events.hasEvents() && !isDelimited(exchange)))
         co_return AttemptResult::MayHaveRun;
     const std::string comments = events.takePartial();
     if ((!comments.empty() || !m_writer->started()) && !co_await deliverEvents(attempt, comments))
