Merge the answers that come without end or are broken off

Where a stream without a length ends inside an event or without any, the connection counts as lost, so that the evidence on crashes sees it.

--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -49,6 +49,13 @@
     return status >= 200 && status < 300;
 }
 
+/// True when the end of the body does not have to be told from the connection's end.
+bool isDelimited(const HttpExchange &exchange)
+{
+    return exchange.headers().contains("Content-Length")
+        || exchange.headers().contains("Transfer-Encoding");
+}
+
 /// Fields that concern one connection only.
 constexpr std::string_view HopByHopNames[] = {"Connection",
                                               "Keep-Alive",
@@ -640,7 +647,7 @@
         const Result<std::string_view> piece = co_await exchange.readPiece();
         m_silenceTimer.cancel();
         attempt.error = piece.error();
-        if (!piece || events.overflowed())
+        if (!piece)
             co_return AttemptResult::MayHaveRun;
         if (piece->empty())
             break;
@@ -650,10 +657,17 @@
         m_lastEventId = events.lastId();
         if (!whole.empty() && !co_await deliverEvents(attempt, whole))
             co_return AttemptResult::Done;
+        if (events.overflowed() || events.malformed())
+            co_return AttemptResult::MayHaveRun;
     }
-    if (events.hasPartial())
+    // Nothing shows that a stream without a length and without events is complete.
+    if (events.insideEvent() || (!events.hasEvents() && !isDelimited(exchange))) {
+        if (!isDelimited(exchange))
+            attempt.error = make_error_code(Error::ConnectionLost);
         co_return AttemptResult::MayHaveRun;
-    if (!m_writer->started() && !co_await deliverEvents(attempt, {}))
+    }
+    const std::string comments = events.takePartial();
+    if ((!comments.empty() || !m_writer->started()) && !co_await deliverEvents(attempt, comments))
         co_return AttemptResult::Done;
     if (m_prompt)
         m_state->noteServed(m_service, *m_prompt, attempt.answeredAt);
