Keep a begun stream when the server that was to continue it rejects it

Callers saw a stream end after its first events although its server was sound: it had sent nothing for 1.2 s and went on.

Cause: the request had left the silent server, and the next server rejected it with 503 as not run. The rejection counted as the last attempt of the route, so that nothing was left but to end the answer. Class: an act that can't be undone (leaving the silent server) comes before its substitute is known to accept.

A rejected attempt has not run, so that up to three rejections after the answer has begun no longer use up attempts. Each repeat is still taken from the allowance; a stream that left a silent server and is rejected without a further allowance is cut as before.

--- a/src/gentianramp/relay/relay_service_test.cpp
+++ b/src/gentianramp/relay/relay_service_test.cpp
@@ -355,6 +355,22 @@
     };
 }
 
+/// Streams events 1 to 6, or those after Last-Event-Id; the first @p rejections streams to be
+/// continued are rejected.
+Handler rejectsFirstContinuations(int &rejections)
+{
+    return [&rejections](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
+        if (request.headers.contains("Last-Event-Id") && rejections > 0) {
+            --rejections;
+            HttpResponse rejection = signedAnswer(request, 503);
+            rejection.headers.add("X-Not-Run", "1");
+            co_await writer.send(std::move(rejection));
+            co_return;
+        }
+        co_await streams(1, 6, true)(std::move(request), writer);
+    };
+}
+
 constexpr RetryBounds NoRepeats{.ratio = 0, .slack = 0};
 
 std::string eventsUpTo(int last)
@@ -807,3 +823,23 @@
     cr_assert(moved);
     cr_assert_geq(fixture.requestsAt("other"), 1);
 }
+
+// A stream that had left a silent server was cut when the next server rejected it, although a third
+// one would have taken it.
+Test(relay_service, aStreamThatLeftASilentServerOutlivesARejection)
+{
+    RelayFixture fixture;
+    TimePoint silentUntil{};
+    int rejections = 1;
+    fixture.addServer("silent", streamsWithASilence(silentUntil));
+    fixture.declare({.kind = RouteKind::Stream, .attempts = 2, .resumable = true});
+    fixture.addServer("second", rejectsFirstContinuations(rejections));
+    fixture.addServer("third", rejectsFirstContinuations(rejections));
+    for (int count = 0; count < 12 && rejections > 0; ++count) {
+        const Result<HttpResponse> answer = fixture.call({.method = "POST"});
+        cr_assert(answer);
+        cr_assert_eq(answer->body, eventsUpTo(6));
+    }
+    cr_assert_eq(rejections, 0);
+    cr_assert_eq(fixture.requestsAt("silent"), 1);
+}
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -25,6 +25,7 @@
 constexpr std::uint32_t MaxUnreachedSends = 4;
 /// Engines that are asked in turn to prefill a prompt. A prefill does not run the request.
 constexpr std::uint32_t MaxPrefillAttempts = 2;
+constexpr std::uint32_t MaxUncountedRejections = 3;
 /// A request with less time left is not sent.
 constexpr Duration MinTimeLeftForSend = std::chrono::milliseconds(5);
 /// Retry-After is at most the caller's remaining time divided by these: in general, and after a
@@ -372,6 +373,12 @@
         attempt.exchange->cancel();
         m_verdict = Verdict::MayHaveRun;
     }
+    // Once the answer has begun, nothing but a cut answer is left without another attempt.
+    if (result == AttemptResult::NotRun && m_writer->started()
+        && m_uncountedRejections < MaxUncountedRejections) {
+        ++m_uncountedRejections;
+        --m_sendCount;
+    }
     m_exchange.reset();
     reportOutcome(attempt, result);
     const bool misdirected = result == AttemptResult::NotRun
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -111,11 +111,13 @@
         std::string handle;
     };
     std::optional<PrefilledPrompt> m_prefilledPrompt;
-    std::uint32_t m_sendCount = 0;    ///< Attempts that reached a backend server.
-    std::uint32_t m_prefillCount = 0; ///< Engines that were asked to prefill the prompt.
-    Duration m_prefillTime{};         ///< Time of all prefills.
-    BackendId m_prefillEngine;        ///< Last engine that was asked to prefill.
-    Duration m_lastExpectedWait{};    ///< Expected wait of the last placement.
+    /// Attempts that reached a backend server, without the uncounted rejections.
+    std::uint32_t m_sendCount = 0;
+    std::uint32_t m_uncountedRejections = 0; ///< Rejections after the answer had begun.
+    std::uint32_t m_prefillCount = 0;        ///< Engines that were asked to prefill the prompt.
+    Duration m_prefillTime{};                ///< Time of all prefills.
+    BackendId m_prefillEngine;               ///< Last engine that was asked to prefill.
+    Duration m_lastExpectedWait{};           ///< Expected wait of the last placement.
     std::vector<BackendId> m_tried;
     Verdict m_verdict = Verdict::NotRun;
     /// Last event delivered, or named by the caller's Last-Event-Id.
