Report requests whose connection ends without a complete response

The server now logs connection_unanswered with the reason, the time since the request was read and the bytes written, at most 20 lines a second, and calls HttpServerOptions::unansweredHook. Entry instances count by reason in gentianramp_relay_unanswered_total. Nothing is reported when the caller closed the connection, a reset of the connection included.

Evidence: HttpServer::ReportsRequestsWithoutACompleteResponse, BoundsTheLogLinesOfUnansweredRequests and ReportsNeitherAnswersNorCallersThatLeave test what did not exist before. The reason write_failed and the counter have no test.

--- a/include/gentianramp/http/server.hpp
+++ b/include/gentianramp/http/server.hpp
@@ -9,6 +9,7 @@
 #include <gentianramp/http/message.hpp>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace gentianramp {
 
@@ -48,6 +49,27 @@
 /// closes the connection, unless the response was already complete.
 using HttpHandler = std::function<boost::asio::awaitable<void>(HttpRequest, ResponseWriter &)>;
 
+/// Why a connection ended without a complete response after a whole request was read.
+enum class UnansweredReason {
+    HandlerFailed,    ///< The handler threw after the response had started.
+    HandlerClosed,    ///< The handler called closeWithoutResponse().
+    StreamUnfinished, ///< The handler returned without finishStream().
+    WriteFailed,
+    WriteTimedOut,
+    Stopped, ///< HttpServer::stop() closed the connection.
+};
+
+std::string_view toString(UnansweredReason reason);
+
+/// A whole request without a complete response whose caller had not closed the connection.
+struct UnansweredRequest
+{
+    UnansweredReason reason = UnansweredReason::HandlerFailed;
+    Duration sinceRead{};           ///< Since the whole request was read.
+    std::uint64_t bytesWritten = 0; ///< Bytes of the response.
+    bool operator==(const UnansweredRequest &) const = default;
+};
+
 /// Options of an HttpServer.
 struct HttpServerOptions
 {
@@ -65,6 +87,8 @@
     HttpHeaders errorResponseHeaders;
     /// Added to the 500 that is sent when the handler failed; it may have run the request.
     HttpHeaders handlerErrorHeaders;
+    /// Called on the connection's executor after each UnansweredRequest.
+    std::function<void(const UnansweredRequest &)> unansweredHook;
     /// Returns the executor for the next connection; the default is a new strand on the server's
     /// executor. All work of a connection runs on it, so it must not run two handlers concurrently.
     std::function<boost::asio::any_io_executor()> connectionExecutor;
--- a/src/gentianramp/http/server.cpp
+++ b/src/gentianramp/http/server.cpp
@@ -25,6 +25,25 @@
 
 } // namespace
 
+std::string_view toString(UnansweredReason reason)
+{
+    switch (reason) {
+    case UnansweredReason::HandlerFailed:
+        return "handler_failed";
+    case UnansweredReason::HandlerClosed:
+        return "handler_closed";
+    case UnansweredReason::StreamUnfinished:
+        return "stream_unfinished";
+    case UnansweredReason::WriteFailed:
+        return "write_failed";
+    case UnansweredReason::WriteTimedOut:
+        return "write_timeout";
+    case UnansweredReason::Stopped:
+        return "stopped";
+    }
+    return "unknown";
+}
+
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State>
 {
     State(const asio::any_io_executor &executor, HttpServerOptions options, HttpHandler handler)
--- a/src/gentianramp/http/server_session.cpp
+++ b/src/gentianramp/http/server_session.cpp
@@ -26,6 +26,8 @@
 constexpr unsigned HttpVersion10 = 10;
 constexpr Duration LingerTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t MaxLingerBytes = 1024 * 1024;
+constexpr Duration UnansweredLogPeriod = std::chrono::seconds(1);
+constexpr unsigned MaxUnansweredLinesPerPeriod = 20;
 
 struct ErrorResponse
 {
@@ -144,6 +146,35 @@
     return m_sessions.size();
 }
 
+void ServerContext::reportUnanswered(const UnansweredRequest &request)
+{
+    bool logged = false;
+    unsigned omittedLines = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        const TimePoint now = RuntimeClock::now();
+        if (now - m_logPeriodStartedAt >= UnansweredLogPeriod) {
+            m_logPeriodStartedAt = now;
+            m_loggedLines = 0;
+        }
+        logged = m_loggedLines < MaxUnansweredLinesPerPeriod;
+        if (logged) {
+            ++m_loggedLines;
+            omittedLines = std::exchange(m_omittedLines, 0);
+        } else {
+            ++m_omittedLines;
+        }
+    }
+    if (logged)
+        logWarning("connection_unanswered",
+                   {{"reason", toString(request.reason)},
+                    {"since_read_ms", toMilliseconds(request.sinceRead)},
+                    {"bytes", request.bytesWritten},
+                    {"omitted", omittedLines}});
+    if (options.unansweredHook)
+        options.unansweredHook(request);
+}
+
 ServerSession::ServerSession(asio::any_io_executor executor, tcp::socket socket,
                              std::shared_ptr<ServerContext> shared)
     : m_executor(std::move(executor))
@@ -164,6 +195,7 @@
 {
     const asio::any_io_executor executor = session->m_executor;
     asio::post(executor, [session = std::move(session)] {
+        session->m_stopped = !session->m_callerGone;
         session->closeSocket();
         session->markCallerGone();
     });
@@ -280,6 +312,9 @@
 {
     m_started = false;
     m_finished = false;
+    m_handlerFailed = false;
+    m_bytesWritten = 0;
+    m_requestReadAt = RuntimeClock::now();
     watchForDisconnect();
     m_shared->activeRequests.fetch_add(1);
     co_await callHandler(std::move(request));
@@ -287,6 +322,9 @@
         co_await sendErrorResponse(500, "internal error", m_shared->options.handlerErrorHeaders);
     m_shared->activeRequests.fetch_sub(1);
     m_callerGoneHook = nullptr;
+    if (const auto reason = unansweredReason())
+        m_shared->reportUnanswered(
+            {*reason, RuntimeClock::now() - m_requestReadAt, m_bytesWritten});
     // Ends the wait that watchForDisconnect() started.
     boost::system::error_code ignored;
     if (m_socket.is_open())
@@ -301,12 +339,28 @@
         if (!m_started && !m_callerGone && !m_closedByHandler)
             logError("handler_failed", {{"error", "it returned without a response"}});
     } catch (const std::exception &exception) {
+        m_handlerFailed = true;
         logError("handler_failed", {{"error", exception.what()}});
     } catch (...) {
+        m_handlerFailed = true;
         logError("handler_failed", {{"error", "an exception of an unknown type"}});
     }
 }
 
+/// Why the caller got no complete response; empty when it got one or closed the connection.
+std::optional<UnansweredReason> ServerSession::unansweredReason() const
+{
+    if (m_finished)
+        return std::nullopt;
+    if (m_stopped)
+        return UnansweredReason::Stopped;
+    if (m_callerGone)
+        return m_writeFailure;
+    if (m_closedByHandler)
+        return UnansweredReason::HandlerClosed;
+    return m_handlerFailed ? UnansweredReason::HandlerFailed : UnansweredReason::StreamUnfinished;
+}
+
 void ServerSession::watchForDisconnect()
 {
     auto handler = [weak = weak_from_this()](const boost::system::error_code &error) {
@@ -402,12 +456,16 @@
     if (m_callerGone)
         co_return make_error_code(Error::ConnectionLost);
     m_watchdog->expireAfter(m_shared->options.writeTimeout);
-    co_await asio::async_write(m_socket, asio::buffer(text.data(), text.size()),
-                               asio::redirect_error(asio::use_awaitable, error));
+    m_bytesWritten += co_await asio::async_write(m_socket, asio::buffer(text.data(), text.size()),
+                                                 asio::redirect_error(asio::use_awaitable, error));
     m_watchdog->clearDeadline();
     if (!error)
         co_return std::error_code();
     const bool timedOut = m_watchdog->expired();
+    const bool callerClosed
+        = error == asio::error::connection_reset || error == asio::error::broken_pipe;
+    if (!m_callerGone && !callerClosed)
+        m_writeFailure = timedOut ? UnansweredReason::WriteTimedOut : UnansweredReason::WriteFailed;
     markCallerGone();
     co_return make_error_code(timedOut ? Error::TimedOut : Error::ConnectionLost);
 }
--- a/src/gentianramp/http/server_session.hpp
+++ b/src/gentianramp/http/server_session.hpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <gentianramp/http/server.hpp>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 
 namespace gentianramp {
@@ -25,6 +26,9 @@
     void remove(const ServerSession *session);
     void closeAll();
     std::size_t count() const;
+    /// Logs @p request and calls the hook. Bounded in lines; the next line says how many were left
+    /// out.
+    void reportUnanswered(const UnansweredRequest &request);
 
     HttpServerOptions options;
     HttpHandler handler;
@@ -35,6 +39,9 @@
 private:
     mutable std::mutex m_mutex;
     std::unordered_map<const ServerSession *, std::weak_ptr<ServerSession>> m_sessions;
+    TimePoint m_logPeriodStartedAt{};
+    unsigned m_loggedLines = 0; ///< In the current period.
+    unsigned m_omittedLines = 0;
 };
 
 /// One caller's connection: reads requests one at a time and passes them to the handler.
@@ -72,6 +79,7 @@
     /// Starts a wait for input that detects when the caller closes the connection.
     void watchForDisconnect();
     void markCallerGone();
+    std::optional<UnansweredReason> unansweredReason() const;
     void beginResponse();
     void closeSocket();
 
@@ -81,6 +89,9 @@
     std::shared_ptr<Watchdog> m_watchdog;
     boost::beast::flat_buffer m_buffer;
     std::function<void()> m_callerGoneHook;
+    TimePoint m_requestReadAt{};
+    std::uint64_t m_bytesWritten = 0; ///< Since the request was read.
+    std::optional<UnansweredReason> m_writeFailure;
     bool m_keepAlive = true;
     bool m_headOnly = false;
     /// The request is HTTP/1.0: a streamed body is sent without chunked encoding and ends when the
@@ -90,6 +101,8 @@
     bool m_finished = false;
     bool m_closesGracefully = false; ///< The caller may not have read the last response yet.
     bool m_callerGone = false;
+    bool m_stopped = false; ///< HttpServer::stop() closed the connection.
+    bool m_handlerFailed = false;
     bool m_closedByHandler = false; ///< The handler asked to close without a response.
 };
 
--- a/src/gentianramp/http/server_test.cpp
+++ b/src/gentianramp/http/server_test.cpp
@@ -1,6 +1,7 @@
 #include "http_test_support.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <glog/logging.h>
 #include <random>
 #include <thread>
 
@@ -80,6 +81,29 @@
     bool m_reset = false;
 };
 
+/// Collects the log lines about unanswered requests.
+class UnansweredLines : public google::LogSink
+{
+public:
+    UnansweredLines() { google::AddLogSink(this); }
+    ~UnansweredLines() override { google::RemoveLogSink(this); }
+    UnansweredLines(const UnansweredLines &) = delete;
+    UnansweredLines &operator=(const UnansweredLines &) = delete;
+
+    void send(google::LogSeverity, const char *, const char *, int, const google::LogMessageTime &,
+              const char *message, std::size_t length) override
+    {
+        const std::string text(message, length);
+        if (text.starts_with("connection_unanswered "))
+            m_texts.push_back(text);
+    }
+
+    const std::vector<std::string> &texts() const { return m_texts; }
+
+private:
+    std::vector<std::string> m_texts;
+};
+
 /// Stops the runtime's clock for the time of a test.
 class PausedClock
 {
@@ -225,6 +249,90 @@
     cr_assert(responseTo("GET /throw-in-stream HTTP/1.1\r\n\r\n").ends_with("4\r\nhalf\r\n"));
 }
 
+// Without a report, a request that was lost leaves no trace at the server.
+Test(HttpServer, ReportsRequestsWithoutACompleteResponse)
+{
+    std::vector<UnansweredRequest> reports;
+    HttpServerOptions options;
+    options.writeTimeout = 60ms;
+    options.unansweredHook = [&](const UnansweredRequest &request) { reports.push_back(request); };
+    TestServer test(options);
+    const auto reasonOf = [&](const std::string &path) {
+        reports.clear();
+        exchangeRaw(test.context, test.port, "GET " + path + " HTTP/1.1\r\n\r\n");
+        cr_assert_eq(reports.size(), 1U, "%s", path.c_str());
+        return reports.front().reason;
+    };
+    cr_assert_eq(reasonOf("/cut"), UnansweredReason::StreamUnfinished);
+    cr_assert_gt(reports.front().bytesWritten, 0U);
+    cr_assert_eq(reasonOf("/throw-in-stream"), UnansweredReason::HandlerFailed);
+    cr_assert_eq(reasonOf("/close"), UnansweredReason::HandlerClosed);
+    cr_assert_eq(reports.front().bytesWritten, 0U);
+
+    reports.clear();
+    const std::string body(8'000'000, 'x');
+    PlainCaller slow(test.port);
+    std::string unsent
+        = "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    runUntil(test.context, [&] {
+        unsent.erase(0, slow.write(unsent));
+        return !reports.empty();
+    });
+    cr_assert_eq(reports.size(), 1U);
+    cr_assert_eq(reports.front().reason, UnansweredReason::WriteTimedOut);
+
+    reports.clear();
+    PlainCaller waiting(test.port);
+    const std::string stall = "GET /stall HTTP/1.1\r\n\r\n";
+    cr_assert_eq(waiting.write(stall), stall.size());
+    cr_assert(runUntil(test.context, [&] { return test.server.activeRequests() == 1; }));
+    test.server.stop();
+    cr_assert(runUntil(test.context, [&] { return !reports.empty(); }));
+    cr_assert_eq(reports.front().reason, UnansweredReason::Stopped);
+}
+
+// A fault that hits every request must not displace all other log lines.
+Test(HttpServer, BoundsTheLogLinesOfUnansweredRequests)
+{
+    constexpr int requests = 50;
+    constexpr std::size_t linesPerSecond = 20;
+    const PausedClock clock;
+    UnansweredLines lines;
+    int reports = 0;
+    HttpServerOptions options;
+    options.unansweredHook = [&](const UnansweredRequest &) { ++reports; };
+    TestServer test(options);
+    const std::string request = "GET /close HTTP/1.1\r\n\r\n";
+    for (int count = 0; count < requests; ++count)
+        exchangeRaw(test.context, test.port, request);
+    cr_assert_eq(reports, requests);
+    cr_assert_eq(lines.texts().size(), linesPerSecond);
+    RuntimeClock::advance(1s);
+    exchangeRaw(test.context, test.port, request);
+    cr_assert_eq(lines.texts().size(), linesPerSecond + 1);
+    cr_assert(lines.texts().back().ends_with("omitted=30"), "%s", lines.texts().back().c_str());
+}
+
+Test(HttpServer, ReportsNeitherAnswersNorCallersThatLeave)
+{
+    int reports = 0;
+    HttpServerOptions options = lowLimits();
+    options.unansweredHook = [&](const UnansweredRequest &) { ++reports; };
+    TestServer test(options);
+    const std::string close = " HTTP/1.1\r\nConnection: close\r\n\r\n";
+    for (const std::string begin : {"GET /", "GET /stream", "GET /throw", "GET /forget"})
+        exchangeRaw(test.context, test.port, begin + close);
+    {
+        PlainCaller caller(test.port);
+        const std::string stall = "GET /stall" + close;
+        cr_assert_eq(caller.write(stall), stall.size());
+        cr_assert(runUntil(test.context, [&] { return test.server.activeRequests() == 1; }));
+    }
+    cr_assert(runUntil(test.context, [&] { return test.server.activeRequests() == 0; }));
+    cr_assert_eq(test.callerGoneCount, 1);
+    cr_assert_eq(reports, 0);
+}
+
 Test(HttpServer, UnfinishedStreamIsTruncated)
 {
     const std::string response = responseTo("GET /cut HTTP/1.1\r\n\r\n");
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -57,20 +57,36 @@
         return result;
     }
 
-    std::unique_ptr<HttpServer> makeServer(const HttpAddress &address, HttpHandler handler) const
+    std::unique_ptr<HttpServer>
+    makeServer(const HttpAddress &address, HttpHandler handler,
+               std::function<void(const UnansweredRequest &)> unansweredHook = {}) const
     {
         HttpServerOptions server;
         server.host = address.host;
         server.port = address.port;
         server.maxConnections = MaxCallerConnections;
+        server.unansweredHook = std::move(unansweredHook);
         // The process runs on one thread, so connections need no strand of their own.
         server.connectionExecutor = [executor = executor] { return executor; };
         return std::make_unique<HttpServer>(executor, std::move(server), std::move(handler));
     }
 
+    /// Counts callers' requests without a complete response by their reason.
+    std::function<void(const UnansweredRequest &)> unansweredCounter() const
+    {
+        return [metrics = options.relay.metrics](const UnansweredRequest &request) {
+            if (metrics)
+                metrics
+                    ->counter("gentianramp_relay_unanswered_total",
+                              "Connections ended without a complete response",
+                              {{"reason", std::string(toString(request.reason))}})
+                    .add();
+        };
+    }
+
     Result<bool> start()
     {
-        callers = makeServer(options.callerListenAddress, relay.handler());
+        callers = makeServer(options.callerListenAddress, relay.handler(), unansweredCounter());
         readiness
             = makeServer(options.readinessListenAddress, statusHandler(options.readinessPath));
         std::vector<HttpServer *> servers{callers.get(), readiness.get()};
