Explain requests that an exception ended

gentianctl explain named a failed backend server for a request that an exception in the entry instance had ended, since it did not know the reason internal_error. It names the instance now.

Evidence: RequestExplanation::EachResultHasACause failed before; the 11 tests of logbook pass.

--- a/src/gentianramp/logbook/likely_cause.cpp
+++ b/src/gentianramp/logbook/likely_cause.cpp
@@ -124,6 +124,9 @@
     if (reason == "no_route")
         return "no route in declaration " + std::string(resultLine.field("declaration")) + " ("
             + millisecondsField(resultLine, "declaration_age_ms") + " old) matches the request";
+    if (reason == "internal_error")
+        return "an exception in " + resultLine.process + " ended the request, which may have run"
+            + summarySuffix;
     if (reason == "deadline" && resultLine.field("first_ms") == "-1")
         return "no answer began before the deadline, after "
             + millisecondsField(resultLine, "total_ms")
--- a/src/gentianramp/logbook/request_explanation_test.cpp
+++ b/src/gentianramp/logbook/request_explanation_test.cpp
@@ -129,6 +129,8 @@
         {"stream_broken reason=deadline first_ms=20", "not complete at the deadline"},
         {"stream_broken reason=backend_failed first_ms=20",
          "began after 20 ms and was interrupted"},
+        {"request_failed reason=internal_error", "an exception in entry-1 ended the request"},
+        {"request_refused reason=internal_error total_ms=1", "(internal_error)"},
         {"caller_gone first_ms=-1 total_ms=30", "disconnected after 30 ms, before an answer"},
         {"caller_gone first_ms=-1 total_ms=2400 reader=e3 sends=0 expected_ms=90",
          "while e3 ran its prefill, expected wait 90 ms"},
