Bound the answers that the relay keeps in memory

A server whose answer didn't end filled 64 MB of the entry process for each request that was sent to it; a prefill whose answer came slowly without end held its request until the caller's deadline, although another engine could have prefilled or decoded it.

A whole answer is now given up after 8 MB, and an answer to a prefill after 64 KB or 2 s from its head (HttpExchange::limitRest()). A health check takes half a second and 1 MB at most, freeing a handle a second and 1 MB. The server counts as failing in each case and its connection is closed.

Shown by aWholeAnswerIsBounded and aPrefillsAnswerWithoutEndIsGivenUp, which failed before. The bounds of freeing a handle were not tried.

--- a/include/gentianramp/http/client.hpp
+++ b/include/gentianramp/http/client.hpp
@@ -62,6 +62,8 @@
     virtual bool complete() const = 0;
     /// Replaces HttpCall::silenceTimeout for the following calls.
     virtual void setSilenceTimeout(Duration timeout) = 0;
+    /// Ends the call after @p left at the latest.
+    virtual void limitRest(Duration left) = 0;
     /// Closes the connection. Pending calls return Error::Cancelled, or Error::ConnectionRefused
     /// while the connection is still being made.
     virtual void cancel() = 0;
--- a/src/gentianramp/http/client_exchange.hpp
+++ b/src/gentianramp/http/client_exchange.hpp
@@ -3,6 +3,7 @@
 #include "connection_pool.hpp"
 #include "watchdog.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -28,6 +29,10 @@
     boost::asio::awaitable<Result<std::string>> readAll() override;
     bool complete() const override { return m_complete; }
     void setSilenceTimeout(Duration timeout) override { m_call.silenceTimeout = timeout; }
+    void limitRest(Duration left) override
+    {
+        m_endAt = std::min(m_endAt, RuntimeClock::now() + left);
+    }
     void cancel() override;
     bool anyBytesWritten() const override { return m_anyBytesWritten; }
 
--- a/src/gentianramp/relay/relay_answer_test.cpp
+++ b/src/gentianramp/relay/relay_answer_test.cpp
@@ -416,6 +416,17 @@
     }
 }
 
+// Memory of a process is limited: an answer without end may not fill it.
+Test(relay_answers, aWholeAnswerIsBounded)
+{
+    AnswerFixture fixture;
+    fixture.addServer("endless", sendsWithoutEnd({}, {}, std::string(64 * 1024, 'x')));
+    fixture.declare({.kind = RouteKind::RunOnce});
+    cr_assert_eq(fixture.call()->status, 502U);
+    fixture.checkClosed("endless");
+    cr_assert_leq(fixture.servers["endless"]->fillerBytes(), 32U * 1024 * 1024);
+}
+
 Test(relay_answers, streamsOfBytesWithoutEndAreReplaced)
 {
     const std::string block(64 * 1024, 'x');
@@ -431,6 +442,22 @@
     }
 }
 
+Test(relay_answers, aPrefillsAnswerWithoutEndIsGivenUp)
+{
+    // Fast bytes, and slow ones, each of which comes in time.
+    for (const bool slow : {false, true}) {
+        AnswerFixture fixture;
+        fixture.addServer("reader",
+                          slow ? sendsWithoutEnd({}, {}, "x", 50ms)
+                               : sendsWithoutEnd({}, {}, std::string(64 * 1024, 'x')),
+                          true);
+        fixture.addServer("decoder", streamsOn(3));
+        fixture.declare({.kind = RouteKind::Stream, .attempts = 2, .carriesPrompt = true});
+        fixture.checkServed("reader", events(1, 3), true);
+        fixture.checkClosed("reader");
+    }
+}
+
 Test(relay_answers, aPrefillsAnswerMayEndWithItsConnection)
 {
     AnswerFixture fixture;
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -19,6 +19,8 @@
 /// Engines answer health checks without using a slot, within a few milliseconds.
 constexpr Duration HealthCheckTimeout = std::chrono::milliseconds(250);
 constexpr Duration FreeHandleTimeout = std::chrono::milliseconds(500);
+/// Answers that are not passed on to callers.
+constexpr std::size_t MaxStatusBytes = 1024 * 1024;
 /// Interval between health checks of a silent backend server, until it answers or is no longer
 /// listed.
 constexpr Duration HealthCheckInterval = std::chrono::milliseconds(500);
@@ -131,6 +133,8 @@
         call.connectTimeout = HealthCheckTimeout;
         call.headTimeout = HealthCheckTimeout;
         call.silenceTimeout = HealthCheckTimeout;
+        call.totalTimeout = 2 * HealthCheckTimeout;
+        call.maxBodyBytes = MaxStatusBytes;
         call.freshConnection = true;
         // The server may have asked for a pause in an answer to a request.
         if (table.isHeld(backend, RuntimeClock::now()))
@@ -154,6 +158,8 @@
     call.address = std::move(address);
     call.request = options.protocol.freeHandle(handle);
     call.connectTimeout = call.headTimeout = call.silenceTimeout = FreeHandleTimeout;
+    call.totalTimeout = 2 * FreeHandleTimeout;
+    call.maxBodyBytes = MaxStatusBytes;
     const Result<HttpResponse> answer = co_await client.request(std::move(call));
     if (!answer)
         logWarning("handle_not_freed", {{"error", answer.error().message()}});
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -42,6 +42,12 @@
 /// are off by a factor of two when requests of other priorities wait too.
 constexpr int RefusalWaitFactor = 2;
 
+/// Answers that are not streams are kept until they are complete.
+constexpr std::size_t MaxWholeAnswerBytes = 8 * 1024 * 1024;
+/// An answer to a prefill is a handle, which arrives at once unless the engine falls silent.
+constexpr std::size_t MaxPrefillAnswerBytes = 64 * 1024;
+constexpr Duration PrefillBodyTimeout = std::chrono::seconds(2);
+
 constexpr unsigned Ok = 200;
 
 bool isSuccess(unsigned status)
@@ -56,6 +62,21 @@
         || exchange.headers().contains("Transfer-Encoding");
 }
 
+asio::awaitable<Result<std::string>> readWholeBody(HttpExchange &exchange)
+{
+    std::string body;
+    for (;;) {
+        const Result<std::string_view> piece = co_await exchange.readPiece();
+        if (!piece)
+            co_return Result<std::string>(piece.error(), piece.message());
+        if (piece->empty())
+            co_return Result<std::string>(std::move(body));
+        body += *piece;
+        if (body.size() > MaxWholeAnswerBytes)
+            co_return Result<std::string>(Error::TooLarge, "the answer has more than 8 MB");
+    }
+}
+
 /// Fields that concern one connection only.
 constexpr std::string_view HopByHopNames[] = {"Connection",
                                               "Keep-Alive",
@@ -403,6 +424,7 @@
     HttpCall call = makeCall(prefillEngine);
     call.freshConnection = false; // A prefill may be repeated: it does not run the request.
     call.request.headers.set(protocol.prefillOnly, protocol.prefillValue);
+    call.maxBodyBytes = MaxPrefillAnswerBytes;
     Attempt attempt;
     attempt.target = prefillEngine;
     attempt.exchange = m_state->client.exchange(std::move(call));
@@ -418,6 +440,7 @@
     AttemptResult result = AttemptResult::NotRun;
     if (!error) {
         noteHead(attempt);
+        attempt.exchange->limitRest(PrefillBodyTimeout);
         const Result<std::string> body = co_await attempt.exchange->readAll();
         error = body.error();
         const std::string handle
@@ -533,7 +556,7 @@
 
 asio::awaitable<RelayedRequest::AttemptResult> RelayedRequest::relayWholeAnswer(Attempt &attempt)
 {
-    Result<std::string> body = co_await attempt.exchange->readAll();
+    Result<std::string> body = co_await readWholeBody(*attempt.exchange);
     if (!body)
         co_return AttemptResult::MayHaveRun;
     markAnswered(attempt);
