Keep a begun stream when an engine rejects the second prefill of its prompt

Callers saw a stream end after its first events although its server was sound and only silent for a moment.

Having left the silent server, the request had its prompt prefilled again; the engine rejected that with 503 as not run, it was the second prefill, and no third one was allowed.

The new test failed before (the answer was cut after 1.0 s); now it passes, as do all 73 tests of the relay program.

Repeats are taken from the allowance as before.

--- a/src/gentianramp/relay/relay_service_test.cpp
+++ b/src/gentianramp/relay/relay_service_test.cpp
@@ -371,6 +371,21 @@
     };
 }
 
+/// Prefills prompts; the first @p rejections of them during the silence are rejected.
+Handler rejectsPrefillsInASilence(const TimePoint &silentUntil, int &rejections)
+{
+    return [&](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
+        if (RuntimeClock::now() < silentUntil && rejections > 0) {
+            --rejections;
+            HttpResponse rejection = signedAnswer(request, 503);
+            rejection.headers.add("X-Not-Run", "1");
+            co_await writer.send(std::move(rejection));
+            co_return;
+        }
+        co_await writer.send(signedAnswer(request, 200, "handle7"));
+    };
+}
+
 constexpr RetryBounds NoRepeats{.ratio = 0, .slack = 0};
 
 std::string eventsUpTo(int last)
@@ -843,3 +858,26 @@
     cr_assert_eq(rejections, 0);
     cr_assert_eq(fixture.requestsAt("silent"), 1);
 }
+
+// A stream that had left a silent server was cut when an engine rejected the second prefill of its
+// prompt.
+Test(relay_service, aStreamThatLeftASilentServerOutlivesARejectedPrefill)
+{
+    RelayFixture fixture;
+    TimePoint silentUntil{};
+    int rejections = 1;
+    fixture.addServer("reader", rejectsPrefillsInASilence(silentUntil, rejections), true);
+    fixture.addServer("silent", streamsWithASilence(silentUntil));
+    fixture.declare(
+        {.kind = RouteKind::Stream, .attempts = 2, .carriesPrompt = true, .resumable = true});
+    fixture.addServer("other", streams(1, 6, true));
+    HttpRequest request{.method = "POST"};
+    request.headers.add("X-Prompt", "yes");
+    for (int count = 0; count < 12 && rejections > 0; ++count) {
+        const Result<HttpResponse> answer = fixture.call(request);
+        cr_assert(answer);
+        cr_assert_eq(answer->body, eventsUpTo(6));
+    }
+    cr_assert_eq(rejections, 0);
+    cr_assert_eq(fixture.requestsAt("silent"), 1);
+}
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -284,6 +284,17 @@
     return result == AttemptResult::NotRun || m_route->repeatable();
 }
 
+/// True when @p result uses up no attempt: once the answer has begun, nothing but a cut answer is
+/// left without another one.
+bool RelayedRequest::isUncounted(AttemptResult result)
+{
+    if (result != AttemptResult::NotRun || !m_writer->started()
+        || m_uncountedRejections >= MaxUncountedRejections)
+        return false;
+    ++m_uncountedRejections;
+    return true;
+}
+
 bool RelayedRequest::takeRepeat()
 {
     const bool granted
@@ -373,12 +384,8 @@
         attempt.exchange->cancel();
         m_verdict = Verdict::MayHaveRun;
     }
-    // Once the answer has begun, nothing but a cut answer is left without another attempt.
-    if (result == AttemptResult::NotRun && m_writer->started()
-        && m_uncountedRejections < MaxUncountedRejections) {
-        ++m_uncountedRejections;
+    if (isUncounted(result))
         --m_sendCount;
-    }
     m_exchange.reset();
     reportOutcome(attempt, result);
     const bool misdirected = result == AttemptResult::NotRun
@@ -440,6 +447,8 @@
         m_state->table.answered(attempt.target, RuntimeClock::now());
     else
         attempt.exchange->cancel();
+    if (isUncounted(result))
+        --m_prefillCount;
     m_exchange.reset();
     reportOutcome(attempt,
                   error && result == AttemptResult::NotRun ? AttemptResult::MayHaveRun : result);
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -54,6 +54,7 @@
     void logSendFailed(const SendTarget &target, std::string_view event, AttemptResult result,
                        const std::error_code &error, unsigned status, TimePoint sentAt) const;
     bool mayRepeat(AttemptResult result) const;
+    bool isUncounted(AttemptResult result);
     bool takeRepeat();
     bool takeRepeats(std::uint32_t count);
 
@@ -114,10 +115,11 @@
     /// Attempts that reached a backend server, without the uncounted rejections.
     std::uint32_t m_sendCount = 0;
     std::uint32_t m_uncountedRejections = 0; ///< Rejections after the answer had begun.
-    std::uint32_t m_prefillCount = 0;        ///< Engines that were asked to prefill the prompt.
-    Duration m_prefillTime{};                ///< Time of all prefills.
-    BackendId m_prefillEngine;               ///< Last engine that was asked to prefill.
-    Duration m_lastExpectedWait{};           ///< Expected wait of the last placement.
+    /// Engines that were asked to prefill the prompt, without the uncounted rejections.
+    std::uint32_t m_prefillCount = 0;
+    Duration m_prefillTime{};      ///< Time of all prefills.
+    BackendId m_prefillEngine;     ///< Last engine that was asked to prefill.
+    Duration m_lastExpectedWait{}; ///< Expected wait of the last placement.
     std::vector<BackendId> m_tried;
     Verdict m_verdict = Verdict::NotRun;
     /// Last event delivered, or named by the caller's Last-Event-Id.
