Blame no sound part after an outage or an unconfirmed crash

Causes: a crash counted from its own moment, so that after an outage of all engines the first answer let all parts of it count at once, before sound ones could be answered; and one instance never confirmed a crash, because its only health check was reset instead of refused and the list dropped the server before the next one. Class: a decision on evidence that had no time to be complete.

A crash counts one second after the first answer of its service that follows it. Losses are also confirmed when the list drops the server or shows another incarnation, or when another instance reports the crash; while that is open, the health check is repeated every 50 ms. An instance reports the trial that it uses, since registry processes that restarted count from 1 again.

--- a/include/gentianramp/registry/crash_evidence.hpp
+++ b/include/gentianramp/registry/crash_evidence.hpp
@@ -37,8 +37,9 @@
     std::string service;
     TimePoint crashedAt{};                    ///< By the clock of this process.
     std::map<std::uint64_t, CrashPart> parts; ///< By number.
-    /// The service answered other requests after the crash, so that it does not fail altogether.
-    bool serviceWorks = false;
+    /// When an answer of the service began after the crash, so that it does not fail altogether;
+    /// empty: not yet.
+    std::optional<TimePoint> worksSince;
     bool operator==(const ServerCrash &) const = default;
 };
 
@@ -85,6 +86,9 @@
     /// An answer of @p service to a prompt with these parts began at @p beganAt and was complete.
     void noteServed(const std::string &service, std::span<const std::uint64_t> parts,
                     TimePoint beganAt);
+    /// This process uses the last trial of a part. It is reported, since those that granted it may
+    /// have restarted and begun to count anew.
+    void useTrial(std::uint64_t part);
     /// Adds what another process reported. True when something was new.
     bool merge(const CrashReports &reports, TimePoint now);
     /// Drops crashes that no longer count.
--- a/include/gentianramp/relay/crash_watch.hpp
+++ b/include/gentianramp/relay/crash_watch.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <functional>
 #include <gentianramp/registry/crash_evidence.hpp>
 #include <gentianramp/relay/backend_protocol.hpp>
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace gentianramp {
 
@@ -22,6 +24,16 @@
     /// Nothing listens at the address of the server any more. Returns the crash if connections were
     /// lost there lately.
     std::optional<ServerCrash> noteRefused(const BackendId &server, TimePoint now);
+    /// Another process saw the crash. Returns this process's part of it if connections were lost
+    /// there lately and that was not known.
+    std::optional<ServerCrash> noteCrashed(const BackendId &server, std::int64_t startedAtMs,
+                                           TimePoint now);
+    /// Servers whose connections were lost lately and that are no longer listed, or as another
+    /// incarnation.
+    std::vector<ServerCrash> takeGone(const std::function<bool(const ServerCrash &)> &isListed,
+                                      TimePoint now);
+    /// Connections were lost lately, and it is not known whether the server crashed.
+    bool isUndecided(const BackendId &server, TimePoint now);
     /// The server answers: the connections broke for another reason.
     void noteAnswered(const BackendId &server);
 
--- a/src/gentianramp/registry/crash_evidence.cpp
+++ b/src/gentianramp/registry/crash_evidence.cpp
@@ -17,8 +17,8 @@
 constexpr std::uint32_t MomentsBeforeBlame = 2;
 /// Weight of a crash for a part that was never answered, where it is 1 for others.
 constexpr std::size_t NeverAnsweredWeight = 2;
-/// Time in which answers to other prompts clear the parts that they share. Covers an answer and its
-/// report to all processes.
+/// Time from the first answer of the service after a crash in which answers to other prompts clear
+/// the parts that they share. Covers an answer and its report to all processes.
 constexpr Duration ClearingTime = std::chrono::milliseconds(1000);
 /// Crashes that are further apart are not counted together.
 constexpr Duration EvidenceLifetime = std::chrono::minutes(2);
@@ -49,7 +49,7 @@
 {
     std::uint64_t hash = hashOf(crash.server.value());
     combine(hash, static_cast<std::uint64_t>(crash.startedAtMs));
-    combine(hash, crash.serviceWorks ? 1 : 0);
+    combine(hash, crash.worksSince ? 1 : 0);
     for (const auto &[number, part] : crash.parts) {
         combine(hash, number);
         combine(hash, part.position);
@@ -147,7 +147,9 @@
         merged.parts.clear(); // They are added below, within the bound.
     // Ages grow on their way between processes, so that the earliest time is the closest one.
     merged.crashedAt = std::min(merged.crashedAt, crash.crashedAt);
-    merged.serviceWorks = merged.serviceWorks || crash.serviceWorks;
+    if (crash.worksSince)
+        merged.worksSince
+            = std::min(merged.worksSince.value_or(*crash.worksSince), *crash.worksSince);
     for (const auto &[number, part] : crash.parts) {
         if (merged.parts.size() >= MaxPartsOfCrash && !merged.parts.contains(number))
             continue;
@@ -160,7 +162,7 @@
         }
     }
     const bool changed = isNew || merged.parts != entry.crash.parts
-        || merged.serviceWorks != entry.crash.serviceWorks;
+        || merged.worksSince.has_value() != entry.crash.worksSince.has_value();
     entry.crash = std::move(merged);
     if (!changed)
         return false;
@@ -192,8 +194,10 @@
         if (beganAt <= crash.crashedAt)
             continue;
         bool changed = false;
-        if (crash.service == service && !crash.serviceWorks)
-            changed = crash.serviceWorks = true;
+        if (crash.service == service && !crash.worksSince) {
+            crash.worksSince = beganAt;
+            changed = true;
+        }
         for (const std::uint64_t part : parts) {
             const auto found = crash.parts.find(part);
             if (found == crash.parts.end() || found->second.suspicion == PartSuspicion::Cleared)
@@ -254,7 +258,8 @@
 {
     std::vector<const ServerCrash *> unexplained;
     for (const auto &[key, entry] : m_crashes) {
-        if (entry.crash.serviceWorks && now - entry.crash.crashedAt >= ClearingTime)
+        // Answers to other prompts had time to clear their parts.
+        if (entry.crash.worksSince && now - *entry.crash.worksSince >= ClearingTime)
             unexplained.push_back(&entry.crash);
     }
     std::sort(
@@ -276,11 +281,18 @@
     return result;
 }
 
+void CrashEvidence::useTrial(std::uint64_t part)
+{
+    const auto found = m_trials.find(part);
+    if (found != m_trials.end())
+        found->second.grantedAt = found->second.changedAt = ++m_version;
+}
+
 bool CrashEvidence::isUncleared(std::uint64_t part, TimePoint now) const
 {
     return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto &entry) {
         const ServerCrash &crash = entry.second.crash;
-        return crash.serviceWorks && now - crash.crashedAt >= ClearingTime && suspects(crash, part);
+        return now - crash.crashedAt >= ClearingTime && suspects(crash, part);
     });
 }
 
--- a/src/gentianramp/registry/registry_codec.cpp
+++ b/src/gentianramp/registry/registry_codec.cpp
@@ -163,7 +163,9 @@
             added.set_position(part.position);
             added.set_suspicion(static_cast<std::uint32_t>(part.suspicion));
         }
-        entry.set_service_works(crash.serviceWorks);
+        entry.set_service_works(crash.worksSince.has_value());
+        if (crash.worksSince)
+            entry.set_works_age_ms(ageMs(*crash.worksSince, now));
     }
     for (const PartTrial &trial : reports.trials) {
         proto::PartTrial &entry = *message.add_trials();
@@ -182,8 +184,9 @@
         ServerCrash crash{.server = BackendId(entry.server()),
                           .startedAtMs = entry.born_ms(),
                           .service = entry.service(),
-                          .crashedAt = now - std::chrono::milliseconds(entry.age_ms()),
-                          .serviceWorks = entry.service_works()};
+                          .crashedAt = now - std::chrono::milliseconds(entry.age_ms())};
+        if (entry.service_works())
+            crash.worksSince = now - std::chrono::milliseconds(entry.works_age_ms());
         for (const proto::CrashPart &part : entry.parts())
             crash.parts[part.part()] = {suspicionOf(part.suspicion()), part.position()};
         reports.crashes.push_back(std::move(crash));
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -1100,8 +1100,10 @@
                 = {now,
                    fromProto(request.delays()),
                    {request.refused_parts().begin(), request.refused_parts().end()}};
-        for (const ServerCrash &crash : fromProto(request.crashes(), now).crashes)
+        const CrashReports reports = fromProto(request.crashes(), now);
+        for (const ServerCrash &crash : reports.crashes)
             crashes.addCrash(crash, now);
+        crashes.merge({.crashes = {}, .trials = reports.trials}, now);
         proto::RegistryMessage message;
         proto::FeedAnswer &feed = *message.mutable_feed_answer();
         feed.set_call(request.call());
--- a/src/gentianramp/relay/crash_watch.cpp
+++ b/src/gentianramp/relay/crash_watch.cpp
@@ -1,5 +1,7 @@
 #include <gentianramp/relay/crash_watch.hpp>
 
+#include <utility>
+
 namespace gentianramp {
 
 namespace {
@@ -44,6 +46,38 @@
     return found->second.crash;
 }
 
+std::optional<ServerCrash> CrashWatch::noteCrashed(const BackendId &server,
+                                                   std::int64_t startedAtMs, TimePoint now)
+{
+    expire(now);
+    const auto found = m_losses.find(server);
+    if (found == m_losses.end() || found->second.crash.startedAtMs != startedAtMs
+        || std::exchange(found->second.confirmed, true))
+        return std::nullopt;
+    return found->second.crash;
+}
+
+std::vector<ServerCrash>
+CrashWatch::takeGone(const std::function<bool(const ServerCrash &)> &isListed, TimePoint now)
+{
+    expire(now);
+    std::vector<ServerCrash> gone;
+    for (auto &[server, losses] : m_losses) {
+        if (!losses.confirmed && !isListed(losses.crash)) {
+            losses.confirmed = true;
+            gone.push_back(losses.crash);
+        }
+    }
+    return gone;
+}
+
+bool CrashWatch::isUndecided(const BackendId &server, TimePoint now)
+{
+    expire(now);
+    const auto found = m_losses.find(server);
+    return found != m_losses.end() && !found->second.confirmed;
+}
+
 void CrashWatch::noteAnswered(const BackendId &server)
 {
     m_losses.erase(server);
--- a/src/gentianramp/relay/crash_watch_test.cpp
+++ b/src/gentianramp/relay/crash_watch_test.cpp
@@ -72,3 +72,30 @@
     watch.noteLost(Engine, 7, "s", &lost, at(0));
     cr_assert_not(watch.noteRefused(Engine, at(2500)).has_value());
 }
+
+// The health check of a crashing server was accepted once more; then the list dropped the server.
+Test(crash_watch, aServerThatIsNoLongerListedHasCrashed)
+{
+    CrashWatch watch;
+    const PromptDescription lost = prompt(2, 90);
+    watch.noteLost(Engine, 7, "s", &lost, at(0));
+    cr_assert(watch.isUndecided(Engine, at(10)));
+    cr_assert(watch.takeGone([](const ServerCrash &) { return true; }, at(300)).empty());
+    const std::vector<ServerCrash> gone
+        = watch.takeGone([](const ServerCrash &) { return false; }, at(350));
+    cr_assert_eq(gone.size(), 1U);
+    cr_assert(gone.front().parts.contains(2));
+    cr_assert_not(watch.isUndecided(Engine, at(360)));
+    cr_assert(watch.takeGone([](const ServerCrash &) { return false; }, at(370)).empty());
+}
+
+Test(crash_watch, aCrashThatAnotherProcessSawConfirmsTheLosses)
+{
+    CrashWatch watch;
+    const PromptDescription lost = prompt(2, 90);
+    watch.noteLost(Engine, 7, "s", &lost, at(0));
+    cr_assert_not(watch.noteCrashed(Engine, 6, at(100)).has_value(), "another incarnation");
+    cr_assert(watch.noteCrashed(Engine, 7, at(100))->parts.contains(2));
+    cr_assert_not(watch.noteCrashed(Engine, 7, at(110)).has_value(), "known already");
+    cr_assert_not(watch.noteCrashed(BackendId("other"), 7, at(110)).has_value());
+}
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -28,6 +28,9 @@
 /// backend servers.
 constexpr Duration MaxIdleAge = std::chrono::seconds(4);
 
+/// The same while it is not known whether the server crashed: a crashing server may accept one more
+/// connection.
+constexpr Duration CrashCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration BlameInterval = std::chrono::milliseconds(50);
 /// A trial of a blamed part is granted to an instance that refused a request with it this lately.
 constexpr Duration RefusedPartRetention = std::chrono::seconds(2);
@@ -186,6 +189,7 @@
         std::uint32_t &done = trialsDone[blamedPart.part];
         if (trial && trial->instance == options.instance && trial->number > done) {
             done = trial->number;
+            crashes->useTrial(blamedPart.part);
             admission.isTrial = true;
             continue;
         }
@@ -245,7 +249,8 @@
             if (const auto crash = crashWatch.noteRefused(backend, RuntimeClock::now()))
                 noteCrash(*crash);
         }
-        co_await sleepFor(HealthCheckInterval);
+        const bool mayHaveCrashed = crashWatch.isUndecided(backend, RuntimeClock::now());
+        co_await sleepFor(mayHaveCrashed ? CrashCheckInterval : HealthCheckInterval);
     }
     pendingHealthChecks.erase(backend);
 }
@@ -282,6 +287,14 @@
 void RelayService::publish(const BackendListing &listing)
 {
     m_state->table.publish(listing);
+    const auto isListed = [&](const ServerCrash &crash) {
+        return std::any_of(
+            listing.servers.begin(), listing.servers.end(), [&](const ListedServer &server) {
+                return server.id == crash.server && server.startedAtMs == crash.startedAtMs;
+            });
+    };
+    for (const ServerCrash &crash : m_state->crashWatch.takeGone(isListed, RuntimeClock::now()))
+        m_state->noteCrash(crash);
     m_state->hasListing = true;
 }
 
@@ -294,7 +307,13 @@
 
 void RelayService::publish(const CrashReports &reports)
 {
-    m_state->crashes->merge(reports, RuntimeClock::now());
+    const TimePoint now = RuntimeClock::now();
+    m_state->crashes->merge(reports, now);
+    for (const ServerCrash &crash : reports.crashes) {
+        const auto own = m_state->crashWatch.noteCrashed(crash.server, crash.startedAtMs, now);
+        if (own)
+            m_state->crashes->addCrash(*own, now);
+    }
 }
 
 std::vector<std::uint64_t> RelayService::refusedParts(TimePoint now) const
