Test that lower limits leave a request alone that is being read

No fault was found: each request is read under the limits at its beginning, and no code changes with this test.

--- a/src/gentianramp/http/server_test.cpp
+++ b/src/gentianramp/http/server_test.cpp
@@ -206,6 +206,34 @@
     cr_assert_gt(closedCount, 0);
 }
 
+// A configuration that is published meanwhile must not end a request that was accepted before.
+Test(HttpServer, LowerLimitsLeaveTheRequestThatIsBeingReadAlone)
+{
+    const PausedClock clock;
+    TestServer test;
+    const auto send = [&](PlainCaller &caller, std::string_view bytes) {
+        cr_assert_eq(caller.write(bytes), bytes.size());
+        test.context.restart();
+        test.context.run_for(WakeUpTime);
+    };
+    PlainCaller inHead(test.port);
+    PlainCaller inBody(test.port);
+    send(inHead, "GET / HTTP/1.1\r\nConnection: close\r\nFirst: " + std::string(100, 'x'));
+    send(inBody, "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 8\r\n\r\nhalf");
+    test.server.setRequestLimits(16, 1, 1ms, 1ms);
+    RuntimeClock::advance(1s);
+    send(inHead, "x\r\n\r\n");
+    send(inBody, "more");
+    for (PlainCaller *caller : {&inHead, &inBody}) {
+        runUntil(test.context, [&] {
+            caller->readPart();
+            return caller->ended();
+        });
+        cr_assert(caller->received().starts_with("HTTP/1.1 200"), "%s", caller->received().c_str());
+    }
+    cr_assert(inBody.received().ends_with("halfmore"));
+}
+
 // Closing a socket with unread bytes resets the connection, which discards the rest of a response
 // that the caller has not read yet.
 Test(HttpServer, KeepsTheResponseWhenMoreIsPipelinedBehindTheLastRequest)
