Keep a stream that may not be sent again at a silent engine

A caller of a service whose requests run at most once saw its stream end with an error because the engine sent nothing for a second, although it was sound and went on.

Cause: the entry instance ended an attempt after 40 token targets, a second at least, whether or not the request could be sent elsewhere. Class: an act that can't be undone comes before the check that it depends on, as in the relay (watchSilence()).

Such a request now waits until its deadline, which bounds the rest of its answer too. A prefill, which runs nothing, is given up 2 s after its head.

Shown by AStreamThatMayNotBeSentAgainStaysAtASilentEngine with pauses of 1.7 s, which failed before ("connection lost").

--- a/src/gentianramp/entry/entry_service_test.cpp
+++ b/src/gentianramp/entry/entry_service_test.cpp
@@ -63,6 +63,15 @@
     cr_assert(streamText(response->body) == expectedStream("long", 100));
 }
 
+// A stream that could not be sent again was ended because its engine sent nothing for a second.
+Test(EntryService, AStreamThatMayNotBeSentAgainStaysAtASilentEngine)
+{
+    EntryFixture fixture(1, 0, {.idempotent = false, .streamTokensPerSecond = 0.6});
+    const auto response = fixture.stream(4, withRequestId("r"));
+    cr_assert(response, "%s", response.error().message().c_str());
+    cr_assert(streamText(response->body) == expectedStream("r", 4), "%s", response->body.c_str());
+}
+
 Test(EntryService, ReconnectingCallerReceivesTheRemainingTokens)
 {
     EntryFixture fixture(1, 0);
--- a/src/gentianramp/entry/entry_test_support.cpp
+++ b/src/gentianramp/entry/entry_test_support.cpp
@@ -27,7 +27,7 @@
     co_return co_await client.request(std::move(call));
 }
 
-DeclaredConfiguration declaredServices()
+DeclaredConfiguration declaredServices(const EngineServiceOptions &options)
 {
     DeclaredConfiguration configuration;
     configuration.sites = {Site};
@@ -35,6 +35,7 @@
     configuration.models = {{.id = ModelId("m"), .version = "1"}};
     ServiceDeclaration modelService{.id = ServiceId("desk"), .model = ModelId("m")};
     modelService.priorityClass = "normal";
+    modelService.idempotent = options.idempotent;
     modelService.timeout = std::chrono::seconds(15);
     modelService.firstTokenTarget = std::chrono::milliseconds(300);
     modelService.tokenTarget = std::chrono::milliseconds(20);
@@ -49,7 +50,7 @@
     return configuration;
 }
 
-FakeBackendOptions fakeOptions(unsigned number, bool engine)
+FakeBackendOptions fakeOptions(unsigned number, bool engine, double streamTokensPerSecond = 100)
 {
     FakeBackendOptions options;
     options.id = BackendId((engine ? "engine-" : "service-") + std::to_string(number));
@@ -57,29 +58,29 @@
     options.model = engine ? "m" : "";
     options.engine.prefillTokensPerSecond = 1e5;
     options.engine.decodeTokensPerSecond = 1e4;
-    options.engine.streamTokensPerSecond = 100;
+    options.engine.streamTokensPerSecond = streamTokensPerSecond;
     options.serviceTime = std::chrono::milliseconds(5);
     return options;
 }
 
 } // namespace
 
-EntryFixture::EntryFixture(unsigned engines, unsigned services)
-    : m_configuration(declaredServices())
+EntryFixture::EntryFixture(unsigned engines, unsigned services, EngineServiceOptions options)
+    : m_configuration(declaredServices(options))
 {
     for (unsigned number = 0; number < engines; ++number)
-        addBackend(fakeOptions(number, true), "desk");
+        addBackend(fakeOptions(number, true, options.streamTokensPerSecond), "desk");
     for (unsigned number = 0; number < services; ++number)
         addBackend(fakeOptions(number, false), "bay");
     setInvariantHook([](std::string_view, std::string_view) { std::abort(); });
     m_thread.start();
-    EntryOptions options;
-    options.settings.instance = InstanceId("entry-1");
-    options.settings.dataCentre = Site;
-    options.configuration = m_configuration;
-    options.incarnation = Incarnation(1);
-    options.firstStart = true;
-    m_service = std::make_unique<EntryService>(std::move(options));
+    EntryOptions entryOptions;
+    entryOptions.settings.instance = InstanceId("entry-1");
+    entryOptions.settings.dataCentre = Site;
+    entryOptions.configuration = m_configuration;
+    entryOptions.incarnation = Incarnation(1);
+    entryOptions.firstStart = true;
+    m_service = std::make_unique<EntryService>(std::move(entryOptions));
     m_port = m_service->start().value();
 }
 
--- a/src/gentianramp/entry/entry_test_support.hpp
+++ b/src/gentianramp/entry/entry_test_support.hpp
@@ -12,12 +12,19 @@
 
 namespace gentianramp {
 
+/// Options of the engines of an EntryFixture and of their service.
+struct EngineServiceOptions
+{
+    bool idempotent = true;
+    double streamTokensPerSecond = 100;
+};
+
 /// One entry instance without peers and its fake backend servers, all in this process.
 class EntryFixture
 {
 public:
     /// Starts @p engines engines of one model and @p services plain services.
-    EntryFixture(unsigned engines, unsigned services);
+    EntryFixture(unsigned engines, unsigned services, EngineServiceOptions options = {});
     ~EntryFixture();
     EntryFixture(const EntryFixture &) = delete;
     EntryFixture &operator=(const EntryFixture &) = delete;
--- a/src/gentianramp/entry/request_attempts.cpp
+++ b/src/gentianramp/entry/request_attempts.cpp
@@ -24,6 +24,8 @@
 /// time for further attempts.
 constexpr int PlainAttemptsPerTimeout = 3;
 constexpr Duration MinTokenTimeout = std::chrono::seconds(1);
+/// From the head of an engine's answer to a prefill to its end, which is short.
+constexpr Duration PrefillBodyTimeout = std::chrono::seconds(2);
 constexpr Duration MinHeadTimeout = std::chrono::milliseconds(200);
 constexpr Duration MinRetryDelay = std::chrono::milliseconds(50);
 constexpr Duration MaxRetryDelay = std::chrono::milliseconds(500);
@@ -124,6 +126,8 @@
     if (request().idempotent)
         m_watch->onGone([exchange = answer.exchange] { exchange->cancel(); });
     outcome = co_await answer.exchange->start();
+    if (outcome == StartOutcome::Answering && !mayRepeat())
+        answer.exchange->answer().limitRest(untilDeadline());
     co_return answer;
 }
 
@@ -210,13 +214,20 @@
 
 Duration RequestAttempts::firstTokenTimeout() const
 {
-    return std::max<Duration>(request().service->firstTokenTarget * FirstTokenTimeoutFactor,
-                              MinTokenTimeout);
+    return silenceTimeout(request().service->firstTokenTarget * FirstTokenTimeoutFactor);
 }
 
 Duration RequestAttempts::tokenTimeout() const
 {
-    return std::max<Duration>(request().service->tokenTarget * TokenTimeoutFactor, MinTokenTimeout);
+    return silenceTimeout(request().service->tokenTarget * TokenTimeoutFactor);
+}
+
+/// A request that may not be sent again stays at a silent engine, which may go on, until its
+/// deadline.
+Duration RequestAttempts::silenceTimeout(Duration usual) const
+{
+    const Duration timeout = std::max<Duration>(usual, MinTokenTimeout);
+    return mayRepeat() ? timeout : std::max(timeout, untilDeadline());
 }
 
 Duration RequestAttempts::headTimeout(std::uint32_t delivered) const
@@ -297,6 +308,7 @@
     const StartOutcome outcome = co_await exchange.start();
     if (outcome != StartOutcome::Answering)
         co_return std::string();
+    exchange.answer().limitRest(PrefillBodyTimeout);
     const Result<std::string> body = co_await exchange.answer().readAll();
     const nlohmann::json answer = nlohmann::json::parse(body ? *body : "", nullptr, false);
     if (!answer.is_object() || !answer.contains("kv_handle") || !answer["kv_handle"].is_string())
--- a/src/gentianramp/entry/request_attempts.hpp
+++ b/src/gentianramp/entry/request_attempts.hpp
@@ -82,6 +82,7 @@
     boost::asio::awaitable<void> waitForFreshView();
     RequestAttributes shape(std::uint32_t delivered) const;
     BackendCall makeCall(const Placement &placement, const EngineFields &fields);
+    Duration silenceTimeout(Duration usual) const;
     Duration headTimeout(std::uint32_t delivered) const;
     Duration untilDeadline() const;
     bool beginDispatch();
