Reset the connection of a cut stream without chunks

A caller that speaks HTTP/1.0 took a stream that was cut for a complete one: such a stream has neither a length nor chunks, and the connection was closed in order.

The connection is now reset when the answer of an HTTP/1.0 caller was begun and not finished.

Shown by ACutStreamWithoutChunksIsReset, which failed before ("End of file"). A stream that is finished still ends in order.

--- a/src/gentianramp/http/http_test_support.cpp
+++ b/src/gentianramp/http/http_test_support.cpp
@@ -19,7 +19,7 @@
 constexpr Duration StallTime = std::chrono::hours(1);
 
 asio::awaitable<void> runRawExchange(std::uint16_t port, std::string bytes, std::string &received,
-                                     bool &done)
+                                     boost::system::error_code &end, bool &done)
 {
     tcp::socket socket(co_await asio::this_coro::executor);
     const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), port);
@@ -28,7 +28,7 @@
     co_await asio::async_write(socket, asio::buffer(bytes),
                                asio::redirect_error(asio::use_awaitable, error));
     co_await asio::async_read(socket, asio::dynamic_buffer(received),
-                              asio::redirect_error(asio::use_awaitable, error));
+                              asio::redirect_error(asio::use_awaitable, end));
     done = true;
 }
 
@@ -85,12 +85,17 @@
     }
 }
 
-std::string exchangeRaw(asio::io_context &context, std::uint16_t port, std::string bytes)
+std::string exchangeRaw(asio::io_context &context, std::uint16_t port, std::string bytes,
+                        boost::system::error_code *end)
 {
     std::string received;
+    boost::system::error_code endError;
     bool done = false;
-    asio::co_spawn(context, runRawExchange(port, std::move(bytes), received, done), asio::detached);
+    asio::co_spawn(context, runRawExchange(port, std::move(bytes), received, endError, done),
+                   asio::detached);
     runUntil(context, [&] { return done; });
+    if (end)
+        *end = endError;
     return done ? received : "the server did not close the connection";
 }
 
--- a/src/gentianramp/http/http_test_support.hpp
+++ b/src/gentianramp/http/http_test_support.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <boost/system/error_code.hpp>
 #include <cstdint>
 #include <gentianramp/http/client.hpp>
 #include <gentianramp/http/server.hpp>
@@ -26,8 +27,10 @@
     boost::asio::awaitable<void> handle(HttpRequest request, ResponseWriter &writer);
 };
 
-/// Sends raw bytes and returns all bytes received until the server closes the connection.
-std::string exchangeRaw(boost::asio::io_context &context, std::uint16_t port, std::string bytes);
+/// Sends raw bytes and returns all bytes received until the server closes the connection; @p end
+/// gets how it was closed.
+std::string exchangeRaw(boost::asio::io_context &context, std::uint16_t port, std::string bytes,
+                        boost::system::error_code *end = nullptr);
 
 /// Runs the context until the client's call has completed.
 Result<HttpResponse> callOnce(boost::asio::io_context &context, HttpClient &client, HttpCall call);
--- a/src/gentianramp/http/server_session.cpp
+++ b/src/gentianramp/http/server_session.cpp
@@ -194,7 +194,11 @@
     m_watchdog->stop();
     if (m_socket.is_open()) {
         boost::system::error_code ignored;
-        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+        // Without chunks, only the way in which the connection ends shows that a stream was cut.
+        if (m_http10 && m_started && !m_finished)
+            m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        else
+            m_socket.shutdown(tcp::socket::shutdown_send, ignored);
     }
     closeSocket();
 }
--- a/src/gentianramp/http/server_test.cpp
+++ b/src/gentianramp/http/server_test.cpp
@@ -1,5 +1,6 @@
 #include "http_test_support.hpp"
 
+#include <boost/asio/error.hpp>
 #include <random>
 
 #include <criterion/criterion.h>
@@ -38,6 +39,18 @@
     cr_assert(response.find("first") < response.find("4\r\none \r\n3\r\ntwo\r\n0\r\n\r\n"));
 }
 
+// An HTTP/1.0 caller took a stream that was cut for a complete one.
+Test(HttpServer, ACutStreamWithoutChunksIsReset)
+{
+    for (const std::string path : {"/cut", "/stream"}) {
+        TestServer test;
+        boost::system::error_code end;
+        exchangeRaw(test.context, test.port, "GET " + path + " HTTP/1.0\r\n\r\n", &end);
+        const bool reset = end == boost::asio::error::connection_reset;
+        cr_assert_eq(reset, path == "/cut", "%s: %s", path.c_str(), end.message().c_str());
+    }
+}
+
 Test(HttpServer, DropsResponseHeadersWithLineBreaks)
 {
     const std::string response = responseTo("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
