--- a/src/gentianramp/http/server_session.cpp
+++ b/src/gentianramp/http/server_session.cpp
@@ -231,12 +231,16 @@
 asio::awaitable<void> ServerSession::closeGracefully()
 {
     boost::system::error_code error;
-    if (m_socket.is_open())
+    // Without chunks, only the way in which the connection ends shows that a stream was cut.
+    const bool isCutWithoutChunks = m_http10 && m_started && !m_finished;
+    if (m_socket.is_open() && isCutWithoutChunks)
+        m_socket.set_option(asio::socket_base::linger(true, 0), error);
+    else if (m_socket.is_open())
         m_socket.shutdown(tcp::socket::shutdown_send, error);
     // Closing a socket with unread bytes, or on which more arrive, resets the connection, and the
     // caller could lose the response.
-    const bool waits
-        = m_closesGracefully && !m_callerGone && !m_shared->stopped && m_socket.is_open();
+    const bool waits = m_closesGracefully && !isCutWithoutChunks && !m_callerGone
+        && !m_shared->stopped && m_socket.is_open();
     if (waits)
         m_watchdog->expireAfter(LingerTimeout);
     std::size_t discardedBytes = 0;
