Let a begun stream wait for a server instead of cutting it

Cause: without a placement the answer was ended at once, with seconds of its time left. Class as before: what can't be undone comes first.

A stream that has begun and may be resumed looks for a server every 100 ms until its deadline, those that it left included; after a rejection the next attempt waits 50 ms and twice as long each further time. The prefills of a resumed stream are counted from the last send, not from the first.

aStreamThatLeftASilentServerWaitsForOne failed before (cut after 1.0 s); aStreamThatLeftASilentServerOutlivesAFullOne passed before as well and guards the delay.

--- a/src/gentianramp/relay/relay_service_test.cpp
+++ b/src/gentianramp/relay/relay_service_test.cpp
@@ -443,14 +443,17 @@
 }
 
 /// Streams events 1 to 6, or those after Last-Event-Id; the first @p rejections streams to be
-/// continued are rejected.
-Handler rejectsFirstContinuations(int &rejections)
+/// continued are rejected, with @p retryAfter unless it is empty.
+Handler rejectsFirstContinuations(int &rejections, const std::string &retryAfter = {})
 {
-    return [&rejections](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
+    return [&rejections, retryAfter](HttpRequest request,
+                                     ResponseWriter &writer) -> asio::awaitable<void> {
         if (request.headers.contains("Last-Event-Id") && rejections > 0) {
             --rejections;
             HttpResponse rejection = signedAnswer(request, 503);
             rejection.headers.add("X-Not-Run", "1");
+            if (!retryAfter.empty())
+                rejection.headers.add("Retry-After", retryAfter);
             co_await writer.send(std::move(rejection));
             co_return;
         }
@@ -1058,6 +1061,41 @@
     cr_assert_eq(fixture.requestsAt("silent"), 1);
 }
 
+// A stream that had left a silent server was cut when the next one rejected it and asked for a
+// pause, so that no server was left for a moment.
+Test(relay_service, aStreamThatLeftASilentServerWaitsForOne)
+{
+    RelayFixture fixture;
+    TimePoint silentUntil{};
+    int rejections = 1;
+    fixture.addServer("silent", streamsWithASilence(silentUntil));
+    fixture.declare({.kind = RouteKind::Stream, .attempts = 2, .resumable = true});
+    fixture.addServer("second", rejectsFirstContinuations(rejections, "0.3"));
+    for (int count = 0; count < 12 && rejections > 0; ++count) {
+        const Result<HttpResponse> answer = fixture.call({.method = "POST"});
+        cr_assert(answer);
+        cr_assert_eq(answer->body, eventsUpTo(6));
+    }
+    cr_assert_eq(rejections, 0);
+}
+
+// The next server was full for a moment and rejected the stream again and again.
+Test(relay_service, aStreamThatLeftASilentServerOutlivesAFullOne)
+{
+    RelayFixture fixture;
+    TimePoint silentUntil{};
+    int rejections = 3;
+    fixture.addServer("silent", streamsWithASilence(silentUntil));
+    fixture.declare({.kind = RouteKind::Stream, .attempts = 2, .resumable = true});
+    fixture.addServer("second", rejectsFirstContinuations(rejections));
+    for (int count = 0; count < 12 && rejections == 3; ++count) {
+        const Result<HttpResponse> answer = fixture.call({.method = "POST"});
+        cr_assert(answer);
+        cr_assert_eq(answer->body, eventsUpTo(6));
+    }
+    cr_assert_lt(rejections, 3);
+}
+
 // A stream that had left a silent server was cut when an engine rejected the second prefill of its
 // prompt.
 Test(relay_service, aStreamThatLeftASilentServerOutlivesARejectedPrefill)
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -26,6 +26,11 @@
 /// Engines that are asked in turn to prefill a prompt. A prefill does not run the request.
 constexpr std::uint32_t MaxPrefillAttempts = 2;
 constexpr std::uint32_t MaxUncountedRejections = 3;
+/// Delay of the next attempt after a stream that had begun was rejected; doubles with each
+/// rejection.
+constexpr Duration FirstRejectionDelay = std::chrono::milliseconds(50);
+/// Interval at which a stream that had begun looks for a server to go on at.
+constexpr Duration ServerWaitInterval = std::chrono::milliseconds(100);
 /// A request with less time left is not sent.
 constexpr Duration MinTimeLeftForSend = std::chrono::milliseconds(5);
 /// Retry-After is at most the caller's remaining time divided by these: in general, and after a
@@ -274,6 +279,12 @@
         const std::optional<RequestPlacement> placement = choosePlacement();
         if (!placement && m_sendCount == 0)
             co_return co_await refuse("no_backend");
+        if (!placement && m_writer->started() && m_route->repeatable()) {
+            // Servers that are silent or full may take it soon; otherwise the answer is cut.
+            m_tried.clear();
+            co_await sleepFor(ServerWaitInterval);
+            continue;
+        }
         if (!placement)
             co_return co_await fail();
         if (m_sendCount == 0 && m_prefillCount == 0
@@ -306,12 +317,14 @@
         if (result == AttemptResult::Unreached && ++unreachedSends < MaxUnreachedSends)
             continue;
         const bool mayTryAgain
-            = prefillFailed ? m_prefillCount < MaxPrefillAttempts : mayRepeat(result);
+            = prefillFailed ? m_prefillsForSend < MaxPrefillAttempts : mayRepeat(result);
         // Prefilling the prompt again costs a second repeat in addition to that of the request.
         const bool needsSecondPrefill = !prefillFailed && m_prefillCount > 0 && !m_prefilledPrompt;
         const bool repeatsTaken = std::exchange(m_repeatsTaken, false);
         if (!mayTryAgain || (!repeatsTaken && !takeRepeats(needsSecondPrefill ? 2 : 1)))
             co_return co_await fail();
+        if (result == AttemptResult::NotRun && m_writer->started())
+            co_await sleepFor(FirstRejectionDelay * (1U << m_uncountedRejections));
     }
 }
 
@@ -443,6 +456,7 @@
     m_exchange = attempt.exchange;
     m_backend = target.backend;
     ++m_sendCount;
+    m_prefillsForSend = 0;
     const AttemptGuard guard(*this, attempt);
     noteSent(attempt);
     noteProgress();
@@ -497,6 +511,7 @@
     m_exchange = attempt.exchange;
     m_backend = m_prefillEngine = prefillEngine.backend;
     ++m_prefillCount;
+    ++m_prefillsForSend;
     m_prefilling = true;
     const AttemptGuard guard(*this, attempt);
     noteSent(attempt);
@@ -531,7 +546,7 @@
     else
         attempt.exchange->cancel();
     if (isUncounted(result))
-        --m_prefillCount;
+        --m_prefillsForSend;
     m_exchange.reset();
     reportOutcome(attempt,
                   error && result == AttemptResult::NotRun ? AttemptResult::MayHaveRun : result);
@@ -928,7 +943,7 @@
 {
     if (!m_route->repeatable() || !mayRepeat(AttemptResult::MayHaveRun))
         return false;
-    if (m_prefilling && m_prefillCount >= MaxPrefillAttempts)
+    if (m_prefilling && m_prefillsForSend >= MaxPrefillAttempts)
         return keepSilentServer("prefilled_twice");
     std::vector<BackendId> excluded = m_tried;
     excluded.push_back(m_backend);
