Mend the evidence on crashes where a review broke it

The hold on repeats now ends with the first event. - An answer that was complete before the crash was reported cleared nothing. A trial is also kept while another blamed part of the prompt has none, and a crash counts from when an answer was complete, not from when it began.

New tests: anAnswerThatIsKnownBeforeTheCrashIsReportedClears, theSamePartsOfACrashAreKeptEverywhere, aTrialThatWasGrantedLongAgoIsNotSent, aBegunStreamOutlivesACrashThoughAPartWasAtAnEarlierOne, aCommentBeforeTheCrashDoesNotHideThePart. Relay 106, registry 149 pass.

--- a/include/gentianramp/registry/crash_evidence.hpp
+++ b/include/gentianramp/registry/crash_evidence.hpp
@@ -83,9 +83,10 @@
 public:
     /// Records a crash that this process observed, and the parts of its requests there.
     void addCrash(const ServerCrash &crash, TimePoint now);
-    /// An answer of @p service to a prompt with these parts began at @p beganAt and was complete.
+    /// An answer of @p service to a prompt with these parts began at @p beganAt and is complete
+    /// now.
     void noteServed(const std::string &service, std::span<const std::uint64_t> parts,
-                    TimePoint beganAt);
+                    TimePoint beganAt, TimePoint now);
     /// This process uses the last trial of a part. It is reported, since those that granted it may
     /// have restarted and begun to count anew.
     void useTrial(std::uint64_t part);
@@ -131,17 +132,17 @@
     struct TrialEntry
     {
         PartTrial trial;
-        std::uint64_t changedAt = 0; ///< Version.
-        std::uint64_t grantedAt = 0; ///< Version at which this process granted it.
+        std::uint64_t changedAt = 0;  ///< Version.
+        std::uint64_t observedAt = 0; ///< Version at which this process granted or used it.
     };
 
     bool mergeCrash(const ServerCrash &crash, bool observed, TimePoint now);
-    void rememberAnswered(std::span<const std::uint64_t> parts, TimePoint now);
+    void rememberAnswered(std::span<const std::uint64_t> parts, TimePoint beganAt);
     void dropOldest();
 
     std::map<CrashKey, Entry> m_crashes;
     std::map<std::uint64_t, TrialEntry> m_trials; ///< By part.
-    /// When this process last answered a prompt with a part.
+    /// Begin of the last answer of this process to a prompt with a part.
     std::unordered_map<std::uint64_t, TimePoint> m_answeredAt;
     std::uint64_t m_version = 0;
 };
--- a/src/gentianramp/registry/crash_evidence.cpp
+++ b/src/gentianramp/registry/crash_evidence.cpp
@@ -151,16 +151,23 @@
         merged.worksSince
             = std::min(merged.worksSince.value_or(*crash.worksSince), *crash.worksSince);
     for (const auto &[number, part] : crash.parts) {
-        if (merged.parts.size() >= MaxPartsOfCrash && !merged.parts.contains(number))
-            continue;
         CrashPart &known = merged.parts.try_emplace(number, part).first->second;
         known.suspicion = std::max(known.suspicion, part.suspicion);
         known.position = std::max(known.position, part.position);
-        if (known.suspicion == PartSuspicion::Unanswered && m_answeredAt.contains(number)) {
-            known.suspicion = PartSuspicion::AnsweredBefore;
-            observed = true;
-        }
+        const auto answered = m_answeredAt.find(number);
+        if (answered == m_answeredAt.end() || known.suspicion == PartSuspicion::Cleared)
+            continue;
+        const bool isCleared = answered->second > merged.crashedAt;
+        const PartSuspicion own
+            = isCleared ? PartSuspicion::Cleared : PartSuspicion::AnsweredBefore;
+        observed = observed || own > known.suspicion;
+        known.suspicion = std::max(known.suspicion, own);
+        if (isCleared && !merged.worksSince)
+            merged.worksSince = now;
     }
+    // The same parts are kept in all processes.
+    while (merged.parts.size() > MaxPartsOfCrash)
+        merged.parts.erase(std::prev(merged.parts.end()));
     const bool changed = isNew || merged.parts != entry.crash.parts
         || merged.worksSince.has_value() != entry.crash.worksSince.has_value();
     entry.crash = std::move(merged);
@@ -186,7 +193,7 @@
 }
 
 void CrashEvidence::noteServed(const std::string &service, std::span<const std::uint64_t> parts,
-                               TimePoint beganAt)
+                               TimePoint beganAt, TimePoint now)
 {
     rememberAnswered(parts, beganAt);
     for (auto &[key, entry] : m_crashes) {
@@ -195,7 +202,7 @@
             continue;
         bool changed = false;
         if (crash.service == service && !crash.worksSince) {
-            crash.worksSince = beganAt;
+            crash.worksSince = now;
             changed = true;
         }
         for (const std::uint64_t part : parts) {
@@ -210,16 +217,16 @@
     }
 }
 
-void CrashEvidence::rememberAnswered(std::span<const std::uint64_t> parts, TimePoint now)
+void CrashEvidence::rememberAnswered(std::span<const std::uint64_t> parts, TimePoint beganAt)
 {
     if (m_answeredAt.size() + parts.size() > MaxAnsweredParts)
         std::erase_if(m_answeredAt, [&](const auto &entry) {
-            return now - entry.second >= EvidenceLifetime / 4;
+            return beganAt - entry.second >= EvidenceLifetime / 4;
         });
     if (m_answeredAt.size() + parts.size() > MaxAnsweredParts)
         m_answeredAt.clear();
     for (const std::uint64_t part : parts)
-        m_answeredAt[part] = now;
+        m_answeredAt[part] = std::max(m_answeredAt[part], beganAt);
 }
 
 bool CrashEvidence::merge(const CrashReports &reports, TimePoint now)
@@ -285,7 +292,7 @@
 {
     const auto found = m_trials.find(part);
     if (found != m_trials.end())
-        found->second.grantedAt = found->second.changedAt = ++m_version;
+        found->second.observedAt = found->second.changedAt = ++m_version;
 }
 
 bool CrashEvidence::isUncleared(std::uint64_t part, TimePoint now) const
@@ -345,7 +352,7 @@
             reports.crashes.push_back(entry.crash);
     }
     for (const auto &[part, entry] : m_trials) {
-        if (entry.grantedAt > version)
+        if (entry.observedAt > version)
             reports.trials.push_back(entry.trial);
     }
     return reports;
--- a/src/gentianramp/registry/crash_evidence_test.cpp
+++ b/src/gentianramp/registry/crash_evidence_test.cpp
@@ -32,7 +32,7 @@
 
 void serve(CrashEvidence &evidence, int ms, const std::vector<std::uint64_t> &parts)
 {
-    evidence.noteServed("s", parts, at(ms));
+    evidence.noteServed("s", parts, at(ms), at(ms));
 }
 
 std::vector<std::uint64_t> blamedParts(const CrashEvidence &evidence, int ms)
@@ -196,7 +196,7 @@
     for (int number = 0; number < 6; ++number)
         evidence.addCrash(crash(number, 1000 * number, {Popular}), at(1000 * number));
     cr_assert_eq(blamedParts(evidence, 7000), None);
-    evidence.noteServed("other", std::vector<std::uint64_t>{Session}, at(7100));
+    evidence.noteServed("other", std::vector<std::uint64_t>{Session}, at(7100), at(7100));
     cr_assert_eq(blamedParts(evidence, 7200), None);
 }
 
@@ -270,6 +270,39 @@
     }
 }
 
+// An answer is often complete before a crash is confirmed or reported here.
+Test(crash_evidence, anAnswerThatIsKnownBeforeTheCrashIsReportedClears)
+{
+    CrashEvidence evidence;
+    serve(evidence, 100, {Popular});
+    evidence.merge({.crashes = {crash(1, 0, {Popular, Session})}}, at(300));
+    const ServerCrash known = evidence.changedSince(0).crashes.front();
+    cr_assert_eq(known.parts.at(Popular).suspicion, PartSuspicion::Cleared);
+    cr_assert_eq(known.parts.at(Session).suspicion, PartSuspicion::Unanswered);
+    cr_assert(known.worksSince.has_value());
+    cr_assert_eq(evidence.observedSince(0).crashes.size(), 1U);
+}
+
+// Processes that learned more parts than are kept in different orders sent them to each other for
+// ever.
+Test(crash_evidence, theSamePartsOfACrashAreKeptEverywhere)
+{
+    CrashEvidence one;
+    CrashEvidence other;
+    ServerCrash low = crash(1, 0, {});
+    ServerCrash high = crash(1, 0, {});
+    for (std::uint64_t part = 0; part < 200; ++part) {
+        low.parts[part] = {};
+        high.parts[1000 + part] = {};
+    }
+    one.addCrash(low, at(0));
+    other.addCrash(high, at(0));
+    const CrashReports reports = one.changedSince(0);
+    one.merge(other.changedSince(0), at(0));
+    other.merge(reports, at(0));
+    cr_assert_eq(one.digest(), other.digest());
+}
+
 Test(crash_evidence, onlyWhatChangedOrWasObservedIsReported)
 {
     CrashEvidence evidence;
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -28,10 +28,12 @@
 /// backend servers.
 constexpr Duration MaxIdleAge = std::chrono::seconds(4);
 
-/// The same while it is not known whether the server crashed: a crashing server may accept one more
-/// connection.
+/// Interval between health checks while it is not known whether the server crashed: a crashing
+/// server may accept one more connection.
 constexpr Duration CrashCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration BlameInterval = std::chrono::milliseconds(50);
+/// An older trial was granted to an earlier process of this instance.
+constexpr Duration MaxTrialAge = std::chrono::seconds(10);
 /// A trial of a blamed part is granted to an instance that refused a request with it this lately.
 constexpr Duration RefusedPartRetention = std::chrono::seconds(2);
 
@@ -153,13 +155,11 @@
 void RelayState::noteServed(const std::string &service, const PromptDescription &prompt,
                             TimePoint beganAt)
 {
-    if (crashes->crashCount() == 0)
-        return;
     std::vector<std::uint64_t> parts;
     parts.reserve(prompt.parts.size());
     for (const PromptPart &part : prompt.parts)
         parts.push_back(part.id);
-    crashes->noteServed(service, parts, beganAt);
+    crashes->noteServed(service, parts, beganAt, RuntimeClock::now());
 }
 
 const std::vector<BlamedPart> &RelayState::blamedParts()
@@ -173,30 +173,42 @@
     return currentBlame;
 }
 
+bool RelayState::mayTry(std::uint64_t part) const
+{
+    const TimePoint now = RuntimeClock::now();
+    const std::optional<PartTrial> trial = crashes->lastTrial(part);
+    const auto used = trialsUsed.find(part);
+    return trial && trial->instance == options.instance && now - trial->grantedAt <= MaxTrialAge
+        && (used == trialsUsed.end() || trial->grantedAt > used->second);
+}
+
 PromptAdmission RelayState::admitPrompt(const PromptDescription &prompt)
 {
     PromptAdmission admission;
     if (crashes->crashCount() == 0)
         return admission;
     const TimePoint now = RuntimeClock::now();
+    std::vector<std::uint64_t> tried;
     for (const BlamedPart &blamedPart : blamedParts()) {
         const bool contained
             = std::any_of(prompt.parts.begin(), prompt.parts.end(),
                           [&](const PromptPart &part) { return part.id == blamedPart.part; });
         if (!contained)
             continue;
-        const std::optional<PartTrial> trial = crashes->lastTrial(blamedPart.part);
-        std::uint32_t &done = trialsDone[blamedPart.part];
-        if (trial && trial->instance == options.instance && trial->number > done) {
-            done = trial->number;
-            crashes->useTrial(blamedPart.part);
-            admission.isTrial = true;
+        if (mayTry(blamedPart.part)) {
+            tried.push_back(blamedPart.part);
             continue;
         }
         partRefusedAt[blamedPart.part] = now;
         admission.refusedFor = blamedPart;
-        break;
     }
+    if (admission.refusedFor)
+        return admission;
+    for (const std::uint64_t part : tried) {
+        trialsUsed[part] = crashes->lastTrial(part)->grantedAt;
+        crashes->useTrial(part);
+    }
+    admission.isTrial = !tried.empty();
     return admission;
 }
 
--- a/src/gentianramp/relay/relay_service_test.cpp
+++ b/src/gentianramp/relay/relay_service_test.cpp
@@ -336,15 +336,18 @@
     };
 }
 
-/// Streams events; crashes as it begins to answer a prompt with the deadly part.
-Handler crashesOnDeadlyPart(RelayFixture &fixture, const std::string &id)
+/// Streams events; crashes after @p lastBytes as it begins to answer a prompt with the deadly part.
+Handler crashesOnDeadlyPart(RelayFixture &fixture, const std::string &id,
+                            const std::string &lastBytes)
 {
-    return [&fixture, id](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
+    return [&fixture, id, lastBytes](HttpRequest request,
+                                     ResponseWriter &writer) -> asio::awaitable<void> {
         if (!request.headers.contains("X-Middle-Part"))
             co_return co_await streams(1, 3, true)(std::move(request), writer);
         HttpResponse head = signedAnswer(request);
         head.headers.add("Content-Type", "text/event-stream");
         co_await writer.startStream(std::move(head));
+        co_await writer.writePiece(lastBytes);
         fixture.crash(id);
     };
 }
@@ -359,11 +362,12 @@
 }
 
 /// Servers that crash on the deadly part, and a route whose prompts name their parts.
-void addCrashingServers(RelayFixture &fixture, int count, std::uint32_t attempts)
+void addCrashingServers(RelayFixture &fixture, int count, std::uint32_t attempts,
+                        const std::string &lastBytes = {})
 {
     for (int number = 0; number < count; ++number) {
         const std::string id = "engine-" + std::to_string(number);
-        fixture.addServer(id, crashesOnDeadlyPart(fixture, id));
+        fixture.addServer(id, crashesOnDeadlyPart(fixture, id, lastBytes));
     }
     fixture.declare({.kind = RouteKind::Stream,
                      .attempts = attempts,
@@ -1027,6 +1031,54 @@
     cr_assert_eq(deadlyRequests(fixture), 3);
 }
 
+// A trial that an earlier process of this instance used was sent again.
+Test(relay_service, aTrialThatWasGrantedLongAgoIsNotSent)
+{
+    RelayFixture fixture;
+    addCrashingServers(fixture, 5, 1);
+    crashThreeServers(fixture);
+    fixture.relay.publish(CrashReports{
+        .trials
+        = {{DeadlyPart, 1, InstanceId("entry"), RuntimeClock::now() - std::chrono::minutes(20)}}});
+    cr_assert_eq(fixture.call(promptRequest(20, true))->status, 503U);
+    cr_assert_eq(deadlyRequests(fixture), 3);
+}
+
+// A stream that had begun was cut when its server crashed, because a part of its prompt had waited
+// at an earlier crash.
+Test(relay_service, aBegunStreamOutlivesACrashThoughAPartWasAtAnEarlierOne)
+{
+    RelayFixture fixture;
+    ServerCrash earlier{.server = BackendId("gone"),
+                        .service = "s",
+                        .crashedAt = RuntimeClock::now() - std::chrono::seconds(5)};
+    earlier.parts[1] = {};
+    fixture.relay.publish(CrashReports{.crashes = {earlier}});
+    fixture.addServer("cuts", streams(1, 2, false));
+    fixture.declare(
+        {.kind = RouteKind::Stream, .attempts = 2, .carriesPrompt = true, .resumable = true});
+    fixture.addServer("goes-on", streams(1, 6, true));
+    for (int count = 0; count < 6; ++count) {
+        const Result<HttpResponse> answer = fixture.call(promptRequest(count, false));
+        cr_assert(answer);
+        cr_assert_eq(answer->body, eventsUpTo(6));
+    }
+}
+
+// Some servers send a comment before the first event; it is no answer.
+Test(relay_service, aCommentBeforeTheCrashDoesNotHideThePart)
+{
+    RelayFixture fixture;
+    addCrashingServers(fixture, 5, 1, ": ping\n\n");
+    for (int own = 0; own < 3; ++own) {
+        fixture.call(promptRequest(own, true));
+        fixture.wait(BetweenCrashes);
+        cr_assert(fixture.call(promptRequest(100 + own, false)));
+    }
+    fixture.wait(UntilBlame);
+    cr_assert_eq(fixture.call(promptRequest(9, true))->status, 503U);
+}
+
 // Connections that break while the server goes on, as with a lost answer, are no crash.
 Test(relay_service, brokenConnectionsOfAServerThatGoesOnBlameNothing)
 {
--- a/src/gentianramp/relay/relay_state.hpp
+++ b/src/gentianramp/relay/relay_state.hpp
@@ -61,6 +61,8 @@
     void noteServed(const std::string &service, const PromptDescription &prompt, TimePoint beganAt);
     /// Updates which prompt parts are blamed for crashes, at most every BlameInterval.
     const std::vector<BlamedPart> &blamedParts();
+    /// This instance was granted a trial of a blamed part and has not used it.
+    bool mayTry(std::uint64_t part) const;
     /// Decides whether a request with this prompt may be sent. Uses up a trial that this instance
     /// was granted.
     PromptAdmission admitPrompt(const PromptDescription &prompt);
@@ -95,8 +97,8 @@
     std::vector<BlamedPart> currentBlame; ///< As of blameUpdatedAt.
     TimePoint blameUpdatedAt{};
     std::map<std::uint64_t, TimePoint> partRefusedAt;
-    std::map<std::uint64_t, std::uint32_t> trialsDone; ///< Last trial of each part that was used.
-    std::set<RelayedRequest *> openRequests;           ///< Requests that are being served.
+    std::map<std::uint64_t, TimePoint> trialsUsed; ///< Grant of the last used trial of each part.
+    std::set<RelayedRequest *> openRequests;       ///< Requests that are being served.
     std::mt19937_64 random;
 };
 
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -357,8 +357,8 @@
 {
     if (m_sendCount >= m_route->attempts)
         return false;
-    // The prompt may be what crashes the servers.
-    if (result == AttemptResult::MayHaveRun && m_prompt
+    // The prompt may be what crashes the servers, unless its answer has begun.
+    if (result == AttemptResult::MayHaveRun && m_prompt && !m_writer->started()
         && (m_isTrial || m_state->wasAtEarlierCrash(*m_prompt)))
         return false;
     return result == AttemptResult::NotRun || m_route->repeatable();
@@ -635,7 +635,7 @@
 {
     if (m_prompt && !isOver() && attempt.error == make_error_code(Error::ConnectionLost))
         m_state->noteConnectionLost(attempt.target, m_service,
-                                    attempt.answered ? nullptr : &*m_prompt);
+                                    attempt.hasBegun ? nullptr : &*m_prompt);
 }
 
 // Relay
@@ -685,6 +685,8 @@
         m_backendFailure = std::move(response);
         co_return AttemptResult::MayHaveRun;
     }
+    if (m_prompt && isSuccess(response.status))
+        m_state->noteServed(m_service, *m_prompt, attempt.answeredAt);
     m_state->metrics.served.add();
     m_verdict = Verdict::Complete;
     logOutcome("request_answered", response.status, "whole");
@@ -708,6 +710,7 @@
         noteProgress();
         m_state->table.noteContact(attempt.target.backend, m_progressAt);
         const std::string whole = events.feed(*piece);
+        attempt.hasBegun = events.hasEvents();
         m_lastEventId = events.lastId();
         if (!whole.empty() && !co_await deliverEvents(attempt, whole))
             co_return AttemptResult::Done;
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -35,6 +35,7 @@
         bool answered = false;
         TimePoint sentAt{};
         TimePoint answeredAt{};
+        bool hasBegun = false; ///< An event of the answer has arrived.
         std::error_code error; ///< Why the answer is incomplete.
         bool open = false;     ///< The table counts the attempt as being served.
     };
