--- a/include/gentianramp/registry/crash_evidence.hpp
+++ b/include/gentianramp/registry/crash_evidence.hpp
@@ -37,8 +37,9 @@
     std::string service;
     TimePoint crashedAt{};                    ///< By the clock of this process.
     std::map<std::uint64_t, CrashPart> parts; ///< By number.
-    /// The service answered other requests after the crash, so that it does not fail altogether.
-    bool serviceWorks = false;
+    /// When an answer of the service began after the crash, so that it does not fail altogether;
+    /// empty: not yet.
+    std::optional<TimePoint> worksSince;
     bool operator==(const ServerCrash &) const = default;
 };
 
@@ -82,9 +83,13 @@
 public:
     /// Records a crash that this process observed, and the parts of its requests there.
     void addCrash(const ServerCrash &crash, TimePoint now);
-    /// An answer of @p service to a prompt with these parts began at @p beganAt and was complete.
+    /// An answer of @p service to a prompt with these parts began at @p beganAt and is complete
+    /// now.
     void noteServed(const std::string &service, std::span<const std::uint64_t> parts,
-                    TimePoint beganAt);
+                    TimePoint beganAt, TimePoint now);
+    /// This process uses the last trial of a part. It is reported, since those that granted it may
+    /// have restarted and begun to count anew.
+    void useTrial(std::uint64_t part);
     /// Adds what another process reported. True when something was new.
     bool merge(const CrashReports &reports, TimePoint now);
     /// Drops crashes that no longer count.
@@ -127,17 +132,17 @@
     struct TrialEntry
     {
         PartTrial trial;
-        std::uint64_t changedAt = 0; ///< Version.
-        std::uint64_t grantedAt = 0; ///< Version at which this process granted it.
+        std::uint64_t changedAt = 0;  ///< Version.
+        std::uint64_t observedAt = 0; ///< Version at which this process granted or used it.
     };
 
     bool mergeCrash(const ServerCrash &crash, bool observed, TimePoint now);
-    void rememberAnswered(std::span<const std::uint64_t> parts, TimePoint now);
+    void rememberAnswered(std::span<const std::uint64_t> parts, TimePoint beganAt);
     void dropOldest();
 
     std::map<CrashKey, Entry> m_crashes;
     std::map<std::uint64_t, TrialEntry> m_trials; ///< By part.
-    /// When this process last answered a prompt with a part.
+    /// Begin of the last answer of this process to a prompt with a part.
     std::unordered_map<std::uint64_t, TimePoint> m_answeredAt;
     std::uint64_t m_version = 0;
 };
--- a/src/gentianramp/http/server_session.cpp
+++ b/src/gentianramp/http/server_session.cpp
@@ -26,6 +26,8 @@
 constexpr unsigned HttpVersion10 = 10;
 constexpr Duration LingerTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t MaxLingerBytes = 1024 * 1024;
+constexpr Duration UnansweredLogPeriod = std::chrono::seconds(1);
+constexpr unsigned MaxUnansweredLinesPerPeriod = 20;
 
 struct ErrorResponse
 {
@@ -144,6 +146,35 @@
     return m_sessions.size();
 }
 
+void ServerContext::reportUnanswered(const UnansweredRequest &request)
+{
+    bool logged = false;
+    unsigned omittedLines = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        const TimePoint now = RuntimeClock::now();
+        if (now - m_logPeriodStartedAt >= UnansweredLogPeriod) {
+            m_logPeriodStartedAt = now;
+            m_loggedLines = 0;
+        }
+        logged = m_loggedLines < MaxUnansweredLinesPerPeriod;
+        if (logged) {
+            ++m_loggedLines;
+            omittedLines = std::exchange(m_omittedLines, 0);
+        } else {
+            ++m_omittedLines;
+        }
+    }
+    if (logged)
+        logWarning("connection_unanswered",
+                   {{"reason", toString(request.reason)},
+                    {"since_read_ms", toMilliseconds(request.sinceRead)},
+                    {"bytes", request.bytesWritten},
+                    {"omitted", omittedLines}});
+    if (options.unansweredHook)
+        options.unansweredHook(request);
+}
+
 ServerSession::ServerSession(asio::any_io_executor executor, tcp::socket socket,
                              std::shared_ptr<ServerContext> shared)
     : m_executor(std::move(executor))
@@ -164,6 +195,7 @@
 {
     const asio::any_io_executor executor = session->m_executor;
     asio::post(executor, [session = std::move(session)] {
+        session->m_stopped = !session->m_callerGone;
         session->closeSocket();
         session->markCallerGone();
     });
@@ -179,7 +211,9 @@
 {
     const auto self = shared_from_this();
     if (m_shared->count() > m_shared->options.maxConnections) {
-        co_await sendErrorResponse(503, "too many connections");
+        co_await sendErrorResponse(503, "too many connections",
+                                   m_shared->options.errorResponseHeaders);
+        co_await closeGracefully();
         co_return;
     }
     while (m_keepAlive && m_socket.is_open()) {
@@ -191,11 +225,31 @@
         if (!answered)
             break;
     }
-    m_watchdog->stop();
-    if (m_socket.is_open()) {
-        boost::system::error_code ignored;
-        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    co_await closeGracefully();
+}
+
+asio::awaitable<void> ServerSession::closeGracefully()
+{
+    boost::system::error_code error;
+    // Without chunks, only the way in which the connection ends shows that a stream was cut.
+    const bool isCutWithoutChunks = m_http10 && m_started && !m_finished;
+    if (m_socket.is_open() && isCutWithoutChunks)
+        m_socket.set_option(asio::socket_base::linger(true, 0), error);
+    else if (m_socket.is_open())
+        m_socket.shutdown(tcp::socket::shutdown_send, error);
+    // Closing a socket with unread bytes, or on which more arrive, resets the connection, and the
+    // caller could lose the response.
+    const bool waits = m_closesGracefully && !isCutWithoutChunks && !m_callerGone
+        && !m_shared->stopped && m_socket.is_open();
+    if (waits)
+        m_watchdog->expireAfter(LingerTimeout);
+    std::size_t discardedBytes = 0;
+    while (waits && !error && discardedBytes < MaxLingerBytes) {
+        m_buffer.consume(m_buffer.size());
+        discardedBytes += co_await m_socket.async_read_some(
+            m_buffer.prepare(ReadBytes), asio::redirect_error(asio::use_awaitable, error));
     }
+    m_watchdog->stop();
     closeSocket();
 }
 
@@ -205,8 +259,9 @@
     boost::system::error_code error;
     m_keepAlive = true;
     m_headOnly = false;
+    m_closesGracefully = false;
     if (m_buffer.size() == 0) {
-        m_watchdog->expireAfter(options.idleTimeout);
+        m_watchdog->expireAfter(options.idleTimeout, ExpiryAction::CancelOperations);
         const std::size_t bytesRead = co_await m_socket.async_read_some(
             m_buffer.prepare(ReadBytes), asio::redirect_error(asio::use_awaitable, error));
         m_buffer.commit(bytesRead);
@@ -216,21 +271,22 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(options.maxHeaderBytes);
     parser.body_limit(options.maxBodyBytes);
-    m_watchdog->expireAfter(options.headerTimeout);
+    // The socket stays open for the 408.
+    m_watchdog->expireAfter(options.headerTimeout, ExpiryAction::CancelOperations);
     co_await http::async_read_header(m_socket, m_buffer, parser,
                                      asio::redirect_error(asio::use_awaitable, error));
     if (!error && !parser.is_done()) {
-        m_watchdog->expireAfter(options.bodyTimeout);
         if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
             co_await writeText("HTTP/1.1 100 Continue\r\n\r\n");
-        m_watchdog->expireAfter(options.bodyTimeout);
+        m_watchdog->expireAfter(options.bodyTimeout, ExpiryAction::CancelOperations);
         co_await http::async_read(m_socket, m_buffer, parser,
                                   asio::redirect_error(asio::use_awaitable, error));
     }
     if (error) {
         ErrorResponse errorResponse = errorResponseFor(error, m_watchdog->expired());
         if (errorResponse.status != 0)
-            co_await sendErrorResponse(errorResponse.status, std::move(errorResponse.message));
+            co_await sendErrorResponse(errorResponse.status, std::move(errorResponse.message),
+                                       options.errorResponseHeaders);
         co_return false;
     }
     m_watchdog->clearDeadline();
@@ -241,7 +297,8 @@
     co_return true;
 }
 
-asio::awaitable<void> ServerSession::sendErrorResponse(unsigned status, std::string message)
+asio::awaitable<void> ServerSession::sendErrorResponse(unsigned status, std::string message,
+                                                       const HttpHeaders &headers)
 {
     if (!m_socket.is_open())
         co_return;
@@ -249,41 +306,63 @@
     m_started = false;
     HttpResponse response;
     response.status = status;
-    response.headers = m_shared->options.errorResponseHeaders;
+    response.headers = headers;
     response.headers.set("Content-Type", "text/plain");
     response.body = std::move(message) + "\n";
     co_await send(std::move(response));
-    // Closing a socket with unread bytes resets the connection, and the caller could lose the
-    // response.
-    boost::system::error_code error;
-    m_socket.shutdown(tcp::socket::shutdown_send, error);
-    m_watchdog->expireAfter(LingerTimeout);
-    std::size_t discardedBytes = 0;
-    while (!error && discardedBytes < MaxLingerBytes) {
-        m_buffer.consume(m_buffer.size());
-        discardedBytes += co_await m_socket.async_read_some(
-            m_buffer.prepare(ReadBytes), asio::redirect_error(asio::use_awaitable, error));
-    }
 }
 
 asio::awaitable<bool> ServerSession::handle(HttpRequest request)
 {
     m_started = false;
     m_finished = false;
+    m_handlerFailed = false;
+    m_bytesWritten = 0;
+    m_requestReadAt = RuntimeClock::now();
     watchForDisconnect();
     m_shared->activeRequests.fetch_add(1);
-    try {
-        co_await m_shared->handler(std::move(request), *this);
-    } catch (const std::exception &exception) {
-        logError("handler_failed", {{"error", exception.what()}});
-    }
+    co_await callHandler(std::move(request));
+    if (!m_started && !m_callerGone && !m_closedByHandler)
+        co_await sendErrorResponse(500, "internal error", m_shared->options.handlerErrorHeaders);
     m_shared->activeRequests.fetch_sub(1);
     m_callerGoneHook = nullptr;
+    if (const auto reason = unansweredReason())
+        m_shared->reportUnanswered(
+            {*reason, RuntimeClock::now() - m_requestReadAt, m_bytesWritten});
     // Ends the wait that watchForDisconnect() started.
     boost::system::error_code ignored;
     if (m_socket.is_open())
         m_socket.cancel(ignored);
-    co_return m_finished && !m_callerGone;
+    co_return m_finished && !m_callerGone && !m_closedByHandler;
+}
+
+asio::awaitable<void> ServerSession::callHandler(HttpRequest request)
+{
+    try {
+        co_await m_shared->handler(std::move(request), *this);
+        if (!m_started && !m_callerGone && !m_closedByHandler)
+            logError("handler_failed", {{"error", "it returned without a response"}});
+    } catch (const std::exception &exception) {
+        m_handlerFailed = true;
+        logError("handler_failed", {{"error", exception.what()}});
+    } catch (...) {
+        m_handlerFailed = true;
+        logError("handler_failed", {{"error", "an exception of an unknown type"}});
+    }
+}
+
+/// Why the caller got no complete response; empty when it got one or closed the connection.
+std::optional<UnansweredReason> ServerSession::unansweredReason() const
+{
+    if (m_finished)
+        return std::nullopt;
+    if (m_stopped)
+        return UnansweredReason::Stopped;
+    if (m_callerGone)
+        return m_writeFailure;
+    if (m_closedByHandler)
+        return UnansweredReason::HandlerClosed;
+    return m_handlerFailed ? UnansweredReason::HandlerFailed : UnansweredReason::StreamUnfinished;
 }
 
 void ServerSession::watchForDisconnect()
@@ -315,6 +394,7 @@
 void ServerSession::beginResponse()
 {
     m_started = true;
+    m_closesGracefully = true;
     if (m_shared->keepAliveDisabled)
         m_keepAlive = false;
 }
@@ -380,12 +460,16 @@
     if (m_callerGone)
         co_return make_error_code(Error::ConnectionLost);
     m_watchdog->expireAfter(m_shared->options.writeTimeout);
-    co_await asio::async_write(m_socket, asio::buffer(text.data(), text.size()),
-                               asio::redirect_error(asio::use_awaitable, error));
+    m_bytesWritten += co_await asio::async_write(m_socket, asio::buffer(text.data(), text.size()),
+                                                 asio::redirect_error(asio::use_awaitable, error));
     m_watchdog->clearDeadline();
     if (!error)
         co_return std::error_code();
     const bool timedOut = m_watchdog->expired();
+    const bool callerClosed
+        = error == asio::error::connection_reset || error == asio::error::broken_pipe;
+    if (!m_callerGone && !callerClosed)
+        m_writeFailure = timedOut ? UnansweredReason::WriteTimedOut : UnansweredReason::WriteFailed;
     markCallerGone();
     co_return make_error_code(timedOut ? Error::TimedOut : Error::ConnectionLost);
 }
--- a/src/gentianramp/http/server_test.cpp
+++ b/src/gentianramp/http/server_test.cpp
@@ -1,6 +1,10 @@
 #include "http_test_support.hpp"
 
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <glog/logging.h>
 #include <random>
+#include <thread>
 
 #include <criterion/criterion.h>
 
@@ -9,7 +13,12 @@
 
 namespace {
 
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
 constexpr std::uint64_t Seed = 20261203;
+/// A paused clock is looked at this often at least.
+constexpr Duration WakeUpTime = 2ms;
 
 HttpServerOptions lowLimits()
 {
@@ -29,6 +38,83 @@
     return exchangeRaw(test.context, test.port, std::move(bytes));
 }
 
+/// A caller on the test's own thread whose reads and writes do not wait.
+class PlainCaller
+{
+public:
+    explicit PlainCaller(std::uint16_t port, int receiveBufferBytes = 0)
+        : m_socket(m_context, tcp::v4())
+    {
+        if (receiveBufferBytes > 0)
+            m_socket.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes));
+        m_socket.connect({asio::ip::address_v4::loopback(), port});
+        m_socket.non_blocking(true);
+    }
+
+    /// Returns the number of bytes that the kernel took.
+    std::size_t write(std::string_view bytes)
+    {
+        if (bytes.empty())
+            return 0;
+        boost::system::error_code error;
+        return m_socket.write_some(asio::buffer(bytes), error);
+    }
+
+    /// Reads a few kilobytes at most.
+    void readPart()
+    {
+        boost::system::error_code error;
+        m_received.append(m_part.data(), m_socket.read_some(asio::buffer(m_part), error));
+        m_ended = error && error != asio::error::would_block;
+        m_reset = m_ended && error != asio::error::eof;
+    }
+
+    const std::string &received() const { return m_received; }
+    bool ended() const { return m_ended; }
+    bool reset() const { return m_reset; }
+
+private:
+    asio::io_context m_context;
+    tcp::socket m_socket;
+    std::array<char, 4096> m_part{};
+    std::string m_received;
+    bool m_ended = false;
+    bool m_reset = false;
+};
+
+/// Collects the log lines about unanswered requests.
+class UnansweredLines : public google::LogSink
+{
+public:
+    UnansweredLines() { google::AddLogSink(this); }
+    ~UnansweredLines() override { google::RemoveLogSink(this); }
+    UnansweredLines(const UnansweredLines &) = delete;
+    UnansweredLines &operator=(const UnansweredLines &) = delete;
+
+    void send(google::LogSeverity, const char *, const char *, int, const google::LogMessageTime &,
+              const char *message, std::size_t length) override
+    {
+        const std::string text(message, length);
+        if (text.starts_with("connection_unanswered "))
+            m_texts.push_back(text);
+    }
+
+    const std::vector<std::string> &texts() const { return m_texts; }
+
+private:
+    std::vector<std::string> m_texts;
+};
+
+/// Stops the runtime's clock for the time of a test.
+class PausedClock
+{
+public:
+    PausedClock() { RuntimeClock::pause(); }
+    ~PausedClock() { RuntimeClock::resume(); }
+    PausedClock(const PausedClock &) = delete;
+    PausedClock &operator=(const PausedClock &) = delete;
+};
+
 } // namespace
 
 Test(HttpServer, RespondsToPipelinedRequestsInOrder)
@@ -38,6 +124,18 @@
     cr_assert(response.find("first") < response.find("4\r\none \r\n3\r\ntwo\r\n0\r\n\r\n"));
 }
 
+// An HTTP/1.0 caller took a stream that was cut for a complete one.
+Test(HttpServer, ACutStreamWithoutChunksIsReset)
+{
+    for (const std::string path : {"/cut", "/stream"}) {
+        TestServer test;
+        boost::system::error_code end;
+        exchangeRaw(test.context, test.port, "GET " + path + " HTTP/1.0\r\n\r\n", &end);
+        const bool reset = end == boost::asio::error::connection_reset;
+        cr_assert_eq(reset, path == "/cut", "%s: %s", path.c_str(), end.message().c_str());
+    }
+}
+
 Test(HttpServer, DropsResponseHeadersWithLineBreaks)
 {
     const std::string response = responseTo("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
@@ -64,6 +162,218 @@
     cr_assert(slowBody.find("200") == std::string::npos);
 }
 
+// A caller that gets no response can't tell whether its request was read.
+Test(HttpServer, AnswersSlowRequestsWith408)
+{
+    cr_assert(responseTo("GET / HTTP/1.1\r\nHalf: ").starts_with("HTTP/1.1 408"));
+    const std::string slowBody = responseTo("POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\nhalf");
+    cr_assert(slowBody.starts_with("HTTP/1.1 408"));
+    cr_assert(slowBody.find("Gentianramp-Verdict: NotRun") != std::string::npos);
+}
+
+// A request that arrives while the idle time-out passes is answered, or not read at all.
+Test(HttpServer, AnswersARequestThatMeetsTheIdleTimeout)
+{
+    const std::string whole = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
+    int answeredCount = 0;
+    int closedCount = 0;
+    for (const bool strand : {true, false}) {
+        for (const bool timeoutFirst : {true, false}) {
+            for (int steps = 0; steps < 12; ++steps) {
+                const PausedClock clock;
+                HttpServerOptions options = lowLimits();
+                TestServer *server = nullptr;
+                if (!strand)
+                    options.connectionExecutor
+                        = [&]() -> asio::any_io_executor { return server->context.get_executor(); };
+                TestServer test(options);
+                server = &test;
+                PlainCaller caller(test.port);
+                cr_assert(runUntil(test.context, [&] { return test.server.connections() == 1; }));
+                test.context.restart();
+                test.context.run_for(2ms);
+                test.context.restart();
+                // The time-out passes some steps of the server before or after the request arrives.
+                const auto passTimeout = [&] {
+                    RuntimeClock::advance(options.idleTimeout);
+                    std::this_thread::sleep_for(WakeUpTime);
+                };
+                const auto writeRequest = [&] { cr_assert_eq(caller.write(whole), whole.size()); };
+                timeoutFirst ? passTimeout() : writeRequest();
+                for (int step = 0; step < steps; ++step)
+                    test.context.poll_one();
+                timeoutFirst ? writeRequest() : passTimeout();
+                test.context.restart();
+                runUntil(test.context, [&] {
+                    caller.readPart();
+                    return caller.ended();
+                });
+                const bool answered = caller.received().starts_with("HTTP/1.1 200");
+                ++(answered ? answeredCount : closedCount);
+                cr_assert(answered == (test.requestCount == 1), "%d steps: %d requests, \"%s\"",
+                          steps, test.requestCount, caller.received().c_str());
+            }
+        }
+    }
+    cr_assert_gt(answeredCount, 0);
+    cr_assert_gt(closedCount, 0);
+}
+
+// A configuration that is published meanwhile must not end a request that was accepted before.
+Test(HttpServer, LowerLimitsLeaveTheRequestThatIsBeingReadAlone)
+{
+    const PausedClock clock;
+    TestServer test;
+    const auto send = [&](PlainCaller &caller, std::string_view bytes) {
+        cr_assert_eq(caller.write(bytes), bytes.size());
+        test.context.restart();
+        test.context.run_for(WakeUpTime);
+    };
+    PlainCaller inHead(test.port);
+    PlainCaller inBody(test.port);
+    send(inHead, "GET / HTTP/1.1\r\nConnection: close\r\nFirst: " + std::string(100, 'x'));
+    send(inBody, "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 8\r\n\r\nhalf");
+    test.server.setRequestLimits(16, 1, 1ms, 1ms);
+    RuntimeClock::advance(1s);
+    send(inHead, "x\r\n\r\n");
+    send(inBody, "more");
+    for (PlainCaller *caller : {&inHead, &inBody}) {
+        runUntil(test.context, [&] {
+            caller->readPart();
+            return caller->ended();
+        });
+        cr_assert(caller->received().starts_with("HTTP/1.1 200"), "%s", caller->received().c_str());
+    }
+    cr_assert(inBody.received().ends_with("halfmore"));
+}
+
+// Closing a socket with unread bytes resets the connection, which discards the rest of a response
+// that the caller has not read yet.
+Test(HttpServer, KeepsTheResponseWhenMoreIsPipelinedBehindTheLastRequest)
+{
+    constexpr std::size_t bodyBytes = 256 * 1024;
+    constexpr std::size_t pipelinedBytes = 512 * 1024;
+    constexpr int smallBuffer = 4096;
+    TestServer test;
+    PlainCaller caller(test.port, smallBuffer);
+    std::string unsent = "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: "
+        + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x')
+        + "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(pipelinedBytes) + "\r\n\r\n"
+        + std::string(pipelinedBytes, 'y');
+    runUntil(test.context, [&] {
+        unsent.erase(0, caller.write(unsent));
+        if (test.requestCount == 1)
+            caller.readPart();
+        return caller.ended();
+    });
+    cr_assert(caller.received().starts_with("HTTP/1.1 200"));
+    cr_assert(caller.received().ends_with("\r\n\r\n" + std::string(bodyBytes, 'x')),
+              "%zu bytes received", caller.received().size());
+    cr_assert_not(caller.reset());
+    cr_assert_eq(test.requestCount, 1);
+}
+
+// A whole request was read, so that the caller is due a response.
+Test(HttpServer, AnswersARequestWhoseHandlerFailsWith500)
+{
+    const std::string failed = responseTo("GET /throw HTTP/1.1\r\n\r\n");
+    cr_assert(failed.starts_with("HTTP/1.1 500"), "%s", failed.c_str());
+    cr_assert(failed.find("Connection: close") != std::string::npos);
+    // The handler may have run the request before it failed.
+    cr_assert(failed.find("NotRun") == std::string::npos);
+    cr_assert(responseTo("GET /forget HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 500"));
+    cr_assert(responseTo("GET /close HTTP/1.1\r\n\r\n").empty());
+}
+
+Test(HttpServer, TruncatesAStreamWhoseHandlerFails)
+{
+    cr_assert(responseTo("GET /throw-in-stream HTTP/1.1\r\n\r\n").ends_with("4\r\nhalf\r\n"));
+}
+
+// Without a report, a request that was lost leaves no trace at the server.
+Test(HttpServer, ReportsRequestsWithoutACompleteResponse)
+{
+    std::vector<UnansweredRequest> reports;
+    HttpServerOptions options;
+    options.writeTimeout = 60ms;
+    options.unansweredHook = [&](const UnansweredRequest &request) { reports.push_back(request); };
+    TestServer test(options);
+    const auto reasonOf = [&](const std::string &path) {
+        reports.clear();
+        exchangeRaw(test.context, test.port, "GET " + path + " HTTP/1.1\r\n\r\n");
+        cr_assert_eq(reports.size(), 1U, "%s", path.c_str());
+        return reports.front().reason;
+    };
+    cr_assert_eq(reasonOf("/cut"), UnansweredReason::StreamUnfinished);
+    cr_assert_gt(reports.front().bytesWritten, 0U);
+    cr_assert_eq(reasonOf("/throw-in-stream"), UnansweredReason::HandlerFailed);
+    cr_assert_eq(reasonOf("/close"), UnansweredReason::HandlerClosed);
+    cr_assert_eq(reports.front().bytesWritten, 0U);
+
+    reports.clear();
+    const std::string body(8'000'000, 'x');
+    PlainCaller slow(test.port);
+    std::string unsent
+        = "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    runUntil(test.context, [&] {
+        unsent.erase(0, slow.write(unsent));
+        return !reports.empty();
+    });
+    cr_assert_eq(reports.size(), 1U);
+    cr_assert_eq(reports.front().reason, UnansweredReason::WriteTimedOut);
+
+    reports.clear();
+    PlainCaller waiting(test.port);
+    const std::string stall = "GET /stall HTTP/1.1\r\n\r\n";
+    cr_assert_eq(waiting.write(stall), stall.size());
+    cr_assert(runUntil(test.context, [&] { return test.server.activeRequests() == 1; }));
+    test.server.stop();
+    cr_assert(runUntil(test.context, [&] { return !reports.empty(); }));
+    cr_assert_eq(reports.front().reason, UnansweredReason::Stopped);
+}
+
+// A fault that hits every request must not displace all other log lines.
+Test(HttpServer, BoundsTheLogLinesOfUnansweredRequests)
+{
+    constexpr int requests = 50;
+    constexpr std::size_t linesPerSecond = 20;
+    const PausedClock clock;
+    UnansweredLines lines;
+    int reports = 0;
+    HttpServerOptions options;
+    options.unansweredHook = [&](const UnansweredRequest &) { ++reports; };
+    TestServer test(options);
+    const std::string request = "GET /close HTTP/1.1\r\n\r\n";
+    for (int count = 0; count < requests; ++count)
+        exchangeRaw(test.context, test.port, request);
+    cr_assert_eq(reports, requests);
+    cr_assert_eq(lines.texts().size(), linesPerSecond);
+    RuntimeClock::advance(1s);
+    exchangeRaw(test.context, test.port, request);
+    cr_assert_eq(lines.texts().size(), linesPerSecond + 1);
+    cr_assert(lines.texts().back().ends_with("omitted=30"), "%s", lines.texts().back().c_str());
+}
+
+Test(HttpServer, ReportsNeitherAnswersNorCallersThatLeave)
+{
+    int reports = 0;
+    HttpServerOptions options = lowLimits();
+    options.unansweredHook = [&](const UnansweredRequest &) { ++reports; };
+    TestServer test(options);
+    const std::string close = " HTTP/1.1\r\nConnection: close\r\n\r\n";
+    for (const std::string begin : {"GET /", "GET /stream", "GET /throw", "GET /forget"})
+        exchangeRaw(test.context, test.port, begin + close);
+    {
+        PlainCaller caller(test.port);
+        const std::string stall = "GET /stall" + close;
+        cr_assert_eq(caller.write(stall), stall.size());
+        cr_assert(runUntil(test.context, [&] { return test.server.activeRequests() == 1; }));
+    }
+    cr_assert(runUntil(test.context, [&] { return test.server.activeRequests() == 0; }));
+    cr_assert_eq(test.callerGoneCount, 1);
+    cr_assert_eq(reports, 0);
+}
+
 Test(HttpServer, UnfinishedStreamIsTruncated)
 {
     const std::string response = responseTo("GET /cut HTTP/1.1\r\n\r\n");
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -19,6 +19,8 @@
 /// Engines answer health checks without using a slot, within a few milliseconds.
 constexpr Duration HealthCheckTimeout = std::chrono::milliseconds(250);
 constexpr Duration FreeHandleTimeout = std::chrono::milliseconds(500);
+/// Answers that are not passed on to callers.
+constexpr std::size_t MaxStatusBytes = 1024 * 1024;
 /// Interval between health checks of a silent backend server, until it answers or is no longer
 /// listed.
 constexpr Duration HealthCheckInterval = std::chrono::milliseconds(500);
@@ -26,7 +28,12 @@
 /// backend servers.
 constexpr Duration MaxIdleAge = std::chrono::seconds(4);
 
+/// Interval between health checks while it is not known whether the server crashed: a crashing
+/// server may accept one more connection.
+constexpr Duration CrashCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration BlameInterval = std::chrono::milliseconds(50);
+/// An older trial was granted to an earlier process of this instance.
+constexpr Duration MaxTrialAge = std::chrono::seconds(10);
 /// A trial of a blamed part is granted to an instance that refused a request with it this lately.
 constexpr Duration RefusedPartRetention = std::chrono::seconds(2);
 
@@ -148,13 +155,11 @@
 void RelayState::noteServed(const std::string &service, const PromptDescription &prompt,
                             TimePoint beganAt)
 {
-    if (crashes->crashCount() == 0)
-        return;
     std::vector<std::uint64_t> parts;
     parts.reserve(prompt.parts.size());
     for (const PromptPart &part : prompt.parts)
         parts.push_back(part.id);
-    crashes->noteServed(service, parts, beganAt);
+    crashes->noteServed(service, parts, beganAt, RuntimeClock::now());
 }
 
 const std::vector<BlamedPart> &RelayState::blamedParts()
@@ -168,29 +173,42 @@
     return currentBlame;
 }
 
+bool RelayState::mayTry(std::uint64_t part) const
+{
+    const TimePoint now = RuntimeClock::now();
+    const std::optional<PartTrial> trial = crashes->lastTrial(part);
+    const auto used = trialsUsed.find(part);
+    return trial && trial->instance == options.instance && now - trial->grantedAt <= MaxTrialAge
+        && (used == trialsUsed.end() || trial->grantedAt > used->second);
+}
+
 PromptAdmission RelayState::admitPrompt(const PromptDescription &prompt)
 {
     PromptAdmission admission;
     if (crashes->crashCount() == 0)
         return admission;
     const TimePoint now = RuntimeClock::now();
+    std::vector<std::uint64_t> tried;
     for (const BlamedPart &blamedPart : blamedParts()) {
         const bool contained
             = std::any_of(prompt.parts.begin(), prompt.parts.end(),
                           [&](const PromptPart &part) { return part.id == blamedPart.part; });
         if (!contained)
             continue;
-        const std::optional<PartTrial> trial = crashes->lastTrial(blamedPart.part);
-        std::uint32_t &done = trialsDone[blamedPart.part];
-        if (trial && trial->instance == options.instance && trial->number > done) {
-            done = trial->number;
-            admission.isTrial = true;
+        if (mayTry(blamedPart.part)) {
+            tried.push_back(blamedPart.part);
             continue;
         }
         partRefusedAt[blamedPart.part] = now;
         admission.refusedFor = blamedPart;
-        break;
     }
+    if (admission.refusedFor)
+        return admission;
+    for (const std::uint64_t part : tried) {
+        trialsUsed[part] = crashes->lastTrial(part)->grantedAt;
+        crashes->useTrial(part);
+    }
+    admission.isTrial = !tried.empty();
     return admission;
 }
 
@@ -223,6 +241,8 @@
         call.connectTimeout = HealthCheckTimeout;
         call.headTimeout = HealthCheckTimeout;
         call.silenceTimeout = HealthCheckTimeout;
+        call.totalTimeout = 2 * HealthCheckTimeout;
+        call.maxBodyBytes = MaxStatusBytes;
         call.freshConnection = true;
         // The server may have asked for a pause in an answer to a request.
         if (table.isHeld(backend, RuntimeClock::now()))
@@ -241,7 +261,8 @@
             if (const auto crash = crashWatch.noteRefused(backend, RuntimeClock::now()))
                 noteCrash(*crash);
         }
-        co_await sleepFor(HealthCheckInterval);
+        const bool mayHaveCrashed = crashWatch.isUndecided(backend, RuntimeClock::now());
+        co_await sleepFor(mayHaveCrashed ? CrashCheckInterval : HealthCheckInterval);
     }
     pendingHealthChecks.erase(backend);
 }
@@ -253,6 +274,8 @@
     call.address = std::move(address);
     call.request = options.protocol.freeHandle(handle);
     call.connectTimeout = call.headTimeout = call.silenceTimeout = FreeHandleTimeout;
+    call.totalTimeout = 2 * FreeHandleTimeout;
+    call.maxBodyBytes = MaxStatusBytes;
     const Result<HttpResponse> answer = co_await client.request(std::move(call));
     if (!answer)
         logWarning("handle_not_freed", {{"error", answer.error().message()}});
@@ -276,6 +299,14 @@
 void RelayService::publish(const BackendListing &listing)
 {
     m_state->table.publish(listing);
+    const auto isListed = [&](const ServerCrash &crash) {
+        return std::any_of(
+            listing.servers.begin(), listing.servers.end(), [&](const ListedServer &server) {
+                return server.id == crash.server && server.startedAtMs == crash.startedAtMs;
+            });
+    };
+    for (const ServerCrash &crash : m_state->crashWatch.takeGone(isListed, RuntimeClock::now()))
+        m_state->noteCrash(crash);
     m_state->hasListing = true;
 }
 
@@ -288,7 +319,13 @@
 
 void RelayService::publish(const CrashReports &reports)
 {
-    m_state->crashes->merge(reports, RuntimeClock::now());
+    const TimePoint now = RuntimeClock::now();
+    m_state->crashes->merge(reports, now);
+    for (const ServerCrash &crash : reports.crashes) {
+        const auto own = m_state->crashWatch.noteCrashed(crash.server, crash.startedAtMs, now);
+        if (own)
+            m_state->crashes->addCrash(*own, now);
+    }
 }
 
 std::vector<std::uint64_t> RelayService::refusedParts(TimePoint now) const
--- a/src/gentianramp/relay/relay_service_test.cpp
+++ b/src/gentianramp/relay/relay_service_test.cpp
@@ -20,7 +20,7 @@
 /// Number of the part of a prompt that crashes servers.
 constexpr std::uint64_t DeadlyPart = 0xdead;
 
-BackendProtocol makeProtocol()
+BackendProtocol makeProtocol(const std::function<void(BackendProtocol &)> &change = {})
 {
     BackendProtocol names;
     names.requestId = "X-Id";
@@ -55,6 +55,8 @@
     names.freeHandle = [](const std::string &handle) {
         return HttpRequest{.method = "DELETE", .target = "/handle/" + handle};
     };
+    if (change)
+        change(names);
     return names;
 }
 
@@ -62,10 +64,11 @@
 class RelayFixture
 {
 public:
-    explicit RelayFixture(RetryBounds retries = {})
+    explicit RelayFixture(RetryBounds retries = {},
+                          const std::function<void(BackendProtocol &)> &changeProtocol = {})
         : relay(m_context.get_executor(),
                 {.dataCentre = DataCentreId("a"),
-                 .protocol = makeProtocol(),
+                 .protocol = makeProtocol(changeProtocol),
                  .retries = retries,
                  .seed = 1,
                  .declarationAge = [this] { return declarationAge; },
@@ -231,13 +234,18 @@
 /// Takes the request and closes the connection without an answer.
 Handler closesWithoutAnswer()
 {
-    return [](HttpRequest, ResponseWriter &) -> asio::awaitable<void> { co_return; };
+    return [](HttpRequest, ResponseWriter &writer) -> asio::awaitable<void> {
+        writer.closeWithoutResponse();
+        co_return;
+    };
 }
 
 Handler closesWithoutAnswerButIsHealthy()
 {
     return [](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
-        if (!request.path().starts_with("/p/"))
+        if (request.path().starts_with("/p/"))
+            writer.closeWithoutResponse();
+        else
             co_await writer.send(signedAnswer(request));
     };
 }
@@ -328,15 +336,18 @@
     };
 }
 
-/// Streams events; crashes as it begins to answer a prompt with the deadly part.
-Handler crashesOnDeadlyPart(RelayFixture &fixture, const std::string &id)
+/// Streams events; crashes after @p lastBytes as it begins to answer a prompt with the deadly part.
+Handler crashesOnDeadlyPart(RelayFixture &fixture, const std::string &id,
+                            const std::string &lastBytes)
 {
-    return [&fixture, id](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
+    return [&fixture, id, lastBytes](HttpRequest request,
+                                     ResponseWriter &writer) -> asio::awaitable<void> {
         if (!request.headers.contains("X-Middle-Part"))
             co_return co_await streams(1, 3, true)(std::move(request), writer);
         HttpResponse head = signedAnswer(request);
         head.headers.add("Content-Type", "text/event-stream");
         co_await writer.startStream(std::move(head));
+        co_await writer.writePiece(lastBytes);
         fixture.crash(id);
     };
 }
@@ -351,11 +362,12 @@
 }
 
 /// Servers that crash on the deadly part, and a route whose prompts name their parts.
-void addCrashingServers(RelayFixture &fixture, int count, std::uint32_t attempts)
+void addCrashingServers(RelayFixture &fixture, int count, std::uint32_t attempts,
+                        const std::string &lastBytes = {})
 {
     for (int number = 0; number < count; ++number) {
         const std::string id = "engine-" + std::to_string(number);
-        fixture.addServer(id, crashesOnDeadlyPart(fixture, id));
+        fixture.addServer(id, crashesOnDeadlyPart(fixture, id, lastBytes));
     }
     fixture.declare({.kind = RouteKind::Stream,
                      .attempts = attempts,
@@ -434,6 +446,40 @@
     };
 }
 
+/// Streams events 1 to 6, or those after Last-Event-Id; the first @p rejections streams to be
+/// continued are rejected, with @p retryAfter unless it is empty.
+Handler rejectsFirstContinuations(int &rejections, const std::string &retryAfter = {})
+{
+    return [&rejections, retryAfter](HttpRequest request,
+                                     ResponseWriter &writer) -> asio::awaitable<void> {
+        if (request.headers.contains("Last-Event-Id") && rejections > 0) {
+            --rejections;
+            HttpResponse rejection = signedAnswer(request, 503);
+            rejection.headers.add("X-Not-Run", "1");
+            if (!retryAfter.empty())
+                rejection.headers.add("Retry-After", retryAfter);
+            co_await writer.send(std::move(rejection));
+            co_return;
+        }
+        co_await streams(1, 6, true)(std::move(request), writer);
+    };
+}
+
+/// Prefills prompts; the first @p rejections of them during the silence are rejected.
+Handler rejectsPrefillsInASilence(const TimePoint &silentUntil, int &rejections)
+{
+    return [&](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
+        if (RuntimeClock::now() < silentUntil && rejections > 0) {
+            --rejections;
+            HttpResponse rejection = signedAnswer(request, 503);
+            rejection.headers.add("X-Not-Run", "1");
+            co_await writer.send(std::move(rejection));
+            co_return;
+        }
+        co_await writer.send(signedAnswer(request, 200, "handle7"));
+    };
+}
+
 constexpr RetryBounds NoRepeats{.ratio = 0, .slack = 0};
 
 std::string eventsUpTo(int last)
@@ -513,6 +559,47 @@
     cr_assert_eq(fixture.requestsAt("one") + fixture.requestsAt("two"), 1);
 }
 
+// A caller without an answer can't tell whether its request ran.
+Test(relay_service, aFailureBeforeTheFirstSendIsRefusedAsNotRun)
+{
+    RelayFixture fixture({}, [](BackendProtocol &protocol) {
+        protocol.prompt = [](const HttpHeaders &) -> std::optional<PromptDescription> {
+            throw std::runtime_error("the prompt can't be read");
+        };
+    });
+    fixture.addServer("one", answers(200));
+    fixture.declare({.kind = RouteKind::RunOnce, .attempts = 1, .carriesPrompt = true});
+    const Result<HttpResponse> answer = fixture.call({.method = "POST"});
+    cr_assert(answer);
+    cr_assert_eq(answer->status, 503U);
+    cr_assert(answer->headers.contains("Retry-After"));
+    cr_assert_eq(fixture.requestsAt("one"), 0);
+}
+
+Test(relay_service, aFailureAfterTheFirstSendIsNotRefusedAsNotRun)
+{
+    constexpr int moreThanTheSlots = 20;
+    int failuresLeft = moreThanTheSlots;
+    RelayFixture fixture({}, [&](BackendProtocol &protocol) {
+        protocol.parseLoad = [&](std::string_view) -> std::optional<StatedLoad> {
+            if (failuresLeft-- > 0)
+                throw std::runtime_error("the load can't be read");
+            return std::nullopt;
+        };
+    });
+    fixture.addServer("one", answersWith(200, "X-Load", "1"));
+    fixture.declare({.kind = RouteKind::RunOnce, .attempts = 1});
+    for (int count = 0; count < moreThanTheSlots; ++count) {
+        const Result<HttpResponse> answer = fixture.call({.method = "POST"});
+        cr_assert(answer);
+        cr_assert_eq(answer->status, 502U);
+        cr_assert_not(answer->headers.contains("X-Signature"));
+    }
+    cr_assert_eq(fixture.requestsAt("one"), moreThanTheSlots);
+    // The failed attempts hold no slot at the server.
+    cr_assert_eq(fixture.call({.method = "POST"})->status, 200U);
+}
+
 Test(relay_service, aRequestThatDidNotRunIsRefusedWithRetryAfter)
 {
     RelayFixture fixture;
@@ -944,6 +1031,54 @@
     cr_assert_eq(deadlyRequests(fixture), 3);
 }
 
+// A trial that an earlier process of this instance used was sent again.
+Test(relay_service, aTrialThatWasGrantedLongAgoIsNotSent)
+{
+    RelayFixture fixture;
+    addCrashingServers(fixture, 5, 1);
+    crashThreeServers(fixture);
+    fixture.relay.publish(CrashReports{
+        .trials
+        = {{DeadlyPart, 1, InstanceId("entry"), RuntimeClock::now() - std::chrono::minutes(20)}}});
+    cr_assert_eq(fixture.call(promptRequest(20, true))->status, 503U);
+    cr_assert_eq(deadlyRequests(fixture), 3);
+}
+
+// A stream that had begun was cut when its server crashed, because a part of its prompt had waited
+// at an earlier crash.
+Test(relay_service, aBegunStreamOutlivesACrashThoughAPartWasAtAnEarlierOne)
+{
+    RelayFixture fixture;
+    ServerCrash earlier{.server = BackendId("gone"),
+                        .service = "s",
+                        .crashedAt = RuntimeClock::now() - std::chrono::seconds(5)};
+    earlier.parts[1] = {};
+    fixture.relay.publish(CrashReports{.crashes = {earlier}});
+    fixture.addServer("cuts", streams(1, 2, false));
+    fixture.declare(
+        {.kind = RouteKind::Stream, .attempts = 2, .carriesPrompt = true, .resumable = true});
+    fixture.addServer("goes-on", streams(1, 6, true));
+    for (int count = 0; count < 6; ++count) {
+        const Result<HttpResponse> answer = fixture.call(promptRequest(count, false));
+        cr_assert(answer);
+        cr_assert_eq(answer->body, eventsUpTo(6));
+    }
+}
+
+// Some servers send a comment before the first event; it is no answer.
+Test(relay_service, aCommentBeforeTheCrashDoesNotHideThePart)
+{
+    RelayFixture fixture;
+    addCrashingServers(fixture, 5, 1, ": ping\n\n");
+    for (int own = 0; own < 3; ++own) {
+        fixture.call(promptRequest(own, true));
+        fixture.wait(BetweenCrashes);
+        cr_assert(fixture.call(promptRequest(100 + own, false)));
+    }
+    fixture.wait(UntilBlame);
+    cr_assert_eq(fixture.call(promptRequest(9, true))->status, 503U);
+}
+
 // Connections that break while the server goes on, as with a lost answer, are no crash.
 Test(relay_service, brokenConnectionsOfAServerThatGoesOnBlameNothing)
 {
@@ -957,3 +1092,81 @@
     fixture.wait(UntilBlame);
     cr_assert_eq(fixture.call(promptRequest(9, true))->status, 502U);
 }
+
+// A stream that had left a silent server was cut when the next server rejected it, although a third
+// one would have taken it.
+Test(relay_service, aStreamThatLeftASilentServerOutlivesARejection)
+{
+    RelayFixture fixture;
+    TimePoint silentUntil{};
+    int rejections = 1;
+    fixture.addServer("silent", streamsWithASilence(silentUntil));
+    fixture.declare({.kind = RouteKind::Stream, .attempts = 2, .resumable = true});
+    fixture.addServer("second", rejectsFirstContinuations(rejections));
+    fixture.addServer("third", rejectsFirstContinuations(rejections));
+    for (int count = 0; count < 12 && rejections > 0; ++count) {
+        const Result<HttpResponse> answer = fixture.call({.method = "POST"});
+        cr_assert(answer);
+        cr_assert_eq(answer->body, eventsUpTo(6));
+    }
+    cr_assert_eq(rejections, 0);
+    cr_assert_eq(fixture.requestsAt("silent"), 1);
+}
+
+// A stream that had left a silent server was cut when the next one rejected it and asked for a
+// pause, so that no server was left for a moment.
+Test(relay_service, aStreamThatLeftASilentServerWaitsForOne)
+{
+    RelayFixture fixture;
+    TimePoint silentUntil{};
+    int rejections = 1;
+    fixture.addServer("silent", streamsWithASilence(silentUntil));
+    fixture.declare({.kind = RouteKind::Stream, .attempts = 2, .resumable = true});
+    fixture.addServer("second", rejectsFirstContinuations(rejections, "0.3"));
+    for (int count = 0; count < 12 && rejections > 0; ++count) {
+        const Result<HttpResponse> answer = fixture.call({.method = "POST"});
+        cr_assert(answer);
+        cr_assert_eq(answer->body, eventsUpTo(6));
+    }
+    cr_assert_eq(rejections, 0);
+}
+
+// The next server was full for a moment and rejected the stream again and again.
+Test(relay_service, aStreamThatLeftASilentServerOutlivesAFullOne)
+{
+    RelayFixture fixture;
+    TimePoint silentUntil{};
+    int rejections = 3;
+    fixture.addServer("silent", streamsWithASilence(silentUntil));
+    fixture.declare({.kind = RouteKind::Stream, .attempts = 2, .resumable = true});
+    fixture.addServer("second", rejectsFirstContinuations(rejections));
+    for (int count = 0; count < 12 && rejections == 3; ++count) {
+        const Result<HttpResponse> answer = fixture.call({.method = "POST"});
+        cr_assert(answer);
+        cr_assert_eq(answer->body, eventsUpTo(6));
+    }
+    cr_assert_lt(rejections, 3);
+}
+
+// A stream that had left a silent server was cut when an engine rejected the second prefill of its
+// prompt.
+Test(relay_service, aStreamThatLeftASilentServerOutlivesARejectedPrefill)
+{
+    RelayFixture fixture;
+    TimePoint silentUntil{};
+    int rejections = 1;
+    fixture.addServer("reader", rejectsPrefillsInASilence(silentUntil, rejections), true);
+    fixture.addServer("silent", streamsWithASilence(silentUntil));
+    fixture.declare(
+        {.kind = RouteKind::Stream, .attempts = 2, .carriesPrompt = true, .resumable = true});
+    fixture.addServer("other", streams(1, 6, true));
+    HttpRequest request{.method = "POST"};
+    request.headers.add("X-Prompt", "yes");
+    for (int count = 0; count < 12 && rejections > 0; ++count) {
+        const Result<HttpResponse> answer = fixture.call(request);
+        cr_assert(answer);
+        cr_assert_eq(answer->body, eventsUpTo(6));
+    }
+    cr_assert_eq(rejections, 0);
+    cr_assert_eq(fixture.requestsAt("silent"), 1);
+}
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -25,6 +25,12 @@
 constexpr std::uint32_t MaxUnreachedSends = 4;
 /// Engines that are asked in turn to prefill a prompt. A prefill does not run the request.
 constexpr std::uint32_t MaxPrefillAttempts = 2;
+constexpr std::uint32_t MaxUncountedRejections = 3;
+/// Delay of the next attempt after a stream that had begun was rejected; doubles with each
+/// rejection.
+constexpr Duration FirstRejectionDelay = std::chrono::milliseconds(50);
+/// Interval at which a stream that had begun looks for a server to go on at.
+constexpr Duration ServerWaitInterval = std::chrono::milliseconds(100);
 /// A request with less time left is not sent.
 constexpr Duration MinTimeLeftForSend = std::chrono::milliseconds(5);
 /// Retry-After is at most the caller's remaining time divided by these: in general, and after a
@@ -42,6 +48,12 @@
 /// are off by a factor of two when requests of other priorities wait too.
 constexpr int RefusalWaitFactor = 2;
 
+/// Answers that are not streams are kept until they are complete.
+constexpr std::size_t MaxWholeAnswerBytes = 8 * 1024 * 1024;
+/// An answer to a prefill is a handle, which arrives at once unless the engine falls silent.
+constexpr std::size_t MaxPrefillAnswerBytes = 64 * 1024;
+constexpr Duration PrefillBodyTimeout = std::chrono::seconds(2);
+
 constexpr unsigned Ok = 200;
 
 bool isSuccess(unsigned status)
@@ -49,6 +61,28 @@
     return status >= 200 && status < 300;
 }
 
+/// True when the end of the body does not have to be told from the connection's end.
+bool isDelimited(const HttpExchange &exchange)
+{
+    return exchange.headers().contains("Content-Length")
+        || exchange.headers().contains("Transfer-Encoding");
+}
+
+asio::awaitable<Result<std::string>> readWholeBody(HttpExchange &exchange)
+{
+    std::string body;
+    for (;;) {
+        const Result<std::string_view> piece = co_await exchange.readPiece();
+        if (!piece)
+            co_return Result<std::string>(piece.error(), piece.message());
+        if (piece->empty())
+            co_return Result<std::string>(std::move(body));
+        body += *piece;
+        if (body.size() > MaxWholeAnswerBytes)
+            co_return Result<std::string>(Error::TooLarge, "the answer has more than 8 MB");
+    }
+}
+
 /// Fields that concern one connection only.
 constexpr std::string_view HopByHopNames[] = {"Connection",
                                               "Keep-Alive",
@@ -96,6 +130,26 @@
 
 } // namespace
 
+class RelayedRequest::AttemptGuard
+{
+public:
+    AttemptGuard(RelayedRequest &request, Attempt &attempt)
+        : m_request(request)
+        , m_attempt(attempt)
+    { }
+    ~AttemptGuard()
+    {
+        if (m_attempt.open)
+            m_request.abandon(m_attempt);
+    }
+    AttemptGuard(const AttemptGuard &) = delete;
+    AttemptGuard &operator=(const AttemptGuard &) = delete;
+
+private:
+    RelayedRequest &m_request;
+    Attempt &m_attempt;
+};
+
 RelayedRequest::RelayedRequest(std::shared_ptr<RelayState> state, HttpRequest request,
                                ResponseWriter &writer)
     : m_state(std::move(state))
@@ -117,6 +171,27 @@
 {
     const auto self = shared_from_this();
     m_state->metrics.requests.add();
+    std::string exceptionText;
+    try {
+        co_await resolveAndSend();
+    } catch (const std::exception &exception) {
+        exceptionText = exception.what();
+        exceptionText += exceptionText.empty() ? "unknown" : "";
+    }
+    if (!exceptionText.empty())
+        co_await failAfterException(exceptionText);
+    releasePrefilledPrompt();
+    m_ended = true;
+    m_deadlineTimer.cancel();
+    m_silenceTimer.cancel();
+    if (m_callerGone) {
+        m_state->metrics.callersGone.add();
+        logOutcome("caller_gone", 0, "left");
+    }
+}
+
+asio::awaitable<void> RelayedRequest::resolveAndSend()
+{
     if (!co_await resolveRoute())
         co_return;
     m_writer->setCallerGoneHook([weak = weak_from_this()] {
@@ -127,14 +202,6 @@
     m_state->openRequests.insert(this);
     m_state->allowance(m_service).noteRequest(m_startedAt);
     co_await sendUntilDone();
-    releasePrefilledPrompt();
-    m_ended = true;
-    m_deadlineTimer.cancel();
-    m_silenceTimer.cancel();
-    if (m_callerGone) {
-        m_state->metrics.callersGone.add();
-        logOutcome("caller_gone", 0, "left");
-    }
 }
 
 // Routing
@@ -212,6 +279,12 @@
         const std::optional<RequestPlacement> placement = choosePlacement();
         if (!placement && m_sendCount == 0)
             co_return co_await refuse("no_backend");
+        if (!placement && m_writer->started() && m_route->repeatable()) {
+            // Servers that are silent or full may take it soon; otherwise the answer is cut.
+            m_tried.clear();
+            co_await sleepFor(ServerWaitInterval);
+            continue;
+        }
         if (!placement)
             co_return co_await fail();
         if (m_sendCount == 0 && m_prefillCount == 0
@@ -244,12 +317,14 @@
         if (result == AttemptResult::Unreached && ++unreachedSends < MaxUnreachedSends)
             continue;
         const bool mayTryAgain
-            = prefillFailed ? m_prefillCount < MaxPrefillAttempts : mayRepeat(result);
+            = prefillFailed ? m_prefillsForSend < MaxPrefillAttempts : mayRepeat(result);
         // Prefilling the prompt again costs a second repeat in addition to that of the request.
         const bool needsSecondPrefill = !prefillFailed && m_prefillCount > 0 && !m_prefilledPrompt;
         const bool repeatsTaken = std::exchange(m_repeatsTaken, false);
         if (!mayTryAgain || (!repeatsTaken && !takeRepeats(needsSecondPrefill ? 2 : 1)))
             co_return co_await fail();
+        if (result == AttemptResult::NotRun && m_writer->started())
+            co_await sleepFor(FirstRejectionDelay * (1U << m_uncountedRejections));
     }
 }
 
@@ -282,8 +357,8 @@
 {
     if (m_sendCount >= m_route->attempts)
         return false;
-    // The prompt may be what crashes the servers.
-    if (result == AttemptResult::MayHaveRun && m_prompt
+    // The prompt may be what crashes the servers, unless its answer has begun.
+    if (result == AttemptResult::MayHaveRun && m_prompt && !m_writer->started()
         && (m_isTrial || m_state->wasAtEarlierCrash(*m_prompt)))
         return false;
     return result == AttemptResult::NotRun || m_route->repeatable();
@@ -299,6 +374,17 @@
     return admission.refusedFor;
 }
 
+/// True when @p result uses up no attempt: once the answer has begun, nothing but a cut answer is
+/// left without another one.
+bool RelayedRequest::isUncounted(AttemptResult result)
+{
+    if (result != AttemptResult::NotRun || !m_writer->started()
+        || m_uncountedRejections >= MaxUncountedRejections)
+        return false;
+    ++m_uncountedRejections;
+    return true;
+}
+
 bool RelayedRequest::takeRepeat()
 {
     const bool granted
@@ -370,7 +456,9 @@
     m_exchange = attempt.exchange;
     m_backend = target.backend;
     ++m_sendCount;
-    m_state->table.sent(target, m_prompt ? &*m_prompt : nullptr, attempt.sentAt);
+    m_prefillsForSend = 0;
+    const AttemptGuard guard(*this, attempt);
+    noteSent(attempt);
     noteProgress();
     watchSilence();
     const std::error_code error = co_await attempt.exchange->open();
@@ -389,6 +477,8 @@
         attempt.exchange->cancel();
         m_verdict = Verdict::MayHaveRun;
     }
+    if (isUncounted(result))
+        --m_sendCount;
     m_exchange.reset();
     reportOutcome(attempt, result);
     const bool misdirected = result == AttemptResult::NotRun
@@ -413,6 +503,7 @@
     HttpCall call = makeCall(prefillEngine);
     call.freshConnection = false; // A prefill may be repeated: it does not run the request.
     call.request.headers.set(protocol.prefillOnly, protocol.prefillValue);
+    call.maxBodyBytes = MaxPrefillAnswerBytes;
     Attempt attempt;
     attempt.target = prefillEngine;
     attempt.exchange = m_state->client.exchange(std::move(call));
@@ -420,14 +511,17 @@
     m_exchange = attempt.exchange;
     m_backend = m_prefillEngine = prefillEngine.backend;
     ++m_prefillCount;
+    ++m_prefillsForSend;
     m_prefilling = true;
-    m_state->table.sent(prefillEngine, &*m_prompt, attempt.sentAt);
+    const AttemptGuard guard(*this, attempt);
+    noteSent(attempt);
     noteProgress();
     watchSilence();
     std::error_code error = co_await attempt.exchange->open();
     AttemptResult result = AttemptResult::NotRun;
     if (!error) {
         noteHead(attempt);
+        attempt.exchange->limitRest(PrefillBodyTimeout);
         const Result<std::string> body = co_await attempt.exchange->readAll();
         error = body.error();
         const std::string handle
@@ -451,6 +545,8 @@
         m_state->table.answered(attempt.target, RuntimeClock::now());
     else
         attempt.exchange->cancel();
+    if (isUncounted(result))
+        --m_prefillsForSend;
     m_exchange.reset();
     reportOutcome(attempt,
                   error && result == AttemptResult::NotRun ? AttemptResult::MayHaveRun : result);
@@ -497,8 +593,29 @@
                 {"expired", m_expired ? 1 : 0}});
 }
 
+void RelayedRequest::noteSent(Attempt &attempt)
+{
+    m_state->table.sent(attempt.target, m_prompt ? &*m_prompt : nullptr, attempt.sentAt);
+    attempt.open = true;
+}
+
+/// Ends an attempt whose result is not known because of an exception.
+void RelayedRequest::abandon(Attempt &attempt)
+{
+    m_silenceTimer.cancel();
+    attempt.exchange->cancel();
+    m_exchange.reset();
+    if (!m_prefilling && attempt.exchange->anyBytesWritten())
+        m_verdict = Verdict::MayHaveRun;
+    m_prefilling = false;
+    attempt.open = false;
+    m_state->table.ended(attempt.target, attempt.answered, SendOutcome::Abandoned,
+                         RuntimeClock::now());
+}
+
 void RelayedRequest::reportOutcome(Attempt &attempt, AttemptResult result)
 {
+    attempt.open = false;
     const TimePoint now = RuntimeClock::now();
     SendOutcome outcome = SendOutcome::Served;
     if (m_callerGone || (m_expired && result != AttemptResult::Done))
@@ -518,7 +635,7 @@
 {
     if (m_prompt && !isOver() && attempt.error == make_error_code(Error::ConnectionLost))
         m_state->noteConnectionLost(attempt.target, m_service,
-                                    attempt.answered ? nullptr : &*m_prompt);
+                                    attempt.hasBegun ? nullptr : &*m_prompt);
 }
 
 // Relay
@@ -553,7 +670,7 @@
 
 asio::awaitable<RelayedRequest::AttemptResult> RelayedRequest::relayWholeAnswer(Attempt &attempt)
 {
-    Result<std::string> body = co_await attempt.exchange->readAll();
+    Result<std::string> body = co_await readWholeBody(*attempt.exchange);
     attempt.error = body.error();
     if (!body)
         co_return AttemptResult::MayHaveRun;
@@ -568,6 +685,8 @@
         m_backendFailure = std::move(response);
         co_return AttemptResult::MayHaveRun;
     }
+    if (m_prompt && isSuccess(response.status))
+        m_state->noteServed(m_service, *m_prompt, attempt.answeredAt);
     m_state->metrics.served.add();
     m_verdict = Verdict::Complete;
     logOutcome("request_answered", response.status, "whole");
@@ -584,20 +703,28 @@
         const Result<std::string_view> piece = co_await exchange.readPiece();
         m_silenceTimer.cancel();
         attempt.error = piece.error();
-        if (!piece || events.overflowed())
+        if (!piece)
             co_return AttemptResult::MayHaveRun;
         if (piece->empty())
             break;
         noteProgress();
         m_state->table.noteContact(attempt.target.backend, m_progressAt);
         const std::string whole = events.feed(*piece);
+        attempt.hasBegun = events.hasEvents();
         m_lastEventId = events.lastId();
         if (!whole.empty() && !co_await deliverEvents(attempt, whole))
             co_return AttemptResult::Done;
+        if (events.overflowed() || events.malformed())
+            co_return AttemptResult::MayHaveRun;
     }
-    if (events.hasPartial())
+    // Nothing shows that a stream without a length and without events is complete.
+    if (events.insideEvent() || (!events.hasEvents() && !isDelimited(exchange))) {
+        if (!isDelimited(exchange))
+            attempt.error = make_error_code(Error::ConnectionLost);
         co_return AttemptResult::MayHaveRun;
-    if (!m_writer->started() && !co_await deliverEvents(attempt, {}))
+    }
+    const std::string comments = events.takePartial();
+    if ((!comments.empty() || !m_writer->started()) && !co_await deliverEvents(attempt, comments))
         co_return AttemptResult::Done;
     if (m_prompt)
         m_state->noteServed(m_service, *m_prompt, attempt.answeredAt);
@@ -690,6 +817,22 @@
                            std::max<Duration>(untilTrial, retryAfter()));
 }
 
+/// Sends the final answer after an exception, if none has started.
+asio::awaitable<void> RelayedRequest::failAfterException(std::string_view what)
+{
+    logError("request_exception", {{"request", m_id}, {"error", what}});
+    if (m_callerGone || m_ended)
+        co_return;
+    if (m_writer->started()) {
+        m_state->metrics.failed.add();
+        logOutcome("stream_broken", Ok, "internal_error");
+        co_return;
+    }
+    if (m_verdict == Verdict::NotRun)
+        co_return co_await refuse("internal_error");
+    co_await answerLocally(502, "internal_error");
+}
+
 asio::awaitable<void> RelayedRequest::refuse(std::string_view reason)
 {
     co_await answerLocally(503, reason, retryAfter());
@@ -803,7 +946,7 @@
 {
     if (!m_route->repeatable() || !mayRepeat(AttemptResult::MayHaveRun))
         return false;
-    if (m_prefilling && m_prefillCount >= MaxPrefillAttempts)
+    if (m_prefilling && m_prefillsForSend >= MaxPrefillAttempts)
         return keepSilentServer("prefilled_twice");
     std::vector<BackendId> excluded = m_tried;
     excluded.push_back(m_backend);
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -35,8 +35,14 @@
         bool answered = false;
         TimePoint sentAt{};
         TimePoint answeredAt{};
+        bool hasBegun = false; ///< An event of the answer has arrived.
         std::error_code error; ///< Why the answer is incomplete.
+        bool open = false;     ///< The table counts the attempt as being served.
     };
+    /// Ends an attempt that an exception leaves open.
+    class AttemptGuard;
+
+    boost::asio::awaitable<void> resolveAndSend();
 
     // Routing
     boost::asio::awaitable<bool> resolveRoute();
@@ -57,6 +63,7 @@
     void logSendFailed(const SendTarget &target, std::string_view event, AttemptResult result,
                        const std::error_code &error, unsigned status, TimePoint sentAt) const;
     bool mayRepeat(AttemptResult result) const;
+    bool isUncounted(AttemptResult result);
     bool takeRepeat();
     bool takeRepeats(std::uint32_t count);
 
@@ -70,12 +77,15 @@
     bool isEventStream(const HttpExchange &exchange) const;
     void markAnswered(Attempt &attempt);
     void reportLostConnection(const Attempt &attempt);
+    void noteSent(Attempt &attempt);
+    void abandon(Attempt &attempt);
     void reportOutcome(Attempt &attempt, AttemptResult result);
 
     // Final answers
     boost::asio::awaitable<void> refuse(std::string_view reason);
     boost::asio::awaitable<void> fail();
     boost::asio::awaitable<void> refusePart(const BlamedPart &blamedPart);
+    boost::asio::awaitable<void> failAfterException(std::string_view what);
     Duration retryAfter() const;
     void logOutcome(std::string_view event, unsigned status, std::string_view reason);
 
@@ -116,11 +126,15 @@
         std::string handle;
     };
     std::optional<PrefilledPrompt> m_prefilledPrompt;
-    std::uint32_t m_sendCount = 0;    ///< Attempts that reached a backend server.
-    std::uint32_t m_prefillCount = 0; ///< Engines that were asked to prefill the prompt.
-    Duration m_prefillTime{};         ///< Time of all prefills.
-    BackendId m_prefillEngine;        ///< Last engine that was asked to prefill.
-    Duration m_lastExpectedWait{};    ///< Expected wait of the last placement.
+    /// Attempts that reached a backend server, without the uncounted rejections.
+    std::uint32_t m_sendCount = 0;
+    std::uint32_t m_uncountedRejections = 0; ///< Rejections after the answer had begun.
+    /// Engines that were asked to prefill the prompt, without the uncounted rejections.
+    std::uint32_t m_prefillCount = 0;
+    std::uint32_t m_prefillsForSend = 0; ///< The same since the last send.
+    Duration m_prefillTime{};            ///< Time of all prefills.
+    BackendId m_prefillEngine;           ///< Last engine that was asked to prefill.
+    Duration m_lastExpectedWait{};       ///< Expected wait of the last placement.
     std::vector<BackendId> m_tried;
     Verdict m_verdict = Verdict::NotRun;
     /// Last event delivered, or named by the caller's Last-Event-Id.
