Blame sooner after an outage, and hold only what was never answered

A crash counts after one second, of which the last quarter at least follows the service's first answer; repeats are held only for parts of which no answer is known at all.

--- a/include/gentianramp/registry/crash_evidence.hpp
+++ b/include/gentianramp/registry/crash_evidence.hpp
@@ -98,9 +98,9 @@
     /// Parts that are blamed, in the order of their numbers.
     std::vector<BlamedPart> blamed(TimePoint now) const;
 
-    /// Whether an answer to a prompt with this part has not begun since a crash at which it waited,
-    /// although there was time for it.
-    bool isUncleared(std::uint64_t part, TimePoint now) const;
+    /// Whether this part waited at a crash a while ago and no answer to a prompt with it is known,
+    /// from before the crash or since.
+    bool isUnanswered(std::uint64_t part, TimePoint now) const;
 
     /// Time until a trial of a blamed part may be granted.
     Duration timeToTrial(const BlamedPart &blamedPart, TimePoint now) const;
--- a/src/gentianramp/registry/crash_evidence.cpp
+++ b/src/gentianramp/registry/crash_evidence.cpp
@@ -17,9 +17,11 @@
 constexpr std::uint32_t MomentsBeforeBlame = 2;
 /// Weight of a crash for a part that was never answered, where it is 1 for others.
 constexpr std::size_t NeverAnsweredWeight = 2;
-/// Time from the first answer of the service after a crash in which answers to other prompts clear
-/// the parts that they share. Covers an answer and its report to all processes.
+/// Time after a crash in which answers to other prompts clear the parts that they share. Covers an
+/// answer and its report to all processes.
 constexpr Duration ClearingTime = std::chrono::milliseconds(1000);
+/// The same from the first answer of the service after the crash, which may come late.
+constexpr Duration RestartedClearingTime = std::chrono::milliseconds(250);
 /// Crashes that are further apart are not counted together.
 constexpr Duration EvidenceLifetime = std::chrono::minutes(2);
 /// Lifetime of a blamed part's crashes while no request with it arrives for a trial.
@@ -266,7 +268,8 @@
     std::vector<const ServerCrash *> unexplained;
     for (const auto &[key, entry] : m_crashes) {
         // Answers to other prompts had time to clear their parts.
-        if (entry.crash.worksSince && now - *entry.crash.worksSince >= ClearingTime)
+        if (entry.crash.worksSince && now - entry.crash.crashedAt >= ClearingTime
+            && now - *entry.crash.worksSince >= RestartedClearingTime)
             unexplained.push_back(&entry.crash);
     }
     std::sort(
@@ -295,11 +298,13 @@
         found->second.observedAt = found->second.changedAt = ++m_version;
 }
 
-bool CrashEvidence::isUncleared(std::uint64_t part, TimePoint now) const
+bool CrashEvidence::isUnanswered(std::uint64_t part, TimePoint now) const
 {
     return std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto &entry) {
         const ServerCrash &crash = entry.second.crash;
-        return now - crash.crashedAt >= ClearingTime && suspects(crash, part);
+        const auto found = crash.parts.find(part);
+        return now - crash.crashedAt >= ClearingTime && found != crash.parts.end()
+            && found->second.suspicion == PartSuspicion::Unanswered;
     });
 }
 
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -216,7 +216,7 @@
 {
     const TimePoint now = RuntimeClock::now();
     return std::any_of(prompt.parts.begin(), prompt.parts.end(),
-                       [&](const PromptPart &part) { return crashes->isUncleared(part.id, now); });
+                       [&](const PromptPart &part) { return crashes->isUnanswered(part.id, now); });
 }
 
 void RelayState::checkHealth(const BackendId &backend, const std::string &service)
--- a/src/gentianramp/relay/relay_state.hpp
+++ b/src/gentianramp/relay/relay_state.hpp
@@ -66,8 +66,8 @@
     /// Decides whether a request with this prompt may be sent. Uses up a trial that this instance
     /// was granted.
     PromptAdmission admitPrompt(const PromptDescription &prompt);
-    /// Whether a part of the prompt waited for an answer at an earlier crash and was not answered
-    /// since.
+    /// Whether a part of the prompt waited for an answer at an earlier crash and was never
+    /// answered.
     bool wasAtEarlierCrash(const PromptDescription &prompt) const;
     /// Starts a health check of a backend server unless one is in progress.
     void checkHealth(const BackendId &backend, const std::string &service);
