--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -185,8 +185,9 @@
     Source &source = m_sources[sender];
     const bool isNewProcess = answer.crashes_epoch() != source.crashesEpoch;
     // A process that has restarted received only the last part of what its predecessor was told.
-    const bool hasRestarted = isNewProcess && source.crashesEpoch != 0;
-    source.reportedVersion = hasRestarted ? 0 : std::max(source.reportedVersion, reportedVersion);
+    const bool sourceHasRestarted = isNewProcess && source.crashesEpoch != 0;
+    source.reportedVersion
+        = sourceHasRestarted ? 0 : std::max(source.reportedVersion, reportedVersion);
     source.crashesVersion = isNewProcess
         ? answer.crashes_version()
         : std::max<std::uint64_t>(source.crashesVersion, answer.crashes_version());
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -128,13 +128,14 @@
     std::optional<PrefilledPrompt> m_prefilledPrompt;
     /// Attempts that reached a backend server, without the uncounted rejections.
     std::uint32_t m_sendCount = 0;
-    std::uint32_t m_uncountedRejections = 0; ///< Rejections after the answer had begun.
-    /// Engines that were asked to prefill the prompt, without the uncounted rejections.
-    std::uint32_t m_prefillCount = 0;
-    std::uint32_t m_prefillsForSend = 0; ///< The same since the last send.
-    Duration m_prefillTime{};            ///< Time of all prefills.
-    BackendId m_prefillEngine;           ///< Last engine that was asked to prefill.
-    Duration m_lastExpectedWait{};       ///< Expected wait of the last placement.
+    /// Rejections and failed prefills after the answer had begun that used up no attempt.
+    std::uint32_t m_uncountedRejections = 0;
+    std::uint32_t m_prefillCount = 0; ///< Engines that were asked to prefill the prompt.
+    /// The same since the last send, without the uncounted ones.
+    std::uint32_t m_prefillsForSend = 0;
+    Duration m_prefillTime{};      ///< Time of all prefills.
+    BackendId m_prefillEngine;     ///< Last engine that was asked to prefill.
+    Duration m_lastExpectedWait{}; ///< Expected wait of the last placement.
     std::vector<BackendId> m_tried;
     Verdict m_verdict = Verdict::NotRun;
     /// Last event delivered, or named by the caller's Last-Event-Id.
