Log the rate that a backend server names

Nothing read the header with which a server in need names the requests a second that it takes from all machines together, so that neither logs nor metrics could tell whether an instance knew of a limit. It is parsed in the adapter, as a decimal number or refused with a log line, and kept for each server and incarnation. backend_limit tells when it begins, changes and ends, and how many requests this instance sent meanwhile; an answer other than 421 counts, and its absence ends the limit only on a 200.

--- a/include/gentianramp/relay/backend_protocol.hpp
+++ b/include/gentianramp/relay/backend_protocol.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <gentianramp/core/clock.hpp>
+#include <gentianramp/core/error.hpp>
 #include <gentianramp/http/message.hpp>
 #include <optional>
 #include <string>
@@ -56,6 +57,7 @@
     std::string load;        ///< On an answer: StatedLoad.
     std::string leaving; ///< On an answer: the backend server leaves if the value is leavingValue.
     std::string leavingValue;
+    std::string limit; ///< On an answer: requests per second taken from all instances.
     std::string prefixSource; ///< Address of an engine whose cached prefix is fetched first.
     /// With prefillValue, the engine only prefills the prompt and keeps its KV cache under a
     /// handle.
@@ -67,6 +69,8 @@
     std::string reportPath; ///< Path of an engine's state; answering it takes no slot.
     std::function<std::optional<PromptDescription>(const HttpHeaders &)> prompt;
     std::function<std::optional<StatedLoad>(std::string_view)> parseLoad;
+    /// Requests per second; an error says what is wrong with the text.
+    std::function<Result<double>(std::string_view)> parseLimit;
     /// Handle in the body of an answer to a prefill; empty when there is none.
     std::function<std::string(std::string_view)> handle;
     /// Target and method that free a handle.
--- a/include/gentianramp/relay/backend_table.hpp
+++ b/include/gentianramp/relay/backend_table.hpp
@@ -5,6 +5,7 @@
 #include <gentianramp/declaration/declaration.hpp>
 #include <gentianramp/http/client.hpp>
 #include <gentianramp/registry/backend_listing.hpp>
+#include <gentianramp/registry/request_limit.hpp>
 #include <gentianramp/registry/stage_delays.hpp>
 #include <gentianramp/relay/backend_protocol.hpp>
 #include <map>
@@ -116,6 +117,8 @@
     /// The backend server answered that it leaves: it gets no further requests of this instance
     /// until it restarts.
     void noteLeaving(const BackendId &backend);
+    /// The backend server stated which rate of requests it takes, or that it names no limit now.
+    void noteLimit(const BackendId &backend, std::optional<double> perSecond, TimePoint now);
     /// The backend server asked not to be sent anything for @p time.
     void noteHold(const BackendId &backend, Duration time, TimePoint now);
     /// Whether the backend server asked not to be sent anything now.
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -89,6 +89,12 @@
     return std::chrono::duration<double, std::milli>(value).count();
 }
 
+/// For log lines; -1: no value.
+std::int64_t thousandthsOf(std::optional<double> value)
+{
+    return value ? std::llround(1000 * std::min(*value, 1e12)) : -1;
+}
+
 std::uint64_t splitMix(std::uint64_t value)
 {
     value = (value ^ (value >> 30)) * SplitMixFactorA;
@@ -129,8 +135,10 @@
     std::uint32_t sentRequests = 0; ///< Requests that this instance sent since loadAt.
     TimePoint lastContactAt{};
     TimePoint avoidUntil{};
-    bool leaving = false;  ///< It said so in an answer; the listing may not show it yet.
-    TimePoint heldUntil{}; ///< It asked not to be sent anything before.
+    bool leaving = false;             ///< It said so in an answer; the listing may not show it yet.
+    TimePoint heldUntil{};            ///< It asked not to be sent anything before.
+    RequestLimit limit;               ///< Its newest statement.
+    std::uint32_t sentUnderLimit = 0; ///< Requests that this instance sent since it named one.
     bool listedPrefillOnly = false;
     ReportedStage reportedStage = ReportedStage::Unknown;
     TimePoint stageReportedAt{};
@@ -239,6 +247,9 @@
             backend->hash = splitMix(std::hash<std::string>{}(server.id.value()));
         }
         backend->server = server;
+        backend->limit.server = server.id;
+        backend->limit.startedAtMs = server.startedAtMs;
+        backend->limit.service = server.service;
         backend->listedPrefillOnly = server.prefillOnly;
         setStage(*backend, listing.takenAt);
         next.emplace(server.id, std::move(backend));
@@ -670,6 +681,7 @@
     backend->uncachedTokens += target.uncachedTokens;
     backend->sentTokens += target.uncachedTokens;
     ++backend->sentRequests;
+    ++backend->sentUnderLimit;
     if (!prompt)
         return;
     backend->rememberParts(*prompt, now);
@@ -880,6 +892,27 @@
              {"listed_draining", leaving->server.draining ? 1 : 0}});
 }
 
+void BackendTable::noteLimit(const BackendId &backend, std::optional<double> perSecond,
+                             TimePoint now)
+{
+    Backend *found = findBackend(backend);
+    if (!found)
+        return;
+    RequestLimit &limit = found->limit;
+    limit.statedAt = now;
+    const std::optional<double> former = std::exchange(limit.perSecond, perSecond);
+    if (former == perSecond)
+        return;
+    logInfo("backend_limit",
+            {{"backend", backend.value()},
+             {"per_second_milli", thousandthsOf(perSecond)},
+             {"former_milli", thousandthsOf(former)},
+             {"sent_under_limit", former ? found->sentUnderLimit : 0},
+             {"open", found->open}});
+    if (!former)
+        found->sentUnderLimit = 0;
+}
+
 void BackendTable::noteHold(const BackendId &backend, Duration time, TimePoint now)
 {
     Backend *held = findBackend(backend);
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -15,6 +15,7 @@
 
 /// Longer header values are cut off in log lines.
 constexpr std::size_t MaxLoggedValue = 64;
+constexpr unsigned Ok = 200;
 constexpr unsigned ServiceUnavailable = 503;
 /// Engines answer health checks without using a slot, within a few milliseconds.
 constexpr Duration HealthCheckTimeout = std::chrono::milliseconds(250);
@@ -125,6 +126,31 @@
     }
 }
 
+void RelayState::noteLimit(const BackendId &backend, unsigned status, const HttpHeaders &headers)
+{
+    const BackendProtocol &protocol = options.protocol;
+    const TimePoint now = RuntimeClock::now();
+    // The server that answers 421 is another one, which holds the address now.
+    if (!protocol.parseLimit || status == protocol.wrongTargetStatus)
+        return;
+    if (!headers.contains(protocol.limit)) {
+        // Only answers of a server that does its work show that it names no limit any more.
+        if (status == Ok)
+            table.noteLimit(backend, std::nullopt, now);
+        return;
+    }
+    const std::string_view value = headers.find(protocol.limit).substr(0, MaxLoggedValue);
+    const Result<double> perSecond = protocol.parseLimit(value);
+    if (perSecond)
+        table.noteLimit(backend, *perSecond, now);
+    else
+        logWarning("backend_header_ignored",
+                   {{"backend", backend.value()},
+                    {"header", protocol.limit},
+                    {"value", value},
+                    {"reason", perSecond.message()}});
+}
+
 void RelayState::noteConnectionLost(const SendTarget &target, const std::string &service,
                                     const PromptDescription *unanswered)
 {
--- a/src/gentianramp/relay/relay_state.hpp
+++ b/src/gentianramp/relay/relay_state.hpp
@@ -52,6 +52,9 @@
 
     /// Notes what a backend server states about itself in the head of any answer.
     void noteAnswerHead(const BackendId &backend, unsigned status, const HttpHeaders &headers);
+    /// Notes the rate of requests that a backend server names in the answer to a request, or that
+    /// it names none.
+    void noteLimit(const BackendId &backend, unsigned status, const HttpHeaders &headers);
     /// A backend server ended a connection before the answer on it was complete; its health is
     /// checked. @p unanswered is the prompt whose answer had not begun, else null.
     void noteConnectionLost(const SendTarget &target, const std::string &service,
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -661,6 +661,8 @@
 {
     m_state->noteAnswerHead(attempt.target.backend, attempt.exchange->status(),
                             attempt.exchange->headers());
+    m_state->noteLimit(attempt.target.backend, attempt.exchange->status(),
+                       attempt.exchange->headers());
 }
 
 bool RelayedRequest::isEventStream(const HttpExchange &exchange) const
