Show that instances pass the limit of a backend server

Three instances that were each told of half a request a second send 33 requests at once where 8 in four seconds are allowed.

--- a/src/gentianramp/relay/relay_service_test.cpp
+++ b/src/gentianramp/relay/relay_service_test.cpp
@@ -33,6 +33,7 @@
     names.load = "X-Load";
     names.leaving = "X-Leaving";
     names.leavingValue = "1";
+    names.limit = "X-Limit";
     names.prefixSource = "X-Fetch";
     names.prefillOnly = "X-Stage";
     names.prefillValue = "prefill";
@@ -51,6 +52,11 @@
         prompt.parts.push_back({2 + own, 1000});
         return prompt;
     };
+    names.parseLimit = [](std::string_view text) -> Result<double> {
+        if (text.empty() || text.find_first_not_of("0123456789.") != std::string_view::npos)
+            return Result<double>(std::make_error_code(std::errc::invalid_argument));
+        return std::stod(std::string(text));
+    };
     names.handle = [](std::string_view body) { return std::string(body); };
     names.freeHandle = [](const std::string &handle) {
         return HttpRequest{.method = "DELETE", .target = "/handle/" + handle};
@@ -919,6 +925,29 @@
     }
 }
 
+// A server that named a limit got as many requests as before from all instances.
+Test(known_red, aServerGetsNoMoreThanItsLimitFromAllInstances)
+{
+    constexpr std::uint32_t instances = 3;
+    constexpr double perSecond = 0.5;
+    const double allowedInFourSeconds = 1.5 * 4 * perSecond + 5;
+    std::vector<std::unique_ptr<RelayFixture>> fixtures;
+    int arrived = 0;
+    for (std::uint32_t instance = 0; instance < instances; ++instance) {
+        RelayFixture &fixture = *fixtures.emplace_back(std::make_unique<RelayFixture>());
+        fixture.relay.setInstances(instances);
+        fixture.addServer("limited", answersWith(200, "X-Limit", std::to_string(perSecond)));
+        fixture.declare({.kind = RouteKind::RunOnce});
+        cr_assert_eq(fixture.call({})->status, 200U);
+        for (int count = 0; count < 10; ++count) {
+            const Result<HttpResponse> answer = fixture.call({});
+            cr_assert(answer->status == 200U || answer->headers.contains("Retry-After"));
+        }
+        arrived += fixture.requestsAt("limited");
+    }
+    cr_assert_leq(arrived, allowedInFourSeconds);
+}
+
 // A stream that had begun was cut because its server fell silent, although nothing could go on
 // with it elsewhere.
 Test(relay_service, aSilentServerKeepsAStreamThatNoOtherServerCanGoOnWith)
