Keep the limits that backend servers name, by grants of the leader

Seven instances, each keeping to the limit by itself, would send seven times as much.

Instances report the limits that they were told of and the requests that arrive; the registry's leader grants single requests of each limit to those that lack them, as totals that are repeated until confirmed, and bounds what is held unsent, so that four seconds bring a server at most 5.8 seconds of its limit and four requests, whoever sends them.

--- a/include/gentianramp/registry/registry_feed.hpp
+++ b/include/gentianramp/registry/registry_feed.hpp
@@ -5,6 +5,7 @@
 #include <gentianramp/registry/backend_listing.hpp>
 #include <gentianramp/registry/crash_evidence.hpp>
 #include <gentianramp/registry/declaration_ledger.hpp>
+#include <gentianramp/registry/limit_granter.hpp>
 #include <gentianramp/registry/stage_delays.hpp>
 #include <gentianramp/registry/versioned_load_table.hpp>
 #include <map>
@@ -64,6 +65,7 @@
     std::optional<BackendListing> listing;     ///< Set if its content has changed.
     std::optional<LoadReports> loads;          ///< Set if newer than before.
     CrashReports crashes;                      ///< What changed in the source's evidence.
+    std::optional<LimitTable> limits;          ///< Set if the source has a table.
 };
 
 /// Keeps an entry process up to date with the registry: the newest declaration, the platform's list
@@ -84,6 +86,13 @@
     void setDelays(ServiceDelays delays) { m_delays = std::move(delays); }
     /// Sets the prompt parts because of which requests were refused lately.
     void setRefusedParts(std::vector<std::uint64_t> parts) { m_refusedParts = std::move(parts); }
+    /// Sets what backend servers lately stated on limits, and the requests that arrive
+    /// here, if there are limits.
+    void setLimits(std::vector<RequestLimit> limits, ReportedDemand demand)
+    {
+        m_limits = std::move(limits);
+        m_demand = std::move(demand);
+    }
     /// Number of entry processes in the system, including this one.
     std::uint32_t entryProcessCount() const { return m_entryProcessCount; }
     /// Time since a majority last confirmed the current declaration; empty: never.
@@ -146,6 +155,8 @@
     std::uint32_t m_entryProcessCount = 1;
     ServiceDelays m_delays;
     std::vector<std::uint64_t> m_refusedParts;
+    std::vector<RequestLimit> m_limits;
+    ReportedDemand m_demand;
     std::uint64_t m_random;
 };
 
--- a/include/gentianramp/relay/backend_protocol.hpp
+++ b/include/gentianramp/relay/backend_protocol.hpp
@@ -57,7 +57,7 @@
     std::string load;        ///< On an answer: StatedLoad.
     std::string leaving; ///< On an answer: the backend server leaves if the value is leavingValue.
     std::string leavingValue;
-    std::string limit; ///< On an answer: requests per second taken from all instances.
+    std::string limit;        ///< On an answer: requests per second taken from all instances.
     std::string prefixSource; ///< Address of an engine whose cached prefix is fetched first.
     /// With prefillValue, the engine only prefills the prompt and keeps its KV cache under a
     /// handle.
--- a/include/gentianramp/relay/backend_table.hpp
+++ b/include/gentianramp/relay/backend_table.hpp
@@ -5,6 +5,7 @@
 #include <gentianramp/declaration/declaration.hpp>
 #include <gentianramp/http/client.hpp>
 #include <gentianramp/registry/backend_listing.hpp>
+#include <gentianramp/registry/limit_granter.hpp>
 #include <gentianramp/registry/request_limit.hpp>
 #include <gentianramp/registry/stage_delays.hpp>
 #include <gentianramp/relay/backend_protocol.hpp>
@@ -119,6 +120,28 @@
     void noteLeaving(const BackendId &backend);
     /// The backend server stated which rate of requests it takes, or that it names no limit now.
     void noteLimit(const BackendId &backend, std::optional<double> perSecond, TimePoint now);
+    /// Limits, and what the registry's leader granted to this instance.
+    void publish(const LimitTable &table, TimePoint now);
+    /// What backend servers lately stated to this instance on limits; their ends too.
+    std::vector<RequestLimit> statedLimits(TimePoint now) const;
+    /// Whether any backend server limits the rate of requests.
+    bool knowsLimits() const;
+    bool isLimited(const BackendId &backend) const;
+    /// What this instance may still send to limited backend servers.
+    std::vector<LimitHolding> limitHoldings(TimePoint now) const;
+    /// Takes one of the requests that the backend server's limit allows this instance; false if
+    /// there is none.
+    bool takeAllowance(const BackendId &backend, TimePoint now);
+    /// What keeps requests from the servers of a service while all that could take them are at
+    /// their limits.
+    struct LimitWait
+    {
+        Duration untilNext{}; ///< Time until this instance may send one.
+        double perSecond = 0; ///< That this instance may send to all of them.
+        bool operator==(const LimitWait &) const = default;
+    };
+    /// Empty while a server may be sent a request, or none is limited.
+    std::optional<LimitWait> limitWait(const std::string &service, TimePoint now) const;
     /// The backend server asked not to be sent anything for @p time.
     void noteHold(const BackendId &backend, Duration time, TimePoint now);
     /// Whether the backend server asked not to be sent anything now.
@@ -149,6 +172,9 @@
     struct ServiceState;
 
     Backend *find(const SendTarget &target);
+    /// @p source names who told of the statement.
+    void setLimit(Backend &backend, std::optional<double> perSecond, TimePoint statedAt,
+                  std::string_view source, TimePoint now);
     static void setStage(Backend &backend, TimePoint now);
     /// The backend server can serve the request and may be tried now. @p allowFailing also accepts
     /// servers whose circuit breaker is open.
--- a/include/gentianramp/relay/relay_service.hpp
+++ b/include/gentianramp/relay/relay_service.hpp
@@ -8,6 +8,7 @@
 #include <gentianramp/http/server.hpp>
 #include <gentianramp/registry/backend_listing.hpp>
 #include <gentianramp/registry/crash_evidence.hpp>
+#include <gentianramp/registry/limit_granter.hpp>
 #include <gentianramp/registry/stage_delays.hpp>
 #include <gentianramp/relay/backend_protocol.hpp>
 #include <gentianramp/relay/retry_allowance.hpp>
@@ -52,6 +53,13 @@
     void publish(const LoadReports &loads);
     /// Adds what other processes observed.
     void publish(const CrashReports &reports);
+    /// Adds limits of backend servers and what was granted to this instance.
+    void publish(const LimitTable &table);
+    /// What backend servers lately stated to this instance on limits.
+    std::vector<RequestLimit> statedLimits(TimePoint now) const;
+    /// Requests that arrive here and what may be sent of them to limited backend servers; empty
+    /// while no limit is known.
+    ReportedDemand demand(TimePoint now) const;
     /// Prompt parts because of which requests were refused lately.
     std::vector<std::uint64_t> refusedParts(TimePoint now) const;
     void setInstances(std::uint32_t instances);
--- a/src/gentianramp/registry/registry_codec.cpp
+++ b/src/gentianramp/registry/registry_codec.cpp
@@ -6,6 +6,7 @@
 #include <gentianramp/http/address.hpp>
 #include <gentianramp/registry/packed_text.hpp>
 #include <limits>
+#include <map>
 
 namespace gentianramp {
 
@@ -75,8 +76,153 @@
     return servers;
 }
 
+double finiteOrZero(double value)
+{
+    return std::isfinite(value) ? std::max(value, 0.0) : 0;
+}
+
+proto::RequestLimit toProto(const RequestLimit &limit, TimePoint now)
+{
+    proto::RequestLimit message;
+    message.set_server(limit.server.value());
+    message.set_born_ms(limit.startedAtMs);
+    message.set_service(limit.service);
+    message.set_ended(!limit.perSecond);
+    if (limit.perSecond)
+        message.set_per_second(usableLimit(*limit.perSecond));
+    message.set_age_ms(ageMs(limit.statedAt, now));
+    return message;
+}
+
+RequestLimit fromProto(const proto::RequestLimit &message, TimePoint now)
+{
+    return {.server = BackendId(message.server()),
+            .startedAtMs = message.born_ms(),
+            .service = message.service(),
+            .perSecond
+            = message.ended() ? std::nullopt : std::optional(finiteOrZero(message.per_second())),
+            .statedAt = now - std::chrono::milliseconds(message.age_ms())};
+}
+
+proto::InstanceDemand toProto(const ReportedDemand &demand, TimePoint now)
+{
+    proto::InstanceDemand message;
+    message.set_age_ms(ageMs(demand.reportedAt, now));
+    for (const auto &[service, perSecond] : demand.perSecond) {
+        proto::ServiceDemand &entry = *message.add_services();
+        entry.set_service(service);
+        entry.set_requests(thousandths(perSecond));
+    }
+    for (const LimitHolding &holding : demand.holdings) {
+        proto::LimitHolding &entry = *message.add_holdings();
+        entry.set_server(holding.server.value());
+        entry.set_born_ms(holding.startedAtMs);
+        entry.set_account(holding.account);
+        entry.set_applied(holding.applied);
+        entry.set_remaining(holding.remaining);
+    }
+    return message;
+}
+
+ReportedDemand fromProto(const proto::InstanceDemand &message, TimePoint now)
+{
+    ReportedDemand demand;
+    demand.reportedAt = now - std::chrono::milliseconds(message.age_ms());
+    for (const proto::ServiceDemand &entry : message.services())
+        demand.perSecond[entry.service()] = entry.requests() / 1000.0;
+    for (const proto::LimitHolding &entry : message.holdings())
+        demand.holdings.push_back({BackendId(entry.server()), entry.born_ms(), entry.account(),
+                                   entry.applied(), finiteOrZero(entry.remaining())});
+    return demand;
+}
+
 } // namespace
 
+proto::LimitReports toProto(const LimitReports &reports, TimePoint now)
+{
+    proto::LimitReports message;
+    for (const RequestLimit &limit : reports.limits)
+        *message.add_limits() = toProto(limit, now);
+    for (const auto &[instance, demand] : reports.demands) {
+        proto::InstanceDemand &entry = *message.add_demands();
+        entry = toProto(demand, now);
+        entry.set_instance(instance.value());
+    }
+    return message;
+}
+
+LimitReports fromProto(const proto::LimitReports &message, TimePoint now)
+{
+    LimitReports reports;
+    for (const proto::RequestLimit &limit : message.limits())
+        reports.limits.push_back(fromProto(limit, now));
+    for (const proto::InstanceDemand &entry : message.demands())
+        reports.demands[InstanceId(entry.instance())] = fromProto(entry, now);
+    return reports;
+}
+
+proto::LimitTable toProto(const LimitTable &table, TimePoint now)
+{
+    proto::LimitTable message;
+    message.set_age_ms(ageMs(table.grantedAt, now));
+    message.set_term(table.term);
+    std::map<std::pair<BackendId, std::int64_t>, std::uint32_t> indices;
+    for (const RequestLimit &limit : table.limits) {
+        const auto index = static_cast<std::uint32_t>(message.limits_size());
+        indices[{limit.server, limit.startedAtMs}] = index;
+        *message.add_limits() = toProto(limit, now);
+    }
+    for (const LimitGrant &grant : table.grants) {
+        const auto index = indices.find({grant.server, grant.startedAtMs});
+        if (index == indices.end())
+            continue;
+        proto::LimitGrant &entry = *message.add_grants();
+        entry.set_limit(index->second);
+        entry.set_instance(grant.instance.value());
+        entry.set_account(grant.account);
+        entry.set_total(grant.total);
+    }
+    return message;
+}
+
+LimitTable fromProto(const proto::LimitTable &message, TimePoint now)
+{
+    LimitTable table{.term = message.term(),
+                     .grantedAt = now - std::chrono::milliseconds(message.age_ms()),
+                     .limits = {},
+                     .grants = {}};
+    for (const proto::RequestLimit &limit : message.limits())
+        table.limits.push_back(fromProto(limit, now));
+    for (const proto::LimitGrant &entry : message.grants()) {
+        if (entry.limit() >= table.limits.size())
+            continue;
+        const RequestLimit &limit = table.limits[entry.limit()];
+        table.grants.push_back({limit.server, limit.startedAtMs, InstanceId(entry.instance()),
+                                entry.account(), entry.total()});
+    }
+    return table;
+}
+
+void addToProto(const std::vector<RequestLimit> &limits, const ReportedDemand &demand,
+                proto::FeedRequest &request, TimePoint now)
+{
+    for (const RequestLimit &limit : limits)
+        *request.add_limits() = toProto(limit, now);
+    if (demand != ReportedDemand())
+        *request.mutable_demand() = toProto(demand, now);
+}
+
+LimitReports limitReports(const proto::FeedRequest &request, const InstanceId &sender,
+                          TimePoint now)
+{
+    LimitReports reports;
+    for (const proto::RequestLimit &limit : request.limits())
+        reports.limits.push_back(fromProto(limit, now));
+    if (request.has_demand())
+        reports.demands[sender] = fromProto(request.demand(), now);
+    return reports;
+}
+
 proto::BackendList toProto(const ListingChange &change)
 {
     proto::BackendList list;
--- a/src/gentianramp/registry/registry_codec.hpp
+++ b/src/gentianramp/registry/registry_codec.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <gentianramp/registry/crash_evidence.hpp>
+#include <gentianramp/registry/limit_exchange.hpp>
 #include <gentianramp/registry/listing_history.hpp>
 #include <gentianramp/registry/stage_delays.hpp>
 #include <gentianramp/registry/versioned_load_table.hpp>
@@ -20,6 +21,18 @@
 proto::CrashReports toProto(const CrashReports &reports, TimePoint now);
 CrashReports fromProto(const proto::CrashReports &reports, TimePoint now);
 
+proto::LimitReports toProto(const LimitReports &reports, TimePoint now);
+LimitReports fromProto(const proto::LimitReports &message, TimePoint now);
+
+proto::LimitTable toProto(const LimitTable &table, TimePoint now);
+LimitTable fromProto(const proto::LimitTable &message, TimePoint now);
+
+/// Limits and demand that an entry process reports with its request.
+void addToProto(const std::vector<RequestLimit> &limits, const ReportedDemand &demand,
+                proto::FeedRequest &request, TimePoint now);
+LimitReports limitReports(const proto::FeedRequest &request, const InstanceId &sender,
+                          TimePoint now);
+
 void addToProto(const ServiceDelays &delays,
                 google::protobuf::RepeatedPtrField<proto::StageDelays> &list);
 ServiceDelays fromProto(const google::protobuf::RepeatedPtrField<proto::StageDelays> &list);
--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -158,6 +158,7 @@
     request.set_loads_version(m_loads.version());
     addToProto(m_delays, *request.mutable_delays());
     addCrashes(request, open, now);
+    addToProto(m_limits, m_demand, request, now);
     output.requestTo = target;
     output.request = m_request = message.SerializeAsString();
     m_resendAt = now + m_options.resendInterval;
@@ -281,6 +282,8 @@
             output.loads = std::move(loads);
         }
     }
+    if (answer.has_limits())
+        output.limits = fromProto(answer.limits(), now);
     if (m_number != 0 && m_digest != 0)
         m_unansweredCount = 0;
     const bool stale = !confirmed
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -17,6 +17,7 @@
 #include <gentianramp/registry/absence_watch.hpp>
 #include <gentianramp/registry/crash_evidence.hpp>
 #include <gentianramp/registry/leader_calls.hpp>
+#include <gentianramp/registry/limit_exchange.hpp>
 #include <gentianramp/registry/listing_history.hpp>
 #include <gentianramp/registry/load_poll_scheduler.hpp>
 #include <gentianramp/registry/member_directory.hpp>
@@ -104,6 +105,17 @@
 /// Interval between two full sets of crash reports to one process; longer than a report is on its
 /// way.
 constexpr Duration AllCrashesInterval = std::chrono::milliseconds(600);
+/// Time between two rounds of grants by the leader; the reports of entry processes come as often.
+constexpr Duration LimitExchangeInterval = std::chrono::milliseconds(200);
+/// A new leader grants nothing before all entry processes had time to report to it.
+constexpr Duration LimitGrantDelay = std::chrono::milliseconds(1000);
+constexpr Duration GrantLogInterval = std::chrono::seconds(2);
+constexpr std::size_t MaxGrantLogLines = 20;
+/// Part of a limited engine's rate that requests for its load may take, and bounds of the time
+/// between two.
+constexpr double LimitedPollShare = 0.25;
+constexpr Duration MinLimitedPollInterval = std::chrono::milliseconds(750);
+constexpr Duration MaxLimitedPollInterval = std::chrono::seconds(3);
 constexpr std::uint32_t NeverConfirmed = std::numeric_limits<std::uint32_t>::max();
 
 std::string seatName(unsigned number)
@@ -122,6 +134,7 @@
 {
     ReportedLoad load;
     StageAnnouncement announcement;
+    TimePoint requestedAt{};
     TimePoint answeredAt{};
     bool requestPending = false;
     unsigned missedCount = 0; ///< Consecutive requests without an answer.
@@ -217,6 +230,10 @@
                 nextCrashExchangeAt = now + CrashExchangeInterval;
                 exchangeCrashes(now);
             }
+            if (now >= nextLimitExchangeAt) {
+                nextLimitExchangeAt = now + LimitExchangeInterval;
+                exchangeLimits(now);
+            }
             if (leads() && now >= nextSeatUpdateAt) {
                 nextSeatUpdateAt = now + SeatUpdateInterval;
                 updateSeats(now);
@@ -391,11 +408,14 @@
 
     void requestLoads()
     {
+        const TimePoint now = RuntimeClock::now();
         std::vector<PollCandidate> engines;
         for (const ListedServer &server : listing.servers) {
             if (!server.engine)
                 continue;
             const EngineLoadState &known = engineLoadStates[server.id];
+            if (now - known.requestedAt < minPollInterval(server.id))
+                continue;
             const bool idle = !known.load.engine.value().empty() && known.missedCount == 0
                 && known.load.running + known.load.waiting == 0;
             engines.push_back({server.id, !idle});
@@ -408,6 +428,17 @@
         }
     }
 
+    /// Time between two requests for the load of an engine; zero unless it limits requests.
+    Duration minPollInterval(const BackendId &engine) const
+    {
+        const std::optional<double> limit = limits.limitOf(engine);
+        if (!limit)
+            return Duration::zero();
+        const std::chrono::duration<double> interval(1 / (LimitedPollShare * usableLimit(*limit)));
+        return std::clamp(std::chrono::duration_cast<Duration>(interval), MinLimitedPollInterval,
+                          MaxLimitedPollInterval);
+    }
+
     asio::awaitable<void> requestLoad(ListedServer engine)
     {
         const auto self = shared_from_this();
@@ -415,6 +446,7 @@
         if (known.requestPending)
             co_return;
         known.requestPending = true;
+        known.requestedAt = RuntimeClock::now();
         const std::optional<ReportedLoad> load = co_await options.engineLoad(engine);
         EngineLoadState &answered = engineLoadStates[engine.id];
         answered.requestPending = false;
@@ -570,6 +602,11 @@
         case proto::RegistryMessage::kCrashes:
             crashes.merge(fromProto(message.crashes(), now), now);
             return;
+        case proto::RegistryMessage::kLimitReports:
+            limits.merge(fromProto(message.limit_reports(), now), now);
+            return;
+        case proto::RegistryMessage::kLimits:
+            return limits.publish(fromProto(message.limits(), now));
         case proto::RegistryMessage::kDeclareAnswer:
             return finishCall(message.declare_answer().call(), message);
         case proto::RegistryMessage::kReadAnswer:
@@ -699,6 +736,50 @@
         sendToMember(to, message);
     }
 
+    // Limits of backend servers
+
+    /// Grants what the limits allow while this process leads; else tells the leader what entry
+    /// processes reported to this process.
+    void exchangeLimits(TimePoint now)
+    {
+        const LimitReports reports = limits.reports(now);
+        if (reports.limits.empty())
+            return;
+        proto::RegistryMessage message;
+        if (!leads()) {
+            const std::optional<InstanceId> to = leader(now);
+            if (!to)
+                return;
+            *message.mutable_limit_reports() = toProto(reports, now);
+            return send(*to, message);
+        }
+        if (now - leadsSince < LimitGrantDelay)
+            return;
+        *message.mutable_limits()
+            = toProto(limits.grant(ledger->replica().term().value(), now), now);
+        for (const InstanceId &member : directory.contacts())
+            send(member, message);
+        logGrants(now);
+    }
+
+    void logGrants(TimePoint now)
+    {
+        if (now < nextGrantLogAt)
+            return;
+        nextGrantLogAt = now + GrantLogInterval;
+        std::size_t logged = 0;
+        for (const LimitSummary &summary : limits.summaries()) {
+            if (++logged > MaxGrantLogLines)
+                return;
+            logInfo("limit_granted",
+                    {{"backend", summary.server.value()},
+                     {"limit_milli", thousandths(limits.limitOf(summary.server).value_or(0))},
+                     {"granted", summary.granted},
+                     {"held_milli", thousandths(summary.held)},
+                     {"instances", summary.instances}});
+        }
+    }
+
     void grantTrials(const std::vector<BlamedPart> &blamedParts, TimePoint now)
     {
         for (const BlamedPart &blamedPart : blamedParts) {
@@ -1100,6 +1181,8 @@
                 = {now,
                    fromProto(request.delays()),
                    {request.refused_parts().begin(), request.refused_parts().end()}};
+        if (!request.registry())
+            limits.merge(limitReports(request, received.sender, now), now);
         const CrashReports reports = fromProto(request.crashes(), now);
         for (const ServerCrash &crash : reports.crashes)
             crashes.addCrash(crash, now);
@@ -1136,6 +1219,8 @@
             = crashes.changedSince(sameEvidence ? request.crashes_version() : 0);
         if (news != CrashReports() && !request.registry())
             *feed.mutable_crashes() = toProto(news, now);
+        if (const auto table = limits.tableFor(received.sender, now))
+            *feed.mutable_limits() = toProto(*table, now);
         addKnown(*feed.mutable_known(), now);
         feed.set_entries(static_cast<std::uint32_t>(entryProcesses.size())
                          + directory.entryProcessesElsewhere(now));
@@ -1258,6 +1343,9 @@
     std::map<InstanceId, TimePoint> allCrashesSentAt;
     std::set<std::uint64_t> loggedBlame;
     TimePoint nextCrashExchangeAt{};
+    LimitExchange limits;
+    TimePoint nextLimitExchangeAt{};
+    TimePoint nextGrantLogAt{};
     asio::thread_pool writer{1}; ///< Waits for the disk.
     SeatStorage storage;
     std::string seat; ///< Empty for a spare.
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -1,8 +1,10 @@
 #include <gentianramp/relay/backend_table.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <gentianramp/core/log.hpp>
+#include <gentianramp/relay/limit_allowance.hpp>
 #include <gentianramp/relay/place_choice.hpp>
 #include <gentianramp/relay/prefill_rate.hpp>
 #include <gentianramp/relay/work_meter.hpp>
@@ -80,6 +82,10 @@
 constexpr double CrossDataCentreTransferFactor = 2;
 /// Calls without a prompt go to another data centre when that saves more than this share of slots.
 constexpr double CrossDataCentreSlotCost = 0.5;
+/// Time for which the registry is told what a server stated on a limit.
+constexpr Duration LimitReportTime = std::chrono::seconds(3);
+/// Time until the next grant of requests to a limited server arrives.
+constexpr Duration NextGrantTime = std::chrono::milliseconds(400);
 // Factors of the splitmix64 finalizer.
 constexpr std::uint64_t SplitMixFactorA = 0xbf58476d1ce4e5b9ULL;
 constexpr std::uint64_t SplitMixFactorB = 0x94d049bb133111ebULL;
@@ -138,6 +144,8 @@
     bool leaving = false;             ///< It said so in an answer; the listing may not show it yet.
     TimePoint heldUntil{};            ///< It asked not to be sent anything before.
     RequestLimit limit;               ///< Its newest statement.
+    TimePoint limitObservedAt{};      ///< When it stated one, or the end of one, to this instance.
+    LimitAllowance allowance;         ///< What this instance may send of the limit.
     std::uint32_t sentUnderLimit = 0; ///< Requests that this instance sent since it named one.
     bool listedPrefillOnly = false;
     ReportedStage reportedStage = ReportedStage::Unknown;
@@ -279,7 +287,8 @@
                           TimePoint now) const
 {
     if (backend.server.service != request.service || !backend.takesWork(now) || backend.silent
-        || now < backend.avoidUntil || (!allowFailing && !backend.breaker.mayAllow(true, now)))
+        || now < backend.avoidUntil || !backend.allowance.mayTake(m_instances, now)
+        || (!allowFailing && !backend.breaker.mayAllow(true, now)))
         return false;
     const std::uint32_t maxConnections = serviceState(request.service).declared.maxConnections;
     if (maxConnections > 0) {
@@ -682,6 +691,7 @@
     backend->sentTokens += target.uncachedTokens;
     ++backend->sentRequests;
     ++backend->sentUnderLimit;
+    backend->allowance.take(m_instances, now);
     if (!prompt)
         return;
     backend->rememberParts(*prompt, now);
@@ -898,19 +908,123 @@
     Backend *found = findBackend(backend);
     if (!found)
         return;
-    RequestLimit &limit = found->limit;
-    limit.statedAt = now;
+    if (perSecond || found->limit.perSecond)
+        found->limitObservedAt = now;
+    setLimit(*found, perSecond, now, "answer", now);
+}
+
+void BackendTable::setLimit(Backend &backend, std::optional<double> perSecond, TimePoint statedAt,
+                            std::string_view source, TimePoint now)
+{
+    RequestLimit &limit = backend.limit;
+    limit.statedAt = statedAt;
     const std::optional<double> former = std::exchange(limit.perSecond, perSecond);
     if (former == perSecond)
         return;
+    backend.allowance.setLimit(perSecond, m_instances, now);
     logInfo("backend_limit",
-            {{"backend", backend.value()},
+            {{"backend", limit.server.value()},
              {"per_second_milli", thousandthsOf(perSecond)},
              {"former_milli", thousandthsOf(former)},
-             {"sent_under_limit", former ? found->sentUnderLimit : 0},
-             {"open", found->open}});
+             {"source", source},
+             {"age_ms", toMilliseconds(now - statedAt)},
+             {"sent_under_limit", former ? backend.sentUnderLimit : 0},
+             {"open", backend.open}});
     if (!former)
-        found->sentUnderLimit = 0;
+        backend.sentUnderLimit = 0;
+}
+
+void BackendTable::publish(const LimitTable &table, TimePoint now)
+{
+    for (const RequestLimit &limit : table.limits) {
+        Backend *backend = findBackend(limit.server);
+        if (!backend || backend->limit.startedAtMs != limit.startedAtMs)
+            continue;
+        if (limit.statedAt > backend->limit.statedAt)
+            setLimit(*backend, limit.perSecond, limit.statedAt, "registry", now);
+        if (limit.perSecond)
+            backend->allowance.noteTable(table.grantedAt, m_instances, now);
+    }
+    for (const LimitGrant &grant : table.grants) {
+        Backend *backend = findBackend(grant.server);
+        if (backend && backend->limit.startedAtMs == grant.startedAtMs)
+            backend->allowance.applyGrant(grant.account, grant.total, m_instances, now);
+    }
+}
+
+std::vector<RequestLimit> BackendTable::statedLimits(TimePoint now) const
+{
+    std::vector<RequestLimit> limits;
+    for (const auto &[id, backend] : m_backends) {
+        if (backend->limitObservedAt != TimePoint{}
+            && now - backend->limitObservedAt <= LimitReportTime)
+            limits.push_back(backend->limit);
+    }
+    return limits;
+}
+
+bool BackendTable::knowsLimits() const
+{
+    return std::any_of(m_backends.begin(), m_backends.end(),
+                       [](const auto &entry) { return entry.second->allowance.isLimited(); });
+}
+
+bool BackendTable::isLimited(const BackendId &backend) const
+{
+    const Backend *found = findBackend(backend);
+    return found && found->allowance.isLimited();
+}
+
+std::vector<LimitHolding> BackendTable::limitHoldings(TimePoint now) const
+{
+    std::vector<LimitHolding> holdings;
+    for (const auto &[id, backend] : m_backends) {
+        const LimitAllowance &allowance = backend->allowance;
+        if (!allowance.isLimited())
+            continue;
+        const double remaining = allowance.remaining(m_instances, now);
+        if (allowance.account() != 0 || remaining > 0)
+            holdings.push_back({id, backend->limit.startedAtMs, allowance.account(),
+                                allowance.applied(), remaining});
+    }
+    return holdings;
+}
+
+bool BackendTable::takeAllowance(const BackendId &backend, TimePoint now)
+{
+    Backend *found = findBackend(backend);
+    if (!found)
+        return true;
+    if (!found->allowance.mayTake(m_instances, now))
+        return false;
+    found->allowance.take(m_instances, now);
+    return true;
+}
+
+std::optional<BackendTable::LimitWait> BackendTable::limitWait(const std::string &service,
+                                                               TimePoint now) const
+{
+    // Prefill engines and the servers that answer; a prompt needs one of each.
+    std::array<std::optional<LimitWait>, 2> waits;
+    std::array<bool, 2> hasPlace{};
+    for (const auto &[id, backend] : m_backends) {
+        if (backend->server.service != service || !backend->takesWork(now) || backend->silent)
+            continue;
+        const std::size_t stage = backend->server.prefillOnly ? 1 : 0;
+        hasPlace[stage] = hasPlace[stage] || backend->allowance.mayTake(m_instances, now);
+        LimitWait &wait = waits[stage] ? *waits[stage] : waits[stage].emplace(NextGrantTime, 0);
+        wait.untilNext
+            = std::min(wait.untilNext,
+                       backend->allowance.timeToNext(m_instances, now).value_or(wait.untilNext));
+        wait.perSecond += backend->allowance.rate(m_instances, now);
+    }
+    std::optional<LimitWait> longest;
+    for (std::size_t stage = 0; stage < waits.size(); ++stage) {
+        if (waits[stage] && !hasPlace[stage]
+            && (!longest || waits[stage]->untilNext > longest->untilNext))
+            longest = waits[stage];
+    }
+    return longest;
 }
 
 void BackendTable::noteHold(const BackendId &backend, Duration time, TimePoint now)
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -148,6 +148,7 @@
             const TimePoint now = RuntimeClock::now();
             feed.setDelays(relay.delays(now));
             feed.setRefusedParts(relay.refusedParts(now));
+            feed.setLimits(relay.statedLimits(now), relay.demand(now));
             applyFeedOutput(feed.tick(now));
             if (now >= nextFlushAt) {
                 flushLog();
@@ -178,6 +179,8 @@
             relay.publish(*output.loads);
         relay.publish(output.crashes);
         relay.setInstances(feed.entryProcessCount());
+        if (output.limits)
+            relay.publish(*output.limits);
         if (!hadRoutingData && relay.hasRoutingData())
             logInfo("ready", {{"declaration", relay.declarationNumber()}});
     }
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -29,6 +29,9 @@
 /// backend servers.
 constexpr Duration MaxIdleAge = std::chrono::seconds(4);
 
+/// Bounds of the times after which callers may return to servers that are at their limits.
+constexpr Duration LongestReturnTime = std::chrono::seconds(30);
+constexpr double SmallestReturnRate = 1;
 /// Interval between health checks while it is not known whether the server crashed: a crashing
 /// server may accept one more connection.
 constexpr Duration CrashCheckInterval = std::chrono::milliseconds(50);
@@ -60,6 +63,8 @@
           registry.counter("gentianramp_relay_crashes_total", "Crashes of backend servers seen"))
     , blamedRefusals(registry.counter("gentianramp_relay_blamed_refusals_total",
                                       "Refused for a prompt part that crashes backend servers"))
+    , limitRefusals(registry.counter("gentianramp_relay_limit_refusals_total",
+                                     "Refused because backend servers are at their limits"))
     , firstEventTime(registry.latency("gentianramp_relay_first_event_seconds",
                                       "From the request to its answer's first event"))
     , answerTime(
@@ -88,6 +93,33 @@
     return allowances.try_emplace(service, options.retries).first->second;
 }
 
+ReportedDemand RelayState::demand(TimePoint now) const
+{
+    ReportedDemand demand;
+    if (!table.knowsLimits())
+        return demand;
+    demand.reportedAt = now;
+    for (const auto &[service, meter] : arrivals)
+        demand.perSecond[service] = meter.perSecond(now);
+    demand.holdings = table.limitHoldings(now);
+    return demand;
+}
+
+std::optional<Duration> RelayState::takeReturnTime(const std::string &service)
+{
+    const TimePoint now = RuntimeClock::now();
+    const std::optional<BackendTable::LimitWait> wait = table.limitWait(service, now);
+    if (!wait)
+        return std::nullopt;
+    TimePoint &promised = promisedUntil[service];
+    const TimePoint returnAt = std::min<TimePoint>(
+        std::max<TimePoint>(promised, now + wait->untilNext), now + LongestReturnTime);
+    const double interval = 1 / std::max(wait->perSecond, SmallestReturnRate);
+    promised
+        = returnAt + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(interval));
+    return returnAt - now;
+}
+
 double RelayState::uniformRandom()
 {
     return std::uniform_real_distribution<double>(0, 1)(random);
@@ -270,6 +302,10 @@
         call.totalTimeout = 2 * HealthCheckTimeout;
         call.maxBodyBytes = MaxStatusBytes;
         call.freshConnection = true;
+        if (!table.takeAllowance(backend, RuntimeClock::now())) {
+            co_await sleepFor(HealthCheckInterval);
+            continue;
+        }
         // The server may have asked for a pause in an answer to a request.
         if (table.isHeld(backend, RuntimeClock::now()))
             break;
@@ -354,6 +390,21 @@
     }
 }
 
+void RelayService::publish(const LimitTable &table)
+{
+    m_state->table.publish(table, RuntimeClock::now());
+}
+
+std::vector<RequestLimit> RelayService::statedLimits(TimePoint now) const
+{
+    return m_state->table.statedLimits(now);
+}
+
+ReportedDemand RelayService::demand(TimePoint now) const
+{
+    return m_state->demand(now);
+}
+
 std::vector<std::uint64_t> RelayService::refusedParts(TimePoint now) const
 {
     std::erase_if(m_state->partRefusedAt,
--- a/src/gentianramp/relay/relay_service_test.cpp
+++ b/src/gentianramp/relay/relay_service_test.cpp
@@ -926,7 +926,7 @@
 }
 
 // A server that named a limit got as many requests as before from all instances.
-Test(known_red, aServerGetsNoMoreThanItsLimitFromAllInstances)
+Test(relay_service, aServerGetsNoMoreThanItsLimitFromAllInstances)
 {
     constexpr std::uint32_t instances = 3;
     constexpr double perSecond = 0.5;
@@ -948,6 +948,75 @@
     cr_assert_leq(arrived, allowedInFourSeconds);
 }
 
+namespace {
+
+Handler namesALimitOnce()
+{
+    return [isLimited = true](HttpRequest request,
+                              ResponseWriter &writer) mutable -> asio::awaitable<void> {
+        HttpResponse response = signedAnswer(request);
+        if (std::exchange(isLimited, false))
+            response.headers.add("X-Limit", "5");
+        co_await writer.send(std::move(response));
+    };
+}
+
+} // namespace
+
+Test(relay_service, whatALimitedServerDoesNotTakeGoesToOthers)
+{
+    RelayFixture fixture;
+    fixture.relay.setInstances(100);
+    fixture.addServer("limited", answersWith(200, "X-Limit", "2"));
+    fixture.addServer("other", answers(200));
+    fixture.declare({.kind = RouteKind::RunOnce});
+    for (int count = 0; count < 30; ++count)
+        cr_assert_eq(fixture.call({})->status, 200U);
+    cr_assert_leq(fixture.requestsAt("limited"), 1);
+}
+
+Test(relay_service, refusalsAtALimitPromiseEachRequestOnce)
+{
+    RelayFixture fixture;
+    fixture.addServer("limited", answersWith(200, "X-Limit", "2"));
+    fixture.declare({.kind = RouteKind::RunOnce});
+    cr_assert_eq(fixture.call({})->status, 200U);
+    Duration last{};
+    for (int count = 0; count < 4; ++count) {
+        const Result<HttpResponse> answer = fixture.call({});
+        cr_assert_eq(answer->status, 503U);
+        cr_assert_eq(answer->body, "servers_at_limit\n");
+        const Duration retryAfter = *parseRetryAfter(answer->headers.find("Retry-After"));
+        // The server takes one request in half a second.
+        cr_assert_geq((retryAfter - last).count(),
+                      Duration(std::chrono::milliseconds(400)).count());
+        last = retryAfter;
+    }
+}
+
+Test(relay_service, aLimitEndsWithAnAnswerThatNamesNone)
+{
+    RelayFixture fixture;
+    fixture.addServer("one", namesALimitOnce());
+    fixture.declare({.kind = RouteKind::RunOnce});
+    cr_assert_eq(fixture.call({})->status, 200U);
+    cr_assert_eq(fixture.call({})->status, 503U);
+    fixture.wait(std::chrono::milliseconds(300));
+    for (int count = 0; count < 10; ++count)
+        cr_assert_eq(fixture.call({})->status, 200U);
+}
+
+Test(relay_service, malformedLimitsAreIgnored)
+{
+    for (const char *value : {"", "-1", "x", "1e3", "nan"}) {
+        RelayFixture fixture;
+        fixture.addServer("one", answersWith(200, "X-Limit", value));
+        fixture.declare({.kind = RouteKind::RunOnce});
+        for (int count = 0; count < 5; ++count)
+            cr_assert_eq(fixture.call({})->status, 200U, "%s", value);
+    }
+}
+
 // A stream that had begun was cut because its server fell silent, although nothing could go on
 // with it elsewhere.
 Test(relay_service, aSilentServerKeepsAStreamThatNoOtherServerCanGoOnWith)
--- a/src/gentianramp/relay/relay_state.hpp
+++ b/src/gentianramp/relay/relay_state.hpp
@@ -5,6 +5,7 @@
 #include <gentianramp/relay/backend_table.hpp>
 #include <gentianramp/relay/crash_watch.hpp>
 #include <gentianramp/relay/relay_service.hpp>
+#include <gentianramp/relay/work_meter.hpp>
 #include <map>
 #include <random>
 #include <set>
@@ -25,6 +26,7 @@
     Counter &callersGone;
     Counter &crashes;
     Counter &blamedRefusals;
+    Counter &limitRefusals;
     Distribution &firstEventTime;
     Distribution &answerTime;
 };
@@ -80,6 +82,12 @@
     /// The declaration in force was confirmed so recently that a newer one need not be in force.
     bool declarationIsConfirmed() const;
     RetryAllowance &allowance(const std::string &service);
+    /// Requests that arrive here and what may be sent of them to limited backend servers; empty
+    /// while no limit is known.
+    ReportedDemand demand(TimePoint now) const;
+    /// Time after which one more refused caller may return to a service whose servers are at their
+    /// limits: callers that were refused before take the requests until then. Empty: they are not.
+    std::optional<Duration> takeReturnTime(const std::string &service);
     /// Uniformly distributed in [0, 1).
     double uniformRandom();
 
@@ -94,6 +102,9 @@
     std::uint32_t instances = 1;
     std::optional<TimePoint> shutdownDeadline;        ///< Set while the process shuts down.
     std::map<std::string, RetryAllowance> allowances; ///< By service.
+    std::map<std::string, WorkMeter> arrivals;        ///< Requests by service.
+    /// By service: when the requests that its servers' limits allow are no longer promised.
+    std::map<std::string, TimePoint> promisedUntil;
     std::set<BackendId> pendingHealthChecks;
     std::shared_ptr<CrashEvidence> crashes;
     CrashWatch crashWatch;
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -31,6 +31,9 @@
 constexpr Duration FirstRejectionDelay = std::chrono::milliseconds(50);
 /// Interval at which a stream that had begun looks for a server to go on at.
 constexpr Duration ServerWaitInterval = std::chrono::milliseconds(100);
+/// A prefilled prompt waits for a server below its limit for this part of its time at most.
+constexpr Duration LimitWaitInterval = std::chrono::milliseconds(20);
+constexpr int LimitWaitTimeLeftDivisor = 4;
 /// A request with less time left is not sent.
 constexpr Duration MinTimeLeftForSend = std::chrono::milliseconds(5);
 /// Retry-After is at most the caller's remaining time divided by these: in general, and after a
@@ -201,6 +204,7 @@
     startDeadline();
     m_state->openRequests.insert(this);
     m_state->allowance(m_service).noteRequest(m_startedAt);
+    m_state->arrivals[m_service].add(1, m_startedAt);
     co_await sendUntilDone();
 }
 
@@ -277,6 +281,10 @@
         if (const std::optional<BlamedPart> blamedPart = admitPrompt())
             co_return co_await refusePart(*blamedPart);
         const std::optional<RequestPlacement> placement = choosePlacement();
+        if (!placement && m_prefilledPrompt && mayWaitForLimit()) {
+            co_await sleepFor(LimitWaitInterval);
+            continue;
+        }
         if (!placement && m_sendCount == 0)
             co_return co_await refuse("no_backend");
         if (!placement && m_writer->started() && m_route->repeatable()) {
@@ -328,6 +336,13 @@
     }
 }
 
+/// True when a prompt that is prefilled finds a server below its limit soon enough.
+bool RelayedRequest::mayWaitForLimit() const
+{
+    const auto wait = m_state->table.limitWait(m_service, RuntimeClock::now());
+    return wait && wait->untilNext < timeLeft() / LimitWaitTimeLeftDivisor;
+}
+
 PlacementQuery RelayedRequest::placementQuery() const
 {
     PlacementQuery request;
@@ -565,8 +580,9 @@
 {
     if (!m_prefilledPrompt)
         return;
-    // An engine that asked to be sent nothing drops the KV cache itself after a while.
-    if (!m_state->table.isHeld(m_prefilledPrompt->prefillEngine, RuntimeClock::now()))
+    // An engine that asked to be sent nothing, or less, drops the KV cache itself after a while.
+    if (!m_state->table.isHeld(m_prefilledPrompt->prefillEngine, RuntimeClock::now())
+        && !m_state->table.isLimited(m_prefilledPrompt->prefillEngine))
         asio::co_spawn(m_state->executor,
                        m_state->freeHandle(m_prefilledPrompt->address, m_prefilledPrompt->handle),
                        asio::detached);
@@ -837,7 +853,11 @@
 
 asio::awaitable<void> RelayedRequest::refuse(std::string_view reason)
 {
-    co_await answerLocally(503, reason, retryAfter());
+    const std::optional<Duration> atLimit = m_state->takeReturnTime(m_service);
+    if (!atLimit)
+        co_return co_await answerLocally(503, reason, retryAfter());
+    m_state->metrics.limitRefusals.add();
+    co_await answerLocally(503, "servers_at_limit", *atLimit);
 }
 
 /// Retry-After, randomised so that callers return spread over a part of their remaining time.
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -51,6 +51,7 @@
 
     // Attempts
     boost::asio::awaitable<void> sendUntilDone();
+    bool mayWaitForLimit() const;
     PlacementQuery placementQuery() const;
     std::optional<BlamedPart> admitPrompt();
     std::optional<RequestPlacement> choosePlacement();
