--- a/include/gentianramp/registry/limit_granter.hpp
+++ b/include/gentianramp/registry/limit_granter.hpp
@@ -65,9 +65,9 @@
 struct LimitSummary
 {
     BackendId server;
-    std::uint64_t granted = 0;  ///< Requests since the limit was named.
-    double held = 0;            ///< Requests granted and not known to be sent, as of the last call.
-    std::size_t instances = 0;  ///< That need requests.
+    std::uint64_t granted = 0; ///< Requests since the limit was named.
+    double held = 0;           ///< Requests granted and not known to be sent, as of the last call.
+    std::size_t instances = 0; ///< That need requests.
     bool operator==(const LimitSummary &) const = default;
 };
 
--- a/include/gentianramp/relay/backend_protocol.hpp
+++ b/include/gentianramp/relay/backend_protocol.hpp
@@ -65,6 +65,7 @@
     std::string prefillValue;
     std::string kvSource; ///< ADDRESS/HANDLE of a prompt that another engine has prefilled.
     unsigned wrongTargetStatus = 421;         ///< The request was meant for another backend server.
+    std::vector<std::string> callerHeaders;   ///< Headers that tell callers apart.
     std::vector<std::string> strippedHeaders; ///< Headers of callers that are not passed on.
     std::string reportPath; ///< Path of an engine's state; answering it takes no slot.
     std::function<std::optional<PromptDescription>(const HttpHeaders &)> prompt;
--- a/include/gentianramp/relay/limit_allowance.hpp
+++ b/include/gentianramp/relay/limit_allowance.hpp
@@ -19,8 +19,8 @@
     void setLimit(std::optional<double> perSecond, std::uint32_t instances, TimePoint now);
     /// The leader's table of @p grantedAt has the limit.
     void noteTable(TimePoint grantedAt, std::uint32_t instances, TimePoint now);
-    /// Adds what was granted since the last call. @p total counts from the opening of @p account; the
-    /// first total of an account grants nothing, since earlier ones may have been used.
+    /// Adds what was granted since the last call. @p total counts from the opening of @p account;
+    /// the first total of an account grants nothing, since earlier ones may have been used.
     void applyGrant(std::uint64_t account, std::uint32_t total, std::uint32_t instances,
                     TimePoint now);
 
--- a/src/gentianramp/registry/limit_exchange_test.cpp
+++ b/src/gentianramp/registry/limit_exchange_test.cpp
@@ -26,8 +26,7 @@
 LimitReports report(const InstanceId &entry, const std::vector<RequestLimit> &limits, TimePoint at)
 {
     return {.limits = limits,
-            .demands
-            = {{entry, {.perSecond = {{"s", 5}}, .holdings = {}, .reportedAt = at}}}};
+            .demands = {{entry, {.perSecond = {{"s", 5}}, .holdings = {}, .reportedAt = at}}}};
 }
 
 } // namespace
--- a/src/gentianramp/registry/limit_granter.cpp
+++ b/src/gentianramp/registry/limit_granter.cpp
@@ -79,11 +79,11 @@
     for (const auto &[key, server] : m_servers) {
         for (const auto &[instance, account] : server.accounts) {
             const std::vector<LimitHolding> &holdings = demands.at(instance).holdings;
-            const bool isConfirmed = std::any_of(
-                holdings.begin(), holdings.end(), [&](const LimitHolding &holding) {
-                    return holding.server == key.first && holding.startedAtMs == key.second
-                        && holding.account == account.number && holding.applied == account.total;
-                });
+            const bool isConfirmed
+                = std::any_of(holdings.begin(), holdings.end(), [&](const LimitHolding &holding) {
+                      return holding.server == key.first && holding.startedAtMs == key.second
+                          && holding.account == account.number && holding.applied == account.total;
+                  });
             if (!isConfirmed)
                 grants.push_back({key.first, key.second, instance, account.number, account.total});
         }
@@ -92,11 +92,10 @@
 }
 
 /// Reads what the instances hold at one server, and opens accounts for those that need requests.
-LimitGranter::ServerState LimitGranter::readServer(const RequestLimit &limit, std::size_t index,
-                                                   std::size_t serverCount,
-                                                   const std::map<InstanceId, ReportedDemand> &demands,
-                                                   std::map<InstanceId, double> &needs,
-                                                   std::uint64_t term)
+LimitGranter::ServerState
+LimitGranter::readServer(const RequestLimit &limit, std::size_t index, std::size_t serverCount,
+                         const std::map<InstanceId, ReportedDemand> &demands,
+                         std::map<InstanceId, double> &needs, std::uint64_t term)
 {
     Server &server = m_servers[{limit.server, limit.startedAtMs}];
     ServerState state{.server = &server, .mayHold = 0, .confirmed = {}};
--- a/src/gentianramp/registry/limit_granter_test.cpp
+++ b/src/gentianramp/registry/limit_granter_test.cpp
@@ -58,7 +58,8 @@
         ++term;
     }
 
-    /// Plays requests at @p perSecond for each instance, at twice the rate for two of eight seconds.
+    /// Plays requests at @p perSecond for each instance, at twice the rate for two of eight
+    /// seconds.
     void play(const std::vector<double> &perSecond, Duration time)
     {
         const TimePoint end = m_now + time;
@@ -214,7 +215,8 @@
 {
     LimitGranter granter;
     cr_assert(granter.grant({limit("a", 2)}, {}, 1, Start).empty());
-    const std::map<InstanceId, ReportedDemand> demands{{InstanceId("i"), {.perSecond = {{"s", 5}}}}};
+    const std::map<InstanceId, ReportedDemand> demands{
+        {InstanceId("i"), {.perSecond = {{"s", 5}}}}};
     cr_assert(granter.grant({limit("a", std::nullopt)}, demands, 1, Start).empty());
     cr_assert(granter.grant({limit("a", 2, "other")}, demands, 1, Start).empty());
 }
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -3,15 +3,14 @@
 #include "registry_codec.hpp"
 
 #include <algorithm>
-#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/thread_pool.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <charconv>
 #include <cmath>
+#include <gentianramp/core/hexadecimal.hpp>
 #include <gentianramp/core/log.hpp>
 #include <gentianramp/core/random_seed.hpp>
 #include <gentianramp/registry/absence_watch.hpp>
@@ -140,13 +139,6 @@
     unsigned missedCount = 0; ///< Consecutive requests without an answer.
 };
 
-std::string hexadecimal(std::uint64_t value)
-{
-    std::array<char, 16> text{};
-    const auto end = std::to_chars(text.data(), text.data() + text.size(), value, 16).ptr;
-    return {text.data(), end};
-}
-
 std::int64_t thousandths(double value)
 {
     return std::llround(value * 1000);
--- a/src/gentianramp/relay/limit_allowance.cpp
+++ b/src/gentianramp/relay/limit_allowance.cpp
@@ -47,8 +47,8 @@
     m_tableAt = std::max(m_tableAt, grantedAt);
 }
 
-void LimitAllowance::applyGrant(std::uint64_t account, std::uint32_t total,
-                                std::uint32_t instances, TimePoint now)
+void LimitAllowance::applyGrant(std::uint64_t account, std::uint32_t total, std::uint32_t instances,
+                                TimePoint now)
 {
     refill(instances, now);
     if (account > m_account) {
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -4,7 +4,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <charconv>
+#include <gentianramp/core/hexadecimal.hpp>
 #include <gentianramp/core/log.hpp>
+#include <gentianramp/relay/request_identity.hpp>
 #include <gentianramp/relay/retry_after.hpp>
 
 namespace gentianramp {
@@ -245,6 +247,7 @@
     m_service = pickService(*m_route, m_state->uniformRandom());
     if (m_route->carriesPrompt && protocol.prompt)
         m_prompt = protocol.prompt(m_request.headers);
+    m_identity = requestIdentity(m_request, m_prompt ? &*m_prompt : nullptr, protocol);
     if (m_route->kind == RouteKind::Stream)
         m_lastEventId = parseNumber(m_request.headers.find(protocol.lastEventId));
     co_return true;
@@ -600,6 +603,7 @@
         resultName = "unreached";
     logWarning(event,
                {{"request", m_id},
+                {"what", hexadecimal(m_identity)},
                 {"backend", target.backend.value()},
                 {"step", resultName},
                 {"error", error ? error.message() : "answer"},
@@ -884,6 +888,7 @@
         m_state->metrics.answerTime.record(std::chrono::duration<double>(took).count());
     logInfo(event,
             {{"request", m_id},
+             {"what", hexadecimal(m_identity)},
              {"route", m_route ? std::string_view(m_route->name) : std::string_view()},
              {"service", m_service},
              {"backend", m_backend.value()},
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -109,6 +109,7 @@
     std::string m_id;
     std::string m_service;
     std::optional<PromptDescription> m_prompt;
+    std::uint64_t m_identity = 0; ///< See requestIdentity().
     TimePoint m_startedAt;
     TimePoint m_deadline = TimePoint::max();
     Timer m_deadlineTimer;
