--- a/src/gentianramp/relay/relay_service_test.cpp
+++ b/src/gentianramp/relay/relay_service_test.cpp
@@ -1191,6 +1191,74 @@
     cr_assert_eq(fixture.call(promptRequest(9, true))->status, 502U);
 }
 
+namespace {
+
+/// Answers, and crashes on one body.
+Handler crashesOnDeadlyBody(RelayFixture &fixture, const std::string &id)
+{
+    return [&fixture, id](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
+        if (request.body != "deadly")
+            co_return co_await answers(200)(std::move(request), writer);
+        writer.closeWithoutResponse();
+        fixture.crash(id);
+    };
+}
+
+void addPlainServers(RelayFixture &fixture, int first, int count)
+{
+    for (int number = first; number < first + count; ++number) {
+        const std::string id = "server-" + std::to_string(number);
+        fixture.addServer(id, crashesOnDeadlyBody(fixture, id));
+    }
+}
+
+int deadlyBodies(const RelayFixture &fixture)
+{
+    return static_cast<int>(
+        std::count_if(fixture.receivedRequests.begin(), fixture.receivedRequests.end(),
+                      [](const auto &entry) { return entry.second.body == "deadly"; }));
+}
+
+} // namespace
+
+// A request that came again and again ended one plain server after the other.
+Test(known_red, aRequestThatCrashesPlainServersIsRefusedAfterThreeCrashes)
+{
+    for (const RouteKind kind : {RouteKind::Repeatable, RouteKind::RunOnce}) {
+        RelayFixture fixture;
+        addPlainServers(fixture, 0, 12);
+        fixture.declare({.kind = kind, .attempts = 3});
+        for (int count = 0; count < 8; ++count) {
+            const Result<HttpResponse> answer = fixture.call({.method = "POST", .body = "deadly"});
+            cr_assert(answer->status == 502U || answer->status == 503U);
+            fixture.wait(BetweenCrashes);
+            cr_assert_eq(fixture.call({.method = "POST", .body = "sound"})->status, 200U);
+        }
+        cr_assert_eq(deadlyBodies(fixture), 3);
+    }
+}
+
+// A service all of whose servers had crashed was brought down again by what came when they were
+// back.
+Test(known_red, aRequestThatCrashedAllServersIsRefusedWhenTheyAreBack)
+{
+    RelayFixture fixture;
+    addPlainServers(fixture, 0, 3);
+    fixture.declare({.kind = RouteKind::Repeatable, .attempts = 3});
+    for (int count = 0; count < 4; ++count)
+        fixture.call({.method = "POST", .body = "deadly"});
+    fixture.wait(BetweenCrashes);
+    const int before = deadlyBodies(fixture);
+    addPlainServers(fixture, 3, 3);
+    for (int count = 0; count < 5; ++count) {
+        const Result<HttpResponse> answer = fixture.call({.method = "POST", .body = "deadly"});
+        cr_assert_eq(answer->status, 503U);
+        cr_assert(answer->headers.contains("Retry-After"));
+        cr_assert_eq(fixture.call({.method = "POST", .body = "sound"})->status, 200U);
+    }
+    cr_assert_eq(deadlyBodies(fixture), before);
+}
+
 // A stream that had left a silent server was cut when the next server rejected it, although a third
 // one would have taken it.
 Test(relay_service, aStreamThatLeftASilentServerOutlivesARejection)
