Refuse requests that crash one server after the other

Evidence of crashes was kept for parts of prompts alone, and what waited at a plain server was sent on to the next one.

A request as a whole, by its identity, is now a suspect like a part of a prompt, the most specific of all, in the same evidence: reported, merged, cleared by an answer and given trials in the same way. It is blamed at three crashes without an answer at once, without waiting for the service to work again, since no other request is refused for it; crashes that another suspect explains don't count. A request that two servers left unanswered as they ended is not sent to a third one, nor to a second one if the same request was at an earlier crash. It is tried again twice at most.

--- a/include/gentianramp/registry/crash_evidence.hpp
+++ b/include/gentianramp/registry/crash_evidence.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <gentianramp/core/clock.hpp>
 #include <gentianramp/core/ids.hpp>
+#include <limits>
 #include <map>
 #include <optional>
 #include <span>
@@ -21,15 +22,19 @@
     Cleared,        ///< An answer to a prompt with it began after the crash.
 };
 
-/// A prompt part that was present at a crash.
+/// Position of a request as a whole, which is more specific than any part of its prompt.
+constexpr std::uint32_t WholeRequest = std::numeric_limits<std::uint32_t>::max();
+
+/// A prompt part, or a request as a whole, that was present at a crash.
 struct CrashPart
 {
     PartSuspicion suspicion = PartSuspicion::Unanswered;
-    std::uint32_t position = 0; ///< In its prompt; parts further back are more specific.
+    /// In its prompt, or WholeRequest; parts further back are more specific.
+    std::uint32_t position = 0;
     bool operator==(const CrashPart &) const = default;
 };
 
-/// A crash of a backend server, with the prompt parts that may have caused it.
+/// A crash of a backend server, with the prompt parts and the requests that may have caused it.
 struct ServerCrash
 {
     BackendId server;
@@ -61,12 +66,14 @@
     bool operator==(const CrashReports &) const = default;
 };
 
-/// A prompt part that crashes backend servers, as far as the evidence shows.
+/// A prompt part, or a request as a whole, that crashes backend servers, as far as the evidence
+/// shows.
 struct BlamedPart
 {
     std::uint64_t part = 0;
     std::uint32_t crashes = 0; ///< Crashes that no other blamed part explains.
     TimePoint lastCrashAt{};
+    bool isRequest = false;
     bool operator==(const BlamedPart &) const = default;
 };
 
@@ -77,6 +84,9 @@
 /// never cleared is blamed; crashes that it explains do not count against others. Of parts that
 /// were present at the same crashes, those that were never answered are blamed first, and of these
 /// the most specific one: if it is the wrong one, requests without it go on crashing servers.
+///
+/// A request as a whole counts like a part, of which it is the most specific. It is blamed at once:
+/// no other request is refused for it, and it may come again before a service works.
 /// Reports are merged in any order and any number of times with the same result. Performs no I/O.
 class CrashEvidence
 {
@@ -102,6 +112,9 @@
     /// from before the crash or since.
     bool isUnanswered(std::uint64_t part, TimePoint now) const;
 
+    /// Number of crashes at which this request waited, if no answer to it is known.
+    std::uint32_t unansweredCrashes(std::uint64_t request) const;
+
     /// Time until a trial of a blamed part may be granted.
     Duration timeToTrial(const BlamedPart &blamedPart, TimePoint now) const;
     /// Grants a trial of a blamed part to @p instance, which refuses requests with it. Empty while
@@ -137,6 +150,7 @@
     };
 
     bool mergeCrash(const ServerCrash &crash, bool observed, TimePoint now);
+    void addBlamedRequests(std::vector<BlamedPart> &blamedParts) const;
     void rememberAnswered(std::span<const std::uint64_t> parts, TimePoint beganAt);
     void dropOldest();
 
--- a/src/gentianramp/registry/crash_evidence.cpp
+++ b/src/gentianramp/registry/crash_evidence.cpp
@@ -29,8 +29,11 @@
 /// Time from the last crash to the first trial; doubles with each trial.
 constexpr Duration FirstTrialDelay = std::chrono::seconds(30);
 constexpr std::uint32_t MaxTrialDoublings = 6;
+/// Trials of a request; it crashes a server again at most as often, and is forgotten like any other
+/// suspect.
+constexpr std::uint32_t MaxRequestTrials = 2;
 constexpr std::size_t MaxCrashes = 256;
-constexpr std::size_t MaxPartsOfCrash = 256;
+constexpr std::size_t MaxPartsOfCrash = 512;
 constexpr std::size_t MaxAnsweredParts = 8192;
 
 void combine(std::uint64_t &hash, std::uint64_t value)
@@ -124,7 +127,8 @@
         if (rank > highest)
             parts.clear();
         highest = rank;
-        parts.push_back({part, static_cast<std::uint32_t>(crashCount), charge.crashTimes.back()});
+        parts.push_back({part, static_cast<std::uint32_t>(crashCount), charge.crashTimes.back(),
+                         charge.position == WholeRequest});
     }
     if (parts.size() > 1 && parts.front().crashes < CrashesBeforeDoubtfulBlame)
         parts.clear();
@@ -286,11 +290,54 @@
         });
         result.insert(result.end(), next.begin(), next.end());
     }
+    addBlamedRequests(result);
     std::sort(result.begin(), result.end(),
               [](const BlamedPart &a, const BlamedPart &b) { return a.part < b.part; });
     return result;
 }
 
+/// Adds requests that were never answered and were at enough crashes that nothing else explains,
+/// also while the service works no more.
+void CrashEvidence::addBlamedRequests(std::vector<BlamedPart> &blamedParts) const
+{
+    std::map<std::uint64_t, BlamedPart> charged;
+    for (const auto &[key, entry] : m_crashes) {
+        const ServerCrash &crash = entry.crash;
+        const bool isExplained
+            = std::any_of(blamedParts.begin(), blamedParts.end(),
+                          [&](const BlamedPart &part) { return suspects(crash, part.part); });
+        if (isExplained)
+            continue;
+        for (const auto &[number, part] : crash.parts) {
+            if (part.position != WholeRequest || part.suspicion != PartSuspicion::Unanswered)
+                continue;
+            BlamedPart &request
+                = charged.try_emplace(number, BlamedPart{.part = number}).first->second;
+            request.isRequest = true;
+            ++request.crashes;
+            request.lastCrashAt = std::max(request.lastCrashAt, crash.crashedAt);
+        }
+    }
+    for (const auto &[number, request] : charged) {
+        if (request.crashes >= CrashesBeforeBlame)
+            blamedParts.push_back(request);
+    }
+}
+
+std::uint32_t CrashEvidence::unansweredCrashes(std::uint64_t request) const
+{
+    std::uint32_t count = 0;
+    for (const auto &[key, entry] : m_crashes) {
+        const auto found = entry.crash.parts.find(request);
+        if (found == entry.crash.parts.end())
+            continue;
+        if (found->second.suspicion != PartSuspicion::Unanswered)
+            return 0;
+        ++count;
+    }
+    return count;
+}
+
 void CrashEvidence::useTrial(std::uint64_t part)
 {
     const auto found = m_trials.find(part);
@@ -323,6 +370,8 @@
 Duration CrashEvidence::timeToTrial(const BlamedPart &blamedPart, TimePoint now) const
 {
     const std::optional<PartTrial> last = lastTrial(blamedPart.part);
+    if (blamedPart.isRequest && last && last->number >= MaxRequestTrials)
+        return std::max<Duration>(blamedPart.lastCrashAt + BlameLifetime - now, FirstTrialDelay);
     const std::uint32_t doublings = std::min(last ? last->number : 0, MaxTrialDoublings);
     const TimePoint since
         = std::max(blamedPart.lastCrashAt, last ? last->grantedAt : blamedPart.lastCrashAt);
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -799,6 +799,7 @@
             if (!loggedBlame.contains(blamedPart.part))
                 logWarning("part_blamed",
                            {{"part", hexadecimal(blamedPart.part)},
+                            {"kind", blamedPart.isRequest ? "request" : "prompt_part"},
                             {"crashes", blamedPart.crashes},
                             {"last_crash_ms", toMilliseconds(now - blamedPart.lastCrashAt)},
                             {"known_crashes", crashes.crashCount()}});
--- a/src/gentianramp/relay/crash_watch.cpp
+++ b/src/gentianramp/relay/crash_watch.cpp
@@ -9,19 +9,21 @@
 /// Connections that a crash breaks are noticed within this time, and so is that nothing listens.
 constexpr Duration LossRetention = std::chrono::seconds(2);
 
-/// The parts that other prompts may share: all but the last of several.
-void addSharedParts(const PromptDescription &prompt, ServerCrash &crash)
+} // namespace
+
+CrashSuspects crashSuspects(const PromptDescription *prompt, std::uint64_t requestIdentity)
 {
-    for (std::size_t index = 0; index + 1 < prompt.parts.size(); ++index)
-        crash.parts[prompt.parts[index].id]
+    CrashSuspects suspects;
+    for (std::size_t index = 0; prompt && index + 1 < prompt->parts.size(); ++index)
+        suspects[prompt->parts[index].id]
             = {PartSuspicion::Unanswered, static_cast<std::uint32_t>(index)};
+    suspects[requestIdentity] = {PartSuspicion::Unanswered, WholeRequest};
+    return suspects;
 }
 
-} // namespace
-
 std::optional<ServerCrash> CrashWatch::noteLost(const BackendId &server, std::int64_t startedAtMs,
                                                 const std::string &service,
-                                                const PromptDescription *unanswered, TimePoint now)
+                                                const CrashSuspects &unanswered, TimePoint now)
 {
     expire(now);
     const auto [found, isNew] = m_losses.try_emplace(server);
@@ -31,8 +33,7 @@
             .crash
             = {.server = server, .startedAtMs = startedAtMs, .service = service, .crashedAt = now}};
     losses.lastLossAt = now;
-    if (unanswered)
-        addSharedParts(*unanswered, losses.crash);
+    losses.crash.parts.insert(unanswered.begin(), unanswered.end());
     return losses.confirmed ? std::optional(losses.crash) : std::nullopt;
 }
 
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -184,7 +184,7 @@
 }
 
 void RelayState::noteConnectionLost(const SendTarget &target, const std::string &service,
-                                    const PromptDescription *unanswered)
+                                    const CrashSuspects &unanswered)
 {
     const std::optional<ServerCrash> crash = crashWatch.noteLost(
         target.backend, target.startedAtMs, service, unanswered, RuntimeClock::now());
@@ -210,14 +210,10 @@
                 {"known_crashes", crashes->crashCount()}});
 }
 
-void RelayState::noteServed(const std::string &service, const PromptDescription &prompt,
+void RelayState::noteServed(const std::string &service, std::span<const std::uint64_t> suspects,
                             TimePoint beganAt)
 {
-    std::vector<std::uint64_t> parts;
-    parts.reserve(prompt.parts.size());
-    for (const PromptPart &part : prompt.parts)
-        parts.push_back(part.id);
-    crashes->noteServed(service, parts, beganAt, RuntimeClock::now());
+    crashes->noteServed(service, suspects, beganAt, RuntimeClock::now());
 }
 
 const std::vector<BlamedPart> &RelayState::blamedParts()
@@ -240,18 +236,15 @@
         && (used == trialsUsed.end() || trial->grantedAt > used->second);
 }
 
-PromptAdmission RelayState::admitPrompt(const PromptDescription &prompt)
+CrashAdmission RelayState::admit(const CrashSuspects &suspects)
 {
-    PromptAdmission admission;
+    CrashAdmission admission;
     if (crashes->crashCount() == 0)
         return admission;
     const TimePoint now = RuntimeClock::now();
     std::vector<std::uint64_t> tried;
     for (const BlamedPart &blamedPart : blamedParts()) {
-        const bool contained
-            = std::any_of(prompt.parts.begin(), prompt.parts.end(),
-                          [&](const PromptPart &part) { return part.id == blamedPart.part; });
-        if (!contained)
+        if (!suspects.contains(blamedPart.part))
             continue;
         if (mayTry(blamedPart.part)) {
             tried.push_back(blamedPart.part);
@@ -270,11 +263,12 @@
     return admission;
 }
 
-bool RelayState::wasAtEarlierCrash(const PromptDescription &prompt) const
+bool RelayState::wasAtEarlierCrash(const CrashSuspects &suspects) const
 {
     const TimePoint now = RuntimeClock::now();
-    return std::any_of(prompt.parts.begin(), prompt.parts.end(),
-                       [&](const PromptPart &part) { return crashes->isUnanswered(part.id, now); });
+    return std::any_of(suspects.begin(), suspects.end(), [&](const auto &suspect) {
+        return suspect.second.position != WholeRequest && crashes->isUnanswered(suspect.first, now);
+    });
 }
 
 void RelayState::checkHealth(const BackendId &backend, const std::string &service)
--- a/src/gentianramp/relay/relay_state.hpp
+++ b/src/gentianramp/relay/relay_state.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <span>
 
 namespace gentianramp {
 
@@ -39,12 +40,12 @@
     return age ? toMilliseconds(*age) : -1;
 }
 
-/// Whether a request may be sent in view of the prompt parts that are blamed for crashes.
-struct PromptAdmission
+/// Whether a request may be sent in view of what is blamed for crashes.
+struct CrashAdmission
 {
     std::optional<BlamedPart> refusedFor; ///< Empty: the request may be sent.
     bool isTrial = false;                 ///< It may be sent although a part is blamed.
-    bool operator==(const PromptAdmission &) const = default;
+    bool operator==(const CrashAdmission &) const = default;
 };
 
 /// State that all requests of a RelayService share.
@@ -58,22 +59,23 @@
     /// it names none.
     void noteLimit(const BackendId &backend, unsigned status, const HttpHeaders &headers);
     /// A backend server ended a connection before the answer on it was complete; its health is
-    /// checked. @p unanswered is the prompt whose answer had not begun, else null.
+    /// checked. @p unanswered are the suspects of a request whose answer had not begun.
     void noteConnectionLost(const SendTarget &target, const std::string &service,
-                            const PromptDescription *unanswered);
+                            const CrashSuspects &unanswered);
     void noteCrash(const ServerCrash &crash);
-    /// A complete answer to a prompt began at @p beganAt.
-    void noteServed(const std::string &service, const PromptDescription &prompt, TimePoint beganAt);
+    /// A complete answer to a request began at @p beganAt.
+    void noteServed(const std::string &service, std::span<const std::uint64_t> suspects,
+                    TimePoint beganAt);
     /// Updates which prompt parts are blamed for crashes, at most every BlameInterval.
     const std::vector<BlamedPart> &blamedParts();
     /// This instance was granted a trial of a blamed part and has not used it.
     bool mayTry(std::uint64_t part) const;
-    /// Decides whether a request with this prompt may be sent. Uses up a trial that this instance
-    /// was granted.
-    PromptAdmission admitPrompt(const PromptDescription &prompt);
+    /// Decides whether a request with these suspects may be sent. Uses up a trial that this
+    /// instance was granted.
+    CrashAdmission admit(const CrashSuspects &suspects);
     /// Whether a part of the prompt waited for an answer at an earlier crash and was never
     /// answered.
-    bool wasAtEarlierCrash(const PromptDescription &prompt) const;
+    bool wasAtEarlierCrash(const CrashSuspects &suspects) const;
     /// Starts a health check of a backend server unless one is in progress.
     void checkHealth(const BackendId &backend, const std::string &service);
     /// Repeats the health check until the backend server answers or is no longer listed.
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -28,6 +28,8 @@
 /// Engines that are asked in turn to prefill a prompt. A prefill does not run the request.
 constexpr std::uint32_t MaxPrefillAttempts = 2;
 constexpr std::uint32_t MaxUncountedRejections = 3;
+/// A request that two servers left unanswered as they ended is not sent to a third one.
+constexpr std::uint32_t MaxLostSends = 2;
 /// Delay of the next attempt after a stream that had begun was rejected; doubles with each
 /// rejection.
 constexpr Duration FirstRejectionDelay = std::chrono::milliseconds(50);
@@ -247,7 +249,9 @@
     m_service = pickService(*m_route, m_state->uniformRandom());
     if (m_route->carriesPrompt && protocol.prompt)
         m_prompt = protocol.prompt(m_request.headers);
-    m_identity = requestIdentity(m_request, m_prompt ? &*m_prompt : nullptr, protocol);
+    const PromptDescription *prompt = m_prompt ? &*m_prompt : nullptr;
+    m_identity = requestIdentity(m_request, prompt, protocol);
+    m_suspects = crashSuspects(prompt, m_identity);
     if (m_route->kind == RouteKind::Stream)
         m_lastEventId = parseNumber(m_request.headers.find(protocol.lastEventId));
     co_return true;
@@ -281,7 +285,7 @@
             co_return;
         if (m_expired || timeLeft() < MinTimeLeftForSend)
             co_return co_await fail();
-        if (const std::optional<BlamedPart> blamedPart = admitPrompt())
+        if (const std::optional<BlamedPart> blamedPart = admit())
             co_return co_await refusePart(*blamedPart);
         const std::optional<RequestPlacement> placement = choosePlacement();
         if (!placement && m_prefilledPrompt && mayWaitForLimit()) {
@@ -375,19 +379,22 @@
 {
     if (m_sendCount >= m_route->attempts)
         return false;
-    // The prompt may be what crashes the servers, unless its answer has begun.
-    if (result == AttemptResult::MayHaveRun && m_prompt && !m_writer->started()
-        && (m_isTrial || m_state->wasAtEarlierCrash(*m_prompt)))
+    // The request may be what crashes the servers, unless its answer has begun.
+    if (result == AttemptResult::MayHaveRun && !m_writer->started()
+        && (m_isTrial || m_lostSends >= MaxLostSends || m_crashesBefore > 0
+            || m_state->wasAtEarlierCrash(m_suspects)))
         return false;
     return result == AttemptResult::NotRun || m_route->repeatable();
 }
 
-/// The part of the prompt because of which the request must not be sent; empty when it may be.
-std::optional<BlamedPart> RelayedRequest::admitPrompt()
+/// What is blamed for crashes and keeps the request from being sent; empty when it may be.
+std::optional<BlamedPart> RelayedRequest::admit()
 {
-    if (!m_prompt || m_isTrial)
+    if (m_isTrial)
         return std::nullopt;
-    const PromptAdmission admission = m_state->admitPrompt(*m_prompt);
+    if (m_lostSends == 0)
+        m_crashesBefore = m_state->crashes->unansweredCrashes(m_identity);
+    const CrashAdmission admission = m_state->admit(m_suspects);
     m_isTrial = admission.isTrial;
     return admission.refusedFor;
 }
@@ -650,12 +657,26 @@
         m_state->checkHealth(attempt.target.backend, m_service);
 }
 
-/// A server that ended the connection may have crashed, and a part of the prompt may be the cause.
+/// A server that ended the connection may have crashed, and the request may be the cause.
 void RelayedRequest::reportLostConnection(const Attempt &attempt)
 {
-    if (m_prompt && !isOver() && attempt.error == make_error_code(Error::ConnectionLost))
-        m_state->noteConnectionLost(attempt.target, m_service,
-                                    attempt.hasBegun ? nullptr : &*m_prompt);
+    if (isOver() || attempt.error != make_error_code(Error::ConnectionLost))
+        return;
+    if (!attempt.hasBegun && attempt.exchange->anyBytesWritten())
+        ++m_lostSends;
+    m_state->noteConnectionLost(attempt.target, m_service,
+                                attempt.hasBegun ? CrashSuspects() : m_suspects);
+}
+
+/// A complete answer to the request clears it and the parts of its prompt.
+void RelayedRequest::noteServed(const Attempt &attempt)
+{
+    std::vector<std::uint64_t> suspects{m_identity};
+    if (m_prompt) {
+        for (const PromptPart &part : m_prompt->parts)
+            suspects.push_back(part.id);
+    }
+    m_state->noteServed(m_service, suspects, attempt.answeredAt);
 }
 
 // Relay
@@ -707,8 +728,8 @@
         m_backendFailure = std::move(response);
         co_return AttemptResult::MayHaveRun;
     }
-    if (m_prompt && isSuccess(response.status))
-        m_state->noteServed(m_service, *m_prompt, attempt.answeredAt);
+    if (isSuccess(response.status))
+        noteServed(attempt);
     m_state->metrics.served.add();
     m_verdict = Verdict::Complete;
     logOutcome("request_answered", response.status, "whole");
@@ -748,8 +769,7 @@
     const std::string comments = events.takePartial();
     if ((!comments.empty() || !m_writer->started()) && !co_await deliverEvents(attempt, comments))
         co_return AttemptResult::Done;
-    if (m_prompt)
-        m_state->noteServed(m_service, *m_prompt, attempt.answeredAt);
+    noteServed(attempt);
     m_state->metrics.served.add();
     m_verdict = Verdict::Complete;
     logOutcome("request_answered", Ok, "stream");
@@ -828,15 +848,16 @@
     co_await answerLocally(502, "backend_failed");
 }
 
-/// Ends a request whose prompt has a part that crashes backend servers.
+/// Ends a request that crashes backend servers, or a part of whose prompt does.
 asio::awaitable<void> RelayedRequest::refusePart(const BlamedPart &blamedPart)
 {
     m_state->metrics.blamedRefusals.add();
     if (m_verdict != Verdict::NotRun || m_writer->started())
         co_return co_await fail();
     const Duration untilTrial = m_state->crashes->timeToTrial(blamedPart, RuntimeClock::now());
-    co_await answerLocally(503, "part_crashes_servers",
-                           std::max<Duration>(untilTrial, retryAfter()));
+    co_await answerLocally(
+        503, blamedPart.isRequest ? "request_crashes_servers" : "part_crashes_servers",
+        std::max<Duration>(untilTrial, retryAfter()));
 }
 
 /// Sends the final answer after an exception, if none has started.
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -53,7 +53,7 @@
     boost::asio::awaitable<void> sendUntilDone();
     bool mayWaitForLimit() const;
     PlacementQuery placementQuery() const;
-    std::optional<BlamedPart> admitPrompt();
+    std::optional<BlamedPart> admit();
     std::optional<RequestPlacement> choosePlacement();
     boost::asio::awaitable<AttemptResult> sendOnce(const SendTarget &target);
     /// Asks the engine to prefill the prompt and sets m_prefilledPrompt. NotRun or Unreached when
@@ -78,6 +78,7 @@
     bool isEventStream(const HttpExchange &exchange) const;
     void markAnswered(Attempt &attempt);
     void reportLostConnection(const Attempt &attempt);
+    void noteServed(const Attempt &attempt);
     void noteSent(Attempt &attempt);
     void abandon(Attempt &attempt);
     void reportOutcome(Attempt &attempt, AttemptResult result);
@@ -110,6 +111,11 @@
     std::string m_service;
     std::optional<PromptDescription> m_prompt;
     std::uint64_t m_identity = 0; ///< See requestIdentity().
+    CrashSuspects m_suspects;     ///< What it may crash a server with.
+    /// Attempts whose server ended the connection before an answer began.
+    std::uint32_t m_lostSends = 0;
+    /// Crashes at which the same request had waited before the first of these.
+    std::uint32_t m_crashesBefore = 0;
     TimePoint m_startedAt;
     TimePoint m_deadline = TimePoint::max();
     Timer m_deadlineTimer;
