Forward demands of instances that know limits from the leader alone, and drop unconfirmed limits

Two faults of the grants, found by reading: a registry process without a statement of its own entry instances passed no demand to the leader, so that instances which the server had not told itself were granted nothing, for ever where all servers of a service are limited; and a limit that no server was sent a request under could not end, since only an answer ended it. The first has a test that failed without the change. Limits that neither an answer nor the leader has confirmed for 30 s are dropped now; the next answer names them again.

--- a/include/gentianramp/registry/limit_exchange.hpp
+++ b/include/gentianramp/registry/limit_exchange.hpp
@@ -34,7 +34,8 @@
     /// Grants as the leader.
     std::vector<LimitSummary> summaries() const { return m_granter.summaries(); }
 
-    /// What the leader has to know; empty while no limit is known.
+    /// What the leader has to know. Demands come without limits from entry processes that know them
+    /// from the leader's table alone.
     LimitReports reports(TimePoint now) const;
     /// The part of the newest table that concerns one entry process; empty if there is none that
     /// matters.
--- a/include/gentianramp/relay/backend_table.hpp
+++ b/include/gentianramp/relay/backend_table.hpp
@@ -122,6 +122,9 @@
     void noteLimit(const BackendId &backend, std::optional<double> perSecond, TimePoint now);
     /// Limits, and what the registry's leader granted to this instance.
     void publish(const LimitTable &table, TimePoint now);
+    /// Drops limits that neither an answer nor the leader has confirmed for long: nothing may have
+    /// been sent to the server since.
+    void expireLimits(TimePoint now);
     /// What backend servers lately stated to this instance on limits; their ends too.
     std::vector<RequestLimit> statedLimits(TimePoint now) const;
     /// Whether any backend server limits the rate of requests.
--- a/include/gentianramp/relay/limit_allowance.hpp
+++ b/include/gentianramp/relay/limit_allowance.hpp
@@ -25,6 +25,8 @@
                     TimePoint now);
 
     bool isLimited() const { return m_limit.has_value(); }
+    /// When the leader's last table that has the limit was granted.
+    TimePoint tableAt() const { return m_tableAt; }
     /// Whether a request may be sent now; always true without a limit.
     bool mayTake(std::uint32_t instances, TimePoint now) const;
     /// A request is sent.
--- a/include/gentianramp/relay/relay_service.hpp
+++ b/include/gentianramp/relay/relay_service.hpp
@@ -55,8 +55,9 @@
     void publish(const CrashReports &reports);
     /// Adds limits of backend servers and what was granted to this instance.
     void publish(const LimitTable &table);
-    /// What backend servers lately stated to this instance on limits.
-    std::vector<RequestLimit> statedLimits(TimePoint now) const;
+    /// What backend servers lately stated to this instance on limits. To be called several times a
+    /// second, since it drops limits that nothing confirms any more.
+    std::vector<RequestLimit> takeStatedLimits(TimePoint now);
     /// Requests that arrive here and what may be sent of them to limited backend servers; empty
     /// while no limit is known.
     ReportedDemand demand(TimePoint now) const;
--- a/src/gentianramp/registry/limit_exchange.cpp
+++ b/src/gentianramp/registry/limit_exchange.cpp
@@ -8,9 +8,8 @@
 
 /// That a server names no limit any more is passed on for this time.
 constexpr Duration EndedRetention = std::chrono::seconds(10);
-/// A limit that no answer confirms for this time is dropped; instances that know it go on keeping
-/// to it by themselves.
-constexpr Duration LimitRetention = std::chrono::seconds(60);
+/// A limit that no answer confirms for this time is dropped.
+constexpr Duration LimitRetention = std::chrono::seconds(30);
 /// Demand of an entry process that is not heard for this time no longer counts.
 constexpr Duration DemandRetention = std::chrono::seconds(3);
 /// Entry processes decide by themselves after this time.
@@ -66,8 +65,6 @@
     LimitReports reports;
     for (const auto &[incarnation, limit] : m_limits)
         reports.limits.push_back(limit);
-    if (reports.limits.empty())
-        return reports;
     for (const auto &[instance, demand] : m_demands) {
         if (now - demand.reportedAt <= DemandRetention)
             reports.demands.emplace(instance, demand);
--- a/src/gentianramp/registry/limit_exchange_test.cpp
+++ b/src/gentianramp/registry/limit_exchange_test.cpp
@@ -2,6 +2,8 @@
 
 #include "registry_codec.hpp"
 
+#include <algorithm>
+
 #include <criterion/criterion.h>
 
 using namespace gentianramp;
@@ -35,7 +37,7 @@
 {
     LimitExchange follower;
     LimitExchange leader;
-    cr_assert(follower.reports(Start).limits.empty());
+    cr_assert(follower.reports(Start) == LimitReports());
     follower.merge(report(First, {limit(4, Start)}, Start), Start);
     follower.merge(report(Second, {}, Start), Start);
     leader.merge(follower.reports(Start + 100ms), Start + 100ms);
@@ -50,6 +52,20 @@
     }
 }
 
+// Entry processes that no server had told of its limit were granted nothing.
+Test(limit_exchange, demandsReachTheLeaderFromProcessesThatWereToldOfNoLimit)
+{
+    LimitExchange follower;
+    LimitExchange leader;
+    leader.merge(report(First, {limit(4, Start)}, Start), Start);
+    follower.publish(leader.grant(1, Start));
+    follower.merge(report(Second, {}, Start), Start);
+    leader.merge(follower.reports(Start), Start);
+    const LimitTable table = leader.grant(1, Start + 200ms);
+    cr_assert(std::any_of(table.grants.begin(), table.grants.end(),
+                          [](const LimitGrant &grant) { return grant.instance == Second; }));
+}
+
 Test(limit_exchange, theNewestStatementCountsInAnyOrder)
 {
     for (const bool endFirst : {false, true}) {
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -735,7 +735,7 @@
     void exchangeLimits(TimePoint now)
     {
         const LimitReports reports = limits.reports(now);
-        if (reports.limits.empty())
+        if (leads() ? reports.limits.empty() : reports == LimitReports())
             return;
         proto::RegistryMessage message;
         if (!leads()) {
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -82,6 +82,8 @@
 constexpr double CrossDataCentreTransferFactor = 2;
 /// Calls without a prompt go to another data centre when that saves more than this share of slots.
 constexpr double CrossDataCentreSlotCost = 0.5;
+/// A limit that neither an answer nor the leader confirms for this time is dropped.
+constexpr Duration UnconfirmedLimitLifetime = std::chrono::seconds(30);
 /// Time for which the registry is told what a server stated on a limit.
 constexpr Duration LimitReportTime = std::chrono::seconds(3);
 /// Time until the next grant of requests to a limited server arrives.
@@ -952,6 +954,16 @@
     }
 }
 
+void BackendTable::expireLimits(TimePoint now)
+{
+    for (const auto &[id, backend] : m_backends) {
+        const TimePoint confirmedAt
+            = std::max(backend->limit.statedAt, backend->allowance.tableAt());
+        if (backend->limit.perSecond && now - confirmedAt > UnconfirmedLimitLifetime)
+            setLimit(*backend, std::nullopt, backend->limit.statedAt, "unconfirmed", now);
+    }
+}
+
 std::vector<RequestLimit> BackendTable::statedLimits(TimePoint now) const
 {
     std::vector<RequestLimit> limits;
--- a/src/gentianramp/relay/backend_table_test.cpp
+++ b/src/gentianramp/relay/backend_table_test.cpp
@@ -528,3 +528,30 @@
     table.notSent(probe->responder);
     cr_assert_eq(table.choose({.service = "app"}, at(20'001))->responder.backend, BackendId("p0"));
 }
+
+// A server that was sent nothing for its limit kept the limit for ever, since no answer could end
+// it.
+Test(backend_table, aLimitThatNothingConfirmsIsDropped)
+{
+    const BackendId server("one");
+    BackendTable table({.dataCentre = DataCentreId("a")});
+    BackendListing listing;
+    listing.servers.push_back({.id = server, .service = "s", .slots = 8});
+    table.publish(listing);
+    table.setInstances(300);
+    const TimePoint start{std::chrono::hours(1)};
+    table.noteLimit(server, 1.0, start);
+    const PlacementQuery query{.service = "s"};
+    cr_assert_not(table.choose(query, start + std::chrono::seconds(20)).has_value());
+    const RequestLimit limit{.server = server, .service = "s", .perSecond = 1.0, .statedAt = start};
+    table.publish(LimitTable{.term = 1,
+                             .grantedAt = start + std::chrono::seconds(20),
+                             .limits = {limit},
+                             .grants = {}},
+                  start + std::chrono::seconds(20));
+    table.expireLimits(start + std::chrono::seconds(45));
+    cr_assert(table.isLimited(server));
+    table.expireLimits(start + std::chrono::seconds(51));
+    cr_assert_not(table.isLimited(server));
+    cr_assert(table.choose(query, start + std::chrono::seconds(51)).has_value());
+}
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -148,7 +148,7 @@
             const TimePoint now = RuntimeClock::now();
             feed.setDelays(relay.delays(now));
             feed.setRefusedParts(relay.refusedParts(now));
-            feed.setLimits(relay.statedLimits(now), relay.demand(now));
+            feed.setLimits(relay.takeStatedLimits(now), relay.demand(now));
             applyFeedOutput(feed.tick(now));
             if (now >= nextFlushAt) {
                 flushLog();
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -389,8 +389,9 @@
     m_state->table.publish(table, RuntimeClock::now());
 }
 
-std::vector<RequestLimit> RelayService::statedLimits(TimePoint now) const
+std::vector<RequestLimit> RelayService::takeStatedLimits(TimePoint now)
 {
+    m_state->table.expireLimits(now);
     return m_state->table.statedLimits(now);
 }
 
