Bound what a report may confirm of a grant

A report that names more than was granted, which only a damaged message does, made the difference wrap around, so that nothing more was granted.

--- a/include/gentianramp/registry/limit_granter.hpp
+++ b/include/gentianramp/registry/limit_granter.hpp
@@ -85,6 +85,7 @@
     std::vector<LimitGrant> grant(const std::vector<RequestLimit> &limits,
                                   const std::map<InstanceId, ReportedDemand> &demands,
                                   std::uint64_t term, TimePoint now);
+    /// What was granted of each limit so far.
     std::vector<LimitSummary> summaries() const;
 
 private:
--- a/src/gentianramp/registry/limit_granter.cpp
+++ b/src/gentianramp/registry/limit_granter.cpp
@@ -106,8 +106,10 @@
         const bool isConfirmed = holding && account != server.accounts.end()
             && holding->account == account->second.number;
         double holds = holding ? std::max(holding->remaining, 0.0) : 0;
-        if (account != server.accounts.end())
-            holds += account->second.total - (isConfirmed ? holding->applied : 0);
+        if (account != server.accounts.end()) {
+            const std::uint32_t total = account->second.total;
+            holds += total - (isConfirmed ? std::min(holding->applied, total) : 0);
+        }
         held += holds;
         const auto need = needs.find(instance);
         if (need == needs.end())
@@ -130,6 +132,7 @@
 std::vector<LimitSummary> LimitGranter::summaries() const
 {
     std::vector<LimitSummary> summaries;
+    summaries.reserve(m_servers.size());
     for (const auto &[key, server] : m_servers)
         summaries.push_back({key.first, server.granted, server.held, server.accounts.size()});
     return summaries;
@@ -147,6 +150,7 @@
             needs[instance] = found->second * secondsOf(GrantTime) + SpareRequests;
     }
     std::vector<ServerState> servers;
+    servers.reserve(limits.size());
     for (std::size_t index = 0; index < limits.size(); ++index) {
         const RequestLimit &limit = *limits[index];
         servers.push_back(readServer(limit, index, limits.size(), demands, needs, term));
