Bound the time for which a prefilled prompt waits for a limited server

The bound was a quarter of the time that is left, taken anew at each look, so that a caller could be held until little more than a second was left. It is taken once now, when the wait begins. Found by reading.

--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -343,11 +343,14 @@
     }
 }
 
-/// True when a prompt that is prefilled finds a server below its limit soon enough.
-bool RelayedRequest::mayWaitForLimit() const
+/// True while a prompt that is prefilled may wait for a server below its limit.
+bool RelayedRequest::mayWaitForLimit()
 {
-    const auto wait = m_state->table.limitWait(m_service, RuntimeClock::now());
-    return wait && wait->untilNext < timeLeft() / LimitWaitTimeLeftDivisor;
+    const TimePoint now = RuntimeClock::now();
+    if (!m_limitWaitEnd)
+        m_limitWaitEnd = now + timeLeft() / LimitWaitTimeLeftDivisor;
+    const auto wait = m_state->table.limitWait(m_service, now);
+    return wait && now + wait->untilNext < *m_limitWaitEnd;
 }
 
 PlacementQuery RelayedRequest::placementQuery() const
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -51,7 +51,7 @@
 
     // Attempts
     boost::asio::awaitable<void> sendUntilDone();
-    bool mayWaitForLimit() const;
+    bool mayWaitForLimit();
     PlacementQuery placementQuery() const;
     std::optional<BlamedPart> admit();
     std::optional<RequestPlacement> choosePlacement();
@@ -141,7 +141,9 @@
     std::uint32_t m_prefillCount = 0; ///< Engines that were asked to prefill the prompt.
     /// The same since the last send, without the uncounted ones.
     std::uint32_t m_prefillsForSend = 0;
-    Duration m_prefillTime{};      ///< Time of all prefills.
+    Duration m_prefillTime{}; ///< Time of all prefills.
+    /// Until when a prefilled prompt may wait for a server below its limit; empty: did not wait.
+    std::optional<TimePoint> m_limitWaitEnd;
     BackendId m_prefillEngine;     ///< Last engine that was asked to prefill.
     Duration m_lastExpectedWait{}; ///< Expected wait of the last placement.
     std::vector<BackendId> m_tried;
