Check each byte of a stream's line once

relay_answers::streamsOfBytesWithoutEndAreReplaced failed once beside load (17 on eight cores): "connection lost" after 5.03 s. A server that sends such bytes held up the only thread of an entry instance meanwhile, and with it all other callers.

--- a/include/gentianramp/relay/event_assembler.hpp
+++ b/include/gentianramp/relay/event_assembler.hpp
@@ -23,6 +23,8 @@
     bool hasPartial() const { return !m_pending.empty(); }
     /// The buffered bytes are more than whole comment lines: the stream would end inside an event.
     bool insideEvent() const { return m_hasFields || m_lineStart < m_pending.size(); }
+    std::size_t m_checkedEnd = 0; ///< The line that is not complete was checked up to here.
+    bool m_nameEnded = false;     ///< That line has a colon.
     /// Takes the buffered bytes, at the end of a stream.
     std::string takePartial() { return std::exchange(m_pending, {}); }
     /// At least one whole event was fed, skipped ones included. Comments alone are no event.
@@ -35,6 +37,7 @@
 private:
     static constexpr std::size_t MaxEventBytes = 1024 * 1024;
 
+    bool checkLineBeginning(std::string_view pending);
     void takeEvent(std::string_view event, std::string &whole);
 
     std::string m_pending;
--- a/src/gentianramp/relay/event_assembler.cpp
+++ b/src/gentianramp/relay/event_assembler.cpp
@@ -16,16 +16,13 @@
         || (character >= '0' && character <= '9') || character == '-' || character == '_';
 }
 
-/// True for a field or a comment, or the beginning of one if the line is not @p complete.
-bool isEventLine(std::string_view line, bool complete)
+/// True for a field or a comment.
+bool isEventLine(std::string_view line)
 {
-    if (!complete && line.ends_with('\r'))
-        line.remove_suffix(1);
     const std::string_view name = line.substr(0, line.find(':'));
-    const bool hasColon = name.size() < line.size();
     if (!std::all_of(name.begin(), name.end(), isNameCharacter))
         return false;
-    if (hasColon || !complete)
+    if (name.size() < line.size())
         return true;
     return std::find(std::begin(StandardFields), std::end(StandardFields), name)
         != std::end(StandardFields);
@@ -76,17 +73,37 @@
             eventStart = m_lineStart;
             continue;
         }
-        m_malformed = !isEventLine(line, true);
+        m_malformed = !isEventLine(line);
         if (m_malformed)
             return whole;
         m_hasFields = m_hasFields || !line.starts_with(':');
     }
-    m_malformed = !isEventLine(pending.substr(m_lineStart), false);
+    m_malformed = !checkLineBeginning(pending);
     m_pending.erase(0, eventStart);
     m_lineStart -= eventStart;
+    m_checkedEnd -= eventStart;
     return whole;
 }
 
+/// Whether a field or a comment may begin like the line that is not complete. Checks each byte
+/// once, since lines may come in many pieces.
+bool EventAssembler::checkLineBeginning(std::string_view pending)
+{
+    if (m_checkedEnd < m_lineStart) {
+        m_checkedEnd = m_lineStart;
+        m_nameEnded = false;
+    }
+    std::string_view unchecked = pending.substr(m_checkedEnd);
+    if (unchecked.ends_with('\r'))
+        unchecked.remove_suffix(1);
+    m_checkedEnd += unchecked.size();
+    if (m_nameEnded)
+        return true;
+    const std::string_view name = unchecked.substr(0, unchecked.find(':'));
+    m_nameEnded = name.size() < unchecked.size();
+    return std::all_of(name.begin(), name.end(), isNameCharacter);
+}
+
 /// Appends an event, or comments, unless it was delivered before.
 void EventAssembler::takeEvent(std::string_view event, std::string &whole)
 {
--- a/src/gentianramp/relay/event_assembler_test.cpp
+++ b/src/gentianramp/relay/event_assembler_test.cpp
@@ -81,3 +81,21 @@
     cut.feed("id: 1\n\n: b");
     cr_assert(cut.insideEvent());
 }
+
+Test(event_assembler, aLineIsCheckedAcrossItsPieces)
+{
+    EventAssembler events(std::nullopt);
+    std::string whole;
+    for (const char *piece :
+         {"da", "ta", ":", " x y", "\r", "\n", "i", "d: 1\r", "\n\r", "\n", "da"})
+        whole += events.feed(piece);
+    cr_assert_not(events.malformed());
+    cr_assert_eq(whole, "data: x y\r\nid: 1\r\n\r\n");
+    events.feed("t a: x");
+    cr_assert(events.malformed());
+    EventAssembler carriageReturn(std::nullopt);
+    carriageReturn.feed("data\r");
+    cr_assert_not(carriageReturn.malformed());
+    carriageReturn.feed("x");
+    cr_assert(carriageReturn.malformed());
+}
