Messages and declarations for customers, usage, scaling and facts of servers

Cause: the parts of docs/design/competing-demand.md are built side by side and share messages and value types. Change: fields of registry.proto under new numbers; Customer, ScalingTraits, public routes, spot servers, and speed and slowness of engines as values; the codec carries the figures of loads, delays and listings. Result: not measured; no behaviour uses the values yet.

--- a/include/gentianramp/declaration/declaration.hpp
+++ b/include/gentianramp/declaration/declaration.hpp
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 #include <gentianramp/core/clock.hpp>
+#include <gentianramp/core/ids.hpp>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -37,6 +39,7 @@
     bool carriesPrompt = false; ///< Requests list the parts of their prompt.
     bool resumable = false;     ///< A stream may be resumed at another backend server.
     Duration eventGap{};        ///< Longest pause between events of a timely stream.
+    bool isPublic = false;      ///< Needs no key, even if customers are declared.
     std::vector<ServiceShare> shares;
     bool operator==(const Route &) const = default;
 
@@ -59,6 +62,18 @@
     bool operator==(const EngineTraits &) const = default;
 };
 
+/// Bounds and prices of the servers of a service whose number may be ordered.
+struct ScalingTraits
+{
+    std::uint32_t minServers = 0; ///< Of each data centre, spot servers included.
+    std::uint32_t maxServers = 0; ///< Of each data centre, spot servers included.
+    Duration bootTime{};          ///< From the order until a server takes requests.
+    /// Price of a spot server as a share of that of a server on demand; empty: there are none.
+    std::optional<double> spotPrice;
+    std::map<DataCentreId, double> prices; ///< Of a second of a server on demand.
+    bool operator==(const ScalingTraits &) const = default;
+};
+
 /// A declared service.
 struct DeclaredService
 {
@@ -66,9 +81,20 @@
     std::string healthPath;
     std::uint32_t maxConnections = 0; ///< To one backend server, from all instances; 0: unknown.
     std::optional<EngineTraits> engine;
+    std::optional<ScalingTraits> scaling;
     bool operator==(const DeclaredService &) const = default;
 };
 
+/// A customer whose requests carry one of its keys.
+struct Customer
+{
+    std::string name;
+    std::vector<std::string> keys;
+    /// Goes before the priority of the route; 0 is the most urgent.
+    std::optional<std::uint32_t> priority;
+    bool operator==(const Customer &) const = default;
+};
+
 /// Limits on the size and duration of requests.
 struct CallerLimits
 {
@@ -87,6 +113,8 @@
     std::vector<Route> routes;
     std::vector<DeclaredService> services;
     CallerLimits limits;
+    /// Empty: requests need no key.
+    std::optional<std::vector<Customer>> customers;
     bool operator==(const Declaration &) const = default;
 };
 
--- a/include/gentianramp/registry/backend_listing.hpp
+++ b/include/gentianramp/registry/backend_listing.hpp
@@ -26,6 +26,7 @@
     std::uint32_t warmUpLeftMs = 0;
     /// Of its software, not of the weights. Versions have no order. Empty: not named.
     std::string softwareVersion;
+    bool spot = false; ///< May be reclaimed at short notice.
     auto operator<=>(const ListedServer &) const = default;
 };
 
@@ -61,6 +62,9 @@
     bool changing = false;
     ReportedStage stage
         = ReportedStage::Unknown; ///< Set only around a change; see StageAnnouncement.
+    /// Lasting speed as a share of the usual one of the service's engines; 0: not known.
+    double speed = 0;
+    std::uint32_t slownessPercent = 0; ///< Time that work takes now, of the usual; 0: not stated.
     bool operator==(const ReportedLoad &) const = default;
 };
 
--- a/include/gentianramp/registry/stage_delays.hpp
+++ b/include/gentianramp/registry/stage_delays.hpp
@@ -11,9 +11,11 @@
 /// that at an idle engine, as a share of the latency target of the request.
 struct StageDelays
 {
-    double requests = 0; ///< Requests with a prompt.
-    double prefill = 0;  ///< Sum of the delays of prefills.
-    double decode = 0;   ///< Sum of the delays from the prefill to the first event.
+    double requests = 0;    ///< Requests with a prompt.
+    double prefill = 0;     ///< Sum of the delays of prefills.
+    double decode = 0;      ///< Sum of the delays from the prefill to the first event.
+    double prefillWork = 0; ///< Engine-milliseconds of prefill, at the rate of an idle engine.
+    double streams = 0;     ///< Streams being decoded; not per second.
     bool operator==(const StageDelays &) const = default;
 };
 
--- a/include/gentianramp/relay/backend_protocol.hpp
+++ b/include/gentianramp/relay/backend_protocol.hpp
@@ -40,6 +40,7 @@
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 0;
+    std::uint32_t slownessPercent = 0; ///< Time that work takes now, of the usual; 0: not stated.
     bool operator==(const StatedLoad &) const = default;
 };
 
--- a/src/gentianramp/registry/backend_listing.cpp
+++ b/src/gentianramp/registry/backend_listing.cpp
@@ -19,7 +19,7 @@
              << server.slots << ' ' << server.draining << ' ' << server.engine << ' '
              << server.prefillOnly << ' ' << server.startedAtMs << ' ' << (server.warmUpLeftMs > 0)
              << '\n'
-             << server.softwareVersion << '\n';
+             << server.softwareVersion << (server.spot ? " spot\n" : "\n");
     return std::max<std::uint64_t>(contentDigest(text.str()), 1);
 }
 
--- a/src/gentianramp/registry/registry_codec.cpp
+++ b/src/gentianramp/registry/registry_codec.cpp
@@ -52,6 +52,7 @@
     backend.set_cold_ms(server.warmUpLeftMs);
     backend.set_engine(server.engine);
     backend.set_software_version(server.softwareVersion);
+    backend.set_spot(server.spot);
     return backend;
 }
 
@@ -73,7 +74,8 @@
                            .prefillOnly = backend.prefill(),
                            .startedAtMs = backend.born_ms(),
                            .warmUpLeftMs = backend.cold_ms(),
-                           .softwareVersion = backend.software_version()});
+                           .softwareVersion = backend.software_version(),
+                           .spot = backend.spot()});
     }
     return servers;
 }
@@ -278,6 +280,8 @@
         engine.set_silent(load.silent);
         engine.set_changing(load.changing);
         engine.set_stage(static_cast<std::uint32_t>(load.stage));
+        engine.set_speed(thousandths(load.speed));
+        engine.set_slowness(load.slownessPercent);
     }
     return table;
 }
@@ -292,7 +296,8 @@
         change.removed.emplace_back(engine);
     for (const proto::EngineLoad &engine : table.engines())
         change.changed.push_back({BackendId(engine.id()), engine.waiting(), engine.running(),
-                                  engine.silent(), engine.changing(), stageOf(engine.stage())});
+                                  engine.silent(), engine.changing(), stageOf(engine.stage()),
+                                  engine.speed() / 1000.0, engine.slowness()});
     return change;
 }
 
@@ -377,6 +382,9 @@
         entry.set_requests(thousandths(delay.requests));
         entry.set_prefill(thousandths(delay.prefill));
         entry.set_decode(thousandths(delay.decode));
+        entry.set_prefill_work(
+            static_cast<std::uint32_t>(std::lround(std::clamp(delay.prefillWork, 0.0, 4e9))));
+        entry.set_streams(thousandths(delay.streams));
     }
 }
 
@@ -386,7 +394,9 @@
     for (const proto::StageDelays &entry : list)
         delays[entry.service()] = {.requests = entry.requests() / 1000.0,
                                    .prefill = entry.prefill() / 1000.0,
-                                   .decode = entry.decode() / 1000.0};
+                                   .decode = entry.decode() / 1000.0,
+                                   .prefillWork = static_cast<double>(entry.prefill_work()),
+                                   .streams = entry.streams() / 1000.0};
     return delays;
 }
 
--- a/src/gentianramp/registry/stage_delays.cpp
+++ b/src/gentianramp/registry/stage_delays.cpp
@@ -18,7 +18,9 @@
 {
     return {left.requests * leftFactor + right.requests * rightFactor,
             left.prefill * leftFactor + right.prefill * rightFactor,
-            left.decode * leftFactor + right.decode * rightFactor};
+            left.decode * leftFactor + right.decode * rightFactor,
+            left.prefillWork * leftFactor + right.prefillWork * rightFactor,
+            left.streams * leftFactor + right.streams * rightFactor};
 }
 
 } // namespace
