Tie requests to customers by their keys

Change: declarations hold customers; one lookup (CustomerKeys, shared with the entry library) finds the holder of a key; an unknown key is refused with 401, or with 503 while the declaration is not confirmed; the key is dropped on all paths and the customer's name set instead; its priority goes before the route's; an instance that takes a request over is told the customer; records of streams are kept by customer.

--- a/include/gentianramp/declaration/route_table.hpp
+++ b/include/gentianramp/declaration/route_table.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <gentianramp/declaration/customer_keys.hpp>
 #include <gentianramp/declaration/declaration.hpp>
 #include <string_view>
 #include <unordered_map>
@@ -20,11 +21,18 @@
     /// host may include a port; @p path excludes the query.
     const Route *find(std::string_view host, std::string_view path) const;
     const DeclaredService *service(std::string_view name) const;
+    /// Requests need a key, except on public routes.
+    bool requiresKeys() const noexcept { return m_declaration.customers.has_value(); }
+    /// The customer that holds the key; null if there is none.
+    const Customer *findCustomer(std::string_view key) const;
+    const Customer *customer(std::string_view name) const;
 
 private:
     Declaration m_declaration;
     std::unordered_map<std::string, const Route *> m_routes; ///< By host and prefix.
     std::unordered_map<std::string, const DeclaredService *> m_services;
+    CustomerKeys m_keys; ///< Indices of declared customers.
+    std::unordered_map<std::string, const Customer *> m_customers; ///< By name.
 };
 
 /// Picks the service of a request by the weights in @p route; @p draw is a random number, uniform
--- a/include/gentianramp/relay/backend_protocol.hpp
+++ b/include/gentianramp/relay/backend_protocol.hpp
@@ -48,15 +48,17 @@
 /// with an empty name are not used.
 struct BackendProtocol
 {
-    std::string requestId;   ///< Echoed by backend servers.
-    std::string timeBudget;  ///< Milliseconds for which the sender keeps waiting.
-    std::string lastEventId; ///< The stream resumes after this event.
-    std::string resumes;     ///< Id of the attempt that brought the stream's first event.
-    std::string signature;   ///< On an answer: signature of the backend server.
-    std::string target;      ///< Only the backend server of that id may run the request.
-    std::string notRun;      ///< On an answer: the request did not run.
-    std::string priority;    ///< 0 to 9, 0 first.
-    std::string load;        ///< On an answer: StatedLoad.
+    std::string requestId;     ///< Echoed by backend servers.
+    std::string timeBudget;    ///< Milliseconds for which the sender keeps waiting.
+    std::string lastEventId;   ///< The stream resumes after this event.
+    std::string resumes;       ///< Id of the attempt that brought the stream's first event.
+    std::string signature;     ///< On an answer: signature of the backend server.
+    std::string target;        ///< Only the backend server of that id may run the request.
+    std::string notRun;        ///< On an answer: the request did not run.
+    std::string priority;      ///< 0 to 9, 0 first.
+    std::string authorization; ///< Of callers: the customer's key, where customers are declared.
+    std::string customer;      ///< Name of the customer; only instances set it.
+    std::string load;          ///< On an answer: StatedLoad.
     std::string leaving; ///< On an answer: the backend server leaves if the value is leavingValue.
     std::string leavingValue;
     std::string limit;        ///< On an answer: requests per second taken from all instances.
--- a/include/gentianramp/relay/relay_service.hpp
+++ b/include/gentianramp/relay/relay_service.hpp
@@ -56,6 +56,9 @@
     std::function<std::optional<Duration>()> declarationAge = [] { return Duration{}; };
     /// While the declaration was confirmed longer ago, a missing route may have been declared.
     Duration maxDeclarationAge = std::chrono::seconds(2);
+    /// Routes that need a key are not served while the declaration was confirmed longer ago, since
+    /// keys may have been removed; empty: the last declaration stays in force.
+    std::optional<Duration> keyRevocationTime;
     std::function<std::optional<Duration>()> listingAge = [] { return std::nullopt; };
     InstanceId instance; ///< Name of this process at the registry.
     /// What is known of crashes of backend servers; null: only what this service observes.
--- a/src/gentianramp/entry/digest.cpp
+++ b/src/gentianramp/core/digest.cpp
@@ -1,4 +1,4 @@
-#include "digest.hpp"
+#include <gentianramp/core/digest.hpp>
 
 #include <array>
 #include <memory>
--- a/src/gentianramp/declaration/declaration.cpp
+++ b/src/gentianramp/declaration/declaration.cpp
@@ -1,5 +1,6 @@
 #include <gentianramp/declaration/declaration.hpp>
 
+#include <map>
 #include <set>
 #include <utility>
 
@@ -27,6 +28,27 @@
         faults.push_back("the weights of route " + route.name + " add up to 0");
 }
 
+/// Faults name customers, but never keys.
+void checkCustomers(const std::vector<Customer> &customers, std::vector<std::string> &faults)
+{
+    std::set<std::string> names;
+    std::map<std::string, std::string> holders;
+    for (const Customer &customer : customers) {
+        if (customer.name.empty())
+            faults.emplace_back("a customer has no name");
+        else if (!names.insert(customer.name).second)
+            faults.push_back("customer " + customer.name + " is declared twice");
+        for (const std::string &key : customer.keys) {
+            const auto [holder, isNew] = holders.emplace(key, customer.name);
+            if (key.empty())
+                faults.push_back("customer " + customer.name + " has an empty key");
+            else if (!isNew && holder->second != customer.name)
+                faults.push_back("customers " + holder->second + " and " + customer.name
+                                 + " have the same key");
+        }
+    }
+}
+
 } // namespace
 
 std::vector<std::string> declarationFaults(const Declaration &declaration)
@@ -43,6 +65,8 @@
         if (!routeKeys.emplace(route.host, route.pathPrefix).second)
             faults.push_back("route " + route.name + " has the host and prefix of another route");
     }
+    if (declaration.customers)
+        checkCustomers(*declaration.customers, faults);
     return faults;
 }
 
--- a/src/gentianramp/declaration/route_table.cpp
+++ b/src/gentianramp/declaration/route_table.cpp
@@ -37,6 +37,14 @@
         m_routes.emplace(routeKey(lowerCase(route.host), route.pathPrefix), &route);
     for (const DeclaredService &service : m_declaration.services)
         m_services.emplace(service.name, &service);
+    if (!m_declaration.customers)
+        return;
+    for (std::size_t index = 0; index < m_declaration.customers->size(); ++index) {
+        const Customer &customer = (*m_declaration.customers)[index];
+        m_customers.emplace(customer.name, &customer);
+        for (const std::string &key : customer.keys)
+            m_keys.add(key, index);
+    }
 }
 
 const Route *RouteTable::find(std::string_view host, std::string_view path) const
@@ -60,6 +68,18 @@
     return found == m_services.end() ? nullptr : found->second;
 }
 
+const Customer *RouteTable::findCustomer(std::string_view key) const
+{
+    const std::optional<std::size_t> index = m_keys.find(key);
+    return index ? &(*m_declaration.customers)[*index] : nullptr;
+}
+
+const Customer *RouteTable::customer(std::string_view name) const
+{
+    const auto found = m_customers.find(std::string(name));
+    return found == m_customers.end() ? nullptr : found->second;
+}
+
 const std::string &pickService(const Route &route, double draw)
 {
     double total = 0;
--- a/src/gentianramp/declaration/route_table_test.cpp
+++ b/src/gentianramp/declaration/route_table_test.cpp
@@ -51,6 +51,24 @@
     cr_assert_eq(pickService(split, 0.0), "t");
 }
 
+Test(route_table, invalidCustomersAreReportedWithoutTheirKeys)
+{
+    const auto faults = [](std::vector<Customer> customers) {
+        Declaration declaration = declared({route("a", "/x/")});
+        declaration.customers = std::move(customers);
+        return declarationFaults(declaration);
+    };
+    cr_assert(faults({}).empty());
+    cr_assert(faults({{.name = "a", .keys = {}}, {.name = "b", .keys = {"k", "k"}}}).empty());
+    const std::vector<std::string> shared
+        = faults({{.name = "a", .keys = {"secret"}}, {.name = "b", .keys = {"x", "secret"}}});
+    cr_assert_eq(shared.size(), 1U);
+    cr_assert_eq(shared.front(), "customers a and b have the same key");
+    cr_assert_eq(faults({{.name = "a", .keys = {""}}}).size(), 1U);
+    cr_assert_eq(faults({{.name = "", .keys = {"k"}}}).size(), 1U);
+    cr_assert_eq(faults({{.name = "a", .keys = {"k"}}, {.name = "a", .keys = {"l"}}}).size(), 1U);
+}
+
 Test(route_table, invalidDeclarationsAreReported)
 {
     cr_assert(declarationFaults(declared({route("a", "/x/")})).empty());
--- a/src/gentianramp/entry/caller_request.cpp
+++ b/src/gentianramp/entry/caller_request.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <gentianramp/declaration/customer_keys.hpp>
 #include <gentianramp/engine/token_sequence.hpp>
 #include <nlohmann/json.hpp>
 
@@ -13,7 +14,6 @@
 
 using nlohmann::json;
 
-constexpr std::string_view BearerScheme = "Bearer ";
 constexpr std::uint32_t MaxTokensBound = 1U << 24;
 constexpr std::int64_t MaxTimeoutMs = 24LL * 3600 * 1000;
 
@@ -106,14 +106,6 @@
     }
 }
 
-std::string readBearer(const HttpHeaders &headers)
-{
-    const std::string_view value = headers.find("Authorization");
-    if (!value.starts_with(BearerScheme))
-        return {};
-    return std::string(value.substr(BearerScheme.size()));
-}
-
 /// Reads the optional timeout; false when its value is malformed or too large.
 bool readTimeout(const HttpHeaders &headers, std::optional<Duration> &timeout)
 {
@@ -170,7 +162,7 @@
     if (accepted.timeout && *accepted.timeout <= Duration::zero())
         return RequestError{
             504, verdict, "deadline_expired", "the caller's deadline has passed", {}};
-    accepted.bearerKey = readBearer(headers);
+    accepted.bearerKey = bearerKey(headers.find("Authorization"));
     accepted.contentType = std::string(headers.find("Content-Type"));
     accepted.arrivedAt = now;
     if (isModelPath(request.path())) {
--- a/src/gentianramp/entry/deduplicate.cpp
+++ b/src/gentianramp/entry/deduplicate.cpp
@@ -1,6 +1,6 @@
 #include "deduplicate.hpp"
 
-#include "digest.hpp"
+#include <gentianramp/core/digest.hpp>
 
 #include <algorithm>
 #include <gentianramp/core/invariant.hpp>
--- a/src/gentianramp/entry/entry_test_support.cpp
+++ b/src/gentianramp/entry/entry_test_support.cpp
@@ -1,6 +1,6 @@
 #include "entry_test_support.hpp"
 
-#include "digest.hpp"
+#include <gentianramp/core/digest.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
--- a/src/gentianramp/entry/service_directory.cpp
+++ b/src/gentianramp/entry/service_directory.cpp
@@ -1,7 +1,5 @@
 #include "service_directory.hpp"
 
-#include "digest.hpp"
-
 #include <algorithm>
 
 namespace gentianramp {
@@ -38,9 +36,9 @@
     std::ranges::sort(m_plain, [](const auto *left, const auto *right) {
         return left->pathPrefix.size() > right->pathPrefix.size();
     });
-    for (const CustomerDeclaration &customer : m_configuration.customers) {
-        for (const std::string &digest : customer.keySha256)
-            m_customers[digest] = &customer;
+    for (std::size_t index = 0; index < m_configuration.customers.size(); ++index) {
+        for (const std::string &digest : m_configuration.customers[index].keySha256)
+            m_keys.addDigest(digest, index);
     }
 }
 
@@ -61,10 +59,8 @@
 
 const CustomerDeclaration *ServiceDirectory::customerOfKey(std::string_view bearerKey) const
 {
-    if (bearerKey.empty())
-        return nullptr;
-    const auto found = m_customers.find(sha256Hex({bearerKey}));
-    return found == m_customers.end() ? nullptr : found->second;
+    const std::optional<std::size_t> index = m_keys.find(bearerKey);
+    return index ? &m_configuration.customers[*index] : nullptr;
 }
 
 std::uint32_t ServiceDirectory::priorityOf(const ServiceDeclaration &service) const
--- a/src/gentianramp/entry/service_directory.hpp
+++ b/src/gentianramp/entry/service_directory.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <gentianramp/config/declared_configuration.hpp>
 #include <gentianramp/core/clock.hpp>
+#include <gentianramp/declaration/customer_keys.hpp>
 #include <map>
 #include <memory>
 #include <string>
@@ -41,7 +42,7 @@
     TimePoint m_inForceSince;
     std::map<std::string, const ServiceDeclaration *, std::less<>> m_models;
     std::vector<const ServiceDeclaration *> m_plain; ///< Longest prefix first.
-    std::map<std::string, const CustomerDeclaration *, std::less<>> m_customers;
+    CustomerKeys m_keys;                             ///< Indices of the configuration's customers.
     std::map<std::string, std::uint32_t, std::less<>> m_levels;
     std::uint32_t m_unclassifiedLevel = 0; ///< Of services without a known priority class.
 };
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -610,6 +610,7 @@
             return finishCall(message.read_answer().call(), message);
         case proto::RegistryMessage::kFeedAnswer:
             return finishCall(message.feed_answer().call(), message);
+        case proto::RegistryMessage::kUsageReports:
         case proto::RegistryMessage::BODY_NOT_SET:
             return;
         }
--- a/src/gentianramp/relay/forwarded_headers.cpp
+++ b/src/gentianramp/relay/forwarded_headers.cpp
@@ -21,9 +21,9 @@
                                               "Proxy-Authorization"};
 
 constexpr std::string_view InstanceNames[]
-    = {instance_headers::Verdict, instance_headers::Backend,      instance_headers::Service,
-       instance_headers::Version, instance_headers::LacksServers, instance_headers::WasSent,
-       instance_headers::Attempts};
+    = {instance_headers::Verdict,  instance_headers::Backend,      instance_headers::Service,
+       instance_headers::Version,  instance_headers::LacksServers, instance_headers::WasSent,
+       instance_headers::Attempts, instance_headers::Customer};
 
 } // namespace
 
--- a/src/gentianramp/relay/forwarded_headers.hpp
+++ b/src/gentianramp/relay/forwarded_headers.hpp
@@ -21,6 +21,8 @@
 constexpr const char *WasSent = "Gentianramp-Was-Sent";
 /// Backend servers that the request may still be sent to.
 constexpr const char *Attempts = "Gentianramp-Attempts";
+/// Customer of the caller; empty: on a public route, without a known key.
+constexpr const char *Customer = "Gentianramp-Customer";
 } // namespace instance_headers
 
 bool isInstanceHeader(std::string_view name);
--- a/src/gentianramp/relay/hand_over_test.cpp
+++ b/src/gentianramp/relay/hand_over_test.cpp
@@ -35,10 +35,13 @@
         , m_port(m_server.start().value())
     { }
 
-    void publish(const BackendListing &listing, const Route &route)
+    void publish(const BackendListing &listing, const Route &route,
+                 std::optional<std::vector<Customer>> customers = std::nullopt)
     {
         m_relay.publish(listing);
-        m_relay.publish(makeDeclaration(route));
+        Declaration declaration = makeDeclaration(route);
+        declaration.customers = std::move(customers);
+        m_relay.publish(std::move(declaration));
     }
 
     RelayHelper address() const { return {InstanceId(m_name), {"127.0.0.1", m_port}}; }
@@ -359,3 +362,26 @@
     cr_assert_eq(cut.fixture.call(post("me"))->status, 503U);
     cr_assert_eq(cut.fixture.requestsAt("one"), 1);
 }
+
+// The helping instance may have an older declaration without the key, and the key must not travel
+// further than needed.
+Test(hand_over, theHandingInstanceNamesTheCustomer)
+{
+    const Route route;
+    CutInstance cut;
+    cut.fixture.addServer("b", answers(200));
+    cut.fixture.customers = std::vector<Customer>{{.name = "north", .keys = {"n1"}}};
+    Helper &helper = cut.addHelper(route);
+    helper.publish(cut.fixture.listing(), route,
+                   std::vector<Customer>{{.name = "south", .keys = {"s1"}}});
+    cut.cutOff(route);
+    HttpRequest request;
+    request.headers.add("Authorization", "Bearer n1");
+    request.headers.add("Gentianramp-Customer", "south");
+    cr_assert_eq(cut.fixture.call(request)->status, 200U);
+    cr_assert_eq(helper.taken(), 1);
+    const HttpHeaders &received = cut.fixture.receivedRequests.back().second.headers;
+    cr_assert_eq(received.find("X-Customer"), "north");
+    cr_assert_not(received.contains("Authorization"));
+    cr_assert_not(received.contains("Gentianramp-Customer"));
+}
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -74,6 +74,8 @@
                                      "Refused because backend servers are at their limits"))
     , originRefusals(registry.counter("gentianramp_relay_origin_refusals_total",
                                       "Streams not gone on with for their software version"))
+    , unknownKeys(registry.counter("gentianramp_relay_unknown_keys_total",
+                                   "Refused because no customer holds the key"))
     , handedOver(registry.counter("gentianramp_relay_handed_over_total",
                                   "Requests handed over to other instances"))
     , handOversFailed(registry.counter("gentianramp_relay_hand_overs_failed_total",
--- a/src/gentianramp/relay/relay_state.hpp
+++ b/src/gentianramp/relay/relay_state.hpp
@@ -31,6 +31,7 @@
     Counter &blamedRefusals;
     Counter &limitRefusals;
     Counter &originRefusals;
+    Counter &unknownKeys;
     Counter &handedOver;
     Counter &handOversFailed;
     Counter &takenOver;
--- a/src/gentianramp/relay/relay_test_fixture.hpp
+++ b/src/gentianramp/relay/relay_test_fixture.hpp
@@ -28,6 +28,8 @@
     names.target = "X-Target";
     names.notRun = "X-Not-Run";
     names.priority = "X-Priority";
+    names.authorization = "Authorization";
+    names.customer = "X-Customer";
     names.load = "X-Load";
     names.leaving = "X-Leaving";
     names.leavingValue = "1";
@@ -36,7 +38,7 @@
     names.prefillOnly = "X-Stage";
     names.prefillValue = "prefill";
     names.kvSource = "X-Take";
-    names.strippedHeaders = {"X-Budget", "X-Target", "X-Stage", "X-Take"};
+    names.strippedHeaders = {"X-Budget", "X-Target", "X-Stage", "X-Take", "X-Customer"};
     names.reportPath = "/report";
     names.prompt = [](const HttpHeaders &headers) -> std::optional<PromptDescription> {
         if (!headers.contains("X-Prompt"))
@@ -129,6 +131,7 @@
         declaration.number = 1;
         declaration.routes = {route};
         declaration.services = {{.name = "s", .healthPath = "/health"}};
+        declaration.customers = customers;
         relay.publish(std::move(declaration));
     }
 
@@ -210,6 +213,7 @@
     std::shared_ptr<CrashEvidence> crashes = std::make_shared<CrashEvidence>();
     std::vector<std::pair<std::string, HttpRequest>> receivedRequests;
     std::optional<Duration> declarationAge = Duration{};
+    std::optional<std::vector<Customer>> customers; ///< Of the next declaration.
 
 private:
     static HttpServerOptions options() { return {}; }
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -92,6 +92,13 @@
     }
 }
 
+/// Name under which the origin of a stream is recorded: a customer can't take up the stream of
+/// another one.
+std::string streamRecordKey(const std::string &customer, const std::string &attempt)
+{
+    return customer.empty() ? attempt : customer + '/' + attempt;
+}
+
 std::optional<std::uint64_t> parseNumber(std::string_view text)
 {
     std::uint64_t value = 0;
@@ -211,6 +218,8 @@
         co_await answerLocally(400, "no_request_id");
         co_return false;
     }
+    if (!co_await identifyCustomer())
+        co_return false;
     Duration budget = m_route->timeout;
     if (const auto stated = parseNumber(m_request.headers.find(protocol.timeBudget)))
         budget = std::min<Duration>(
@@ -225,7 +234,7 @@
     if (m_route->carriesPrompt && protocol.prompt)
         m_prompt = protocol.prompt(m_request.headers);
     const PromptDescription *prompt = m_prompt ? &*m_prompt : nullptr;
-    m_identity = requestIdentity(m_request, prompt, protocol);
+    m_identity = requestIdentity(m_request, prompt, m_customer, protocol);
     m_suspects = crashSuspects(prompt, m_identity);
     if (m_route->kind == RouteKind::Stream) {
         m_resumedAfter = m_lastEventId = parseNumber(m_request.headers.find(protocol.lastEventId));
@@ -239,9 +248,53 @@
     co_return true;
 }
 
+asio::awaitable<bool> RelayedRequest::identifyCustomer()
+{
+    m_priority = m_route->priority;
+    if (!m_routes->requiresKeys())
+        co_return true;
+    const bool isNamed = m_source == RequestSource::Instance
+        && m_request.headers.contains(instance_headers::Customer);
+    const Customer *customer = isNamed
+        ? m_routes->customer(m_request.headers.find(instance_headers::Customer))
+        : m_routes->findCustomer(
+            bearerKey(m_request.headers.find(m_state->options.protocol.authorization)));
+    // The instance that handed the request over may have a newer declaration.
+    if (isNamed)
+        m_customer = m_request.headers.find(instance_headers::Customer);
+    else if (customer)
+        m_customer = customer->name;
+    if (customer)
+        m_priority = customer->priority.value_or(m_route->priority);
+    if (isNamed || m_route->isPublic)
+        co_return true;
+    if (mayHaveLostKeys()) {
+        co_await answerLocally(503, "keys_unconfirmed", DeclarationRetryAfter);
+        co_return false;
+    }
+    if (customer)
+        co_return true;
+    // A newer declaration may have the key, and a caller does not try again after a 401.
+    if (!m_state->declarationIsConfirmed()) {
+        co_await answerLocally(503, "declaration_unconfirmed", DeclarationRetryAfter);
+        co_return false;
+    }
+    m_state->metrics.unknownKeys.add();
+    co_await answerLocally(401, "unknown_key");
+    co_return false;
+}
+
+bool RelayedRequest::mayHaveLostKeys() const
+{
+    const std::optional<Duration> longest = m_state->options.keyRevocationTime;
+    const std::optional<Duration> age = m_state->options.declarationAge();
+    return longest && (!age || *age > *longest);
+}
+
 asio::awaitable<bool> RelayedRequest::resolveOrigin()
 {
-    const OriginDecision decision = co_await m_state->origins.decide(m_service, m_resumes);
+    const OriginDecision decision
+        = co_await m_state->origins.decide(m_service, streamRecordKey(m_customer, m_resumes));
     if (m_callerGone)
         co_return false;
     // The route's share of another service may have begun the stream.
@@ -505,11 +558,16 @@
             && !listedInConnection(connection, field.name))
             call.request.headers.add(field.name, field.value);
     }
+    if (m_routes->requiresKeys()) {
+        call.request.headers.remove(protocol.authorization);
+        if (!m_customer.empty())
+            call.request.headers.set(protocol.customer, m_customer);
+    }
     call.request.headers.set(protocol.timeBudget, std::to_string(toMilliseconds(timeLeft())));
     call.request.headers.set(protocol.target, target.backend.value());
     if (m_prompt)
         call.request.headers.set(protocol.priority,
-                                 std::to_string(std::min<std::uint32_t>(m_route->priority, 9)));
+                                 std::to_string(std::min<std::uint32_t>(m_priority, 9)));
     if (m_route->kind == RouteKind::Stream && m_lastEventId)
         call.request.headers.set(protocol.lastEventId, std::to_string(*m_lastEventId));
     if (target.prefixSource)
@@ -894,7 +952,8 @@
     const OriginEvidence own = m_state->versionEvidence(m_service);
     const bool tellOthers
         = m_route->repeatable() && (m_route->shares.size() > 1 || !hasOneVersion(own));
-    m_state->origins.noteBegun(m_resumes.empty() ? m_id : m_resumes, *m_origin, tellOthers);
+    m_state->origins.noteBegun(streamRecordKey(m_customer, m_resumes.empty() ? m_id : m_resumes),
+                               *m_origin, tellOthers);
 }
 
 void RelayedRequest::markAnswered(Attempt &attempt)
@@ -1017,6 +1076,7 @@
             {{"request", m_id},
              {"what", hexadecimal(m_identity)},
              {"route", m_route ? std::string_view(m_route->name) : std::string_view()},
+             {"customer", m_customer},
              {"service", m_service},
              {"backend", m_backend.value()},
              {"handed_to", m_helper.value()},
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -62,6 +62,11 @@
 
     // Routing
     boost::asio::awaitable<bool> resolveRoute();
+    /// Finds the customer by the request's key; false when the request was refused because it needs
+    /// a key that a customer holds.
+    boost::asio::awaitable<bool> identifyCustomer();
+    /// A route that needs a key is not served because keys may have been removed meanwhile.
+    bool mayHaveLostKeys() const;
     /// Finds out at which software version a stream that the caller takes up again has to go on;
     /// false when the request was refused because that is not known.
     boost::asio::awaitable<bool> resolveOrigin();
@@ -162,6 +167,8 @@
     std::shared_ptr<const RouteTable> m_routes;
     const Route *m_route = nullptr;
     std::string m_id;
+    std::string m_customer;       ///< Name of the customer; empty: none is known.
+    std::uint32_t m_priority = 0; ///< Of the customer, or else of the route.
     std::string m_service;
     std::optional<PromptDescription> m_prompt;
     std::uint64_t m_identity = 0; ///< See requestIdentity().
--- a/src/gentianramp/relay/relayed_request_hand_over.cpp
+++ b/src/gentianramp/relay/relayed_request_hand_over.cpp
@@ -70,6 +70,10 @@
             && !listedInConnection(connection, field.name))
             call.request.headers.add(field.name, field.value);
     }
+    if (m_routes->requiresKeys()) {
+        call.request.headers.remove(protocol.authorization);
+        call.request.headers.set(instance_headers::Customer, m_customer);
+    }
     call.request.headers.set(protocol.timeBudget, std::to_string(toMilliseconds(timeLeft())));
     call.request.headers.set(instance_headers::Attempts,
                              std::to_string(maxAttempts() - m_sendCount));
