Report customers' usage and make duties one call at a time

Change: entry processes count requests by true time, which registry processes take from the median of their clocks; counts ride on the feed and are merged at the leader; a window's report is decided in the ledger before it is sent, by one runner for all duties, under the ledger's term and only after the former holder's last call.

--- a/include/gentianramp/registry/declaration_ledger.hpp
+++ b/include/gentianramp/registry/declaration_ledger.hpp
@@ -3,6 +3,7 @@
 #include <deque>
 #include <functional>
 #include <gentianramp/control/ledger_driver.hpp>
+#include <gentianramp/registry/usage_reporter.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,8 +33,8 @@
 /// if this replica does not know the outcome, for example because it stopped leading.
 using DeclareHook = std::function<void(bool)>;
 
-/// Numbered declarations on the replicated ledger. The highest number wins; the first content that
-/// is committed under a number is never replaced.
+/// Numbered declarations on the replicated ledger, and beside them what is decided of usage. The
+/// highest number wins; the first content that is committed under a number is never replaced.
 class DeclarationLedger
 {
 public:
@@ -47,6 +48,9 @@
     /// already committed here, calls @p done with true at once; otherwise a replica that does not
     /// lead calls @p done with false.
     void declare(RawDeclaration declaration, DeclareHook done, TimePoint now);
+    /// Proposes what is to be kept of usage if this replica leads. Calls @p done with true once a
+    /// record with at least its decided window is committed.
+    void recordUsage(UsageRecord record, DeclareHook done, TimePoint now);
     /// Calls @p done with the newest declaration once a majority has confirmed that this replica
     /// leads, or with no value if it does not lead.
     void readNewest(std::function<void(std::optional<RawDeclaration>)> done, TimePoint now);
@@ -54,6 +58,9 @@
 
     /// The newest declaration that this replica knows to be committed.
     const RawDeclaration &committed() const { return m_committed; }
+    /// Committed record of usage; empty if there is none, or if an older build, which knows of
+    /// none, committed the newest declaration.
+    const std::optional<UsageRecord> &committedUsage() const { return m_committedUsage; }
     bool leads() const { return m_driver.leads(); }
     /// Time at which a majority confirmed that committed() was the newest; empty: never.
     std::optional<TimePoint> confirmedAt() const { return m_driver.confirmedAt(); }
@@ -64,12 +71,16 @@
     std::uint64_t storedBytes() const;
 
 private:
+    /// A change that is proposed on top of what is committed.
     struct Pending
     {
-        RawDeclaration declaration;
+        std::optional<RawDeclaration> declaration;
+        std::optional<UsageRecord> usage;
         DeclareHook done;
     };
 
+    bool isSettled(const Pending &change) const;
+
     PersistHook makePersistHook();
     void proposeNext(TimePoint now);
     void onDecided(const CommandId &command, const CommandAnswer &answer);
@@ -79,6 +90,7 @@
     DeclarationHooks m_hooks;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     RawDeclaration m_committed;
+    std::optional<UsageRecord> m_committedUsage;
     std::deque<Pending> m_pending;
     std::optional<CommandId> m_proposed; ///< Command for the first pending declaration.
     std::uint64_t m_proposalCount = 0;
--- a/include/gentianramp/registry/registry_feed.hpp
+++ b/include/gentianramp/registry/registry_feed.hpp
@@ -9,6 +9,8 @@
 #include <gentianramp/registry/limit_granter.hpp>
 #include <gentianramp/registry/stage_delays.hpp>
 #include <gentianramp/registry/versioned_load_table.hpp>
+#include <gentianramp/usage/true_time.hpp>
+#include <gentianramp/usage/usage_counter.hpp>
 #include <map>
 #include <optional>
 #include <string>
@@ -54,6 +56,8 @@
     Duration returnInterval = std::chrono::seconds(2);
     /// Crashes to report; has to outlive the feed. Null: none are reported.
     const CrashEvidence *crashes = nullptr;
+    /// Requests of customers to report; has to outlive the feed. Null: none are reported.
+    UsageCounter *usage = nullptr;
 };
 
 /// Result of one step of a RegistryFeed.
@@ -102,6 +106,11 @@
     /// Time since a majority last confirmed the current declaration; empty: never.
     std::optional<Duration> declarationAge(TimePoint now) const;
     std::optional<Duration> listingAge(TimePoint now) const;
+    /// True time in Unix milliseconds, as registry processes state it; this process's wall clock
+    /// while none has.
+    std::int64_t trueMs(TimePoint time) const;
+    /// Reports at once what was counted, since this process is about to end.
+    void hurry() { m_nextRequestAt = {}; }
 
 private:
     struct Source
@@ -114,6 +123,8 @@
         std::uint64_t crashesVersion = 0; ///< Newest received version of its crash reports.
         /// Version of this process's evidence that it has received.
         std::uint64_t reportedVersion = 0;
+        std::uint64_t usageEpoch = 0;    ///< Of its collection of usage.
+        std::uint64_t usageSequence = 0; ///< Of this process's counts that it has received.
     };
     struct OpenRequest
     {
@@ -128,6 +139,9 @@
     void noteSilentSources(const InstanceId &sender, const proto::FeedAnswer &answer,
                            TimePoint now);
     std::optional<RawDeclaration> takeFirstDeclaration(TimePoint now);
+    void addUsage(proto::FeedRequest &request, TimePoint now) const;
+    void receiveUsage(const InstanceId &sender, const proto::FeedAnswer &answer,
+                      TimePoint requestedAt, TimePoint now);
     void addCrashes(proto::FeedRequest &request, OpenRequest &open, TimePoint now) const;
     CrashReports receiveCrashes(const InstanceId &sender, const proto::FeedAnswer &answer,
                                 std::uint64_t reportedVersion, TimePoint now);
@@ -155,6 +169,7 @@
     std::vector<ListedServer> m_servers; ///< Servers of the listing m_digest, ordered by id.
     LoadTableReplica m_loads;
     std::optional<TimePoint> m_listedAt;
+    TrueTime m_trueTime;
     TimePoint m_loadsAt{};
     std::uint32_t m_entryProcessCount = 1;
     ServiceDelays m_delays;
--- a/include/gentianramp/registry/registry_node.hpp
+++ b/include/gentianramp/registry/registry_node.hpp
@@ -8,8 +8,10 @@
 #include <gentianramp/core/metrics.hpp>
 #include <gentianramp/registry/backend_listing.hpp>
 #include <gentianramp/registry/declaration_ledger.hpp>
+#include <gentianramp/registry/duty_runner.hpp>
 #include <gentianramp/registry/listing_reader.hpp>
 #include <gentianramp/registry/stage_controller.hpp>
+#include <gentianramp/registry/usage_reporter.hpp>
 #include <memory>
 #include <optional>
 
@@ -23,6 +25,10 @@
 using EngineLoadHook
     = std::function<boost::asio::awaitable<std::optional<ReportedLoad>>(ListedServer)>;
 
+/// Makes a call to the platform that one process at a time may make. The second argument is the
+/// fencing token. Must end, and reset its connection, well before a successor makes calls.
+using DutyHook = std::function<boost::asio::awaitable<DutyAnswer>(DutyCall, std::uint64_t)>;
+
 /// Options of a RegistryNode.
 struct RegistryOptions
 {
@@ -41,6 +47,12 @@
     double listCallsPerSecond = 40;
     EngineLoadHook engineLoad; ///< Empty: loads are not polled.
     StageOrderHook orderStage; ///< Empty: engines keep their stages.
+    DutyHook callDuty;         ///< Empty: no duties.
+    /// Rate limit of the platform's interface for duties, shared by all processes.
+    double dutyCallsPerSecond = 50;
+    std::optional<UsageReporterOptions> usage; ///< Empty: usage is not reported.
+    /// Body of the report of a usage window.
+    std::function<std::string(std::uint64_t window, const UsageCounts &)> encodeUsage;
     /// Minimum time between the last order of a leader and the first order of its successor.
     Duration successorOrderDelay = std::chrono::seconds(3);
     MetricsRegistry *metrics = nullptr;
--- a/include/gentianramp/relay/relay_node.hpp
+++ b/include/gentianramp/relay/relay_node.hpp
@@ -29,6 +29,8 @@
     /// Parses a declaration in the form in which the registry stores it.
     std::function<Result<Declaration>(const RawDeclaration &)> parseDeclaration;
     RelayOptions relay;
+    /// Length of the windows in which customers' requests are counted; empty: they are not.
+    std::optional<Duration> usageWindow;
 };
 
 /// An entry process: HTTP servers for callers, readiness probes and metrics, the relay on declared
--- a/include/gentianramp/relay/relay_service.hpp
+++ b/include/gentianramp/relay/relay_service.hpp
@@ -44,6 +44,20 @@
         = [](const InstanceId &, const std::string &) {};
 };
 
+/// Called for requests of customers, to count them. The defaults count nothing.
+struct UsageHooks
+{
+    /// A caller's request arrived.
+    std::function<void(const std::string &customer, TimePoint at)> arrived
+        = [](const std::string &, TimePoint) {};
+    /// A request began to run; called once for each.
+    std::function<void(const std::string &customer, TimePoint at)> begun
+        = [](const std::string &, TimePoint) {};
+    /// A request was sent to an engine that has to read that many tokens.
+    std::function<void(const std::string &customer, std::uint64_t tokens, TimePoint at)> work
+        = [](const std::string &, std::uint64_t, TimePoint) {};
+};
+
 /// Options of a RelayService.
 struct RelayOptions
 {
@@ -64,6 +78,7 @@
     /// What is known of crashes of backend servers; null: only what this service observes.
     std::shared_ptr<CrashEvidence> crashes;
     PeerHooks peers;
+    UsageHooks usage;
     /// Streams begin at a new software version this long after it was listed, so that all instances
     /// know of it by then.
     Duration versionSettleTime = std::chrono::seconds(3);
--- a/src/gentianramp/registry/declaration_ledger.cpp
+++ b/src/gentianramp/registry/declaration_ledger.cpp
@@ -24,22 +24,42 @@
     return options;
 }
 
-std::string encode(const RawDeclaration &declaration)
+std::string encode(const RawDeclaration &declaration, const std::optional<UsageRecord> &usage)
 {
     proto::StoredDeclaration stored;
     stored.set_number(declaration.number);
     stored.set_content(declaration.content);
+    if (usage) {
+        stored.mutable_usage()->set_decided(usage->decided);
+        for (const UsageReport &report : usage->undelivered) {
+            proto::StoredUsageReport &entry = *stored.mutable_usage()->add_undelivered();
+            entry.set_window(report.window);
+            entry.set_body(report.body);
+        }
+    }
     return stored.SerializeAsString();
 }
 
-RawDeclaration decode(const std::string &bytes)
+struct StoredState
+{
+    RawDeclaration declaration;
+    std::optional<UsageRecord> usage;
+};
+
+StoredState decode(const std::string &bytes)
 {
     proto::StoredDeclaration stored;
     if (!stored.ParseFromString(bytes)) {
         logError("stored_declaration_unreadable", {{"bytes", bytes.size()}});
         return {};
     }
-    return {stored.number(), std::move(*stored.mutable_content())};
+    StoredState state{{stored.number(), std::move(*stored.mutable_content())}, std::nullopt};
+    if (stored.has_usage()) {
+        state.usage.emplace().decided = stored.usage().decided();
+        for (const proto::StoredUsageReport &report : stored.usage().undelivered())
+            state.usage->undelivered.push_back({report.window(), report.body()});
+    }
+    return state;
 }
 
 } // namespace
@@ -54,8 +74,12 @@
                                   const CommandAnswer &answer) { onDecided(command, answer); },
                 .accepted =
                     [this](const AcceptedConfiguration &accepted) {
-                        m_committed = decode(accepted.bytes);
-                        m_hooks.inForce(m_committed);
+                        StoredState state = decode(accepted.bytes);
+                        const bool isNew = state.declaration.number != m_committed.number;
+                        m_committed = std::move(state.declaration);
+                        m_committedUsage = std::move(state.usage);
+                        if (isNew)
+                            m_hooks.inForce(m_committed);
                     },
                 .leadership = [this](bool leads, Term term) { onLeadership(leads, term); },
                 .storageFailed = m_hooks.storageFailed,
@@ -94,7 +118,16 @@
         return done(true);
     if (!leads())
         return done(false);
-    m_pending.push_back({std::move(declaration), std::move(done)});
+    m_pending.push_back({std::move(declaration), std::nullopt, std::move(done)});
+    proposeNext(now);
+    completePending();
+}
+
+void DeclarationLedger::recordUsage(UsageRecord record, DeclareHook done, TimePoint now)
+{
+    if (!leads())
+        return done(false);
+    m_pending.push_back({std::nullopt, std::move(record), std::move(done)});
     proposeNext(now);
     completePending();
 }
@@ -137,7 +170,9 @@
     proposal.command
         = CommandId(std::to_string(m_incarnation) + '.' + std::to_string(++m_proposalCount));
     proposal.base = m_driver.store().revision();
-    proposal.configuration = encode(m_pending.front().declaration);
+    const Pending &change = m_pending.front();
+    proposal.configuration = encode(change.declaration.value_or(m_committed),
+                                    change.usage ? change.usage : m_committedUsage);
     m_proposed = proposal.command;
     if (!m_driver.propose(proposal, now))
         m_proposed.reset();
@@ -163,14 +198,20 @@
     m_hooks.leadership(leads, term);
 }
 
-/// Completes the pending declarations whose number, or a higher one, is committed.
+bool DeclarationLedger::isSettled(const Pending &change) const
+{
+    if (change.declaration)
+        return change.declaration->number <= m_committed.number;
+    return m_committedUsage && change.usage->decided <= m_committedUsage->decided;
+}
+
+/// Completes the pending changes of which at least as much is committed.
 void DeclarationLedger::completePending()
 {
     std::deque<Pending> kept;
     std::deque<Pending> settled;
     for (Pending &entry : m_pending)
-        (entry.declaration.number <= m_committed.number ? settled : kept)
-            .push_back(std::move(entry));
+        (isSettled(entry) ? settled : kept).push_back(std::move(entry));
     m_pending = std::move(kept);
     for (const Pending &entry : settled)
         entry.done(true);
--- a/src/gentianramp/registry/declaration_ledger_test.cpp
+++ b/src/gentianramp/registry/declaration_ledger_test.cpp
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "gentianramp/ledger/memory_data_folder.hpp"
+#include "gentianramp/registry/generated/registry.pb.h"
 
 #include <criterion/criterion.h>
 
@@ -506,3 +507,49 @@
         }
     }
 }
+
+// A record of usage that is lost or replaced lets two holders report a window with different
+// counts.
+Test(declaration_ledger, usageIsKeptBesideDeclarationsAndThroughALossOfTheLeader)
+{
+    VoterSimulation simulation;
+    simulation.run(3000);
+    cr_assert_not(simulation.leader()->committedUsage().has_value());
+    cr_assert(*simulation.declare(simulation.leader(), 3, "three"));
+    const UsageRecord record{.decided = 7, .undelivered = {{6, "six"}, {7, "seven"}}};
+    std::optional<bool> recorded;
+    simulation.leader()->recordUsage(
+        record, [&](bool accepted) { recorded = accepted; }, simulation.now());
+    cr_assert(*simulation.declare(simulation.leader(), 5, "five"));
+    cr_assert(recorded == true);
+    const InstanceId lost = simulation.leaderSeat();
+    simulation.partition(lost);
+    simulation.run(4000);
+    cr_assert(simulation.leader()->committedUsage() == record);
+    cr_assert_eq(simulation.leader()->committed().content, "five");
+    // The former leader can't record anything any more.
+    recorded.reset();
+    simulation.ledgers[lost]->recordUsage(
+        {.decided = 8}, [&](bool accepted) { recorded = accepted; }, simulation.now());
+    simulation.run(3000);
+    cr_assert(recorded != true);
+    simulation.heal(lost);
+    simulation.run(3000);
+    cr_assert(simulation.ledgers[lost]->committedUsage() == record);
+}
+
+// An older build knows nothing of usage: what it declares drops the record, which must be told from
+// a record that says that nothing was decided.
+Test(declaration_ledger, aStateOfAnOlderBuildHasNoUsage)
+{
+    proto::StoredDeclaration older;
+    older.set_number(4);
+    older.set_content("four");
+    proto::StoredDeclaration read;
+    cr_assert(read.ParseFromString(older.SerializeAsString()));
+    cr_assert_not(read.has_usage());
+    // Bytes that commit 69badfb wrote.
+    cr_assert(read.ParseFromString(std::string("\x08\x04\x12\x04"
+                                               "four")));
+    cr_assert(read.number() == 4 && read.content() == "four" && !read.has_usage());
+}
--- a/src/gentianramp/registry/registry_codec.cpp
+++ b/src/gentianramp/registry/registry_codec.cpp
@@ -400,4 +400,40 @@
     return delays;
 }
 
+proto::InstanceUsage toProto(const InstanceUsage &usage)
+{
+    proto::InstanceUsage message;
+    message.set_instance(usage.instance.value());
+    message.set_incarnation(usage.incarnation);
+    message.set_sequence(usage.sequence);
+    message.set_complete_ms(usage.completeMs);
+    for (const auto &[window, counts] : usage.windows) {
+        proto::UsageWindow &entry = *message.add_windows();
+        entry.set_window(window);
+        for (const auto &[customer, count] : counts) {
+            proto::CustomerCount &figures = *entry.add_counts();
+            figures.set_customer(customer);
+            figures.set_begun(count.begun);
+            figures.set_arrived(count.arrived);
+            figures.set_work(count.work);
+        }
+    }
+    return message;
+}
+
+InstanceUsage fromProto(const proto::InstanceUsage &message)
+{
+    InstanceUsage usage{.instance = InstanceId(message.instance()),
+                        .incarnation = message.incarnation(),
+                        .sequence = message.sequence(),
+                        .completeMs = message.complete_ms(),
+                        .windows = {}};
+    for (const proto::UsageWindow &entry : message.windows()) {
+        for (const proto::CustomerCount &figures : entry.counts())
+            usage.windows[entry.window()][figures.customer()]
+                = {figures.begun(), figures.arrived(), figures.work()};
+    }
+    return usage;
+}
+
 } // namespace gentianramp
--- a/src/gentianramp/registry/registry_codec.hpp
+++ b/src/gentianramp/registry/registry_codec.hpp
@@ -6,6 +6,7 @@
 #include <gentianramp/registry/listing_history.hpp>
 #include <gentianramp/registry/stage_delays.hpp>
 #include <gentianramp/registry/versioned_load_table.hpp>
+#include <gentianramp/usage/usage_counts.hpp>
 
 #include "gentianramp/registry/generated/registry.pb.h"
 
@@ -41,4 +42,7 @@
                 google::protobuf::RepeatedPtrField<proto::StageDelays> &list);
 ServiceDelays fromProto(const google::protobuf::RepeatedPtrField<proto::StageDelays> &list);
 
+proto::InstanceUsage toProto(const InstanceUsage &usage);
+InstanceUsage fromProto(const proto::InstanceUsage &message);
+
 } // namespace gentianramp
--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -158,6 +158,7 @@
     request.set_loads_version(m_loads.version());
     addToProto(m_delays, *request.mutable_delays());
     addCrashes(request, open, now);
+    addUsage(request, now);
     addToProto(m_limits, m_demand, request, now);
     request.set_data_centre(m_options.dataCentre.value());
     request.set_cut_off(m_cutOff);
@@ -183,6 +184,41 @@
         request.add_refused_parts(part);
 }
 
+std::int64_t RegistryFeed::trueMs(TimePoint time) const
+{
+    return m_trueTime.at(time).value_or(wallClockMs());
+}
+
+void RegistryFeed::addUsage(proto::FeedRequest &request, TimePoint now) const
+{
+    if (!m_options.usage)
+        return;
+    const Source &source = m_sources.at(*m_current);
+    *request.mutable_usage()
+        = toProto(m_options.usage->changedSince(source.usageSequence, trueMs(now)));
+}
+
+void RegistryFeed::receiveUsage(const InstanceId &sender, const proto::FeedAnswer &answer,
+                                TimePoint requestedAt, TimePoint now)
+{
+    if (answer.true_time_ms() != 0)
+        m_trueTime.note(answer.true_time_ms(), requestedAt, now);
+    if (!m_options.usage)
+        return;
+    Source &source = m_sources[sender];
+    // A process that has restarted lacks what its predecessor was told. The counts in the request
+    // that this one answers may have been what changed since, so that all are sent with the next.
+    const bool isSameProcess = answer.usage_epoch() == source.usageEpoch;
+    const bool hadAll = source.usageEpoch == 0 && source.usageSequence == 0;
+    source.usageEpoch = answer.usage_epoch();
+    if (!isSameProcess && !hadAll)
+        source.usageSequence = 0;
+    else
+        source.usageSequence
+            = std::max<std::uint64_t>(source.usageSequence, answer.usage_sequence());
+    m_options.usage->dropDecided(answer.usage_decided());
+}
+
 CrashReports RegistryFeed::receiveCrashes(const InstanceId &sender, const proto::FeedAnswer &answer,
                                           std::uint64_t reportedVersion, TimePoint now)
 {
@@ -217,6 +253,7 @@
     // time-out, nothing else arrives.
     const TimePoint requestedAt = request->second.sentAt;
     output.crashes = receiveCrashes(sender, answer, request->second.reportedVersion, now);
+    receiveUsage(sender, answer, requestedAt, now);
     m_openRequests.erase(request);
     const bool isCurrent = answer.call() == m_call;
     if (isCurrent)
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -1,6 +1,7 @@
 #include <gentianramp/peers/peer_directory.hpp>
 #include <gentianramp/registry/registry_node.hpp>
 
+#include "duty_service.hpp"
 #include "registry_codec.hpp"
 
 #include <algorithm>
@@ -91,9 +92,6 @@
 /// of the feed.
 constexpr Duration AnnouncementDelay = std::chrono::milliseconds(600);
 constexpr Duration MaxListAge = std::chrono::seconds(2);
-/// A leader that lost its majority may still consider itself the leader for an election timeout,
-/// and its last order may be in transit for the duration of a call.
-constexpr Duration OrderMargin = std::chrono::milliseconds(1200);
 constexpr Duration LogFlushInterval = std::chrono::milliseconds(250);
 /// A longer interval between two iterations of the main loop is logged.
 constexpr Duration StallThreshold = std::chrono::milliseconds(500);
@@ -106,6 +104,12 @@
 constexpr Duration DelaysTimeout = std::chrono::seconds(1);
 /// Time in which reports of several entry processes on one crash are sent on together.
 constexpr Duration CrashExchangeInterval = std::chrono::milliseconds(100);
+/// Interval at which counts of usage are sent to the leader, and time for which a change is
+/// repeated in case a message was lost.
+constexpr Duration UsageExchangeInterval = std::chrono::milliseconds(300);
+constexpr Duration UsageRepeatTime = std::chrono::milliseconds(1000);
+/// Another process that reached the platform this lately can take the duties over.
+constexpr Duration PlatformReachedTime = std::chrono::milliseconds(1500);
 /// Interval between two full sets of crash reports to one process; longer than a report is on its
 /// way.
 constexpr Duration AllCrashesInterval = std::chrono::milliseconds(600);
@@ -184,8 +188,34 @@
             seats.push_back(seatName(number));
     }
 
+    DutyServiceHooks dutyHooks()
+    {
+        DutyServiceHooks hooks;
+        hooks.ledger = [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            return self ? self->ledger.get() : nullptr;
+        };
+        hooks.confirmLeadership = [weak = weak_from_this()]() -> asio::awaitable<bool> {
+            const auto self = weak.lock();
+            if (!self)
+                co_return false;
+            const std::optional<RawDeclaration> confirmed = co_await self->readNewest();
+            co_return confirmed && self->leads();
+        };
+        hooks.platformIsReachedElsewhere = [weak = weak_from_this()](TimePoint now) {
+            const auto self = weak.lock();
+            return self
+                && std::any_of(self->platformReachedAt.begin(), self->platformReachedAt.end(),
+                               [&](const auto &entry) {
+                                   return now - entry.second <= PlatformReachedTime;
+                               });
+        };
+        return hooks;
+    }
+
     void start()
     {
+        duties = std::make_shared<DutyService>(executor, options, dutyHooks());
         MeshOptions mesh;
         mesh.instance = options.self;
         mesh.incarnation = Incarnation(options.seed);
@@ -205,6 +235,7 @@
             asio::co_spawn(executor, pollLoads(), asio::detached);
         if (options.orderStage)
             asio::co_spawn(executor, orderStages(), asio::detached);
+        asio::co_spawn(executor, duties->run(), asio::detached);
     }
 
     asio::awaitable<void> run()
@@ -231,6 +262,10 @@
                 nextLimitExchangeAt = now + LimitExchangeInterval;
                 exchangeLimits(now);
             }
+            if (now >= nextUsageExchangeAt) {
+                nextUsageExchangeAt = now + UsageExchangeInterval;
+                exchangeUsage(now);
+            }
             if (leads() && now >= nextSeatUpdateAt) {
                 nextSeatUpdateAt = now + SeatUpdateInterval;
                 updateSeats(now);
@@ -325,7 +360,7 @@
             missingVoters.clear();
             leadsSince = RuntimeClock::now();
             nextSeatUpdateAt = {};
-            ordersAllowedAt = RuntimeClock::now() + options.successorOrderDelay + OrderMargin;
+            duties->noteLeadership(nowLeads, term, RuntimeClock::now());
             nextPresenceAt = {};
         };
         hooks.storageFailed = [this](const std::string &reason) {
@@ -513,7 +548,7 @@
             addDelays(delays, ownDelays(now));
             const BackendListing current = withReportedStages(listing, loadTable.reports());
             stageController.observe(current, delays, now);
-            if (!leads() || now < ordersAllowedAt || listing.digest == 0
+            if (!leads() || !duties->authority().mayAct(now) || listing.digest == 0
                 || now - listing.takenAt > MaxListAge)
                 continue;
             stageController.setEntryProcesses(entryProcesses.size()
@@ -611,6 +646,9 @@
         case proto::RegistryMessage::kFeedAnswer:
             return finishCall(message.feed_answer().call(), message);
         case proto::RegistryMessage::kUsageReports:
+            for (const proto::InstanceUsage &usage : message.usage_reports().instances())
+                duties->usage().merge(fromProto(usage), now);
+            return;
         case proto::RegistryMessage::BODY_NOT_SET:
             return;
         }
@@ -637,6 +675,9 @@
         presence.set_term(ledger ? ledger->replica().term().value() : 0);
         addToProto(ownDelays(now), *presence.mutable_delays());
         presence.set_crashes_digest(crashes.digest());
+        presence.set_wall_clock_ms(wallClockMs());
+        if (const std::optional<Duration> age = duties->platformAge(now))
+            presence.set_platform_ms(clampedMs(*age) + 1);
         addPeers(presence, now);
         addKnown(*presence.mutable_known(), now);
         for (const InstanceId &member : directory.contacts()) {
@@ -712,6 +753,10 @@
             directory.recordReturnRoute(sender, received.replyRoute, heardAge);
         if (heardAge)
             receiveEcho(sender, *heardAge, now);
+        if (presence.wall_clock_ms() != 0)
+            duties->clocks().note(sender, presence.wall_clock_ms(), now);
+        if (presence.platform_ms() != 0 && !presence.seat().empty())
+            platformReachedAt[sender] = now - std::chrono::milliseconds(presence.platform_ms() - 1);
         if (presence.has_asking())
             peers.noteReport(sender, fromProto(presence.asking()), now);
         if (presence.leads())
@@ -780,6 +825,23 @@
         logGrants(now);
     }
 
+    /// Sends counts of usage that changed lately to the leader, and all to a new one.
+    void exchangeUsage(TimePoint now)
+    {
+        const std::optional<InstanceId> to = leads() ? std::nullopt : leader(now);
+        if (!to)
+            return;
+        const bool isNew = std::exchange(usageLeader, *to) != *to;
+        const std::vector<InstanceUsage> changed
+            = duties->usage().changedSince(isNew ? TimePoint{} : now - UsageRepeatTime);
+        if (changed.empty())
+            return;
+        proto::RegistryMessage message;
+        for (const InstanceUsage &usage : changed)
+            *message.mutable_usage_reports()->add_instances() = toProto(usage);
+        send(*to, message);
+    }
+
     void logGrants(TimePoint now)
     {
         if (now < nextGrantLogAt)
@@ -1205,6 +1267,11 @@
         if (!request.data_centre().empty())
             peers.noteHeard(
                 {received.sender, DataCentreId(request.data_centre()), request.cut_off()}, now);
+        if (request.has_usage()) {
+            InstanceUsage usage = fromProto(request.usage());
+            usage.instance = received.sender;
+            duties->usage().merge(usage, now);
+        }
         const CrashReports reports = fromProto(request.crashes(), now);
         for (const ServerCrash &crash : reports.crashes)
             crashes.addCrash(crash, now);
@@ -1241,6 +1308,11 @@
             = crashes.changedSince(sameEvidence ? request.crashes_version() : 0);
         if (news != CrashReports() && !request.registry())
             *feed.mutable_crashes() = toProto(news, now);
+        feed.set_true_time_ms(duties->trueMs(now));
+        feed.set_usage_epoch(crashesEpoch);
+        feed.set_usage_sequence(request.usage().sequence());
+        if (ledger && ledger->committedUsage())
+            feed.set_usage_decided(ledger->committedUsage()->decided);
         feed.set_peers_digest(allPeersDigest);
         if (!request.data_centre().empty() && request.peers_digest() != allPeersDigest)
             *feed.mutable_peers() = toProto(allPeers);
@@ -1304,6 +1376,7 @@
             }
             Result<std::vector<ListedServer>> read = co_await reader.readAll();
             if (read) {
+                duties->notePlatformReached(RuntimeClock::now());
                 const std::uint64_t digest = listingDigest(*read);
                 storeListing({digest, startedAt, std::move(read).value()});
             } else {
@@ -1392,7 +1465,11 @@
     TimePoint nextFlushAt{};
     TimePoint nextSeatUpdateAt{};
     TimePoint leadsSince{};
-    TimePoint ordersAllowedAt{};
+    std::shared_ptr<DutyService> duties;
+    InstanceId usageLeader; ///< Last leader that was sent counts of usage.
+    TimePoint nextUsageExchangeAt{};
+    /// When other processes that may lead last reached the platform.
+    std::map<InstanceId, TimePoint> platformReachedAt;
     StageController stageController;
     std::map<std::string, InstanceId> lastHolders;
     std::map<std::string, AbsenceWatch> missingVoters; ///< By seat; used while this process leads.
@@ -1424,6 +1501,8 @@
 RegistryNode::~RegistryNode()
 {
     m_state->stopping = true;
+    if (m_state->duties)
+        m_state->duties->stop();
     m_state->link.reset();
     m_state->writer.stop();
     m_state->writer.join();
--- a/src/gentianramp/relay/customers_test.cpp
+++ b/src/gentianramp/relay/customers_test.cpp
@@ -109,8 +109,7 @@
     fixture.addServer("b", answers());
     fixture.declare({});
     cr_assert_eq(fixture.call(withKey("Bearer n1"))->status, 200U);
-    cr_assert_eq(fixture.receivedRequests.back().second.headers.find("Authorization"),
-                 "Bearer n1");
+    cr_assert_eq(fixture.receivedRequests.back().second.headers.find("Authorization"), "Bearer n1");
 }
 
 Test(customers, aDeclarationWithoutAnyKeyServesPublicRoutesOnly)
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -47,17 +47,41 @@
         : executor(std::move(ioExecutor))
         , options(std::move(nodeOptions))
         , crashes(std::make_shared<CrashEvidence>())
+        , usage(usageCounter())
         , feed({.dataCentre = options.relay.dataCentre,
                 .seeds = options.seeds,
                 .seed = options.relay.seed,
                 .maxConfirmationAge = options.relay.maxDeclarationAge / 2,
                 .firstDeclarationTimeout = 2 * options.contactTime,
-                .crashes = crashes.get()},
+                .crashes = crashes.get(),
+                .usage = usage ? &*usage : nullptr},
                RuntimeClock::now())
         , peers({.self = options.self, .dataCentre = options.relay.dataCentre})
         , relay(executor, relayOptions())
     { }
 
+    std::optional<UsageCounter> usageCounter() const
+    {
+        if (!options.usageWindow)
+            return std::nullopt;
+        return UsageCounter({.window = *options.usageWindow, .incarnation = options.relay.seed});
+    }
+
+    UsageHooks usageHooks()
+    {
+        UsageHooks hooks;
+        hooks.arrived = [this](const std::string &customer, TimePoint at) {
+            usage->noteArrived(customer, feed.trueMs(at));
+        };
+        hooks.begun = [this](const std::string &customer, TimePoint at) {
+            usage->noteBegun(customer, feed.trueMs(at));
+        };
+        hooks.work = [this](const std::string &customer, std::uint64_t tokens, TimePoint at) {
+            usage->addWork(customer, tokens, feed.trueMs(at));
+        };
+        return hooks;
+    }
+
     RelayOptions relayOptions()
     {
         RelayOptions result = options.relay;
@@ -77,6 +101,8 @@
         result.peers.send = [this](const InstanceId &to, std::string payload) {
             mesh->send(to, PayloadKind::Peer, std::move(payload), MessageTtl);
         };
+        if (usage)
+            result.usage = usageHooks();
         result.listingAge = [this] { return feed.listingAge(RuntimeClock::now()); };
         return result;
     }
@@ -301,6 +327,10 @@
             relay.expireAll();
             co_await sleepFor(FinalAnswersDelay);
         }
+        if (usage && !usage->isEmpty()) {
+            feed.hurry();
+            co_await sleepFor(2 * FeedTickInterval);
+        }
         logInfo("left",
                 {{"active", activeRequests()},
                  {"after_ms", toMilliseconds(RuntimeClock::now() - drainStartedAt)}});
@@ -311,6 +341,7 @@
     asio::any_io_executor executor;
     RelayNodeOptions options;
     std::shared_ptr<CrashEvidence> crashes;
+    std::optional<UsageCounter> usage; ///< Empty: customers' requests are not counted.
     RegistryFeed feed;
     PeerGroup peers;
     RelayService relay;
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -183,6 +183,8 @@
     m_state->openRequests.insert(this);
     if (m_lastEventId && !co_await resolveOrigin())
         co_return;
+    if (m_source == RequestSource::Caller && !m_customer.empty())
+        m_state->options.usage.arrived(m_customer, m_startedAt);
     // The instance where a request arrives counts it for its repeats, and the one that sends it to
     // backend servers for what their limits allow.
     if (m_source == RequestSource::Caller)
@@ -620,6 +622,8 @@
         attempt.exchange->cancel();
         m_verdict = Verdict::MayHaveRun;
     }
+    if (result == AttemptResult::MayHaveRun || (result != AttemptResult::Done && m_callerGone))
+        countUnanswered(attempt);
     if (isUncounted(result))
         --m_sendCount;
     m_exchange.reset();
@@ -752,6 +756,23 @@
 {
     m_state->table.sent(attempt.target, m_prompt ? &*m_prompt : nullptr, attempt.sentAt);
     attempt.open = true;
+    if (!m_customer.empty() && attempt.target.uncachedTokens > 0)
+        m_state->options.usage.work(m_customer, attempt.target.uncachedTokens, attempt.sentAt);
+}
+
+void RelayedRequest::countBegun(TimePoint at)
+{
+    if (!m_customer.empty() && !std::exchange(m_isCounted, true))
+        m_state->options.usage.begun(m_customer, at);
+}
+
+void RelayedRequest::countUnanswered(const Attempt &attempt)
+{
+    // A stream begins to run with its first token; before that it may wait in the engine's queue.
+    const bool hasProbablyBegun
+        = m_prompt ? attempt.exchange->status() == Ok : attempt.exchange->anyBytesWritten();
+    if (hasProbablyBegun)
+        countBegun(attempt.sentAt);
 }
 
 /// Ends an attempt whose result is not known because of an exception.
@@ -852,6 +873,8 @@
     if (!body)
         co_return AttemptResult::MayHaveRun;
     markAnswered(attempt);
+    if (!attempt.byHelper)
+        countBegun(m_prompt ? attempt.answeredAt : attempt.sentAt);
     HttpResponse response = callerResponseHead(*attempt.exchange);
     response.body = std::move(body).value();
     const bool failure = response.status >= 500;
@@ -919,6 +942,8 @@
 {
     std::error_code error;
     markAnswered(attempt);
+    if (attempt.hasBegun && !attempt.byHelper)
+        countBegun(attempt.answeredAt);
     noteBegun(attempt);
     if (!m_writer->started()) {
         m_state->metrics.firstEventTime.record(
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -128,6 +128,10 @@
     bool isEventStream(const HttpExchange &exchange) const;
     void markAnswered(Attempt &attempt);
     void reportLostConnection(const Attempt &attempt);
+    /// Counts the request for its customer, once.
+    void countBegun(TimePoint at);
+    /// Counts a request whose answer was lost if the server probably began to run it.
+    void countUnanswered(const Attempt &attempt);
     void noteServed(const Attempt &attempt);
     void noteSent(Attempt &attempt);
     /// The first event of the stream is about to be sent to the caller.
@@ -224,6 +228,7 @@
     std::optional<std::uint64_t> m_lastEventId;
     /// Complete 5xx answer, sent to the caller if all repeats fail.
     std::optional<HttpResponse> m_backendFailure;
+    bool m_isCounted = false;     ///< Counted for its customer.
     bool m_originNoted = false;   ///< What began the stream was recorded.
     bool m_lacksServers = false;  ///< No server can take it, and some are silent.
     bool m_prefilling = false;    ///< The current exchange is a prefill.
