Order the number of servers by demand and price

Change: a pure plan finds the cheapest size that serves the peak of recent demand through the loss of a data centre; before traffic spot servers take the place of others; sizes grow at once and shrink slowly; orders go through the duty runner.

--- /dev/null
+++ b/include/gentianramp/registry/fleet_sizer.hpp
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <gentianramp/core/clock.hpp>
+#include <gentianramp/declaration/declaration.hpp>
+#include <gentianramp/planner/fleet_size.hpp>
+#include <gentianramp/registry/backend_listing.hpp>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace gentianramp {
+
+/// Order of a number of servers of a kind.
+struct ServerOrder
+{
+    std::string service;
+    DataCentreId dataCentre;
+    bool spot = false;
+    std::uint32_t servers = 0;
+    auto operator<=>(const ServerOrder &) const = default;
+};
+
+/// Options of a FleetSizer.
+struct FleetSizerOptions
+{
+    /// The demand that a size serves is the largest mean of this length, within this time.
+    Duration meanTime = std::chrono::seconds(2);
+    Duration peakTime = std::chrono::seconds(20);
+    /// Servers beyond the busy ones, in square roots of their number: the margin for fluctuations
+    /// of the demand and for prompts that belong to a busy engine.
+    double prefillMargin = 3;
+    double decodeMargin = 1.5;
+    /// Streams that an engine decodes at most, as a share of its slots: with more, events of the
+    /// streams are far apart.
+    double decodeUtilization = 0.5;
+    /// Share of the servers on demand that is kept while no demand is known yet.
+    double unknownDemandBase = 0.1;
+    /// Nothing is known of the demand before this time of observation.
+    Duration observationTime = std::chrono::seconds(3);
+    /// A size is reduced after it was too large for this time, by this share at a time.
+    Duration shrinkDelay = std::chrono::seconds(15);
+    double shrinkStep = 0.1;
+    /// An order that could not be carried out is repeated after this time.
+    Duration unavailableDelay = std::chrono::seconds(2);
+};
+
+/// Demand for a service's engines, in engines that are busy.
+struct EngineDemand
+{
+    double prefill = 0; ///< Engines that read prompts.
+    double decode = 0;  ///< Streams, in engines with all slots taken.
+    bool operator==(const EngineDemand &) const = default;
+};
+
+/// Decides how many servers of each kind a service has in each data centre: the cheapest size that
+/// serves the recent peak of demand through the loss of a data centre. Grows at once and shrinks
+/// slowly. Performs no I/O. All registry processes observe; only the leader orders.
+class FleetSizer
+{
+public:
+    explicit FleetSizer(FleetSizerOptions options = {});
+
+    /// Notes how busy the engines are.
+    void observe(const BackendListing &listing, const LoadReports &loads, TimePoint now);
+    /// Forgets what a former leader, or this process as an earlier one, ordered: what is listed
+    /// counts as ordered.
+    void takeOver() { m_orders.clear(); }
+    /// Orders to send now. They count as sent.
+    std::vector<ServerOrder> decide(const Declaration &declaration, const BackendListing &listing,
+                                    TimePoint now);
+    /// None of the ordered servers can be had now.
+    void noteUnavailable(const ServerOrder &order, TimePoint now);
+
+    /// Servers that callers need, by the demand that was observed; empty: not known.
+    std::optional<double> requiredServers(const std::string &service, TimePoint now) const;
+    /// The size that the last decision aimed at, for display.
+    const FleetSize &target(const std::string &service) const;
+
+private:
+    struct Sample
+    {
+        TimePoint at{};
+        EngineDemand demand;
+    };
+    struct Demand
+    {
+        TimePoint since{};
+        bool everBusy = false;
+        EngineDemand mean;
+        TimePoint meanAt{};
+        std::deque<Sample> samples;
+    };
+    struct Ordered
+    {
+        std::uint32_t servers = 0;
+        TimePoint sentAt{};
+        TimePoint notBefore{};
+    };
+    struct ServiceOrders
+    {
+        std::map<std::pair<DataCentreId, bool>, Ordered> bySite; ///< True: spot servers.
+        std::optional<TimePoint> tooLargeSince;
+        FleetSize initial; ///< As listed when the sizer took over.
+        FleetSize target;
+    };
+
+    FleetSize targetOf(const DeclaredService &service, const ServiceOrders &orders,
+                       const std::vector<ServerSite> &sites, TimePoint now) const;
+    FleetSize shrunkSlowly(ServiceOrders &orders, FleetSize target, const FleetSize &former,
+                           TimePoint now) const;
+    void order(const std::string &service, const DataCentreId &site, bool spot,
+               std::uint32_t servers, std::uint32_t present, const DeclaredService &declared,
+               TimePoint now, std::vector<ServerOrder> &result);
+
+    FleetSizerOptions m_options;
+    std::map<std::string, Demand> m_demand;
+    std::map<std::string, ServiceOrders> m_orders;
+};
+
+} // namespace gentianramp
--- a/include/gentianramp/registry/registry_node.hpp
+++ b/include/gentianramp/registry/registry_node.hpp
@@ -9,6 +9,7 @@
 #include <gentianramp/registry/backend_listing.hpp>
 #include <gentianramp/registry/declaration_ledger.hpp>
 #include <gentianramp/registry/duty_runner.hpp>
+#include <gentianramp/registry/fleet_sizer.hpp>
 #include <gentianramp/registry/listing_reader.hpp>
 #include <gentianramp/registry/stage_controller.hpp>
 #include <gentianramp/registry/usage_reporter.hpp>
@@ -53,6 +54,10 @@
     std::optional<UsageReporterOptions> usage; ///< Empty: usage is not reported.
     /// Body of the report of a usage window.
     std::function<std::string(std::uint64_t window, const UsageCounts &)> encodeUsage;
+    /// Body of an order of servers; empty: none are ordered.
+    std::function<std::string(const ServerOrder &)> encodeOrder;
+    /// Parses a declaration in the form in which it is stored; needed to order servers.
+    std::function<Result<Declaration>(const RawDeclaration &)> parseDeclaration;
     /// Minimum time between the last order of a leader and the first order of its successor.
     Duration successorOrderDelay = std::chrono::seconds(3);
     MetricsRegistry *metrics = nullptr;
--- a/include/gentianramp/registry/usage_reporter.hpp
+++ b/include/gentianramp/registry/usage_reporter.hpp
@@ -43,9 +43,9 @@
     explicit UsageReporter(UsageReporterOptions options);
 
     /// This process leads from @p trueMs on, in Unix milliseconds of true time, and finds @p record
-    /// in the ledger. Without a record, a former leader may have reported any window that had begun:
-    /// only later ones are decided, or all that began after @p systemStartMs if it is known that
-    /// there was none.
+    /// in the ledger. Without a record, a former leader may have reported any window that had
+    /// begun: only later ones are decided, or all that began after @p systemStartMs if it is known
+    /// that there was none.
     void lead(const std::optional<UsageRecord> &record, std::int64_t trueMs,
               std::optional<std::int64_t> systemStartMs);
     /// The next window if its counts are final or can't wait any longer.
--- a/src/gentianramp/registry/duty_runner.cpp
+++ b/src/gentianramp/registry/duty_runner.cpp
@@ -68,9 +68,8 @@
         return;
     }
     const bool isReplaced = call.kind == DutyCall::Kind::OrderServers
-        && std::any_of(subject.calls.begin(), subject.calls.end(), [&](const DutyCall &other) {
-               return other.variant == call.variant;
-           });
+        && std::any_of(subject.calls.begin(), subject.calls.end(),
+                       [&](const DutyCall &other) { return other.variant == call.variant; });
     if (!isReplaced)
         subject.calls.push_front(call);
     subject.notBefore = now
--- a/src/gentianramp/registry/duty_runner_test.cpp
+++ b/src/gentianramp/registry/duty_runner_test.cpp
@@ -26,10 +26,8 @@
 
 DutyCall servers(const std::string &subject, const std::string &variant, const std::string &body)
 {
-    return {.kind = DutyCall::Kind::OrderServers,
-            .subject = subject,
-            .variant = variant,
-            .body = body};
+    return {
+        .kind = DutyCall::Kind::OrderServers, .subject = subject, .variant = variant, .body = body};
 }
 
 } // namespace
@@ -99,8 +97,8 @@
     cr_assert_geq(calls, 90);
 }
 
-// Leaders are lost, frozen and cut off at random. A former one takes itself for the leader until its
-// election timeout is over, and its calls arrive up to the time-out of a call later.
+// Leaders are lost, frozen and cut off at random. A former one takes itself for the leader until
+// its election timeout is over, and its calls arrive up to the time-out of a call later.
 Test(duty_runner, aSuccessorCallsOnlyAfterTheLastCallOfItsPredecessor)
 {
     constexpr std::int64_t Lease = 3000;
@@ -147,12 +145,11 @@
                     servers(std::to_string(random() % 3), "spot", std::to_string(now)), at(now));
                 if (const auto call = runners[instance].take(at(now))) {
                     const auto onTheWay = static_cast<std::int64_t>(random() % LongestCall);
-                    arrivals.push_back({now + onTheWay, authority.token(), instance,
-                                        call->subject});
-                    runners[instance].finish(*call,
-                                             random() % 4 == 0 ? DutyAnswer::Unanswered
-                                                               : DutyAnswer::Done,
-                                             at(now));
+                    arrivals.push_back(
+                        {now + onTheWay, authority.token(), instance, call->subject});
+                    runners[instance].finish(
+                        *call, random() % 4 == 0 ? DutyAnswer::Unanswered : DutyAnswer::Done,
+                        at(now));
                 }
             }
         }
--- a/src/gentianramp/registry/duty_service.cpp
+++ b/src/gentianramp/registry/duty_service.cpp
@@ -1,7 +1,9 @@
 #include "duty_service.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <cmath>
 #include <gentianramp/core/log.hpp>
 
 namespace gentianramp {
@@ -19,6 +21,9 @@
 /// A holder that has not reached the platform for this time passes its duties on.
 constexpr Duration UnreachedTime = std::chrono::seconds(3);
 constexpr Duration PassOnInterval = std::chrono::seconds(10);
+constexpr Duration SizingInterval = std::chrono::milliseconds(250);
+/// Nothing is ordered by an older list.
+constexpr Duration MaxListAge = std::chrono::seconds(3);
 /// Processes without recent reports are dropped after this time.
 constexpr Duration ProcessRetention = std::chrono::minutes(5);
 
@@ -27,6 +32,11 @@
     return kind == DutyCall::Kind::ReportUsage ? "report_usage" : "order_servers";
 }
 
+std::string_view kindOf(const ServerOrder &order)
+{
+    return order.spot ? "spot" : "on_demand";
+}
+
 std::string_view nameOf(DutyAnswer answer)
 {
     switch (answer) {
@@ -59,11 +69,11 @@
         return;
     MetricsRegistry &metrics = *m_options.metrics;
     m_calls = &metrics.counter("gentianramp_registry_duty_calls_total",
-                                        "Calls that one process at a time may make");
+                               "Calls that one process at a time may make");
     m_failedCalls = &metrics.counter("gentianramp_registry_duty_calls_failed_total",
-                                              "Of these, calls without a usable answer");
+                                     "Of these, calls without a usable answer");
     m_decidedWindows = &metrics.counter("gentianramp_registry_usage_windows_total",
-                                                 "Usage windows decided while this process led");
+                                        "Usage windows decided while this process led");
 }
 
 void DutyService::noteLeadership(bool leads, Term term, TimePoint now)
@@ -78,8 +88,7 @@
 
 std::optional<Duration> DutyService::platformAge(TimePoint now) const
 {
-    return m_platformReachedAt ? std::optional(Duration(now - *m_platformReachedAt))
-                               : std::nullopt;
+    return m_platformReachedAt ? std::optional(Duration(now - *m_platformReachedAt)) : std::nullopt;
 }
 
 asio::awaitable<void> DutyService::run()
@@ -97,7 +106,14 @@
     DeclarationLedger *ledger = m_hooks.ledger();
     if (ledger && ledger->committedUsage())
         m_usage.dropDecided(ledger->committedUsage()->decided);
-    if (!m_options.callDuty || !ledger || !ledger->leads() || !m_authority.mayAct(now))
+    if (!m_options.callDuty || !ledger)
+        co_return;
+    const bool mayAct = ledger->leads() && m_authority.mayAct(now);
+    if (m_options.encodeOrder && now >= m_nextSizingAt) {
+        m_nextSizingAt = now + SizingInterval;
+        sizeFleet(*ledger, mayAct && m_hasTakenOver, now);
+    }
+    if (!mayAct)
         co_return;
     if (!m_hasTakenOver) {
         // Only a confirmed leader has applied all that its predecessors committed.
@@ -107,6 +123,8 @@
         if (!ledger || !ledger->leads())
             co_return;
         m_hasTakenOver = true;
+        m_sizer.takeOver();
+        m_serverOrders.clear();
         if (m_reporter) {
             const std::optional<UsageRecord> &record = ledger->committedUsage();
             m_reporter->lead(record, trueMs(now),
@@ -121,8 +139,53 @@
         decideUsage(*ledger, now);
     passOnIfUnreached(*ledger, now);
     while (std::optional<DutyCall> call = m_runner.take(now))
-        asio::co_spawn(m_executor, makeCall(std::move(*call), m_authority.token()),
-                       asio::detached);
+        asio::co_spawn(m_executor, makeCall(std::move(*call), m_authority.token()), asio::detached);
+}
+
+/// Parses a declaration when it comes into force.
+void DutyService::updateDeclaration(const RawDeclaration &stored)
+{
+    if (stored.number == m_declaration.number)
+        return;
+    Result<Declaration> declaration = m_options.parseDeclaration(stored);
+    if (declaration)
+        m_declaration = std::move(declaration).value();
+    m_declaration.number = stored.number;
+}
+
+void DutyService::sizeFleet(DeclarationLedger &ledger, bool mayOrder, TimePoint now)
+{
+    updateDeclaration(ledger.committed());
+    const bool isScaled
+        = std::any_of(m_declaration.services.begin(), m_declaration.services.end(),
+                      [](const DeclaredService &service) { return service.scaling.has_value(); });
+    if (!isScaled)
+        return;
+    const BackendListing listing = m_hooks.listing();
+    if (listing.digest == 0 || now - listing.takenAt > MaxListAge)
+        return;
+    m_sizer.observe(listing, m_hooks.loads(), now);
+    if (!mayOrder)
+        return;
+    for (const ServerOrder &order : m_sizer.decide(m_declaration, listing, now)) {
+        const std::string subject = order.service + '/' + order.dataCentre.value();
+        const std::string variant(kindOf(order));
+        m_serverOrders[{subject, variant}] = order;
+        m_runner.add({.kind = DutyCall::Kind::OrderServers,
+                      .subject = subject,
+                      .variant = variant,
+                      .body = m_options.encodeOrder(order)},
+                     now);
+        const std::optional<double> required = m_sizer.requiredServers(order.service, now);
+        logInfo("servers_ordered",
+                {{"service", order.service},
+                 {"data_centre", order.dataCentre.value()},
+                 {"kind", kindOf(order)},
+                 {"servers", order.servers},
+                 {"required_milli", required ? std::llround(1000 * *required) : -1},
+                 {"list_age_ms", toMilliseconds(now - listing.takenAt)},
+                 {"term", m_authority.token()}});
+    }
 }
 
 void DutyService::decideUsage(DeclarationLedger &ledger, TimePoint now)
@@ -195,6 +258,9 @@
     if (m_reporter && call.kind == DutyCall::Kind::ReportUsage
         && (answer == DutyAnswer::Done || answer == DutyAnswer::Rejected))
         m_reporter->noteDelivered(std::stoull(call.variant));
+    const auto order = m_serverOrders.find({call.subject, call.variant});
+    if (answer == DutyAnswer::Unavailable && order != m_serverOrders.end())
+        m_sizer.noteUnavailable(order->second, RuntimeClock::now());
     m_runner.finish(call, answer, RuntimeClock::now());
 }
 
--- a/src/gentianramp/registry/duty_service.hpp
+++ b/src/gentianramp/registry/duty_service.hpp
@@ -19,12 +19,14 @@
     std::function<DeclarationLedger *()> ledger;
     /// True once a majority has confirmed that this process leads.
     std::function<boost::asio::awaitable<bool>()> confirmLeadership;
+    std::function<BackendListing()> listing; ///< The newest, with reported stages.
+    std::function<LoadReports()> loads;
     /// Another process that may lead has reached the platform lately.
     std::function<bool(TimePoint now)> platformIsReachedElsewhere;
 };
 
-/// Makes the calls that one registry process at a time may make, while this one leads: decides usage
-/// reports, stores them in the ledger, and sends them. Used on one thread.
+/// Makes the calls that one registry process at a time may make, while this one leads: decides
+/// usage reports, stores them in the ledger, and sends them. Used on one thread.
 class DutyService : public std::enable_shared_from_this<DutyService>
 {
 public:
@@ -49,6 +51,8 @@
 
 private:
     boost::asio::awaitable<void> step(TimePoint now);
+    void sizeFleet(DeclarationLedger &ledger, bool mayOrder, TimePoint now);
+    void updateDeclaration(const RawDeclaration &stored);
     void decideUsage(DeclarationLedger &ledger, TimePoint now);
     void addUndelivered(const std::vector<UsageReport> &reports, TimePoint now);
     boost::asio::awaitable<void> makeCall(DutyCall call, std::uint64_t token);
@@ -62,7 +66,11 @@
     DutyAuthority m_authority;
     DutyRunner m_runner;
     std::optional<UsageReporter> m_reporter;
-    std::int64_t m_startedAtMs; ///< True time as of the start of this process.
+    FleetSizer m_sizer;
+    std::map<std::pair<std::string, std::string>, ServerOrder> m_serverOrders; ///< Sent last.
+    Declaration m_declaration; ///< In force, if it could be parsed.
+    TimePoint m_nextSizingAt{};
+    std::int64_t m_startedAtMs;  ///< True time as of the start of this process.
     bool m_hasTakenOver = false; ///< The reporter knows the ledger's record.
     bool m_isDeciding = false;
     bool m_stopping = false;
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -202,6 +202,15 @@
             const std::optional<RawDeclaration> confirmed = co_await self->readNewest();
             co_return confirmed && self->leads();
         };
+        hooks.listing = [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            return self ? withReportedStages(self->listing, self->loadTable.reports())
+                        : BackendListing();
+        };
+        hooks.loads = [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            return self ? self->loadTable.reports() : LoadReports();
+        };
         hooks.platformIsReachedElsewhere = [weak = weak_from_this()](TimePoint now) {
             const auto self = weak.lock();
             return self
