Keep cached prompts on servers that are not reclaimed; share measured engine speeds

Change: engines on demand read prompts and spot engines decode; their numbers follow the demand of each stage; no stages are ordered while servers are exchanged; a data centre where nothing can be had does not stand in.

--- a/include/gentianramp/registry/fleet_sizer.hpp
+++ b/include/gentianramp/registry/fleet_sizer.hpp
@@ -37,7 +37,7 @@
     /// streams are far apart.
     double decodeUtilization = 0.5;
     /// Share of the servers on demand that is kept while no demand is known yet.
-    double unknownDemandBase = 0.1;
+    double unknownDemandBase = 0.33;
     /// Nothing is known of the demand before this time of observation.
     Duration observationTime = std::chrono::seconds(3);
     /// A size is reduced after it was too large for this time, by this share at a time.
@@ -45,13 +45,17 @@
     double shrinkStep = 0.1;
     /// An order that could not be carried out is repeated after this time.
     Duration unavailableDelay = std::chrono::seconds(2);
+    /// A data centre where no servers on demand could be had does not stand in for others for this
+    /// time.
+    Duration substituteDelay = std::chrono::seconds(10);
 };
 
-/// Demand for a service's engines, in engines that are busy.
+/// Demand for a service's engines, in engines that are busy, or engines that this requires.
 struct EngineDemand
 {
     double prefill = 0; ///< Engines that read prompts.
-    double decode = 0;  ///< Streams, in engines with all slots taken.
+    double decode = 0;  ///< Engines that decode; busy ones have all slots taken.
+    double total() const { return prefill + decode; }
     bool operator==(const EngineDemand &) const = default;
 };
 
@@ -74,8 +78,12 @@
     /// None of the ordered servers can be had now.
     void noteUnavailable(const ServerOrder &order, TimePoint now);
 
-    /// Servers that callers need, by the demand that was observed; empty: not known.
-    std::optional<double> requiredServers(const std::string &service, TimePoint now) const;
+    /// Engines that callers need, by the demand that was observed; empty: not known.
+    std::optional<EngineDemand> requiredEngines(const std::string &service, TimePoint now) const;
+    /// No demand is known yet, and servers of one kind are taking the place of others: engines that
+    /// are about to leave should not be given other stages.
+    bool isExchanging(const std::string &service, const BackendListing &listing,
+                      TimePoint now) const;
     /// The size that the last decision aimed at, for display.
     const FleetSize &target(const std::string &service) const;
 
@@ -98,6 +106,7 @@
         std::uint32_t servers = 0;
         TimePoint sentAt{};
         TimePoint notBefore{};
+        TimePoint unavailableAt{};
     };
     struct ServiceOrders
     {
--- a/include/gentianramp/registry/registry_feed.hpp
+++ b/include/gentianramp/registry/registry_feed.hpp
@@ -6,6 +6,7 @@
 #include <gentianramp/registry/backend_listing.hpp>
 #include <gentianramp/registry/crash_evidence.hpp>
 #include <gentianramp/registry/declaration_ledger.hpp>
+#include <gentianramp/registry/engine_speeds.hpp>
 #include <gentianramp/registry/limit_granter.hpp>
 #include <gentianramp/registry/stage_delays.hpp>
 #include <gentianramp/registry/versioned_load_table.hpp>
@@ -90,6 +91,8 @@
 
     /// Sets the delays at engines to report with the next request.
     void setDelays(ServiceDelays delays) { m_delays = std::move(delays); }
+    /// Adds measured speeds to report with the next request.
+    void addSpeeds(std::vector<SpeedObservation> observations);
     /// Sets the prompt parts because of which requests were refused lately.
     void setRefusedParts(std::vector<std::uint64_t> parts) { m_refusedParts = std::move(parts); }
     /// Sets whether this process reaches no backend server.
@@ -173,6 +176,7 @@
     TimePoint m_loadsAt{};
     std::uint32_t m_entryProcessCount = 1;
     ServiceDelays m_delays;
+    std::vector<SpeedObservation> m_speeds;
     std::vector<std::uint64_t> m_refusedParts;
     std::vector<PeerInstance> m_peers;
     std::uint64_t m_peersDigest = 0; ///< Of m_peers.
--- a/include/gentianramp/relay/backend_table.hpp
+++ b/include/gentianramp/relay/backend_table.hpp
@@ -5,6 +5,7 @@
 #include <gentianramp/declaration/declaration.hpp>
 #include <gentianramp/http/client.hpp>
 #include <gentianramp/registry/backend_listing.hpp>
+#include <gentianramp/registry/engine_speeds.hpp>
 #include <gentianramp/registry/limit_granter.hpp>
 #include <gentianramp/registry/request_limit.hpp>
 #include <gentianramp/registry/stage_delays.hpp>
@@ -43,11 +44,14 @@
     HttpAddress address;
     std::uint32_t uncachedTokens = 0; ///< Prompt tokens expected not to be in its KV cache.
     Duration expectedWait{};          ///< Estimated time until the first event.
-    double prefillMs = 0;     ///< Prefill time within expectedWait, at the service's usual rate.
-    double kvTransferMs = 0;  ///< Time of a transfer of the prompt's KV cache to the engine.
-    Duration latencyTarget{}; ///< Of the request.
-    bool seemedIdle = false;  ///< No other work of the engine was known when it was chosen.
-    TimePoint sentAt{};       ///< When it was chosen, or later when the request was sent.
+    double prefillMs = 0; ///< Prefill time within expectedWait, at the engine's present speed.
+    /// Prefill time with the backlog, at the service's usual speed; 0: nothing is prefilled.
+    double usualPrefillMs = 0;
+    double timeFactor = 1;         ///< Time that work takes at the engine, of the usual.
+    double kvTransferMs = 0;       ///< Time of a transfer of the prompt's KV cache to the engine.
+    Duration latencyTarget{};      ///< Of the request.
+    bool seemedIdle = false;       ///< No other work of the engine was known when it was chosen.
+    TimePoint sentAt{};            ///< When it was chosen, or later when the request was sent.
     std::uint64_t incarnation = 0; ///< The table's number for the server's incarnation.
     std::int64_t startedAtMs = 0;  ///< Listed start of the server's process.
     std::string softwareVersion;   ///< Listed; empty: not named.
@@ -119,6 +123,8 @@
     /// answer the registry and this instance has had no contact with it since: the caller should
     /// check its health.
     bool noteReport(const ReportedLoad &load, TimePoint takenAt);
+    /// Speeds of engines that were measured since the last call.
+    std::vector<SpeedObservation> takeSpeedObservations();
     /// The KV cache of a prompt could not be transferred between these engines.
     void noteKvTransferFailed(const BackendId &prefillEngine, const BackendId &responder,
                               TimePoint now);
@@ -261,6 +267,7 @@
     std::uint32_t uncachedTokens(const Backend &backend, const PromptDescription &prompt,
                                  bool owner, TimePoint now) const;
     double prefillMs(const Backend &backend, std::uint32_t uncached, TimePoint now) const;
+    void observeSpeed(Backend &backend, const SendTarget &target, TimePoint now) const;
     void noteWaited(Backend &backend, const SendTarget &target, TimePoint now);
     void noteServed(const Backend &backend, const SendTarget &target, TimePoint now);
     void updateSlowness(Backend &backend, const SendTarget &target, TimePoint now) const;
--- a/include/gentianramp/relay/relay_service.hpp
+++ b/include/gentianramp/relay/relay_service.hpp
@@ -8,6 +8,7 @@
 #include <gentianramp/http/server.hpp>
 #include <gentianramp/registry/backend_listing.hpp>
 #include <gentianramp/registry/crash_evidence.hpp>
+#include <gentianramp/registry/engine_speeds.hpp>
 #include <gentianramp/registry/limit_granter.hpp>
 #include <gentianramp/registry/stage_delays.hpp>
 #include <gentianramp/relay/backend_protocol.hpp>
@@ -125,6 +126,8 @@
     void setInstances(std::uint32_t instances);
     /// Delays at engines that this instance measured.
     ServiceDelays delays(TimePoint now) const;
+    /// Speeds of engines that this instance measured since the last call.
+    std::vector<SpeedObservation> takeSpeedObservations();
     /// Number of the declaration in force; 0: none.
     std::uint64_t declarationNumber() const;
     /// The process ends at @p deadline: requests that may take longer are refused.
--- a/src/gentianramp/planner/fleet_size.cpp
+++ b/src/gentianramp/planner/fleet_size.cpp
@@ -33,10 +33,9 @@
     if (sites.empty())
         return size;
     std::vector<ServerSite> byPrice = sites;
-    std::stable_sort(byPrice.begin(), byPrice.end(),
-                     [](const ServerSite &left, const ServerSite &right) {
-                         return left.price < right.price;
-                     });
+    std::stable_sort(
+        byPrice.begin(), byPrice.end(),
+        [](const ServerSite &left, const ServerSite &right) { return left.price < right.price; });
     for (const ServerSite &site : byPrice)
         size[site.name].onDemand = site.minServers;
     const auto required = static_cast<std::uint32_t>(std::ceil(std::max(requirement.servers, 0.0)));
--- a/src/gentianramp/registry/duty_service.cpp
+++ b/src/gentianramp/registry/duty_service.cpp
@@ -176,13 +176,14 @@
                       .variant = variant,
                       .body = m_options.encodeOrder(order)},
                      now);
-        const std::optional<double> required = m_sizer.requiredServers(order.service, now);
+        const std::optional<EngineDemand> required = m_sizer.requiredEngines(order.service, now);
         logInfo("servers_ordered",
                 {{"service", order.service},
                  {"data_centre", order.dataCentre.value()},
                  {"kind", kindOf(order)},
                  {"servers", order.servers},
-                 {"required_milli", required ? std::llround(1000 * *required) : -1},
+                 {"required_prefill_milli", required ? std::llround(1000 * required->prefill) : -1},
+                 {"required_decode_milli", required ? std::llround(1000 * required->decode) : -1},
                  {"list_age_ms", toMilliseconds(now - listing.takenAt)},
                  {"term", m_authority.token()}});
     }
--- a/src/gentianramp/registry/duty_service.hpp
+++ b/src/gentianramp/registry/duty_service.hpp
@@ -45,6 +45,12 @@
     /// True time in Unix milliseconds.
     std::int64_t trueMs(TimePoint now) const { return m_clocks.trueMs(wallClockMs(), now); }
 
+    /// See FleetSizer::isExchanging().
+    bool isExchanging(const std::string &service, const BackendListing &listing,
+                      TimePoint now) const
+    {
+        return m_sizer.isExchanging(service, listing, now);
+    }
     ClockMedian &clocks() { return m_clocks; }
     UsageAggregate &usage() { return m_usage; }
     const DutyAuthority &authority() const { return m_authority; }
--- a/src/gentianramp/registry/fleet_sizer.cpp
+++ b/src/gentianramp/registry/fleet_sizer.cpp
@@ -91,7 +91,8 @@
     }
 }
 
-std::optional<double> FleetSizer::requiredServers(const std::string &service, TimePoint now) const
+std::optional<EngineDemand> FleetSizer::requiredEngines(const std::string &service,
+                                                        TimePoint now) const
 {
     const auto found = m_demand.find(service);
     if (found == m_demand.end() || !found->second.everBusy
@@ -102,8 +103,17 @@
         peak.prefill = std::max(peak.prefill, sample.demand.prefill);
         peak.decode = std::max(peak.decode, sample.demand.decode);
     }
-    return withMargin(peak.prefill, m_options.prefillMargin)
-        + withMargin(peak.decode / m_options.decodeUtilization, m_options.decodeMargin);
+    return EngineDemand{
+        .prefill = withMargin(peak.prefill, m_options.prefillMargin),
+        .decode = withMargin(peak.decode / m_options.decodeUtilization, m_options.decodeMargin)};
+}
+
+bool FleetSizer::isExchanging(const std::string &service, const BackendListing &listing,
+                              TimePoint now) const
+{
+    const auto found = m_orders.find(service);
+    return found != m_orders.end() && !requiredEngines(service, now)
+        && presentServers(listing, service) != found->second.target;
 }
 
 const FleetSize &FleetSizer::target(const std::string &service) const
@@ -117,8 +127,12 @@
                                const std::vector<ServerSite> &sites, TimePoint now) const
 {
     const std::optional<double> spotPrice = service.scaling->spotPrice;
-    if (const std::optional<double> required = requiredServers(service.name, now))
-        return cheapestFleetSize(sites, {.servers = *required, .spotPrice = spotPrice});
+    // Engines that read prompts keep them cached, which is lost when a server is reclaimed.
+    if (const std::optional<EngineDemand> required = requiredEngines(service.name, now))
+        return cheapestFleetSize(sites,
+                                 {.servers = required->total(),
+                                  .onDemandShare = required->prefill / required->total(),
+                                  .spotPrice = spotPrice});
     // Without demand, the size stays and the cheaper kind takes its place.
     FleetSize target = orders.initial;
     if (!spotPrice || *spotPrice >= 1)
@@ -133,8 +147,8 @@
 }
 
 /// Keeps a size that is too large until it has been so for a while, and then reduces it in steps.
-FleetSize FleetSizer::shrunkSlowly(ServiceOrders &orders, FleetSize target,
-                                   const FleetSize &former, TimePoint now) const
+FleetSize FleetSizer::shrunkSlowly(ServiceOrders &orders, FleetSize target, const FleetSize &former,
+                                   TimePoint now) const
 {
     const std::uint32_t before = totalOf(former);
     const std::uint32_t wanted = totalOf(target);
@@ -194,12 +208,17 @@
                 orders.bySite[{site, true}].servers = counts.spot;
             }
         }
-        for (const auto &[site, counts] : present)
-            orders.initial.try_emplace(site, counts);
+        // The list grows as servers start, and shows those that this process ordered.
+        const bool isKnown = requiredEngines(service.name, now).has_value();
+        for (const auto &[site, counts] : present) {
+            ServerCounts &initial = orders.initial.try_emplace(site, counts).first->second;
+            if (!isKnown)
+                initial.onDemand = std::max(initial.onDemand, counts.onDemand);
+        }
         const std::vector<ServerSite> sites = sitesOf(*service.scaling, orders.initial);
-        orders.target = shrunkSlowly(orders, targetOf(service, orders, sites, now), orders.target,
-                                     now);
-        const double required = requiredServers(service.name, now).value_or(0);
+        orders.target
+            = shrunkSlowly(orders, targetOf(service, orders, sites, now), orders.target, now);
+        const double required = requiredEngines(service.name, now).value_or(EngineDemand()).total();
         const std::uint32_t presentTotal = totalOf(present);
         auto shortage = static_cast<std::uint32_t>(
             std::max(0.0, std::ceil(required) - static_cast<double>(presentTotal)));
@@ -215,9 +234,12 @@
                     = wanted.total() > counts.spot ? wanted.total() - counts.spot : 0;
                 onDemand = std::clamp(missing, onDemand, former);
             }
-            const std::uint32_t room = most > onDemand + wanted.spot ? most - onDemand - wanted.spot
-                                                                     : 0;
-            const std::uint32_t substitutes = std::min(shortage, room);
+            const std::uint32_t room
+                = most > onDemand + wanted.spot ? most - onDemand - wanted.spot : 0;
+            const TimePoint unavailableAt = orders.bySite[{site, false}].unavailableAt;
+            const bool maySubstitute
+                = unavailableAt == TimePoint{} || now - unavailableAt >= m_options.substituteDelay;
+            const std::uint32_t substitutes = maySubstitute ? std::min(shortage, room) : 0;
             shortage -= substitutes;
             onDemand = std::max(onDemand, std::min(wanted.onDemand + substitutes, most));
             const std::uint32_t spot = std::min(wanted.spot, most > onDemand ? most - onDemand : 0);
@@ -238,7 +260,8 @@
         return;
     const bool hasChanged = ordered.servers != servers;
     // Servers that were reclaimed, or never came, are ordered again.
-    const bool isMissing = present < servers && now - ordered.sentAt >= 2 * declared.scaling->bootTime;
+    const bool isMissing
+        = present < servers && now - ordered.sentAt >= 2 * declared.scaling->bootTime;
     if (!hasChanged && !isMissing)
         return;
     ordered.servers = servers;
@@ -253,6 +276,7 @@
         return;
     Ordered &ordered = found->second.bySite[{order.dataCentre, order.spot}];
     ordered.notBefore = now + m_options.unavailableDelay;
+    ordered.unavailableAt = now;
     ordered.sentAt = {};
 }
 
--- a/src/gentianramp/registry/registry_codec.cpp
+++ b/src/gentianramp/registry/registry_codec.cpp
@@ -436,4 +436,23 @@
     return usage;
 }
 
+proto::SpeedObservation toProto(const SpeedObservation &observation)
+{
+    proto::SpeedObservation message;
+    message.set_engine(observation.engine.value());
+    message.set_born_ms(observation.startedAtMs);
+    message.set_log_ratio(
+        static_cast<std::int32_t>(std::lround(std::clamp(1000 * observation.logRatio, -1e9, 1e9))));
+    message.set_count(observation.count);
+    return message;
+}
+
+SpeedObservation fromProto(const proto::SpeedObservation &message)
+{
+    return {.engine = BackendId(message.engine()),
+            .startedAtMs = message.born_ms(),
+            .logRatio = message.log_ratio() / 1000.0,
+            .count = message.count()};
+}
+
 } // namespace gentianramp
--- a/src/gentianramp/registry/registry_codec.hpp
+++ b/src/gentianramp/registry/registry_codec.hpp
@@ -2,6 +2,7 @@
 
 #include <gentianramp/peers/peer_instance.hpp>
 #include <gentianramp/registry/crash_evidence.hpp>
+#include <gentianramp/registry/engine_speeds.hpp>
 #include <gentianramp/registry/limit_exchange.hpp>
 #include <gentianramp/registry/listing_history.hpp>
 #include <gentianramp/registry/stage_delays.hpp>
@@ -45,4 +46,7 @@
 proto::InstanceUsage toProto(const InstanceUsage &usage);
 InstanceUsage fromProto(const proto::InstanceUsage &message);
 
+proto::SpeedObservation toProto(const SpeedObservation &observation);
+SpeedObservation fromProto(const proto::SpeedObservation &message);
+
 } // namespace gentianramp
--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -159,6 +159,8 @@
     addToProto(m_delays, *request.mutable_delays());
     addCrashes(request, open, now);
     addUsage(request, now);
+    for (const SpeedObservation &observation : std::exchange(m_speeds, {}))
+        *request.add_speeds() = toProto(observation);
     addToProto(m_limits, m_demand, request, now);
     request.set_data_centre(m_options.dataCentre.value());
     request.set_cut_off(m_cutOff);
@@ -184,6 +186,12 @@
         request.add_refused_parts(part);
 }
 
+void RegistryFeed::addSpeeds(std::vector<SpeedObservation> observations)
+{
+    // A request that is lost takes its measurements with it; they are averaged over many.
+    m_speeds.insert(m_speeds.end(), observations.begin(), observations.end());
+}
+
 std::int64_t RegistryFeed::trueMs(TimePoint time) const
 {
     return m_trueTime.at(time).value_or(wallClockMs());
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -505,12 +505,14 @@
     void publishLoads(TimePoint takenAt)
     {
         LoadReports loads{.takenAt = takenAt, .engines = {}};
+        engineSpeeds.publish(listing, takenAt);
         for (const ListedServer &server : listing.servers) {
             const auto known = engineLoadStates.find(server.id);
             if (known == engineLoadStates.end() || known->second.load.engine.value().empty())
                 continue;
             loads.engines.push_back(known->second.load);
             ReportedLoad &load = loads.engines.back();
+            load.speed = engineSpeeds.speedOf(server.id);
             load.changing = load.changing || stageController.changing(server, takenAt);
             if (takenAt - known->second.answeredAt > MaxStageAge)
                 load.stage = ReportedStage::Unknown;
@@ -563,8 +565,12 @@
             stageController.setEntryProcesses(entryProcesses.size()
                                               + directory.entryProcessesElsewhere(now));
             ServiceDelays meanDelays = stageController.meanDelays();
+            BackendListing settled = current;
+            std::erase_if(settled.servers, [&](const ListedServer &server) {
+                return duties->isExchanging(server.service, current, now);
+            });
             const std::vector<StageOrder> orders
-                = stageController.decide(current, loadTable.reports(), now);
+                = stageController.decide(settled, loadTable.reports(), now);
             // Lets entry instances learn which engines will change before those refuse requests.
             if (!orders.empty())
                 co_await sleepFor(AnnouncementDelay);
@@ -658,6 +664,10 @@
             for (const proto::InstanceUsage &usage : message.usage_reports().instances())
                 duties->usage().merge(fromProto(usage), now);
             return;
+        case proto::RegistryMessage::kSpeedReports:
+            for (const proto::SpeedObservation &observed : message.speed_reports().observations())
+                engineSpeeds.add(fromProto(observed), now);
+            return;
         case proto::RegistryMessage::BODY_NOT_SET:
             return;
         }
@@ -834,12 +844,21 @@
         logGrants(now);
     }
 
-    /// Sends counts of usage that changed lately to the leader, and all to a new one.
+    /// Sends measured speeds, and counts of usage that changed lately, to the leader, and all
+    /// counts to a new one.
     void exchangeUsage(TimePoint now)
     {
         const std::optional<InstanceId> to = leads() ? std::nullopt : leader(now);
-        if (!to)
+        if (!to) {
+            speedReports.Clear();
             return;
+        }
+        if (speedReports.observations_size() > 0) {
+            proto::RegistryMessage speeds;
+            speeds.mutable_speed_reports()->Swap(&speedReports);
+            speedReports.Clear();
+            send(*to, speeds);
+        }
         const bool isNew = std::exchange(usageLeader, *to) != *to;
         const std::vector<InstanceUsage> changed
             = duties->usage().changedSince(isNew ? TimePoint{} : now - UsageRepeatTime);
@@ -1281,6 +1300,11 @@
             usage.instance = received.sender;
             duties->usage().merge(usage, now);
         }
+        for (const proto::SpeedObservation &observed : request.speeds()) {
+            engineSpeeds.add(fromProto(observed), now);
+            if (!leads())
+                *speedReports.add_observations() = observed;
+        }
         const CrashReports reports = fromProto(request.crashes(), now);
         for (const ServerCrash &crash : reports.crashes)
             crashes.addCrash(crash, now);
@@ -1474,6 +1498,8 @@
     TimePoint nextFlushAt{};
     TimePoint nextSeatUpdateAt{};
     TimePoint leadsSince{};
+    EngineSpeeds engineSpeeds;
+    proto::SpeedReports speedReports; ///< Not sent to the leader yet.
     std::shared_ptr<DutyService> duties;
     InstanceId usageLeader; ///< Last leader that was sent counts of usage.
     TimePoint nextUsageExchangeAt{};
--- a/src/gentianramp/registry/stage_controller.cpp
+++ b/src/gentianramp/registry/stage_controller.cpp
@@ -215,11 +215,19 @@
         for (const ListedServer *engine : engines) {
             if (isPrefilling(*engine, now) == toPrefill || m_issuedOrders.contains(engine->id))
                 continue;
+            if (!best)
+                best = engine;
+            // Cached prompts are lost with a server that is reclaimed, and a decoding one loses
+            // little.
+            if (engine->spot != best->spot) {
+                if (engine->spot != toPrefill)
+                    best = engine;
+                continue;
+            }
             const std::ptrdiff_t engineSiteDecoding = decodingPerSite[engine->dataCentre];
-            const std::ptrdiff_t bestSiteDecoding = best ? decodingPerSite[best->dataCentre] : 0;
-            if (!best
-                || (toPrefill ? engineSiteDecoding > bestSiteDecoding
-                              : engineSiteDecoding < bestSiteDecoding)
+            const std::ptrdiff_t bestSiteDecoding = decodingPerSite[best->dataCentre];
+            if ((toPrefill ? engineSiteDecoding > bestSiteDecoding
+                           : engineSiteDecoding < bestSiteDecoding)
                 || (engineSiteDecoding == bestSiteDecoding && workOf(*engine) < workOf(*best)))
                 best = engine;
         }
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -51,6 +51,16 @@
 constexpr double SlownessWeight = 0.15;
 constexpr double MinSlowness = 0.7;
 constexpr double MaxSlowness = 10;
+/// Time after which a stated slowness is believed a third: servers that share their machine are
+/// slowed for about half a second.
+constexpr Duration SlownessMemory = std::chrono::milliseconds(500);
+/// Bounds of a measured time as a share of the usual one; a longer time says more of the queue.
+constexpr double MinTimeRatio = 0.2;
+constexpr double MaxTimeRatio = 5;
+/// Decoding delays are compared with those of an engine this fast.
+constexpr double MinDecodeTimeFactor = 0.5;
+/// Speeds are used in steps of this ratio where all instances have to choose alike.
+constexpr double SharedSpeedStep = 1.25;
 /// Quantile of decode engines' first event times that is taken for an idle engine.
 constexpr double IdleDecodeQuantile = 0.2;
 /// Delay that a rejected request counts with, in latency targets.
@@ -159,8 +169,12 @@
     TimePoint prefillSince{}; ///< When it was first listed as a prefill engine; empty: it decodes.
     double failureShare = 0;  ///< As of failedAt.
     TimePoint failedAt{};
-    double slowness = 1;           ///< Moving average of measured over expected prefill times.
-    double kvTransferFailures = 0; ///< Count as of kvTransferFailedAt; fades out.
+    double slowness = 1; ///< Moving average of measured over expected prefill times.
+    double speed = 0;    ///< Lasting, of the usual one, as all instances measured; 0: unknown.
+    std::uint32_t slownessPercent = 0; ///< As stated; 0: never.
+    TimePoint slownessAt{};
+    SpeedObservation speedObservation; ///< Since it was taken last.
+    double kvTransferFailures = 0;     ///< Count as of kvTransferFailedAt; fades out.
     TimePoint kvTransferFailedAt{};
     /// Prompt parts sent to it by this instance, with the time of their last use.
     std::unordered_map<std::uint64_t, TimePoint> parts;
@@ -172,6 +186,42 @@
         return loadAt != TimePoint{} && now - loadAt < LoadLifetime;
     }
 
+    double speedOrUsual() const { return speed > 0 ? speed : 1; }
+
+    /// Time that work takes now, of that on an undisturbed machine.
+    double momentaryFactor(TimePoint now) const
+    {
+        if (slownessPercent == 0)
+            return 1;
+        const double kept
+            = std::exp(-std::chrono::duration<double>(now - slownessAt) / SlownessMemory);
+        return 1 + (slownessPercent / 100.0 - 1) * kept;
+    }
+
+    /// Time that work takes now, of the usual one.
+    double timeFactor(TimePoint now) const { return momentaryFactor(now) / speedOrUsual(); }
+
+    /// Lasting speed in steps that all instances take alike, although their reports differ in age.
+    double sharedSpeed() const
+    {
+        const double step = std::log(SharedSpeedStep);
+        return std::exp(step * std::round(std::log(speedOrUsual()) / step));
+    }
+
+    void noteSlowness(std::uint32_t percent, TimePoint at)
+    {
+        if (percent == 0 || at < slownessAt)
+            return;
+        slownessPercent = percent;
+        slownessAt = at;
+    }
+
+    void noteTimeRatio(double ratio)
+    {
+        speedObservation.logRatio += std::log(std::clamp(ratio, MinTimeRatio, MaxTimeRatio));
+        ++speedObservation.count;
+    }
+
     double loadWeight(TimePoint now) const
     {
         if (!loadIsFresh(now))
@@ -478,7 +528,8 @@
     for (const Backend *backend : usable) {
         const double uniform
             = (static_cast<double>(splitMix(key ^ backend->hash) >> 11) + 0.5) / 9007199254740992.0;
-        const double weight = backend->server.prefillOnly ? 1 : MixedPrefillRate;
+        const double weight
+            = (backend->server.prefillOnly ? 1 : MixedPrefillRate) * backend->sharedSpeed();
         const double score = -weight / std::log(uniform);
         if (!owners.first || score > firstScore) {
             owners.second = std::exchange(owners.first, backend);
@@ -540,7 +591,8 @@
             + backend.sentTokens;
         backlog = std::max(backlog, backend.loadWeight(now) * reported);
     }
-    double ms = (uncached + backlog) / tokensPerMs(backend) * backend.slowness
+    double ms
+        = (uncached + backlog) / tokensPerMs(backend) * backend.slowness * backend.timeFactor(now)
         + FailurePenaltyMs * backend.recentFailureShare(now);
     if (backend.server.dataCentre != m_options.dataCentre)
         ms += CrossDataCentreMs;
@@ -570,6 +622,9 @@
 {
     double ms
         = backend.kvTransferPenaltyMs(now) + FailurePenaltyMs * backend.recentFailureShare(now);
+    // Relative to the fastest engines, so that no penalty is negative.
+    ms += serviceState(backend.server.service).idleDecodeMs.value().value_or(0)
+        * std::max(backend.timeFactor(now) - MinDecodeTimeFactor, 0.0);
     if (backend.server.dataCentre != m_options.dataCentre)
         ms += CrossDataCentreMs;
     return ms + transferMs(backend, request, prefillEngine);
@@ -621,9 +676,10 @@
         if (backend->server.prefillOnly)
             continue;
         engines.push_back(backend);
-        candidates.push_back({.slots = static_cast<double>(std::max(backend->server.slots, 1U)),
-                              .taken = backend->takenSlots(now),
-                              .costMs = decodePenaltyMs(*backend, request, prefillEngine, now)});
+        candidates.push_back(
+            {.slots = std::max(backend->server.slots, 1U) * backend->speedOrUsual(),
+             .taken = backend->takenSlots(now),
+             .costMs = decodePenaltyMs(*backend, request, prefillEngine, now)});
     }
     if (engines.empty())
         return nullptr;
@@ -677,8 +733,10 @@
     const double slots = std::max(backend.server.slots, 1U);
     const double stated
         = backend.loadWeight(now) * (backend.load.running + 2 * backend.load.waiting);
-    double cost
-        = (backend.open + stated) / slots + FailureSlotCost * backend.recentFailureShare(now);
+    // A server that is slowed takes as much longer for what runs there, and for the new request.
+    const double taken = backend.open + stated;
+    double cost = (taken * backend.timeFactor(now) + backend.timeFactor(now) - 1) / slots
+        + FailureSlotCost * backend.recentFailureShare(now);
     if (backend.server.dataCentre != m_options.dataCentre)
         cost += CrossDataCentreSlotCost;
     return cost;
@@ -693,9 +751,11 @@
     target.backend = backend.server.id;
     target.address = {backend.server.host, backend.server.port};
     target.uncachedTokens = uncached;
+    target.timeFactor = backend.timeFactor(now);
     if (measured) {
         target.expectedWait = std::chrono::microseconds(static_cast<std::int64_t>(waitMs * 1000));
-        target.prefillMs = (uncached + backend.uncachedTokens) / tokensPerMs(backend);
+        target.prefillMs
+            = (uncached + backend.uncachedTokens) / tokensPerMs(backend) * target.timeFactor;
     }
     target.seemedIdle = backend.takenSlots(now) < 1;
     target.sentAt = now;
@@ -863,14 +923,19 @@
         }
     }
     prefillEngine->breaker.allow(true, now);
-    if (!prefillEngine->server.prefillOnly)
-        return RequestPlacement{makeTarget(*prefillEngine, prefillUncached, firstEventMs, now),
-                                std::nullopt};
+    const double usualPrefillMs = prefillMs(*prefillEngine, prefillUncached, now)
+        * prefillEngine->speedOrUsual() / prefillEngine->slowness;
+    if (!prefillEngine->server.prefillOnly) {
+        SendTarget target = makeTarget(*prefillEngine, prefillUncached, firstEventMs, now);
+        target.usualPrefillMs = usualPrefillMs;
+        return RequestPlacement{target, std::nullopt};
+    }
     Backend *responder = chooseResponder(usable, request, prefillEngine, now);
     responder->breaker.allow(true, now);
     firstEventMs
         += decodeWaitMs(*responder, now) + decodePenaltyMs(*responder, request, prefillEngine, now);
     SendTarget prefillTarget = makeTarget(*prefillEngine, prefillUncached, firstEventMs, now);
+    prefillTarget.usualPrefillMs = usualPrefillMs;
     const Backend *former = nullptr;
     if (prefillEngine == owners.first)
         former = formerOwner(request, *owners.first, now);
@@ -935,15 +1000,52 @@
     if (!backend)
         return;
     noteWaited(*backend, target, now);
+    observeSpeed(*backend, target, now);
     if (!backend->server.engine || !target.seemedIdle)
         return;
     ServiceState &service = serviceState(backend->server.service);
     const double ms = millisecondsOf(now - target.sentAt);
     if (!backend->server.prefillOnly && target.uncachedTokens == 0)
-        service.idleDecodeMs.observe(ms - target.kvTransferMs);
+        service.idleDecodeMs.observe((ms - target.kvTransferMs) / target.timeFactor);
     else
         service.prefillRate.observe(target.uncachedTokens,
-                                    (backend->server.prefillOnly ? 1 : MixedPrefillRate) * ms);
+                                    (backend->server.prefillOnly ? 1 : MixedPrefillRate) * ms
+                                        / target.timeFactor);
+}
+
+/// Measures how long the engine took, of the time that engines of the service usually take. The
+/// slowness that it stated is not a property of the engine.
+void BackendTable::observeSpeed(Backend &backend, const SendTarget &target, TimePoint now) const
+{
+    if (!backend.server.engine)
+        return;
+    const double ms = millisecondsOf(now - target.sentAt);
+    const double momentary = target.timeFactor * backend.speedOrUsual();
+    if (target.usualPrefillMs > 0) {
+        // Times at a busy engine say more of its queue.
+        if (target.seemedIdle && target.usualPrefillMs >= MinMeasuredPrefillMs
+            && target.prefillMs > 0)
+            backend.noteTimeRatio(ms / target.usualPrefillMs);
+        return;
+    }
+    // Streams are decoded together, so that those of others prolong a time little.
+    const std::optional<double> idleMs = serviceState(backend.server.service).idleDecodeMs.value();
+    if (!backend.server.prefillOnly && target.uncachedTokens == 0 && idleMs && *idleMs > 0)
+        backend.noteTimeRatio((ms - target.kvTransferMs) / (*idleMs * momentary));
+}
+
+std::vector<SpeedObservation> BackendTable::takeSpeedObservations()
+{
+    std::vector<SpeedObservation> taken;
+    for (const auto &[id, backend] : m_backends) {
+        if (backend->speedObservation.count == 0)
+            continue;
+        SpeedObservation observation = std::exchange(backend->speedObservation, {});
+        observation.engine = id;
+        observation.startedAtMs = backend->server.startedAtMs;
+        taken.push_back(std::move(observation));
+    }
+    return taken;
 }
 
 /// The first event arrived, or the request ended without one.
@@ -1031,6 +1133,7 @@
         return;
     found->second->load = load;
     found->second->loadAt = now;
+    found->second->noteSlowness(load.slownessPercent, now);
     found->second->sentTokens = 0;
     found->second->sentRequests = 0;
 }
@@ -1063,11 +1166,14 @@
         backend.stageReportedAt = takenAt;
     }
     setStage(backend, takenAt);
+    if (load.speed > 0)
+        backend.speed = load.speed;
+    backend.noteSlowness(load.slownessPercent, at);
     if (load.changing)
         backend.avoidUntil = std::max(backend.avoidUntil, takenAt + StageChangePause);
     if (at <= backend.loadAt)
         return false;
-    backend.load = {load.running, load.waiting, backend.server.slots};
+    backend.load = {load.running, load.waiting, backend.server.slots, load.slownessPercent};
     backend.loadAt = at;
     backend.sentTokens = 0;
     backend.sentRequests = 0;
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -213,6 +213,7 @@
         while (!stopping) {
             const TimePoint now = RuntimeClock::now();
             feed.setDelays(relay.delays(now));
+            feed.addSpeeds(relay.takeSpeedObservations());
             relay.resendPeerMessages(now);
             relay.checkReach(now);
             noteCutOff(relay.isCutOff());
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -549,6 +549,11 @@
     return m_state->table.delays(now);
 }
 
+std::vector<SpeedObservation> RelayService::takeSpeedObservations()
+{
+    return m_state->table.takeSpeedObservations();
+}
+
 std::uint64_t RelayService::declarationNumber() const
 {
     return m_state->routes ? m_state->routes->declaration().number : 0;
