Size prefill engines as single queues; release servers without blocking the stages of others

Change: a prompt belongs to one engine, so that engines that read are used up to what a single server bears; stages are held back for servers on demand alone; a sixth of the servers is on demand.

--- a/include/gentianramp/registry/fleet_sizer.hpp
+++ b/include/gentianramp/registry/fleet_sizer.hpp
@@ -29,15 +29,11 @@
     /// The demand that a size serves is the largest mean of this length, within this time.
     Duration meanTime = std::chrono::seconds(2);
     Duration peakTime = std::chrono::seconds(20);
-    /// Servers beyond the busy ones, in square roots of their number: the margin for fluctuations
-    /// of the demand and for prompts that belong to a busy engine.
-    double prefillMargin = 3;
-    double decodeMargin = 1.5;
     /// Streams that an engine decodes at most, as a share of its slots: with more, events of the
     /// streams are far apart.
     double decodeUtilization = 0.5;
     /// Share of the servers that are on demand: these are left when all others are reclaimed.
-    double onDemandShare = 0.33;
+    double onDemandShare = 0.17;
     /// Nothing is known of the demand before this time of observation.
     Duration observationTime = std::chrono::seconds(3);
     /// A size is reduced after it was too large for this time, by this share at a time.
@@ -82,9 +78,9 @@
 
     /// Engines that callers need, by the demand that was observed; empty: not known.
     std::optional<EngineDemand> requiredEngines(const std::string &service, TimePoint now) const;
-    /// There was no traffic yet, and servers of one kind are taking the place of others: engines
-    /// that are about to leave should not be given other stages.
-    bool isExchanging(const std::string &service, const BackendListing &listing) const;
+    /// There was no traffic yet, and some of the servers on demand are about to leave: none of them
+    /// should be given another stage.
+    bool isReleasing(const std::string &service, const BackendListing &listing) const;
     /// The size that the last decision aimed at, for display.
     const FleetSize &target(const std::string &service) const;
 
--- a/src/gentianramp/registry/duty_service.hpp
+++ b/src/gentianramp/registry/duty_service.hpp
@@ -45,10 +45,10 @@
     /// True time in Unix milliseconds.
     std::int64_t trueMs(TimePoint now) const { return m_clocks.trueMs(wallClockMs(), now); }
 
-    /// See FleetSizer::isExchanging().
-    bool isExchanging(const std::string &service, const BackendListing &listing) const
+    /// See FleetSizer::isReleasing().
+    bool isReleasing(const std::string &service, const BackendListing &listing) const
     {
-        return m_sizer.isExchanging(service, listing);
+        return m_sizer.isReleasing(service, listing);
     }
     ClockMedian &clocks() { return m_clocks; }
     UsageAggregate &usage() { return m_usage; }
--- a/src/gentianramp/registry/fleet_sizer.cpp
+++ b/src/gentianramp/registry/fleet_sizer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <gentianramp/registry/stage_controller.hpp>
 
 namespace gentianramp {
 
@@ -44,12 +45,6 @@
     return sites;
 }
 
-/// Servers for a load of @p busy, with a margin that grows as its fluctuation does.
-double withMargin(double busy, double margin)
-{
-    return busy + margin * std::sqrt(busy);
-}
-
 } // namespace
 
 FleetSizer::FleetSizer(FleetSizerOptions options)
@@ -103,9 +98,10 @@
         peak.prefill = std::max(peak.prefill, sample.demand.prefill);
         peak.decode = std::max(peak.decode, sample.demand.decode);
     }
-    return EngineDemand{
-        .prefill = withMargin(peak.prefill, m_options.prefillMargin),
-        .decode = withMargin(peak.decode / m_options.decodeUtilization, m_options.decodeMargin)};
+    // A prompt is read by the engine that has its shared parts cached, so that each engine has a
+    // queue of its own.
+    return EngineDemand{.prefill = peak.prefill / staffedUtilization(1),
+                        .decode = peak.decode / m_options.decodeUtilization};
 }
 
 bool FleetSizer::hasTraffic(const std::string &service) const
@@ -114,11 +110,17 @@
     return found != m_demand.end() && found->second.everBusy;
 }
 
-bool FleetSizer::isExchanging(const std::string &service, const BackendListing &listing) const
+bool FleetSizer::isReleasing(const std::string &service, const BackendListing &listing) const
 {
     const auto found = m_orders.find(service);
-    return found != m_orders.end() && !hasTraffic(service)
-        && presentServers(listing, service) != found->second.target;
+    if (found == m_orders.end() || hasTraffic(service))
+        return false;
+    const FleetSize present = presentServers(listing, service);
+    return std::any_of(present.begin(), present.end(), [&](const auto &entry) {
+        const auto target = found->second.target.find(entry.first);
+        return target != found->second.target.end()
+            && entry.second.onDemand > target->second.onDemand;
+    });
 }
 
 const FleetSize &FleetSizer::target(const std::string &service) const
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -567,7 +567,7 @@
             ServiceDelays meanDelays = stageController.meanDelays();
             BackendListing settled = current;
             std::erase_if(settled.servers, [&](const ListedServer &server) {
-                return duties->isExchanging(server.service, current);
+                return !server.spot && duties->isReleasing(server.service, current);
             });
             const std::vector<StageOrder> orders
                 = stageController.decide(settled, loadTable.reports(), now);
