Let fast engines prefill, and count a slow engine's time as its own

Change: the leader exchanges slow engines that prefill for fast ones that decode, a few at a time and within a data centre; the cost of a prefill counts the engine's speed, and, where engines are uneven, what exceeds the latency target.

--- a/src/gentianramp/registry/stage_controller_test.cpp
+++ b/src/gentianramp/registry/stage_controller_test.cpp
@@ -347,3 +347,47 @@
     fleet.play(controller, load, 40, 100);
     cr_assert_leq(fleet.delay(load), 1.3 * bestConstantDelay(40, load) + 0.03);
 }
+
+// Prompts of 17,000 tokens on engines of three speeds: a slow engine that prefills delays all
+// prompts whose shared parts it has cached.
+Test(stage_controller, fasterEnginesTakeThePlaceOfSlowerOnesThatPrefill)
+{
+    StageController controller;
+    const BackendListing listing = engines(30, 12);
+    LoadReports loads;
+    for (int number = 0; number < 30; ++number)
+        loads.engines.push_back({.engine = BackendId("e" + std::to_string(number)),
+                                 .speed = number < 12 && number % 2 == 0 ? 0.6 : 1.6});
+    cr_assert(controller.decide(listing, loads, at(0)).empty(), "no traffic yet");
+    const ServiceDelays busy{{"s", {.requests = 100}}};
+    controller.observe(listing, busy, at(0));
+    controller.observe(listing, busy, at(1));
+    const std::vector<StageOrder> orders = controller.decide(listing, loads, at(1));
+    cr_assert_eq(orders.size(), 4U, "two engines of each stage at once");
+    for (const StageOrder &order : orders) {
+        const int number = std::stoi(order.engine.id.value().substr(1));
+        cr_assert_eq(order.prefill, number >= 12);
+        cr_assert(order.prefill || number % 2 == 0, "a fast engine stopped prefilling");
+    }
+    for (std::size_t pair = 0; pair < orders.size(); pair += 2)
+        cr_assert_eq(orders[pair].engine.dataCentre, orders[pair + 1].engine.dataCentre);
+    cr_assert(controller.decide(listing, loads, at(3)).empty(), "too early for the next ones");
+    cr_assert_eq(controller.decide(listing, loads, at(6)).size(), 4U);
+}
+
+Test(stage_controller, enginesOfLikeSpeedAreNotExchanged)
+{
+    StageController controller;
+    const BackendListing listing = engines(30, 12);
+    LoadReports loads;
+    for (int number = 0; number < 30; ++number)
+        loads.engines.push_back(
+            {.engine = BackendId("e" + std::to_string(number)), .speed = number < 12 ? 0 : 1.3});
+    const ServiceDelays busy{{"s", {.requests = 100}}};
+    controller.observe(listing, busy, at(0));
+    controller.observe(listing, busy, at(1));
+    cr_assert(controller.decide(listing, loads, at(1)).empty());
+    for (ReportedLoad &load : loads.engines)
+        load.speed = load.speed == 0 ? 1 : load.speed;
+    cr_assert(controller.decide(listing, loads, at(2)).empty());
+}
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -129,6 +129,7 @@
     PrefillRate prefillRate;
     double meanUncachedTokens = 0; ///< Moving average of the uncached tokens of a prompt.
     double streamMs = 0;           ///< Moving average of the time for which an answer takes a slot.
+    bool isUneven = false; ///< An engine's speed or stated slowness differed from the usual.
     /// Time from the send to a decode engine to the first event, without the declared time of the
     /// KV transfer, when little else runs there.
     QuantileEstimate idleDecodeMs{IdleDecodeQuantile};
@@ -599,6 +600,14 @@
     return ms;
 }
 
+/// Engines of the service differ in speed, or state that they are slowed: then another engine than
+/// the one that has a prompt's shared parts cached may answer in time where that one can't.
+bool BackendTable::isUneven(const std::string &service) const
+{
+    const auto found = m_services.find(service);
+    return found != m_services.end() && found->second.isUneven;
+}
+
 /// Rate at which the engine prefills, at the usual speed of the service's engines.
 double BackendTable::tokensPerMs(const Backend &backend) const
 {
@@ -911,10 +920,12 @@
             + (prefillOnly ? PrefillCallMs + backend->kvTransferPenaltyMs(now)
                            : decodeWaitMs(*backend, now)
                        + decodePenaltyMs(*backend, request, nullptr, now));
+        const double latenessMs = std::max(ms - millisecondsOf(request.latencyTarget), 0.0);
         const double cost = ms
             + (prefillOnly ? PrefillEngineCostFactor : MixedEngineCostFactor)
-                * (uncached + expectedMisses(*backend, request, owners, now))
-                / tokensPerMs(*backend);
+                * ((uncached + expectedMisses(*backend, request, owners, now))
+                       / tokensPerMs(*backend) / backend->speedOrUsual()
+                   + (isUneven(request.service) ? latenessMs : 0));
         if (!prefillEngine || cost < prefillCost) {
             prefillEngine = backend;
             prefillCost = cost;
@@ -1134,6 +1145,8 @@
     found->second->load = load;
     found->second->loadAt = now;
     found->second->noteSlowness(load.slownessPercent, now);
+    if (load.slownessPercent > 0)
+        serviceState(found->second->server.service).isUneven = true;
     found->second->sentTokens = 0;
     found->second->sentRequests = 0;
 }
@@ -1169,6 +1182,8 @@
     if (load.speed > 0)
         backend.speed = load.speed;
     backend.noteSlowness(load.slownessPercent, at);
+    if (load.slownessPercent > 0 || (load.speed > 0 && load.speed != 1))
+        serviceState(backend.server.service).isUneven = true;
     if (load.changing)
         backend.avoidUntil = std::max(backend.avoidUntil, takenAt + StageChangePause);
     if (at <= backend.loadAt)
