Let the first holder act at once, and hold stages of servers back until the first size is decided

Change: the holder of the ledger's first term has no predecessor to wait for; stages of a scaled service wait for its first size; before traffic nobody has to be warned of a change of stage.

--- a/include/gentianramp/registry/duty_runner.hpp
+++ b/include/gentianramp/registry/duty_runner.hpp
@@ -48,15 +48,17 @@
 
     /// This process leads from @p now on; @p token is larger than those of all former holders.
     void gain(std::uint64_t token, TimePoint now);
+    /// The same for the first holder ever, which has no former one to wait for.
+    void gainFirst(std::uint64_t token);
     void lose() { m_token = 0; }
-    bool mayAct(TimePoint now) const { return m_token != 0 && now >= m_since + m_margin; }
+    bool mayAct(TimePoint now) const { return m_token != 0 && now >= m_actsFrom; }
     /// 0 while this process does not lead.
     std::uint64_t token() const { return m_token; }
 
 private:
     Duration m_margin;
     std::uint64_t m_token = 0;
-    TimePoint m_since{};
+    TimePoint m_actsFrom{};
 };
 
 /// Options of a DutyRunner.
--- a/include/gentianramp/registry/fleet_sizer.hpp
+++ b/include/gentianramp/registry/fleet_sizer.hpp
@@ -78,8 +78,8 @@
 
     /// Engines that callers need, by the demand that was observed; empty: not known.
     std::optional<EngineDemand> requiredEngines(const std::string &service, TimePoint now) const;
-    /// There was no traffic yet, and some of the servers on demand are about to leave: none of them
-    /// should be given another stage.
+    /// There was no traffic yet, and some of the servers on demand of this scaled service are, or
+    /// may be, about to leave: none of them should be given another stage.
     bool isReleasing(const std::string &service, const BackendListing &listing) const;
     /// The size that the last decision aimed at, for display.
     const FleetSize &target(const std::string &service) const;
--- a/include/gentianramp/registry/stage_controller.hpp
+++ b/include/gentianramp/registry/stage_controller.hpp
@@ -94,6 +94,8 @@
                                    TimePoint now);
     /// Whether @p engine was sent an order whose effect the list does not show yet.
     bool changing(const ListedServer &engine, TimePoint now) const;
+    /// Any service was observed to be busy.
+    bool everBusy() const;
     /// Mean delays that the splits follow, of services where there are any.
     ServiceDelays meanDelays() const;
 
--- a/src/gentianramp/registry/duty_runner.cpp
+++ b/src/gentianramp/registry/duty_runner.cpp
@@ -13,7 +13,13 @@
 void DutyAuthority::gain(std::uint64_t token, TimePoint now)
 {
     m_token = token;
-    m_since = now;
+    m_actsFrom = now + m_margin;
+}
+
+void DutyAuthority::gainFirst(std::uint64_t token)
+{
+    m_token = token;
+    m_actsFrom = {};
 }
 
 DutyRunner::DutyRunner(DutyRunnerOptions options)
--- a/src/gentianramp/registry/duty_service.cpp
+++ b/src/gentianramp/registry/duty_service.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr std::uint64_t FirstTerm = 1;
 constexpr Duration StepInterval = std::chrono::milliseconds(50);
 /// A leader that lost its majority may still consider itself the leader for an election timeout,
 /// and its last call may be in transit until it times out.
@@ -80,10 +81,13 @@
 {
     m_runner.clear();
     m_hasTakenOver = false;
-    if (leads)
-        m_authority.gain(term.value(), now);
+    if (!leads)
+        return m_authority.lose();
+    // In the first term of a system that starts for the first time there was no holder before.
+    if (m_options.firstStart && term.value() == FirstTerm)
+        m_authority.gainFirst(term.value());
     else
-        m_authority.lose();
+        m_authority.gain(term.value(), now);
 }
 
 std::optional<Duration> DutyService::platformAge(TimePoint now) const
@@ -142,6 +146,16 @@
         asio::co_spawn(m_executor, makeCall(std::move(*call), m_authority.token()), asio::detached);
 }
 
+bool DutyService::isReleasing(const std::string &service, const BackendListing &listing) const
+{
+    const bool isScaled = m_options.encodeOrder
+        && std::any_of(m_declaration.services.begin(), m_declaration.services.end(),
+                       [&](const DeclaredService &declared) {
+                           return declared.name == service && declared.scaling;
+                       });
+    return isScaled && m_sizer.isReleasing(service, listing);
+}
+
 /// Parses a declaration when it comes into force.
 void DutyService::updateDeclaration(const RawDeclaration &stored)
 {
--- a/src/gentianramp/registry/duty_service.hpp
+++ b/src/gentianramp/registry/duty_service.hpp
@@ -46,10 +46,7 @@
     std::int64_t trueMs(TimePoint now) const { return m_clocks.trueMs(wallClockMs(), now); }
 
     /// See FleetSizer::isReleasing().
-    bool isReleasing(const std::string &service, const BackendListing &listing) const
-    {
-        return m_sizer.isReleasing(service, listing);
-    }
+    bool isReleasing(const std::string &service, const BackendListing &listing) const;
     ClockMedian &clocks() { return m_clocks; }
     UsageAggregate &usage() { return m_usage; }
     const DutyAuthority &authority() const { return m_authority; }
--- a/src/gentianramp/registry/fleet_sizer.cpp
+++ b/src/gentianramp/registry/fleet_sizer.cpp
@@ -113,8 +113,10 @@
 bool FleetSizer::isReleasing(const std::string &service, const BackendListing &listing) const
 {
     const auto found = m_orders.find(service);
-    if (found == m_orders.end() || hasTraffic(service))
+    if (hasTraffic(service))
         return false;
+    if (found == m_orders.end())
+        return true;
     const FleetSize present = presentServers(listing, service);
     return std::any_of(present.begin(), present.end(), [&](const auto &entry) {
         const auto target = found->second.target.find(entry.first);
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -572,7 +572,7 @@
             const std::vector<StageOrder> orders
                 = stageController.decide(settled, loadTable.reports(), now);
             // Lets entry instances learn which engines will change before those refuse requests.
-            if (!orders.empty())
+            if (!orders.empty() && stageController.everBusy())
                 co_await sleepFor(AnnouncementDelay);
             for (const StageOrder &order : orders) {
                 const std::optional<RawDeclaration> confirmed = co_await readNewest();
--- a/src/gentianramp/registry/stage_controller.cpp
+++ b/src/gentianramp/registry/stage_controller.cpp
@@ -129,6 +129,12 @@
     return orders;
 }
 
+bool StageController::everBusy() const
+{
+    return std::any_of(m_delays.begin(), m_delays.end(),
+                       [](const auto &entry) { return entry.second.everBusy(); });
+}
+
 ServiceDelays StageController::meanDelays() const
 {
     ServiceDelays result;
