--- a/include/gentianramp/registry/stage_controller.hpp
+++ b/include/gentianramp/registry/stage_controller.hpp
@@ -44,12 +44,6 @@
     /// balanced one, and at most. Engines are out of service for seconds while they change.
     double changeStep = 0.06;
     double maxChange = 0.15;
-    /// A faster engine that decodes takes the place of a slower one that prefills if it is faster
-    /// by this factor: prompts keep an engine busy as long as they take, while a stream mostly
-    /// waits for its next step.
-    double exchangeRatio = 1.4;
-    /// Share of a service's engines that are exchanged at once in each stage.
-    double exchangeStep = 0.05;
     /// Delays are averaged over about this time: long enough to cover short bursts of one kind of
     /// request, short enough to follow a mix that shifts within minutes.
     Duration delayTimeConstant = std::chrono::seconds(5);
@@ -114,9 +108,6 @@
                                 std::ptrdiff_t decoding) const;
     void adjustSplit(SmoothedDelays &delays, const Engines &engines, const WorkHook &workOf,
                      TimePoint now, std::vector<StageOrder> &orders);
-    /// Lets the fastest engines of each data centre prefill, a few at a time.
-    void exchangeBySpeed(const Engines &engines, const LoadReports &loads, TimePoint now,
-                         std::vector<StageOrder> &orders);
     void changeEngines(std::ptrdiff_t count, bool toPrefill, const Engines &engines,
                        const WorkHook &workOf, TimePoint now, std::vector<StageOrder> &orders);
     void ensureDecodingAtEachSite(const Engines &engines, const WorkHook &workOf, TimePoint now,
@@ -129,7 +120,6 @@
     std::size_t m_presumedChanges = 0; ///< Orders given before traffic.
     std::map<BackendId, IssuedOrder> m_issuedOrders;
     std::map<std::string, SmoothedDelays> m_delays;
-    std::map<std::string, TimePoint> m_exchangedAt; ///< By service.
 };
 
 } // namespace gentianramp
--- a/src/gentianramp/registry/stage_controller.cpp
+++ b/src/gentianramp/registry/stage_controller.cpp
@@ -120,11 +120,8 @@
                   .try_emplace(service,
                                SmoothedDelays(m_options.delayTimeConstant, m_options.settlingTime))
                   .first->second;
-        const std::size_t before = orders.size();
         adjustSplit(delays, engines, workOf, now, orders);
         ensureDecodingAtEachSite(engines, workOf, now, orders);
-        if (orders.size() == before && delays.everBusy())
-            exchangeBySpeed(engines, loads, now, orders);
     }
     return orders;
 }
@@ -247,49 +244,6 @@
     }
 }
 
-void StageController::exchangeBySpeed(const Engines &engines, const LoadReports &loads,
-                                      TimePoint now, std::vector<StageOrder> &orders)
-{
-    TimePoint &exchangedAt = m_exchangedAt[engines.front()->service];
-    if (exchangedAt != TimePoint{} && now - exchangedAt < m_options.settlingTime)
-        return;
-    std::map<BackendId, double> speeds;
-    for (const ReportedLoad &load : loads.engines) {
-        if (load.speed > 0 && !load.silent)
-            speeds[load.engine] = load.speed;
-    }
-    struct Exchange
-    {
-        const ListedServer *prefilling = nullptr;
-        const ListedServer *decoding = nullptr;
-        double ratio = 0;
-    };
-    auto left = static_cast<std::size_t>(std::max<long>(
-        1, std::lround(m_options.exchangeStep * static_cast<double>(engines.size()))));
-    for (; left > 0; --left) {
-        Exchange best{.ratio = m_options.exchangeRatio};
-        for (const ListedServer *prefilling : engines) {
-            if (!isPrefilling(*prefilling, now) || m_issuedOrders.contains(prefilling->id)
-                || !speeds.contains(prefilling->id))
-                continue;
-            for (const ListedServer *decoding : engines) {
-                if (decoding->dataCentre != prefilling->dataCentre
-                    || decoding->spot != prefilling->spot || isPrefilling(*decoding, now)
-                    || m_issuedOrders.contains(decoding->id) || !speeds.contains(decoding->id))
-                    continue;
-                const double ratio = speeds[decoding->id] / speeds[prefilling->id];
-                if (ratio > best.ratio)
-                    best = {prefilling, decoding, ratio};
-            }
-        }
-        if (!best.prefilling)
-            return;
-        exchangedAt = now;
-        order(*best.prefilling, false, now, orders);
-        order(*best.decoding, true, now, orders);
-    }
-}
-
 /// Each data centre needs a decoding engine, since a network partition can isolate it.
 void StageController::ensureDecodingAtEachSite(const Engines &engines, const WorkHook &workOf,
                                                TimePoint now, std::vector<StageOrder> &orders)
