--- a/include/gentianramp/relay/backend_table.hpp
+++ b/include/gentianramp/relay/backend_table.hpp
@@ -283,7 +283,6 @@
                           const Owners &owners, TimePoint now) const;
     double fetchMs(const Backend &backend, const PlacementQuery &request, const Backend &source,
                    TimePoint now) const;
-    bool isUneven(const std::string &service) const;
     double tokensPerMs(const Backend &backend) const;
     double kvTransferMs(const std::string &service, std::uint32_t tokens) const;
     const ServiceState &serviceState(const std::string &service) const;
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -129,7 +129,6 @@
     PrefillRate prefillRate;
     double meanUncachedTokens = 0; ///< Moving average of the uncached tokens of a prompt.
     double streamMs = 0;           ///< Moving average of the time for which an answer takes a slot.
-    bool isUneven = false; ///< An engine's speed or stated slowness differed from the usual.
     /// Time from the send to a decode engine to the first event, without the declared time of the
     /// KV transfer, when little else runs there.
     QuantileEstimate idleDecodeMs{IdleDecodeQuantile};
@@ -519,7 +518,8 @@
 
 /// Engines to which all instances send prompts with these shared parts, by rendezvous hashing
 /// weighted by the engines' prefill speed: the first one, and the second one while the first has a
-/// longer queue.
+/// longer queue. Lasting speeds count twice, since a slow engine is late with a large prompt even
+/// if nothing waits there.
 BackendTable::Owners BackendTable::rendezvousOwners(const std::vector<Backend *> &usable,
                                                     std::uint64_t key) const
 {
@@ -529,8 +529,8 @@
     for (const Backend *backend : usable) {
         const double uniform
             = (static_cast<double>(splitMix(key ^ backend->hash) >> 11) + 0.5) / 9007199254740992.0;
-        const double weight
-            = (backend->server.prefillOnly ? 1 : MixedPrefillRate) * backend->sharedSpeed();
+        const double weight = (backend->server.prefillOnly ? 1 : MixedPrefillRate)
+            * std::pow(backend->sharedSpeed(), 2);
         const double score = -weight / std::log(uniform);
         if (!owners.first || score > firstScore) {
             owners.second = std::exchange(owners.first, backend);
@@ -600,14 +600,6 @@
     return ms;
 }
 
-/// Engines of the service differ in speed, or state that they are slowed: then another engine than
-/// the one that has a prompt's shared parts cached may answer in time where that one can't.
-bool BackendTable::isUneven(const std::string &service) const
-{
-    const auto found = m_services.find(service);
-    return found != m_services.end() && found->second.isUneven;
-}
-
 /// Rate at which the engine prefills, at the usual speed of the service's engines.
 double BackendTable::tokensPerMs(const Backend &backend) const
 {
@@ -920,12 +912,10 @@
             + (prefillOnly ? PrefillCallMs + backend->kvTransferPenaltyMs(now)
                            : decodeWaitMs(*backend, now)
                        + decodePenaltyMs(*backend, request, nullptr, now));
-        const double latenessMs = std::max(ms - millisecondsOf(request.latencyTarget), 0.0);
         const double cost = ms
             + (prefillOnly ? PrefillEngineCostFactor : MixedEngineCostFactor)
-                * ((uncached + expectedMisses(*backend, request, owners, now))
-                       / tokensPerMs(*backend) / backend->speedOrUsual()
-                   + (isUneven(request.service) ? latenessMs : 0));
+                * (uncached + expectedMisses(*backend, request, owners, now))
+                / tokensPerMs(*backend);
         if (!prefillEngine || cost < prefillCost) {
             prefillEngine = backend;
             prefillCost = cost;
@@ -1145,8 +1135,6 @@
     found->second->load = load;
     found->second->loadAt = now;
     found->second->noteSlowness(load.slownessPercent, now);
-    if (load.slownessPercent > 0)
-        serviceState(found->second->server.service).isUneven = true;
     found->second->sentTokens = 0;
     found->second->sentRequests = 0;
 }
@@ -1182,8 +1170,6 @@
     if (load.speed > 0)
         backend.speed = load.speed;
     backend.noteSlowness(load.slownessPercent, at);
-    if (load.slownessPercent > 0 || (load.speed > 0 && load.speed != 1))
-        serviceState(backend.server.service).isUneven = true;
     if (load.changing)
         backend.avoidUntil = std::max(backend.avoidUntil, takenAt + StageChangePause);
     if (at <= backend.loadAt)
