Release no servers while those of the first size are still starting

Change: before traffic the size follows the list until it has stopped growing for 3 s; servers are released only then.

--- a/include/gentianramp/registry/fleet_sizer.hpp
+++ b/include/gentianramp/registry/fleet_sizer.hpp
@@ -39,6 +39,8 @@
     /// A size is reduced after it was too large for this time, by this share at a time.
     Duration shrinkDelay = std::chrono::seconds(15);
     double shrinkStep = 0.1;
+    /// Before traffic no server is released before the list has stopped growing for this time.
+    Duration listSettlingTime = std::chrono::seconds(3);
     /// An order that could not be carried out is repeated after this time.
     Duration unavailableDelay = std::chrono::seconds(2);
     /// A data centre where no servers on demand could be had does not stand in for others for this
@@ -110,7 +112,8 @@
         std::map<std::pair<DataCentreId, bool>, Ordered> bySite; ///< True: spot servers.
         std::map<DataCentreId, std::uint32_t> acceptedSpot; ///< Spot servers that were promised.
         std::optional<TimePoint> tooLargeSince;
-        FleetSize initial; ///< As listed when the sizer took over.
+        FleetSize initial;   ///< As listed before traffic, or when the sizer took over.
+        TimePoint grownAt{}; ///< When the servers of the initial size were last seen to grow.
         FleetSize target;
     };
 
@@ -118,6 +121,8 @@
     bool hasTraffic(const std::string &service) const;
     FleetSize targetOf(const DeclaredService &service, const ServiceOrders &orders,
                        const std::vector<ServerSite> &sites, TimePoint now) const;
+    void noteStarted(const std::string &service, ServiceOrders &orders, const FleetSize &present,
+                     TimePoint now) const;
     FleetSize shrunkSlowly(ServiceOrders &orders, FleetSize target, const FleetSize &former,
                            TimePoint now) const;
     void order(const std::string &service, const DataCentreId &site, bool spot,
--- a/src/gentianramp/registry/fleet_sizer.cpp
+++ b/src/gentianramp/registry/fleet_sizer.cpp
@@ -199,6 +199,22 @@
     return size;
 }
 
+/// Before traffic the list grows as the servers of the first size start.
+void FleetSizer::noteStarted(const std::string &service, ServiceOrders &orders,
+                             const FleetSize &present, TimePoint now) const
+{
+    for (const auto &[site, counts] : present) {
+        const auto [initial, isNew] = orders.initial.try_emplace(site, counts);
+        Ordered &ordered = orders.bySite[{site, false}];
+        const bool wasOrdered = ordered.sentAt != TimePoint{};
+        const bool hasGrown = isNew || counts.onDemand > initial->second.onDemand;
+        if (hasTraffic(service) || wasOrdered || !hasGrown)
+            continue;
+        initial->second.onDemand = ordered.servers = counts.onDemand;
+        orders.grownAt = now;
+    }
+}
+
 std::vector<ServerOrder> FleetSizer::decide(const Declaration &declaration,
                                             const BackendListing &listing, TimePoint now)
 {
@@ -210,18 +226,14 @@
         const auto [entry, isNew] = m_orders.try_emplace(service.name);
         ServiceOrders &orders = entry->second;
         if (isNew) {
+            orders.grownAt = now;
             orders.initial = orders.target = present;
             for (const auto &[site, counts] : present) {
                 orders.bySite[{site, false}].servers = counts.onDemand;
                 orders.bySite[{site, true}].servers = counts.spot;
             }
         }
-        // The list grows as servers start, and shows those that this process ordered.
-        for (const auto &[site, counts] : present) {
-            ServerCounts &initial = orders.initial.try_emplace(site, counts).first->second;
-            if (!hasTraffic(service.name))
-                initial.onDemand = std::max(initial.onDemand, counts.onDemand);
-        }
+        noteStarted(service.name, orders, present, now);
         const std::vector<ServerSite> sites = sitesOf(*service.scaling, orders.initial);
         orders.target
             = shrunkSlowly(orders, targetOf(service, orders, sites, now), orders.target, now);
@@ -243,6 +255,10 @@
                 const std::uint32_t missing
                     = wanted.total() > replaced ? wanted.total() - replaced : 0;
                 onDemand = std::clamp(missing, onDemand, former);
+                const bool mayGrow = !hasTraffic(service.name)
+                    && now - orders.grownAt < m_options.listSettlingTime;
+                if (mayGrow)
+                    onDemand = former;
             }
             const std::uint32_t room
                 = most > onDemand + wanted.spot ? most - onDemand - wanted.spot : 0;
--- a/src/gentianramp/registry/fleet_sizer_test.cpp
+++ b/src/gentianramp/registry/fleet_sizer_test.cpp
@@ -34,6 +34,9 @@
         }
     }
 
+    /// A server on demand of the first size starts after that time.
+    void start(const DataCentreId &site, Duration after) { add(site, false, now + after); }
+
     /// Runs with @p busyEngines engines that read prompts.
     void run(Duration time, double busyEngines)
     {
@@ -157,6 +160,20 @@
     cr_assert_geq(platform.fewestReady, 18U, "fewer than the servers on demand that stay");
 }
 
+// All instances and servers start at the same time: the first lists have a few servers only, and a
+// size that follows them would release most of the fleet.
+Test(fleet_sizer, serversThatAreStillStartingAreNotReleased)
+{
+    Platform platform(0);
+    for (int started = 0; started < 30; ++started) {
+        for (const DataCentreId &site : Sites)
+            platform.start(site, milliseconds(100 * started));
+    }
+    platform.run(seconds(14), 0);
+    cr_assert_eq(platform.count(false), 18U);
+    cr_assert_eq(platform.count(true), 72U);
+}
+
 // With traffic, callers need the old servers until the new ones are there.
 Test(fleet_sizer, underTrafficOldServersStayUntilNewOnesAreThere)
 {
