Keep records of streams and listed versions at registry instances

Cause: after a loss of power of all entry instances nobody knew which software version began a stream, so that resumed streams were refused (stream_version_unknown). A restarted instance also had to wait for the lifetime of a stream until its history of versions was complete, and took all listed versions for settled. Change: while a service has more than one recent version, the record of a stream also goes to two registry instances, chosen by rendezvous hashing among those that the feed knows; three are asked when it is resumed. The records travel as RegistryMessage.peer, which drops silently: a message of PayloadKind::Peer would cost it a log line. An answer without a record counts for nothing. Registry instances remember when versions were listed and tell entry instances that ask (FeedRequest.wants_versions). On a route with several services only a record tells which one began a stream, since a history that is complete at once would otherwise let it go on at the service that was drawn. StreamRecords moves to the library peers, stream_origin.proto to the library registry.

--- a/include/gentianramp/registry/registry_feed.hpp
+++ b/include/gentianramp/registry/registry_feed.hpp
@@ -8,6 +8,7 @@
 #include <gentianramp/registry/declaration_ledger.hpp>
 #include <gentianramp/registry/engine_speeds.hpp>
 #include <gentianramp/registry/limit_granter.hpp>
+#include <gentianramp/registry/listed_versions.hpp>
 #include <gentianramp/registry/stage_delays.hpp>
 #include <gentianramp/registry/versioned_load_table.hpp>
 #include <gentianramp/usage/true_time.hpp>
@@ -73,6 +74,8 @@
     CrashReports crashes;                           ///< What changed in the source's evidence.
     std::optional<LimitTable> limits;               ///< Set if the source has a table.
     std::optional<std::vector<PeerInstance>> peers; ///< Entry processes; set if confirmed.
+    std::optional<VersionReport> versions;          ///< Set if the source states it.
+    std::string peerMessage; ///< Answer on the record of a stream; empty: none.
 };
 
 /// Keeps an entry process up to date with the registry: the newest declaration, the platform's list
@@ -88,6 +91,10 @@
     FeedOutput tick(TimePoint now);
     FeedOutput onMessage(const InstanceId &sender, std::string_view payload, TimePoint now);
     void setSeeds(std::vector<InstanceId> seeds);
+    /// Registry processes that may be running, as far as is known.
+    std::vector<InstanceId> registryProcesses(TimePoint now) const;
+    /// Payload of the kind PayloadKind::Registry that brings @p peerMessage to a registry process.
+    static std::string wrapPeerMessage(std::string peerMessage);
 
     /// Sets the delays at engines to report with the next request.
     void setDelays(ServiceDelays delays) { m_delays = std::move(delays); }
@@ -95,6 +102,8 @@
     void addSpeeds(std::vector<SpeedObservation> observations);
     /// Sets the prompt parts because of which requests were refused lately.
     void setRefusedParts(std::vector<std::uint64_t> parts) { m_refusedParts = std::move(parts); }
+    /// Sets whether to ask which software versions were listed before this process started.
+    void setWantsVersions(bool wanted) { m_wantsVersions = wanted; }
     /// Sets whether this process reaches no backend server.
     void setCutOff(bool cutOff) { m_cutOff = cutOff; }
     /// Sets what backend servers lately stated on limits, and the requests that arrive
@@ -181,6 +190,7 @@
     std::vector<PeerInstance> m_peers;
     std::uint64_t m_peersDigest = 0; ///< Of m_peers.
     bool m_cutOff = false;
+    bool m_wantsVersions = true;
     std::vector<RequestLimit> m_limits;
     ReportedDemand m_demand;
     std::uint64_t m_random;
--- a/include/gentianramp/relay/backend_table.hpp
+++ b/include/gentianramp/relay/backend_table.hpp
@@ -183,6 +183,8 @@
     void confirmListing(TimePoint readAt);
     TimePoint listingReadAt() const { return m_listingReadAt; }
     const VersionHistory &versions() const { return m_versions; }
+    /// Adds what a registry instance knows of earlier versions.
+    void publish(const VersionReport &versions) { m_versions.add(versions, RuntimeClock::now()); }
     void setStreamLifetime(Duration lifetime) { m_versions.setStreamLifetime(lifetime); }
     /// A connection to the backend server broke or was refused: it may start again with other
     /// software before the listing shows it.
--- a/include/gentianramp/relay/relay_service.hpp
+++ b/include/gentianramp/relay/relay_service.hpp
@@ -10,6 +10,7 @@
 #include <gentianramp/registry/crash_evidence.hpp>
 #include <gentianramp/registry/engine_speeds.hpp>
 #include <gentianramp/registry/limit_granter.hpp>
+#include <gentianramp/registry/listed_versions.hpp>
 #include <gentianramp/registry/stage_delays.hpp>
 #include <gentianramp/relay/backend_protocol.hpp>
 #include <gentianramp/relay/retry_allowance.hpp>
@@ -43,6 +44,13 @@
         = [](std::string_view) { return std::vector<InstanceId>(); };
     std::function<void(const InstanceId &to, std::string payload)> send
         = [](const InstanceId &, const std::string &) {};
+    /// Registry instances that keep a record with the key, and those to ask for it.
+    std::function<std::vector<InstanceId>(std::string_view key)> registryKeepers
+        = [](std::string_view) { return std::vector<InstanceId>(); };
+    std::function<std::vector<InstanceId>(std::string_view key)> registryWitnesses
+        = [](std::string_view) { return std::vector<InstanceId>(); };
+    std::function<void(const InstanceId &to, std::string payload)> sendToRegistry
+        = [](const InstanceId &, const std::string &) {};
 };
 
 /// Called for requests of customers, to count them. The defaults count nothing.
@@ -103,6 +111,11 @@
     /// Puts a declaration in force unless its number is lower than that of the one in force.
     void publish(Declaration declaration);
     void publish(const BackendListing &listing);
+    /// Adds what a registry instance knows of software versions that were listed earlier. Belongs
+    /// after the listing that it came with.
+    void publish(const VersionReport &versions);
+    /// Whether no earlier version is unknown that may have begun a stream.
+    bool knowsVersions() const;
     /// The listing was read once more, unchanged.
     void confirmListing(TimePoint readAt);
     void publish(const LoadReports &loads);
--- a/include/gentianramp/relay/stream_origin.hpp
+++ b/include/gentianramp/relay/stream_origin.hpp
@@ -1,8 +1,6 @@
 #pragma once
 
-#include <cstdint>
-#include <gentianramp/core/clock.hpp>
-#include <map>
+#include <gentianramp/peers/stream_records.hpp>
 #include <optional>
 #include <span>
 #include <string>
@@ -11,39 +9,6 @@
 
 namespace gentianramp {
 
-/// What sent the first event of a stream.
-struct StreamOrigin
-{
-    std::string service;
-    /// Software version of the server; empty where it could not be told.
-    std::string version;
-    bool operator==(const StreamOrigin &) const = default;
-};
-
-/// Origins of streams by the caller's attempt that brought the first event. Performs no I/O.
-class StreamRecords
-{
-public:
-    /// Sets the time for which a record is kept.
-    void setLifetime(Duration lifetime) { m_lifetime = lifetime; }
-    void note(const std::string &attempt, StreamOrigin origin, TimePoint now);
-    std::optional<StreamOrigin> find(const std::string &attempt, TimePoint now) const;
-    std::size_t size() const { return m_records.size(); }
-
-private:
-    struct Record
-    {
-        StreamOrigin origin;
-        TimePoint notedAt{};
-    };
-
-    void expire(TimePoint now);
-
-    Duration m_lifetime = std::chrono::seconds(12);
-    TimePoint m_expiredAt{};
-    std::map<std::string, Record> m_records;
-};
-
 /// What one instance knows of how a stream may have begun.
 struct OriginEvidence
 {
@@ -66,6 +31,10 @@
     bool operator==(const OriginDecision &) const = default;
 };
 
+/// What the answer of a registry instance counts for: its record alone. Empty without one, since a
+/// registry instance sees no stream begin and so cannot tell which version began it.
+std::optional<OriginEvidence> recordAlone(const OriginEvidence &ofRegistry);
+
 /// Whether an instance knows by itself that one version alone can have begun the stream.
 bool hasOneVersion(const OriginEvidence &own);
 
--- a/src/gentianramp/registry/registry_codec.cpp
+++ b/src/gentianramp/registry/registry_codec.cpp
@@ -32,10 +32,15 @@
     return known ? static_cast<PartSuspicion>(number) : PartSuspicion::Cleared;
 }
 
-std::uint32_t ageMs(TimePoint time, TimePoint now)
+std::uint32_t clampedMs(Duration value)
 {
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
-        toMilliseconds(now - time), 0, std::numeric_limits<std::uint32_t>::max()));
+        toMilliseconds(value), 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+std::uint32_t ageMs(TimePoint time, TimePoint now)
+{
+    return clampedMs(now - time);
 }
 
 proto::ListedBackend toProto(const ListedServer &server)
@@ -455,4 +460,36 @@
             .count = message.count()};
 }
 
+void addToProto(const VersionReport &report, proto::FeedAnswer &answer)
+{
+    // 0 says that nothing is stated.
+    answer.set_versions_known_ms(std::max(clampedMs(report.knownFor), 1U));
+    for (const ListedVersion &listed : report.versions) {
+        proto::ListedVersion &entry = *answer.add_versions();
+        entry.set_service(listed.service);
+        entry.set_version(listed.version);
+        entry.set_since_ms(clampedMs(listed.listedFor));
+        if (listed.goneFor)
+            entry.set_gone_ms(1 + clampedMs(*listed.goneFor));
+    }
+}
+
+std::optional<VersionReport> versionReport(const proto::FeedAnswer &answer)
+{
+    if (answer.versions_known_ms() == 0)
+        return std::nullopt;
+    VersionReport report{.knownFor = std::chrono::milliseconds(answer.versions_known_ms()),
+                         .versions = {}};
+    for (const proto::ListedVersion &entry : answer.versions()) {
+        ListedVersion listed{.service = entry.service(),
+                             .version = entry.version(),
+                             .listedFor = std::chrono::milliseconds(entry.since_ms()),
+                             .goneFor = std::nullopt};
+        if (entry.gone_ms() != 0)
+            listed.goneFor = std::chrono::milliseconds(entry.gone_ms() - 1);
+        report.versions.push_back(std::move(listed));
+    }
+    return report;
+}
+
 } // namespace gentianramp
--- a/src/gentianramp/registry/registry_codec.hpp
+++ b/src/gentianramp/registry/registry_codec.hpp
@@ -4,6 +4,7 @@
 #include <gentianramp/registry/crash_evidence.hpp>
 #include <gentianramp/registry/engine_speeds.hpp>
 #include <gentianramp/registry/limit_exchange.hpp>
+#include <gentianramp/registry/listed_versions.hpp>
 #include <gentianramp/registry/listing_history.hpp>
 #include <gentianramp/registry/stage_delays.hpp>
 #include <gentianramp/registry/versioned_load_table.hpp>
@@ -49,4 +50,8 @@
 proto::SpeedObservation toProto(const SpeedObservation &observation);
 SpeedObservation fromProto(const proto::SpeedObservation &message);
 
+void addToProto(const VersionReport &report, proto::FeedAnswer &answer);
+/// Empty: the sender states none.
+std::optional<VersionReport> versionReport(const proto::FeedAnswer &answer);
+
 } // namespace gentianramp
--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -42,6 +42,25 @@
         m_sources.try_emplace(seed);
 }
 
+std::vector<InstanceId> RegistryFeed::registryProcesses(TimePoint now) const
+{
+    std::vector<InstanceId> running;
+    std::vector<InstanceId> all;
+    for (const auto &[instance, source] : m_sources) {
+        all.push_back(instance);
+        if (source.silentUntil <= now)
+            running.push_back(instance);
+    }
+    return running.empty() ? all : running;
+}
+
+std::string RegistryFeed::wrapPeerMessage(std::string peerMessage)
+{
+    proto::RegistryMessage message;
+    message.set_peer(std::move(peerMessage));
+    return message.SerializeAsString();
+}
+
 /// Prefers sources of the own data centre, avoids those that failed recently and, above all, those
 /// that are gone; random among equals, but keeps the current one.
 InstanceId RegistryFeed::chooseSource(TimePoint now)
@@ -165,6 +184,7 @@
     request.set_data_centre(m_options.dataCentre.value());
     request.set_cut_off(m_cutOff);
     request.set_peers_digest(m_peersDigest);
+    request.set_wants_versions(m_wantsVersions);
     output.requestTo = target;
     output.request = m_request = message.SerializeAsString();
     m_resendAt = now + m_options.resendInterval;
@@ -248,8 +268,13 @@
 {
     FeedOutput output;
     proto::RegistryMessage message;
-    if (!message.ParseFromArray(payload.data(), static_cast<int>(payload.size()))
-        || !message.has_feed_answer()) {
+    const bool isReadable
+        = message.ParseFromArray(payload.data(), static_cast<int>(payload.size()));
+    if (isReadable && message.has_peer()) {
+        output.peerMessage = std::move(*message.mutable_peer());
+        return output;
+    }
+    if (!isReadable || !message.has_feed_answer()) {
         logWarning("feed_unreadable", {{"sender", sender.value()}});
         return output;
     }
@@ -336,6 +361,7 @@
     }
     if (answer.peers_digest() != 0 && answer.peers_digest() == m_peersDigest)
         output.peers = m_peers;
+    output.versions = versionReport(answer);
     if (answer.has_limits())
         output.limits = fromProto(answer.limits(), now);
     if (m_number != 0 && m_digest != 0)
--- a/src/gentianramp/registry/registry_feed_test.cpp
+++ b/src/gentianramp/registry/registry_feed_test.cpp
@@ -496,3 +496,61 @@
     output = feed.onMessage(*output.requestTo, message.SerializeAsString(), at(270));
     cr_assert(output.peers && *output.peers == std::vector{expected});
 }
+
+// A restarted entry instance does not know which versions were listed before.
+Test(registry_feed, asksForEarlierVersionsUntilTheyAreKnown)
+{
+    RegistryFeed feed = makeFeed();
+    FeedOutput output = feed.tick(at(0));
+    cr_assert(requestIn(output).wants_versions());
+    // An older build states none.
+    output = deliver(feed, *output.requestTo, answerTo(output, 1), at(10));
+    cr_assert_not(output.versions);
+    output = feed.tick(at(260));
+    cr_assert(requestIn(output).wants_versions());
+    proto::FeedAnswer answer = answerTo(output, 1);
+    answer.set_versions_known_ms(60'000);
+    proto::ListedVersion &gone = *answer.add_versions();
+    gone.set_service("lm");
+    gone.set_version("v1");
+    gone.set_since_ms(60'000);
+    gone.set_gone_ms(1 + 4000);
+    proto::ListedVersion &listed = *answer.add_versions();
+    listed.set_service("lm");
+    listed.set_version("v2");
+    listed.set_since_ms(9000);
+    output = deliver(feed, *output.requestTo, answer, at(270));
+    cr_assert(output.versions);
+    cr_assert_eq(output.versions->knownFor, milliseconds(60'000));
+    const std::vector<ListedVersion> expected{
+        {"lm", "v1", milliseconds(60'000), milliseconds(4000)},
+        {"lm", "v2", milliseconds(9000), std::nullopt}};
+    cr_assert(output.versions->versions == expected);
+    feed.setWantsVersions(false);
+    cr_assert_not(requestIn(feed.tick(at(520))).wants_versions());
+}
+
+// An answer on a stream's record was taken for an unreadable feed answer.
+Test(registry_feed, passesAnswersOnRecordsOn)
+{
+    RegistryFeed feed = makeFeed();
+    const FeedOutput output = feed.onMessage(Far, RegistryFeed::wrapPeerMessage("answer"), at(0));
+    cr_assert_eq(output.peerMessage, "answer");
+    cr_assert_not(output.requestTo);
+}
+
+// Records go to registry instances that are gone.
+Test(registry_feed, namesTheRegistryProcessesThatAreHeard)
+{
+    RegistryFeed feed = makeFeed();
+    cr_assert(feed.registryProcesses(at(0)) == (std::vector{Near, Far}));
+    const FeedOutput output = feed.tick(at(0));
+    const InstanceId other = *output.requestTo == Near ? Far : Near;
+    proto::FeedAnswer answer = answerTo(output, 1);
+    for (proto::RegistryMember &member : *answer.mutable_known()) {
+        if (InstanceId(member.instance()) == other)
+            member.set_heard_ms(2000);
+    }
+    deliver(feed, *output.requestTo, answer, at(10));
+    cr_assert(feed.registryProcesses(at(20)) == std::vector{*output.requestTo});
+}
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -19,12 +19,14 @@
 #include <gentianramp/registry/crash_evidence.hpp>
 #include <gentianramp/registry/leader_calls.hpp>
 #include <gentianramp/registry/limit_exchange.hpp>
+#include <gentianramp/registry/listed_versions.hpp>
 #include <gentianramp/registry/listing_history.hpp>
 #include <gentianramp/registry/load_poll_scheduler.hpp>
 #include <gentianramp/registry/member_directory.hpp>
 #include <gentianramp/registry/packed_text.hpp>
 #include <gentianramp/registry/seat_storage.hpp>
 #include <gentianramp/registry/stage_announcement.hpp>
+#include <gentianramp/registry/stream_record_keeper.hpp>
 #include <gentianramp/registry/versioned_load_table.hpp>
 #include <gentianramp/wire/mesh.hpp>
 #include <limits>
@@ -668,11 +670,24 @@
             for (const proto::SpeedObservation &observed : message.speed_reports().observations())
                 engineSpeeds.add(fromProto(observed), now);
             return;
+        case proto::RegistryMessage::kPeer:
+            return receivePeer(received, message.peer(), now);
         case proto::RegistryMessage::BODY_NOT_SET:
             return;
         }
     }
 
+    /// A record of a stream that an entry process leaves here, or a question for one.
+    void receivePeer(const ReceivedMessage &received, const std::string &payload, TimePoint now)
+    {
+        std::optional<std::string> answered = streamRecords.onMessage(payload, now);
+        if (!answered)
+            return;
+        proto::RegistryMessage message;
+        message.set_peer(std::move(*answered));
+        answer(received, message);
+    }
+
     // Members and seats
 
     void sendPresence(TimePoint now)
@@ -1329,6 +1344,11 @@
             if (listing.digest != request.list_digest())
                 *feed.mutable_list() = listSince(request.list_digest());
         }
+        // Goes with a list only, which it has to be compared with.
+        if (request.wants_versions() && listing.digest != 0 && withinBudget) {
+            if (const std::optional<VersionReport> report = versions.report(now))
+                addToProto(*report, feed);
+        }
         if (now - loadTable.reports().takenAt < LoadRetention && !request.registry())
             *feed.mutable_loads()
                 = toProto(loadTable.since(request.loads_epoch(), request.loads_version()), now);
@@ -1432,6 +1452,7 @@
                     {{"servers", read.servers.size()}, {"digest", read.digest}});
             listAnswers.clear();
         }
+        versions.note(read);
         history.add(std::move(read));
     }
 
@@ -1513,6 +1534,8 @@
     std::uint64_t packedNumber = 0;
     std::string packed;
     ListingHistory history;
+    ListedVersions versions;
+    StreamRecordKeeper streamRecords;
     const BackendListing &listing = history.newest();
     std::map<std::uint64_t, proto::BackendList> listAnswers; ///< By the digest in the request.
     ListingReader reader;
--- a/src/gentianramp/registry/registry_node_test.cpp
+++ b/src/gentianramp/registry/registry_node_test.cpp
@@ -15,6 +15,7 @@
 #include <netinet/in.h>
 
 #include "gentianramp/registry/generated/registry.pb.h"
+#include "gentianramp/registry/generated/stream_origin.pb.h"
 
 #include <criterion/criterion.h>
 
@@ -139,7 +140,11 @@
         : m_mesh(options(), [this, &context](ReceivedMessage message) {
             asio::post(context, [this, message = std::move(message)] {
                 proto::RegistryMessage answer;
-                if (answer.ParseFromString(message.payload))
+                if (!answer.ParseFromString(message.payload))
+                    return;
+                if (answer.has_peer())
+                    m_peerAnswer.ParseFromString(answer.peer());
+                else
                     m_answers[message.sender] = answer.feed_answer();
             });
         })
@@ -153,6 +158,15 @@
                     std::chrono::seconds(1));
     }
 
+    void send(const InstanceId &node, const proto::PeerMessage &peerMessage)
+    {
+        proto::RegistryMessage message;
+        message.set_peer(peerMessage.SerializeAsString());
+        m_mesh.send(node, PayloadKind::Registry, message.SerializeAsString(),
+                    std::chrono::seconds(1));
+    }
+
+    const proto::PeerMessage &peerAnswer() const { return m_peerAnswer; }
     const proto::FeedAnswer &answerOf(const InstanceId &node) { return m_answers[node]; }
 
 private:
@@ -165,6 +179,7 @@
     }
 
     std::map<InstanceId, proto::FeedAnswer> m_answers;
+    proto::PeerMessage m_peerAnswer;
     Mesh m_mesh;
 };
 
@@ -206,8 +221,59 @@
     context.stop();
 }
 
+asio::awaitable<Result<ListingPage>> listOneServer(std::string)
+{
+    ListingPage page;
+    page.servers.push_back({.id = BackendId("i-1"), .service = "lm"});
+    page.servers.back().softwareVersion = "v2";
+    co_return page;
+}
+
+/// Leaves a record of a stream at @p node, until @p node answers with it and with the versions that
+/// it saw listed.
+asio::awaitable<void> leaveRecord(FeedClient &client, InstanceId node, bool &answered,
+                                  asio::io_context &context)
+{
+    proto::PeerMessage record;
+    record.mutable_record()->set_attempt("began");
+    record.mutable_record()->set_service("lm");
+    record.mutable_record()->set_version("v1");
+    proto::PeerMessage question;
+    question.mutable_question()->set_attempt("began");
+    proto::FeedRequest request;
+    request.set_wants_versions(true);
+    for (int attempt = 0; attempt < MaxAttempts && !answered; ++attempt) {
+        client.send(node, record);
+        client.send(node, question);
+        client.ask(node, request);
+        co_await sleepFor(AttemptInterval);
+        const proto::FeedAnswer &feed = client.answerOf(node);
+        answered = client.peerAnswer().evidence().recorded().version() == "v1"
+            && feed.versions_known_ms() > 0 && feed.versions_size() == 1
+            && feed.versions(0).version() == "v2";
+    }
+    context.stop();
+}
+
 } // namespace
 
+// After a loss of all entry processes, no process knew which version began a stream, nor which ones
+// were listed.
+Test(registry_node, keepsRecordsOfStreamsAndTheVersionsThatWereListed)
+{
+    const TemporaryFolder folder;
+    RegistryOptions options = singleVoter(folder.path);
+    options.listing = listOneServer;
+    asio::io_context context;
+    RegistryNode node(context.get_executor(), options);
+    node.start();
+    FeedClient client(context);
+    bool answered = false;
+    asio::co_spawn(context, leaveRecord(client, options.self, answered, context), asio::detached);
+    context.run();
+    cr_assert(answered);
+}
+
 // A process that had lost its disk was heard, but the connections to it did not open for seconds,
 // so that it was offered no seat. The next loss of a disk left one voter of three.
 Test(registry_node, processThatNobodyCanConnectToTakesAVacantSeat)
--- a/src/gentianramp/relay/origin_lookup.cpp
+++ b/src/gentianramp/relay/origin_lookup.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <gentianramp/core/log.hpp>
 
-#include "gentianramp/relay/generated/stream_origin.pb.h"
+#include "gentianramp/registry/generated/stream_origin.pb.h"
 
 namespace gentianramp {
 
@@ -57,8 +57,12 @@
 {
     std::vector<OriginEvidence> received;
     for (const auto &[instance, answer] : answers) {
-        if (answer)
+        if (!answer)
+            continue;
+        if (!registryInstances.contains(instance))
             received.push_back(*answer);
+        else if (std::optional<OriginEvidence> record = recordAlone(*answer))
+            received.push_back(std::move(*record));
     }
     return received;
 }
@@ -83,37 +87,56 @@
 }
 
 void OriginLookup::noteBegun(const std::string &attempt, const StreamOrigin &origin,
-                             bool tellOthers)
+                             RecordKeepers keepers)
 {
     m_records.note(attempt, origin, RuntimeClock::now());
-    if (!tellOthers)
+    if (keepers == RecordKeepers::None)
         return;
     proto::PeerMessage message;
     *message.mutable_record() = toProto(attempt, origin);
-    for (const InstanceId &keeper : m_peers.keepers(attempt)) {
-        std::string payload = message.SerializeAsString();
-        m_peers.send(keeper, payload);
-        m_recordsSent.add();
-        if (m_sent.size() < MaxRecordsToResend)
-            m_sent.push_back({RuntimeClock::now() + RecordResendDelay, keeper, std::move(payload)});
-    }
+    message.mutable_record()->set_lifetime_ms(
+        static_cast<std::uint32_t>(toMilliseconds(m_records.lifetime())));
+    const std::string payload = message.SerializeAsString();
+    for (const InstanceId &keeper : m_peers.keepers(attempt))
+        sendRecord(keeper, false, payload);
+    if (keepers != RecordKeepers::EntriesAndRegistry)
+        return;
+    for (const InstanceId &keeper : m_peers.registryKeepers(attempt))
+        sendRecord(keeper, true, payload);
+}
+
+void OriginLookup::send(const InstanceId &to, bool isRegistry, std::string payload)
+{
+    (isRegistry ? m_peers.sendToRegistry : m_peers.send)(to, std::move(payload));
+}
+
+void OriginLookup::sendRecord(const InstanceId &keeper, bool isRegistry, const std::string &payload)
+{
+    send(keeper, isRegistry, payload);
+    m_recordsSent.add();
+    if (m_sent.size() < MaxRecordsToResend)
+        m_sent.push_back({RuntimeClock::now() + RecordResendDelay, keeper, isRegistry, payload});
 }
 
 void OriginLookup::resend(TimePoint now)
 {
     for (; !m_sent.empty() && m_sent.front().resendAt <= now; m_sent.pop_front())
-        m_peers.send(m_sent.front().keeper, std::move(m_sent.front().payload));
+        send(m_sent.front().keeper, m_sent.front().isRegistry, std::move(m_sent.front().payload));
 }
 
-asio::awaitable<OriginDecision> OriginLookup::decide(std::string service, std::string attempt)
+asio::awaitable<OriginDecision> OriginLookup::decide(std::string service, std::string attempt,
+                                                     bool needsRecord)
 {
     OriginEvidence own = ownEvidence(service, attempt);
-    if (own.recorded || hasOneVersion(own))
+    if (own.recorded || (!needsRecord && hasOneVersion(own)))
         co_return decideOrigin(service, own, {});
     const std::vector<OriginEvidence> others = co_await ask(service, attempt);
     // The own knowledge may have grown meanwhile.
     own = ownEvidence(service, attempt);
-    co_return decideOrigin(service, own, others);
+    OriginDecision decision = decideOrigin(service, own, others);
+    if (needsRecord && decision.reason == "only_version")
+        decision = {std::nullopt, "service_not_known"};
+    co_return decision;
 }
 
 asio::awaitable<std::vector<OriginEvidence>> OriginLookup::ask(const std::string &service,
@@ -128,6 +151,10 @@
     question->payload = message.SerializeAsString();
     for (const InstanceId &witness : m_peers.witnesses(attempt))
         question->answers.try_emplace(witness);
+    for (const InstanceId &witness : m_peers.registryWitnesses(attempt)) {
+        if (question->answers.try_emplace(witness).second)
+            question->registryInstances.insert(witness);
+    }
     m_questions[call] = question;
     m_questionsAsked.add();
     const TimePoint endAt = RuntimeClock::now() + AnswerTimeout;
@@ -137,7 +164,8 @@
             sendAt = RuntimeClock::now() + ResendInterval;
             for (const auto &[instance, answer] : question->answers) {
                 if (!answer)
-                    m_peers.send(instance, question->payload);
+                    send(instance, question->registryInstances.contains(instance),
+                         question->payload);
             }
         }
         co_await sleepFor(AnswerCheckInterval);
--- a/src/gentianramp/relay/origin_lookup.hpp
+++ b/src/gentianramp/relay/origin_lookup.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <cstdint>
 #include <deque>
 #include <gentianramp/core/ids.hpp>
 #include <gentianramp/core/metrics.hpp>
@@ -8,9 +9,18 @@
 #include <gentianramp/relay/stream_origin.hpp>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace gentianramp {
 
+/// Which other instances keep the record of a stream.
+enum class RecordKeepers : std::uint8_t {
+    None,
+    Entries,            ///< A few entry instances.
+    EntriesAndRegistry, ///< Also two registry instances, which outlast a loss of all entry
+                        ///< instances.
+};
+
 /// Finds out what began a stream that a caller takes up again: from this instance's records, from
 /// the versions that it knows, or by asking other instances. Used on one thread.
 class OriginLookup
@@ -21,13 +31,15 @@
                  MetricsRegistry &metrics);
 
     void setStreamLifetime(Duration lifetime) { m_records.setLifetime(lifetime); }
-    /// Keeps what began a stream; with @p tellOthers, also at other instances.
-    void noteBegun(const std::string &attempt, const StreamOrigin &origin, bool tellOthers);
+    /// Keeps what began a stream, also at other instances as @p keepers says.
+    void noteBegun(const std::string &attempt, const StreamOrigin &origin, RecordKeepers keepers);
     /// Sends records once more that were sent a moment ago: messages are lost while a connection is
     /// being established. Has to be called about twenty times per second.
     void resend(TimePoint now);
-    /// Decides where the stream that @p attempt began may go on; asks others only if needed.
-    boost::asio::awaitable<OriginDecision> decide(std::string service, std::string attempt);
+    /// Decides where the stream that @p attempt began may go on; asks others only if needed. With
+    /// @p needsRecord, another service may have begun it, so that only a record tells.
+    boost::asio::awaitable<OriginDecision> decide(std::string service, std::string attempt,
+                                                  bool needsRecord);
     void onMessage(const InstanceId &sender, std::string_view payload);
 
 private:
@@ -36,6 +48,7 @@
     {
         std::string payload;
         std::map<InstanceId, std::optional<OriginEvidence>> answers;
+        std::set<InstanceId> registryInstances; ///< Those among the instances asked.
 
         bool isAnswered() const;
         std::vector<OriginEvidence> received() const;
@@ -50,9 +63,13 @@
     {
         TimePoint resendAt{};
         InstanceId keeper;
+        bool isRegistry = false;
         std::string payload;
     };
 
+    void send(const InstanceId &to, bool isRegistry, std::string payload);
+    void sendRecord(const InstanceId &keeper, bool isRegistry, const std::string &payload);
+
     PeerHooks m_peers;
     std::function<OriginEvidence(const std::string &)> m_evidence;
     StreamRecords m_records;
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 #include <gentianramp/core/log.hpp>
 #include <gentianramp/peers/peer_group.hpp>
+#include <gentianramp/peers/record_keepers.hpp>
 #include <gentianramp/wire/mesh.hpp>
 
 namespace gentianramp {
@@ -101,6 +102,20 @@
         result.peers.send = [this](const InstanceId &to, std::string payload) {
             mesh->send(to, PayloadKind::Peer, std::move(payload), MessageTtl);
         };
+        result.peers.registryKeepers = [this](std::string_view key) {
+            return rankedInstances(feed.registryProcesses(RuntimeClock::now()), key,
+                                   RegistryKeepers);
+        };
+        result.peers.registryWitnesses = [this](std::string_view key) {
+            return rankedInstances(feed.registryProcesses(RuntimeClock::now()), key,
+                                   RegistryWitnesses);
+        };
+        // An older registry instance ignores this field; a message of PayloadKind::Peer would cost
+        // it a log line.
+        result.peers.sendToRegistry = [this](const InstanceId &to, std::string payload) {
+            mesh->send(to, PayloadKind::Registry, RegistryFeed::wrapPeerMessage(std::move(payload)),
+                       MessageTtl);
+        };
         if (usage)
             result.usage = usageHooks();
         result.listingAge = [this] { return feed.listingAge(RuntimeClock::now()); };
@@ -177,14 +192,21 @@
                 if (self && message.kind == PayloadKind::Peer)
                     self->relay.onPeerMessage(message.sender, message.payload);
                 if (self && message.kind == PayloadKind::Registry)
-                    self->applyFeedOutput(
-                        self->feed.onMessage(message.sender, message.payload, RuntimeClock::now()));
+                    self->receiveRegistryMessage(message);
             });
         });
         asio::co_spawn(executor, runFeed(), asio::detached);
         return true;
     }
 
+    void receiveRegistryMessage(const ReceivedMessage &message)
+    {
+        FeedOutput output = feed.onMessage(message.sender, message.payload, RuntimeClock::now());
+        if (!output.peerMessage.empty())
+            return relay.onPeerMessage(message.sender, output.peerMessage);
+        applyFeedOutput(std::move(output));
+    }
+
     /// Answers readiness probes on @p readyPath, if it is not empty, and /metrics.
     HttpHandler statusHandler(const std::string &readyPath)
     {
@@ -217,6 +239,7 @@
             relay.resendPeerMessages(now);
             relay.checkReach(now);
             noteCutOff(relay.isCutOff());
+            feed.setWantsVersions(!relay.knowsVersions());
             feed.setRefusedParts(relay.refusedParts(now));
             if (const auto age = feed.listingAge(now))
                 relay.confirmListing(now - *age);
@@ -255,6 +278,8 @@
                      {"age_ms", toMilliseconds(RuntimeClock::now() - output.listing->takenAt)}});
             relay.publish(*output.listing);
         }
+        if (output.versions)
+            relay.publish(*output.versions);
         if (output.loads)
             relay.publish(*output.loads);
         relay.publish(output.crashes);
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -466,6 +466,16 @@
     m_state->hasListing = true;
 }
 
+void RelayService::publish(const VersionReport &versions)
+{
+    m_state->table.publish(versions);
+}
+
+bool RelayService::knowsVersions() const
+{
+    return m_state->table.versions().isComplete(RuntimeClock::now());
+}
+
 void RelayService::confirmListing(TimePoint readAt)
 {
     m_state->table.confirmListing(readAt);
--- a/src/gentianramp/relay/relay_test_fixture.hpp
+++ b/src/gentianramp/relay/relay_test_fixture.hpp
@@ -119,14 +119,14 @@
         publishListing();
     }
 
-    void declare(Route route)
+    void declare(Route route, const std::vector<ServiceShare> &shares = {{"s", 1}})
     {
         route.name = "r";
         route.host = "host.example";
         route.pathPrefix = "/p/";
         if (route.timeout == Duration{})
             route.timeout = std::chrono::seconds(5);
-        route.shares = {{"s", 1}};
+        route.shares = shares;
         Declaration declaration;
         declaration.number = 1;
         declaration.routes = {route};
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -295,8 +295,8 @@
 
 asio::awaitable<bool> RelayedRequest::resolveOrigin()
 {
-    const OriginDecision decision
-        = co_await m_state->origins.decide(m_service, streamRecordKey(m_customer, m_resumes));
+    const OriginDecision decision = co_await m_state->origins.decide(
+        m_service, streamRecordKey(m_customer, m_resumes), m_route->shares.size() > 1);
     if (m_callerGone)
         co_return false;
     // The route's share of another service may have begun the stream.
@@ -977,8 +977,10 @@
     const OriginEvidence own = m_state->versionEvidence(m_service);
     const bool tellOthers
         = m_route->repeatable() && (m_route->shares.size() > 1 || !hasOneVersion(own));
+    const RecordKeepers keepers
+        = hasOtherVersions() ? RecordKeepers::EntriesAndRegistry : RecordKeepers::Entries;
     m_state->origins.noteBegun(streamRecordKey(m_customer, m_resumes.empty() ? m_id : m_resumes),
-                               *m_origin, tellOthers);
+                               *m_origin, tellOthers ? keepers : RecordKeepers::None);
 }
 
 void RelayedRequest::markAnswered(Attempt &attempt)
--- a/src/gentianramp/relay/stream_origin_test.cpp
+++ b/src/gentianramp/relay/stream_origin_test.cpp
@@ -89,3 +89,15 @@
     records.note("b", {"lm", "v1"}, at(22'000));
     cr_assert_eq(records.size(), 1U);
 }
+
+// A registry instance that restarted takes part in the decision as if it had seen streams begin.
+Test(stream_origin, aRegistryInstanceCountsByItsRecordAlone)
+{
+    cr_assert_not(recordAlone(knows({"v1"})));
+    const std::optional<OriginEvidence> record = recordAlone(recorded("v2"));
+    cr_assert(record);
+    cr_assert(record->versions.empty());
+    cr_assert_not(record->isComplete);
+    cr_assert_eq(versionOf(decideOrigin("lm", knows({"v1", "v2"}), std::vector{*record})), "v2");
+    cr_assert_eq(versionOf(decideOrigin("lm", recorded("v1"), std::vector{*record})), "refused");
+}
--- a/src/gentianramp/relay/stream_versions_test.cpp
+++ b/src/gentianramp/relay/stream_versions_test.cpp
@@ -1,5 +1,8 @@
 #include "relay_test_fixture.hpp"
 
+#include <gentianramp/registry/listed_versions.hpp>
+#include <gentianramp/registry/stream_record_keeper.hpp>
+
 #include <criterion/criterion.h>
 
 using namespace gentianramp;
@@ -66,8 +69,145 @@
     RelayFixture second;
 };
 
+const InstanceId RegistryName("registry");
+
+/// An entry instance, and a registry instance that outlasts it.
+struct EntryAndRegistry
+{
+    PeerHooks hooks()
+    {
+        PeerHooks hooks;
+        hooks.registryKeepers = hooks.registryWitnesses
+            = [](std::string_view) { return std::vector{RegistryName}; };
+        hooks.sendToRegistry = [this](const InstanceId &, const std::string &payload) {
+            if (!answers)
+                return;
+            const auto answer = registry.onMessage(payload, RuntimeClock::now());
+            if (answer)
+                entry->relay.onPeerMessage(RegistryName, *answer);
+        };
+        return hooks;
+    }
+
+    /// Starts an entry instance that remembers nothing of its predecessors.
+    void restart(const Handler &oldVersion)
+    {
+        entry = std::make_unique<RelayFixture>(RetryBounds{},
+                                               std::function<void(BackendProtocol &)>(), hooks());
+        entry->declare(resumableRoute());
+        entry->addServer("one", oldVersion, false, "s", "v1");
+        entry->addServer("two", streams(1, 6, true), false, "s", "v2");
+    }
+
+    /// A stream that breaks off at its first version, as all entry instances lose power.
+    void beginAndLosePower()
+    {
+        restart(streams(1, 2, false));
+        HttpRequest request{.method = "POST"};
+        request.headers.set("X-Id", "began");
+        // Version v2 is so new that no stream begins there.
+        cr_assert_not(entry->call(std::move(request)));
+        cr_assert_geq(entry->requestsAt("one"), 1);
+        restart(streams(1, 6, true));
+    }
+
+    StreamRecordKeeper registry;
+    bool answers = true; ///< The registry instance handles records and questions.
+    std::unique_ptr<RelayFixture> entry;
+};
+
 } // namespace
 
+// After a loss of power of all entry instances, nobody knows which version began a stream.
+Test(stream_versions, aStreamOutlastsTheLossOfAllEntryInstances)
+{
+    EntryAndRegistry system;
+    system.beginAndLosePower();
+    const Result<HttpResponse> answer = system.entry->call(returningRequest("began"));
+    cr_assert(answer && answer->status == 200U);
+    cr_assert_eq(system.entry->requestsAt("one"), 1);
+    cr_assert_eq(system.entry->requestsAt("two"), 0);
+}
+
+// A stream whose record is lost goes on at any version.
+Test(stream_versions, aRegistryInstanceWithoutARecordProvesNothing)
+{
+    EntryAndRegistry system;
+    system.beginAndLosePower();
+    const Result<HttpResponse> answer = system.entry->call(returningRequest("never-recorded"));
+    cr_assert(answer && answer->status == 503U);
+    // One version is left, and a registry instance that knows nothing does not make it the only
+    // one.
+    system.entry->remove("two");
+    const Result<HttpResponse> second = system.entry->call(returningRequest("never-recorded"));
+    cr_assert(second && second->status == 503U);
+    cr_assert_eq(system.entry->requestsAt("one"), 0);
+    cr_assert_eq(system.entry->requestsAt("two"), 0);
+}
+
+// An older registry instance ignores records and questions: the caller waits without end.
+Test(stream_versions, aSilentRegistryInstanceCostsTheTimeOutAlone)
+{
+    EntryAndRegistry system;
+    system.answers = false;
+    system.beginAndLosePower();
+    const TimePoint start = RuntimeClock::now();
+    const Result<HttpResponse> answer = system.entry->call(returningRequest("began"));
+    cr_assert(answer && answer->status == 503U);
+    cr_assert_lt(RuntimeClock::now() - start, std::chrono::milliseconds(700));
+    cr_assert(system.entry->receivedRequests.empty());
+}
+
+// While one version is listed, records cost registry instances work for nothing.
+Test(stream_versions, oneVersionLeavesNoRecordsAtTheRegistry)
+{
+    EntryAndRegistry system;
+    system.entry = std::make_unique<RelayFixture>(
+        RetryBounds{}, std::function<void(BackendProtocol &)>(), system.hooks());
+    system.entry->declare(resumableRoute());
+    system.entry->addServer("one", streams(1, 6, true), false, "s", "v1");
+    cr_assert_eq(system.entry->call({.method = "POST"})->status, 200U);
+    cr_assert_eq(system.registry.size(), 0U);
+}
+
+// An entry instance that has restarted refuses streams for as long as a stream may last, although
+// registry instances know that there was one version alone.
+Test(stream_versions, aRestartedInstanceTakesEarlierVersionsFromTheRegistry)
+{
+    for (const bool hadOtherVersion : {false, true}) {
+        RelayFixture fixture;
+        fixture.declare(resumableRoute());
+        fixture.addServer("one", streams(1, 6, true), false, "s", "v1");
+        cr_assert_not(fixture.relay.knowsVersions());
+        cr_assert_eq(fixture.call(returningRequest("began"))->status, 503U);
+        VersionReport report{.knownFor = std::chrono::minutes(1), .versions = {}};
+        report.versions.push_back({"s", "v1", std::chrono::minutes(1), std::nullopt});
+        if (hadOtherVersion)
+            report.versions.push_back(
+                {"s", "v0", std::chrono::minutes(1), std::chrono::milliseconds(100)});
+        fixture.relay.publish(report);
+        cr_assert(fixture.relay.knowsVersions());
+        cr_assert_eq(fixture.call(returningRequest("began"))->status,
+                     hadOtherVersion ? 503U : 200U);
+    }
+}
+
+// A stream of a route with two services goes on at the other service, whose versions are known.
+Test(stream_versions, aStreamOfAnUnknownServiceIsRefused)
+{
+    RelayFixture fixture;
+    fixture.addServer("one", streams(1, 6, true), false, "s", "v1");
+    Route route = resumableRoute();
+    route.timeout = std::chrono::milliseconds(200);
+    fixture.declare(route, {{"s", 1}, {"other", 1}});
+    fixture.wait(std::chrono::milliseconds(450));
+    fixture.relay.confirmListing(RuntimeClock::now());
+    cr_assert(fixture.relay.knowsVersions());
+    for (int attempt = 0; attempt < 8; ++attempt)
+        cr_assert_eq(fixture.call(returningRequest("began"))->status, 503U);
+    cr_assert(fixture.receivedRequests.empty());
+}
+
 // A stream that breaks goes on at a server of another software version.
 Test(stream_versions, aBrokenStreamGoesOnAtItsVersionAlone)
 {
