Send records of earlier streams once a service has a second version

Cause: streams that began before the second version was listed have no record at registry instances, so that they were refused after a loss of all entry instances while both versions count as possible. Change: an entry instance sends the records of its own resumable streams when a second version is listed, five a call of the resend loop, the newest first. A stream that began at a server whose version was in doubt is left out. Result: recordsOfEarlierStreamsAreSentOnceThereIsASecondVersion and ...AFewAtATime pass; the tests of peers, registry and relay pass.

--- a/src/gentianramp/relay/origin_lookup.cpp
+++ b/src/gentianramp/relay/origin_lookup.cpp
@@ -19,6 +19,11 @@
 /// A connection between instances is established within this time.
 constexpr Duration RecordResendDelay = std::chrono::milliseconds(120);
 constexpr std::size_t MaxRecordsToResend = 4096;
+/// Far above the streams of one service that an instance begins within their lifetime.
+constexpr std::size_t MaxEarlierStreams = 2048;
+/// At twenty calls per second, 300 streams are sent within the 3 s in which a new version begins
+/// none, and each of 8 registry instances receives 3,750 messages a second from 75 instances.
+constexpr std::size_t EarlierStreamsPerCall = 5;
 
 proto::StreamRecord toProto(const std::string &attempt, const StreamOrigin &origin)
 {
@@ -69,9 +74,11 @@
 
 OriginLookup::OriginLookup(PeerHooks peers,
                            std::function<OriginEvidence(const std::string &)> evidence,
+                           std::function<bool(const std::string &)> hasOtherVersions,
                            MetricsRegistry &metrics)
     : m_peers(std::move(peers))
     , m_evidence(std::move(evidence))
+    , m_hasOtherVersions(std::move(hasOtherVersions))
     , m_questionsAsked(metrics.counter("gentianramp_relay_origin_questions_total",
                                        "Streams whose origin other instances were asked for"))
     , m_recordsSent(metrics.counter("gentianramp_relay_origin_records_total",
@@ -87,11 +94,23 @@
 }
 
 void OriginLookup::noteBegun(const std::string &attempt, const StreamOrigin &origin,
-                             RecordKeepers keepers)
+                             RecordKeepers keepers, bool sendLater)
+{
+    const TimePoint now = RuntimeClock::now();
+    m_records.note(attempt, origin, now);
+    if (sendLater) {
+        std::deque<EarlierStream> &earlier = m_earlier[origin.service];
+        earlier.push_back({now, attempt, origin});
+        if (earlier.size() > MaxEarlierStreams)
+            earlier.pop_front();
+    }
+    if (keepers != RecordKeepers::None)
+        sendToKeepers(attempt, origin, keepers);
+}
+
+void OriginLookup::sendToKeepers(const std::string &attempt, const StreamOrigin &origin,
+                                 RecordKeepers keepers)
 {
-    m_records.note(attempt, origin, RuntimeClock::now());
-    if (keepers == RecordKeepers::None)
-        return;
     proto::PeerMessage message;
     *message.mutable_record() = toProto(attempt, origin);
     message.mutable_record()->set_lifetime_ms(
@@ -105,6 +124,24 @@
         sendRecord(keeper, true, payload);
 }
 
+/// Once a second version is listed, the version alone no longer tells what began these streams. The
+/// newest go first, since they last longest.
+void OriginLookup::sendEarlier(TimePoint now)
+{
+    for (auto &[service, earlier] : m_earlier) {
+        while (!earlier.empty() && now - earlier.front().begunAt > m_records.lifetime())
+            earlier.pop_front();
+        if (earlier.empty() || !m_hasOtherVersions(service))
+            continue;
+        for (std::size_t sent = 0; sent < EarlierStreamsPerCall && !earlier.empty(); ++sent) {
+            const EarlierStream stream = std::move(earlier.back());
+            earlier.pop_back();
+            sendToKeepers(stream.attempt, stream.origin, RecordKeepers::EntriesAndRegistry);
+        }
+    }
+    std::erase_if(m_earlier, [](const auto &entry) { return entry.second.empty(); });
+}
+
 void OriginLookup::send(const InstanceId &to, bool isRegistry, std::string payload)
 {
     (isRegistry ? m_peers.sendToRegistry : m_peers.send)(to, std::move(payload));
@@ -122,6 +159,7 @@
 {
     for (; !m_sent.empty() && m_sent.front().resendAt <= now; m_sent.pop_front())
         send(m_sent.front().keeper, m_sent.front().isRegistry, std::move(m_sent.front().payload));
+    sendEarlier(now);
 }
 
 asio::awaitable<OriginDecision> OriginLookup::decide(std::string service, std::string attempt,
--- a/src/gentianramp/relay/origin_lookup.hpp
+++ b/src/gentianramp/relay/origin_lookup.hpp
@@ -26,15 +26,20 @@
 class OriginLookup
 {
 public:
-    /// @p evidence tells what this instance knows of the versions of a service.
+    /// @p evidence tells what this instance knows of the versions of a service, and
+    /// @p hasOtherVersions whether more than one of them is recent.
     OriginLookup(PeerHooks peers, std::function<OriginEvidence(const std::string &)> evidence,
+                 std::function<bool(const std::string &)> hasOtherVersions,
                  MetricsRegistry &metrics);
 
     void setStreamLifetime(Duration lifetime) { m_records.setLifetime(lifetime); }
-    /// Keeps what began a stream, also at other instances as @p keepers says.
-    void noteBegun(const std::string &attempt, const StreamOrigin &origin, RecordKeepers keepers);
+    /// Keeps what began a stream, also at other instances as @p keepers says. With @p sendLater,
+    /// all keepers get the record if the service has a second version while the stream may go on.
+    void noteBegun(const std::string &attempt, const StreamOrigin &origin, RecordKeepers keepers,
+                   bool sendLater);
     /// Sends records once more that were sent a moment ago: messages are lost while a connection is
-    /// being established. Has to be called about twenty times per second.
+    /// being established. Sends records of streams that began before their service had a second
+    /// version. Has to be called about twenty times per second.
     void resend(TimePoint now);
     /// Decides where the stream that @p attempt began may go on; asks others only if needed. With
     /// @p needsRecord, another service may have begun it, so that only a record tells.
@@ -67,12 +72,25 @@
         std::string payload;
     };
 
+    /// A stream that began while its service had one version.
+    struct EarlierStream
+    {
+        TimePoint begunAt{};
+        std::string attempt;
+        StreamOrigin origin;
+    };
+
+    void sendToKeepers(const std::string &attempt, const StreamOrigin &origin,
+                       RecordKeepers keepers);
+    void sendEarlier(TimePoint now);
     void send(const InstanceId &to, bool isRegistry, std::string payload);
     void sendRecord(const InstanceId &keeper, bool isRegistry, const std::string &payload);
 
     PeerHooks m_peers;
     std::function<OriginEvidence(const std::string &)> m_evidence;
+    std::function<bool(const std::string &)> m_hasOtherVersions;
     StreamRecords m_records;
+    std::map<std::string, std::deque<EarlierStream>> m_earlier; ///< By service, oldest first.
     std::map<std::uint64_t, std::shared_ptr<Question>> m_questions;
     std::deque<SentRecord> m_sent; ///< In the order of resendAt.
     std::uint64_t m_call = 0;
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -100,6 +100,9 @@
              .listingLag = options.listingLag})
     , origins(
           options.peers, [this](const std::string &service) { return versionEvidence(service); },
+          [this](const std::string &service) {
+              return table.versions().recent(service, RuntimeClock::now()).size() > 1;
+          },
           options.metrics ? *options.metrics : *ownMetrics)
     , crashes(options.crashes ? options.crashes : std::make_shared<CrashEvidence>())
     , random(options.seed)
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -966,11 +966,11 @@
     if (!attempt.hasBegun || m_originNoted)
         return;
     m_originNoted = true;
+    const bool isCertain = attempt.byHelper || m_state->table.isVersionCertain(attempt.target);
     if (!m_origin) {
         m_origin = StreamOrigin{m_service, attempt.target.softwareVersion};
         // An instance that took the request over names the version only if it is certain.
-        if (!attempt.byHelper && !m_state->table.isVersionCertain(attempt.target)
-            && hasOtherVersions())
+        if (!isCertain && hasOtherVersions())
             m_origin->version.clear();
     }
     // A caller may take a stream of this route up at an instance that does not know its origin.
@@ -980,7 +980,8 @@
     const RecordKeepers keepers
         = hasOtherVersions() ? RecordKeepers::EntriesAndRegistry : RecordKeepers::Entries;
     m_state->origins.noteBegun(streamRecordKey(m_customer, m_resumes.empty() ? m_id : m_resumes),
-                               *m_origin, tellOthers ? keepers : RecordKeepers::None);
+                               *m_origin, tellOthers ? keepers : RecordKeepers::None,
+                               m_route->repeatable() && isCertain && !hasOtherVersions());
 }
 
 void RelayedRequest::markAnswered(Attempt &attempt)
--- a/src/gentianramp/relay/stream_versions_test.cpp
+++ b/src/gentianramp/relay/stream_versions_test.cpp
@@ -158,6 +158,47 @@
     cr_assert(system.entry->receivedRequests.empty());
 }
 
+// A stream that began before the second version was listed is refused after a loss of all entry
+// instances: its record was not sent when it began.
+Test(stream_versions, recordsOfEarlierStreamsAreSentOnceThereIsASecondVersion)
+{
+    EntryAndRegistry system;
+    system.entry = std::make_unique<RelayFixture>(
+        RetryBounds{}, std::function<void(BackendProtocol &)>(), system.hooks());
+    system.entry->declare(resumableRoute());
+    system.entry->addServer("one", streams(1, 2, false), false, "s", "v1");
+    HttpRequest request{.method = "POST"};
+    request.headers.set("X-Id", "began");
+    cr_assert_not(system.entry->call(std::move(request)));
+    system.entry->relay.resendPeerMessages(RuntimeClock::now());
+    cr_assert_eq(system.registry.size(), 0U);
+    system.entry->addServer("two", streams(1, 6, true), false, "s", "v2");
+    system.entry->relay.resendPeerMessages(RuntimeClock::now());
+    cr_assert_eq(system.registry.size(), 1U);
+    system.restart(streams(1, 6, true));
+    const Result<HttpResponse> answer = system.entry->call(returningRequest("began"));
+    cr_assert(answer && answer->status == 200U);
+    cr_assert_eq(system.entry->requestsAt("one"), 1);
+    cr_assert_eq(system.entry->requestsAt("two"), 0);
+}
+
+// Records of all streams at once, as a second version is listed, overload registry instances.
+Test(stream_versions, recordsOfEarlierStreamsAreSentAFewAtATime)
+{
+    EntryAndRegistry system;
+    system.entry = std::make_unique<RelayFixture>(
+        RetryBounds{}, std::function<void(BackendProtocol &)>(), system.hooks());
+    system.entry->declare(resumableRoute());
+    system.entry->addServer("one", streams(1, 6, true), false, "s", "v1");
+    for (int number = 0; number < 12; ++number)
+        cr_assert_eq(system.entry->call({.method = "POST"})->status, 200U);
+    system.entry->addServer("two", streams(1, 6, true), false, "s", "v2");
+    for (const std::size_t expected : {5U, 10U, 12U, 12U}) {
+        system.entry->relay.resendPeerMessages(RuntimeClock::now());
+        cr_assert_eq(system.registry.size(), expected);
+    }
+}
+
 // While one version is listed, records cost registry instances work for nothing.
 Test(stream_versions, oneVersionLeavesNoRecordsAtTheRegistry)
 {
