Mend what clang-tidy reports in the new tests

Cause: scripts/lint named two vectors filled without a reservation and a variable in the wrong case. Change: reservations and a lower-case name.

--- a/src/gentianramp/peers/record_keepers_test.cpp
+++ b/src/gentianramp/peers/record_keepers_test.cpp
@@ -13,6 +13,7 @@
 std::vector<InstanceId> instances(int count)
 {
     std::vector<InstanceId> result;
+    result.reserve(count);
     for (int number = 0; number < count; ++number)
         result.emplace_back("10.0.0." + std::to_string(number) + ":7000");
     return result;
--- a/src/gentianramp/registry/listed_versions_test.cpp
+++ b/src/gentianramp/registry/listed_versions_test.cpp
@@ -98,6 +98,7 @@
     cr_assert_eq(report->knownFor, std::chrono::minutes(10));
 
     std::vector<std::string> many;
+    many.reserve(5000);
     for (int number = 0; number < 5000; ++number)
         many.push_back("w" + std::to_string(number));
     history.note(listing(many, ms));
--- a/src/gentianramp/registry/older_build_test.cpp
+++ b/src/gentianramp/registry/older_build_test.cpp
@@ -95,7 +95,7 @@
 /// Fields that were added after commit 69badfb, by message.
 const std::map<std::string, std::set<std::string>> &addedFields()
 {
-    static const std::map<std::string, std::set<std::string>> Added{
+    static const std::map<std::string, std::set<std::string>> added{
         {"StageDelays", {"prefill_work", "streams"}},
         {"Presence", {"wall_clock_ms", "platform_ms"}},
         {"StoredDeclaration", {"usage"}},
@@ -106,7 +106,7 @@
          {"true_time_ms", "usage_decided", "usage_epoch", "usage_sequence", "shares", "versions",
           "versions_known_ms"}},
         {"RegistryMessage", {"usage_reports", "speed_reports", "peer"}}};
-    return Added;
+    return added;
 }
 
 /// The messages as commit 69badfb knows them.
