--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -295,8 +295,8 @@
 
 asio::awaitable<bool> RelayedRequest::resolveOrigin()
 {
-    const OriginDecision decision
-        = co_await m_state->origins.decide(m_service, streamRecordKey(m_customer, m_resumes));
+    const OriginDecision decision = co_await m_state->origins.decide(
+        m_service, streamRecordKey(m_customer, m_resumes), m_route->shares.size() > 1);
     if (m_callerGone)
         co_return false;
     // The route's share of another service may have begun the stream.
@@ -966,19 +966,22 @@
     if (!attempt.hasBegun || m_originNoted)
         return;
     m_originNoted = true;
+    const bool isCertain = attempt.byHelper || m_state->table.isVersionCertain(attempt.target);
     if (!m_origin) {
         m_origin = StreamOrigin{m_service, attempt.target.softwareVersion};
         // An instance that took the request over names the version only if it is certain.
-        if (!attempt.byHelper && !m_state->table.isVersionCertain(attempt.target)
-            && hasOtherVersions())
+        if (!isCertain && hasOtherVersions())
             m_origin->version.clear();
     }
     // A caller may take a stream of this route up at an instance that does not know its origin.
     const OriginEvidence own = m_state->versionEvidence(m_service);
     const bool tellOthers
         = m_route->repeatable() && (m_route->shares.size() > 1 || !hasOneVersion(own));
+    const RecordKeepers keepers
+        = hasOtherVersions() ? RecordKeepers::EntriesAndRegistry : RecordKeepers::Entries;
     m_state->origins.noteBegun(streamRecordKey(m_customer, m_resumes.empty() ? m_id : m_resumes),
-                               *m_origin, tellOthers);
+                               *m_origin, tellOthers ? keepers : RecordKeepers::None,
+                               m_route->repeatable() && isCertain && !hasOtherVersions());
 }
 
 void RelayedRequest::markAnswered(Attempt &attempt)
