Use lasting speeds only where servers state that they share machines, and publish them once measured

Change: speeds are sent for services whose servers state their slowness, after six measurements of an engine, and changed from a quarter on; owners are weighted by plain speed again.

--- a/include/gentianramp/registry/engine_speeds.hpp
+++ b/include/gentianramp/registry/engine_speeds.hpp
@@ -35,7 +35,9 @@
     /// differ by the chance of a few measurements, and a change moves prompts to other engines.
     double leastDifference = 1.25;
     /// A change below this ratio is not published.
-    double publishedChange = 1.1;
+    double publishedChange = 1.25;
+    /// Nothing is published of an engine before it was measured this often.
+    double leastCount = 6;
 };
 
 /// Lasting speeds of engines, estimated from what all entry processes measured. A single process
--- a/src/gentianramp/registry/engine_speeds.cpp
+++ b/src/gentianramp/registry/engine_speeds.cpp
@@ -78,6 +78,8 @@
         const Sum &sum = services[listed[id]->service];
         const double speed = std::clamp(std::exp(sum.log / sum.count - believedLog(engine)),
                                         SlowestSpeed, FastestSpeed);
+        if (engine.weight < m_options.leastCount && engine.published == 0)
+            continue;
         const bool differs = std::max(speed, 1 / speed) >= m_options.leastDifference;
         const double shown = differs ? speed : 1;
         const double ratio = engine.published > 0 ? shown / engine.published : 0;
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -508,13 +508,21 @@
     {
         LoadReports loads{.takenAt = takenAt, .engines = {}};
         engineSpeeds.publish(listing, takenAt);
+        std::set<std::string> unevenServices;
+        for (const ListedServer &server : listing.servers) {
+            const auto known = engineLoadStates.find(server.id);
+            if (known != engineLoadStates.end() && known->second.load.slownessPercent > 0)
+                unevenServices.insert(server.service);
+        }
         for (const ListedServer &server : listing.servers) {
             const auto known = engineLoadStates.find(server.id);
             if (known == engineLoadStates.end() || known->second.load.engine.value().empty())
                 continue;
             loads.engines.push_back(known->second.load);
             ReportedLoad &load = loads.engines.back();
-            load.speed = engineSpeeds.speedOf(server.id);
+            // Servers that state how slow they are now share machines, of several kinds.
+            if (unevenServices.contains(server.service))
+                load.speed = engineSpeeds.speedOf(server.id);
             load.changing = load.changing || stageController.changing(server, takenAt);
             if (takenAt - known->second.answeredAt > MaxStageAge)
                 load.stage = ReportedStage::Unknown;
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -518,8 +518,7 @@
 
 /// Engines to which all instances send prompts with these shared parts, by rendezvous hashing
 /// weighted by the engines' prefill speed: the first one, and the second one while the first has a
-/// longer queue. Lasting speeds count twice, since a slow engine is late with a large prompt even
-/// if nothing waits there.
+/// longer queue.
 BackendTable::Owners BackendTable::rendezvousOwners(const std::vector<Backend *> &usable,
                                                     std::uint64_t key) const
 {
@@ -529,8 +528,8 @@
     for (const Backend *backend : usable) {
         const double uniform
             = (static_cast<double>(splitMix(key ^ backend->hash) >> 11) + 0.5) / 9007199254740992.0;
-        const double weight = (backend->server.prefillOnly ? 1 : MixedPrefillRate)
-            * std::pow(backend->sharedSpeed(), 2);
+        const double weight
+            = (backend->server.prefillOnly ? 1 : MixedPrefillRate) * backend->sharedSpeed();
         const double score = -weight / std::log(uniform);
         if (!owners.first || score > firstScore) {
             owners.second = std::exchange(owners.first, backend);
