Trust an answer on a reused connection only if it names its request

Cause: an answer without the echoed id was accepted on a reused connection, and connections of calls without an id (freeing of handles, health checks) were pooled together with those of callers' requests. A second copy of an earlier answer could therefore reach the next request. A copy of the answer to a prefill, or to a first send, carries the id of the request that is sent again.

Change: a connection is pooled only after an answer with the echoed id, and separately for calls without one. On a reused connection an answer without the id is Error::Malformed. A request that is sent to an address for the second time opens a new connection.

--- a/include/gentianramp/http/client.hpp
+++ b/include/gentianramp/http/client.hpp
@@ -31,8 +31,9 @@
     /// repeated, since the server may already have closed a pooled connection.
     bool freshConnection = false;
     /// Header that the server copies from the request into its response. A response with another
-    /// value is a late response to an earlier request on the same connection and is skipped; a
-    /// response without the header is accepted. An empty name turns the check off.
+    /// value is a late response to an earlier request on the same connection and is skipped. A
+    /// response without the header is accepted on a new connection, which is closed after it, and
+    /// is Error::Malformed on a reused one. An empty name turns the check off.
     HttpHeader echoedHeader;
     /// Called directly before the first byte of the request is written. When it returns false,
     /// nothing is sent and HttpExchange::open() returns Error::ConnectionRefused.
--- a/src/gentianramp/http/client_answer_test.cpp
+++ b/src/gentianramp/http/client_answer_test.cpp
@@ -220,3 +220,87 @@
     Fixture fixture(endless("HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", "x", 20ms));
     fixture.checkFails(fixture.makeCall(), Error::TimedOut, "late answer");
 }
+
+namespace {
+
+std::string answerTo(const std::string &id, const std::string &body)
+{
+    const std::string echoed = id.empty() ? "" : "X-Id: " + id + "\r\n";
+    return "HTTP/1.1 200 OK\r\n" + echoed + "Content-Length: " + std::to_string(body.size())
+        + "\r\n\r\n" + body;
+}
+
+HttpCall callWithId(const Fixture &fixture, const std::string &id)
+{
+    HttpCall call = fixture.makeCall();
+    call.request.headers.set("X-Id", id);
+    call.echoedHeader = {"X-Id", id};
+    return call;
+}
+
+} // namespace
+
+// Servers sent an answer twice, and the second copy was taken for the answer to the next request on
+// the connection. A copy that arrives while the connection is idle makes ConnectionPool::take()
+// discard it.
+Test(HttpClientAnswers, ACopyOnAnIdleConnectionIsNotTheNextAnswer)
+{
+    int requests = 0;
+    Fixture fixture([&](const std::string &) -> RawAnswer {
+        const std::string number = std::to_string(++requests);
+        return {.bytes = answerTo(number, number),
+                .late = requests == 1 ? answerTo({}, number) : "",
+                .lateAfter = 5ms};
+    });
+    cr_assert_eq(fixture.call(callWithId(fixture, "1"))->body, "1");
+    fixture.context.restart();
+    fixture.context.run_for(50ms);
+    cr_assert_eq(fixture.call(callWithId(fixture, "2"))->body, "2");
+    cr_assert_eq(fixture.server.connections(), 2);
+}
+
+// The copy arrives after the next request was written. Its id tells it from the answer.
+Test(HttpClientAnswers, ACopyBeforeTheNextAnswerIsSkipped)
+{
+    int requests = 0;
+    Fixture fixture([&](const std::string &) -> RawAnswer {
+        const std::string number = std::to_string(++requests);
+        const std::string copy = requests == 2 ? answerTo("1", "1") : "";
+        return {.bytes = copy + answerTo(number, number)};
+    });
+    for (const char *number : {"1", "2", "3"})
+        cr_assert_eq(fixture.call(callWithId(fixture, number))->body, number);
+    cr_assert_eq(fixture.server.connections(), 1);
+}
+
+// A copy without the id was taken for the next answer, which was then left for the call after it.
+Test(HttpClientAnswers, AnAnswerWithoutItsIdOnAReusedConnectionIsNotTrusted)
+{
+    int requests = 0;
+    Fixture fixture([&](const std::string &) -> RawAnswer {
+        const std::string number = std::to_string(++requests);
+        return {.bytes = (requests == 2 ? answerTo({}, "1") : "") + answerTo(number, number)};
+    });
+    cr_assert_eq(fixture.call(callWithId(fixture, "1"))->body, "1");
+    fixture.checkFails(callWithId(fixture, "2"), Error::Malformed, "without an id");
+    cr_assert_eq(fixture.call(callWithId(fixture, "3"))->body, "3");
+}
+
+// Copies of answers to calls without an id, and of answers that name none, could not be told from
+// the next answer on the connection.
+Test(HttpClientAnswers, AConnectionIsNotReusedAfterAnAnswerWithoutAnId)
+{
+    for (const bool asksForId : {true, false}) {
+        int requests = 0;
+        Fixture fixture([&](const std::string &) -> RawAnswer {
+            ++requests;
+            return {.bytes = answerTo(requests == 1 ? "" : "2", std::to_string(requests))};
+        });
+        HttpCall first = callWithId(fixture, "1");
+        if (!asksForId)
+            first.echoedHeader = {};
+        cr_assert_eq(fixture.call(std::move(first))->body, "1");
+        cr_assert_eq(fixture.call(callWithId(fixture, "2"))->body, "2");
+        cr_assert_eq(fixture.server.connections(), 2);
+    }
+}
--- a/src/gentianramp/http/client_exchange.cpp
+++ b/src/gentianramp/http/client_exchange.cpp
@@ -95,12 +95,12 @@
         co_return make_error_code(Error::ConnectionRefused);
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     if (!m_call.freshConnection)
-        m_socket = m_pool->take(executor, m_call.address);
-    const bool pooled = m_socket.has_value();
-    if (!pooled)
+        m_socket = m_pool->take(executor, m_call.address, m_call.echoedHeader.name);
+    m_reused = m_socket.has_value();
+    if (!m_reused)
         m_socket.emplace(executor);
     m_watchdog = std::make_shared<Watchdog>(executor, *m_socket);
-    if (pooled)
+    if (m_reused)
         co_return std::error_code();
     boost::system::error_code error;
     const auto address = asio::ip::make_address(m_call.address.host, error);
@@ -166,6 +166,10 @@
             continue;
         }
         if (!isResponseToEarlierRequest()) {
+            // It may be a late response to an earlier request. The server does copy the header:
+            // otherwise the connection would not have been pooled.
+            if (m_reused && !echoesRequest())
+                co_return closeWithError(make_error_code(http::error::bad_status));
             if (m_parser->is_done())
                 completeResponse();
             co_return std::error_code();
@@ -211,6 +215,13 @@
     return !echoed.empty() && echoed != m_call.echoedHeader.value;
 }
 
+/// True when the response names this request, or when no name is asked for.
+bool ClientExchange::echoesRequest() const
+{
+    return m_call.echoedHeader.name.empty()
+        || m_headers.find(m_call.echoedHeader.name) == m_call.echoedHeader.value;
+}
+
 asio::awaitable<std::error_code> ClientExchange::skipBody()
 {
     while (!m_parser->is_done()) {
@@ -343,10 +354,10 @@
 {
     m_complete = true;
     m_watchdog->stop();
-    const bool reusable
-        = m_parser->get().keep_alive() && m_buffer.size() == 0 && !m_writing && !m_writeFailed;
+    const bool reusable = m_parser->get().keep_alive() && m_buffer.size() == 0 && !m_writing
+        && !m_writeFailed && echoesRequest();
     if (reusable && m_socket->is_open())
-        m_pool->put(m_call.address, std::move(*m_socket),
+        m_pool->put(m_call.address, m_call.echoedHeader.name, std::move(*m_socket),
                     keepAliveTimeout(m_headers.find("Keep-Alive")));
     m_socket.reset();
 }
--- a/src/gentianramp/http/client_exchange.hpp
+++ b/src/gentianramp/http/client_exchange.hpp
@@ -49,6 +49,7 @@
     boost::asio::awaitable<std::error_code> skipBody();
     boost::asio::awaitable<boost::system::error_code> readSome(std::size_t &bytesRead);
     bool isResponseToEarlierRequest() const;
+    bool echoesRequest() const;
     bool isInterimResponse() const { return m_status >= 100 && m_status < 200; }
     /// Limits the next operation to @p limit and to what is left of the whole call.
     void expireAfter(Duration limit);
@@ -78,6 +79,7 @@
     bool m_anyBytesWritten = false;
     bool m_complete = false;
     bool m_refusedByPeer = false;
+    bool m_reused = false;  ///< The connection comes from the pool.
     bool m_writing = false; ///< The request is being written in the background.
     bool m_writeFailed = false;
 };
--- a/src/gentianramp/http/connection_pool.cpp
+++ b/src/gentianramp/http/connection_pool.cpp
@@ -23,12 +23,13 @@
 { }
 
 std::optional<tcp::socket> ConnectionPool::take(const asio::any_io_executor &executor,
-                                                const HttpAddress &address)
+                                                const HttpAddress &address,
+                                                const std::string &echoedHeader)
 {
     const TimePoint now = RuntimeClock::now();
     const TimePoint oldest = now - m_options.maxIdleAge;
     const std::lock_guard lock(m_mutex);
-    const auto found = m_idle.find({contextOf(executor), address});
+    const auto found = m_idle.find({contextOf(executor), address, echoedHeader});
     if (found == m_idle.end())
         return std::nullopt;
     std::vector<Idle> &idle = found->second;
@@ -41,14 +42,14 @@
     return std::nullopt;
 }
 
-void ConnectionPool::put(const HttpAddress &address, tcp::socket socket,
-                         std::optional<Duration> keepAlive)
+void ConnectionPool::put(const HttpAddress &address, const std::string &echoedHeader,
+                         tcp::socket socket, std::optional<Duration> keepAlive)
 {
     if (!isOpenAndIdle(socket))
         return;
     const TimePoint now = RuntimeClock::now();
     const TimePoint usableUntil = keepAlive ? now + *keepAlive : TimePoint::max();
-    const Key key{contextOf(socket.get_executor()), address};
+    const Key key{contextOf(socket.get_executor()), address, echoedHeader};
     const std::lock_guard lock(m_mutex);
     std::vector<Idle> &idle = m_idle[key];
     if (idle.size() < m_options.maxIdlePerAddress)
--- a/src/gentianramp/http/raw_server.cpp
+++ b/src/gentianramp/http/raw_server.cpp
@@ -46,23 +46,23 @@
                 co_return;
             ++connections;
             sockets.insert(socket);
-            asio::co_spawn(acceptor.get_executor(), serve(socket), asio::detached);
+            asio::co_spawn(acceptor.get_executor(), serve(socket, connections), asio::detached);
         }
     }
 
-    asio::awaitable<void> serve(std::shared_ptr<tcp::socket> socket)
+    asio::awaitable<void> serve(std::shared_ptr<tcp::socket> socket, int number)
     {
         const auto self = shared_from_this();
         bool more = true;
         while (more)
-            more = co_await answerOne(*socket);
+            more = co_await answerOne(*socket, number);
         boost::system::error_code ignored;
         socket->close(ignored);
         sockets.erase(socket);
     }
 
     /// Answers the next request; false when the connection has ended.
-    asio::awaitable<bool> answerOne(tcp::socket &socket)
+    asio::awaitable<bool> answerOne(tcp::socket &socket, int number)
     {
         boost::system::error_code error;
         std::string received;
@@ -77,9 +77,15 @@
             co_await asio::async_read(socket, asio::dynamic_buffer(received),
                                       asio::transfer_exactly(total - received.size()),
                                       asio::redirect_error(asio::use_awaitable, error));
+        lastConnection = number;
         const RawAnswer answer = script(head);
         co_await asio::async_write(socket, asio::buffer(answer.bytes),
                                    asio::redirect_error(asio::use_awaitable, error));
+        if (!answer.late.empty()) {
+            co_await sleepFor(answer.lateAfter);
+            co_await asio::async_write(socket, asio::buffer(answer.late),
+                                       asio::redirect_error(asio::use_awaitable, error));
+        }
         if (answer.end == AnswerEnd::KeepOpen)
             co_return !error;
         if (answer.end == AnswerEnd::Finish) {
@@ -108,6 +114,7 @@
     tcp::acceptor acceptor;
     std::set<std::shared_ptr<tcp::socket>> sockets;
     int connections = 0;
+    int lastConnection = 0;
     int endlessAnswers = 0;
     std::size_t fillerBytes = 0;
 };
@@ -136,6 +143,11 @@
     return m_state->connections;
 }
 
+int RawServer::lastConnection() const
+{
+    return m_state->lastConnection;
+}
+
 int RawServer::openConnections() const
 {
     return static_cast<int>(m_state->sockets.size());
--- a/src/gentianramp/http/raw_server.hpp
+++ b/src/gentianramp/http/raw_server.hpp
@@ -24,6 +24,8 @@
     AnswerEnd end = AnswerEnd::KeepOpen;
     std::string filler;
     Duration fillerInterval{};
+    std::string late; ///< Sent lateAfter the other bytes, before the next request is read.
+    Duration lateAfter{};
 };
 
 /// A server for tests that sends any bytes on a free port of loopback.
@@ -40,6 +42,8 @@
 
     std::uint16_t port() const;
     int connections() const; ///< Accepted so far.
+    /// Number of the connection, from 1, whose request was read last; for use in the script.
+    int lastConnection() const;
     int openConnections() const;
     int endlessAnswers() const;      ///< Still being sent.
     std::size_t fillerBytes() const; ///< Sent by endless answers.
--- a/src/gentianramp/relay/relay_answer_test.cpp
+++ b/src/gentianramp/relay/relay_answer_test.cpp
@@ -107,8 +107,22 @@
                                      .slots = 8,
                                      .engine = prefill,
                                      .prefillOnly = prefill});
-        m_listing.digest = listingDigest(m_listing.servers);
-        m_relay.publish(m_listing);
+        publishListing();
+    }
+
+    /// Lists an engine as one that prefills, or decodes.
+    void setPrefillOnly(const std::string &id, bool prefill)
+    {
+        for (ListedServer &server : m_listing.servers)
+            server.prefillOnly = server.id == BackendId(id) ? prefill : server.prefillOnly;
+        publishListing();
+    }
+
+    void remove(const std::string &id)
+    {
+        std::erase_if(m_listing.servers,
+                      [&](const ListedServer &server) { return server.id == BackendId(id); });
+        publishListing();
     }
 
     void declare(Route route)
@@ -182,6 +196,13 @@
     std::map<std::string, std::unique_ptr<RawServer>> servers;
 
 private:
+    void publishListing()
+    {
+        m_listing.digest = listingDigest(m_listing.servers);
+        m_listing.takenAt = RuntimeClock::now();
+        m_relay.publish(m_listing);
+    }
+
     asio::io_context m_context{1};
     HttpClient m_client;
     BackendListing m_listing;
@@ -490,3 +511,97 @@
         cr_assert(fixture.runUntil([&] { return checks >= 3; }), "%d checks", checks);
     }
 }
+
+// A second copy of the first answer carries the id of the request that is sent again, so that only
+// another connection tells it from the second answer.
+Test(relay_answers, aCopyOfTheFirstAnswerIsNotTheAnswerToTheSecondSend)
+{
+    AnswerFixture fixture;
+    int firstConnection = 0;
+    fixture.addServer("one", [&](const std::string &head) -> RawAnswer {
+        const std::string failure = "HTTP/1.1 500 Failure\r\nX-Id: " + fieldOf(head, "X-Id")
+            + "\r\nContent-Length: 0\r\n\r\n";
+        const int connection = fixture.servers["one"]->lastConnection();
+        if (firstConnection == 0) {
+            firstConnection = connection;
+            return {.bytes = failure};
+        }
+        return {.bytes = (connection == firstConnection ? failure : "")
+                    + answers(Framing::Length, {}, "body")(head).bytes};
+    });
+    fixture.declare({.kind = RouteKind::Repeatable, .attempts = 2});
+    const Result<HttpResponse> answer = fixture.call();
+    cr_assert_eq(answer->status, 200U);
+    cr_assert_eq(answer->body, "body");
+    cr_assert_eq(fixture.requests["one"], 2);
+}
+
+// An engine may get the prefill of a request and the request itself. A copy of the answer to the
+// prefill reached the caller as a success.
+Test(relay_answers, aCopyOfThePrefillsAnswerIsNotTheRequestsAnswer)
+{
+    AnswerFixture fixture;
+    int prefillConnection = 0;
+    std::string prefillAnswer;
+    fixture.addServer(
+        "reader",
+        [&](const std::string &head) -> RawAnswer {
+            const int connection = fixture.servers["reader"]->lastConnection();
+            if (fieldOf(head, "X-Stage") == "prefill") {
+                // The engine is listed as one that decodes when the prompt is prefilled.
+                fixture.setPrefillOnly("reader", false);
+                fixture.remove("decoder");
+                prefillConnection = connection;
+                prefillAnswer = answers(Framing::Length, {}, "handle7")(head).bytes;
+                return {.bytes = prefillAnswer};
+            }
+            return {.bytes = (connection == prefillConnection ? prefillAnswer : "")
+                        + streamsOn(3)(head).bytes};
+        },
+        true);
+    fixture.addServer("decoder", streamsOn(3));
+    fixture.declare(
+        {.kind = RouteKind::Stream, .attempts = 2, .carriesPrompt = true, .resumable = true});
+    const Result<HttpResponse> answer = fixture.call(true);
+    cr_assert_eq(answer->status, 200U);
+    cr_assert_eq(answer->body, events(1, 3));
+    cr_assert_eq(fixture.requests["reader"], 2);
+}
+
+// Requests that free handles have no id: a copy of their answers was taken for the handle of the
+// next prompt.
+Test(relay_answers, anAnswerToAFreedHandleIsNotTheNextPrefillsAnswer)
+{
+    AnswerFixture fixture;
+    std::map<int, std::string> copies; // By connection.
+    int freed = 0;
+    fixture.addServer(
+        "reader",
+        [&](const std::string &head) -> RawAnswer {
+            std::string &copy = copies[fixture.servers["reader"]->lastConnection()];
+            if (head.starts_with("DELETE")) {
+                ++freed;
+                copy = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfreed";
+                return {.bytes = copy};
+            }
+            return {.bytes = copy + answers(Framing::Length, {}, "handle7")(head).bytes};
+        },
+        true);
+    bool rejects = true;
+    fixture.addServer("decoder", [&](const std::string &head) -> RawAnswer {
+        if (std::exchange(rejects, false))
+            return {.bytes = "HTTP/1.1 421 Other\r\nX-Id: " + fieldOf(head, "X-Id")
+                        + "\r\nContent-Length: 0\r\n\r\n"};
+        cr_assert(fieldOf(head, "X-Take").ends_with("/handle7"), "%s", head.c_str());
+        return streamsOn(3)(head);
+    });
+    fixture.declare(
+        {.kind = RouteKind::Stream, .attempts = 1, .carriesPrompt = true, .resumable = true});
+    cr_assert_eq(fixture.call(true)->status, 503U);
+    cr_assert(fixture.runUntil([&] { return freed == 1; }));
+    fixture.addServer("other", [&](const std::string &head) -> RawAnswer {
+        cr_assert(fieldOf(head, "X-Take").ends_with("/handle7"), "%s", head.c_str());
+        return streamsOn(3)(head);
+    });
+    fixture.checkServed("other", events(1, 3), true);
+}
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -587,15 +587,21 @@
     call.silenceTimeout = call.headTimeout;
     // A pooled connection may be closed at the server's end already, and a request that may not run
     // twice can't be sent again.
-    call.freshConnection = !m_route->repeatable();
+    call.freshConnection = !m_route->repeatable() || wasSentTo(target.address);
     return call;
 }
 
+bool RelayedRequest::wasSentTo(const HttpAddress &address) const
+{
+    return std::find(m_sentTo.begin(), m_sentTo.end(), address) != m_sentTo.end();
+}
+
 asio::awaitable<RelayedRequest::AttemptResult> RelayedRequest::sendOnce(const SendTarget &target)
 {
     Attempt attempt;
     attempt.target = target;
     attempt.exchange = m_state->client.exchange(makeCall(target));
+    m_sentTo.push_back(target.address);
     attempt.sentAt = attempt.target.sentAt = RuntimeClock::now();
     m_exchange = attempt.exchange;
     m_backend = target.backend;
@@ -648,12 +654,14 @@
 {
     const BackendProtocol &protocol = m_state->options.protocol;
     HttpCall call = makeCall(prefillEngine);
-    call.freshConnection = false; // A prefill may be repeated: it does not run the request.
+    // A prefill may be repeated: it does not run the request.
+    call.freshConnection = wasSentTo(prefillEngine.address);
     call.request.headers.set(protocol.prefillOnly, protocol.prefillValue);
     call.maxBodyBytes = MaxPrefillAnswerBytes;
     Attempt attempt;
     attempt.target = prefillEngine;
     attempt.exchange = m_state->client.exchange(std::move(call));
+    m_sentTo.push_back(prefillEngine.address);
     attempt.sentAt = RuntimeClock::now();
     m_exchange = attempt.exchange;
     m_backend = m_prefillEngine = prefillEngine.backend;
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -85,6 +85,9 @@
     boost::asio::awaitable<AttemptResult> prefillPrompt(const SendTarget &prefillEngine);
     void releasePrefilledPrompt();
     HttpCall makeCall(const SendTarget &target) const;
+    /// A second answer to the first send could not be told from the answer to a further one on the
+    /// same connection, since both carry the request's id.
+    bool wasSentTo(const HttpAddress &address) const;
     void logSendFailed(const SendTarget &target, std::string_view event, AttemptResult result,
                        const std::error_code &error, unsigned status, TimePoint sentAt) const;
     bool mayRepeat(AttemptResult result) const;
@@ -223,6 +226,7 @@
     BackendId m_prefillEngine;     ///< Last engine that was asked to prefill.
     Duration m_lastExpectedWait{}; ///< Expected wait of the last placement.
     std::vector<BackendId> m_tried;
+    std::vector<HttpAddress> m_sentTo; ///< Servers and instances, also for prefills.
     Verdict m_verdict = Verdict::NotRun;
     /// Last event delivered, or named by the caller's Last-Event-Id.
     std::optional<std::uint64_t> m_lastEventId;
--- a/src/gentianramp/relay/relayed_request_hand_over.cpp
+++ b/src/gentianramp/relay/relayed_request_hand_over.cpp
@@ -85,7 +85,7 @@
     call.connectTimeout = std::min<Duration>(HelperConnectTimeout, timeLeft());
     call.headTimeout = timeLeft() + std::chrono::seconds(1);
     call.silenceTimeout = call.headTimeout;
-    call.freshConnection = !m_route->repeatable();
+    call.freshConnection = !m_route->repeatable() || wasSentTo(helper.address);
     return call;
 }
 
@@ -116,6 +116,7 @@
     Attempt attempt;
     attempt.byHelper = true;
     attempt.exchange = m_state->client.exchange(makeHandOverCall(helper));
+    m_sentTo.push_back(helper.address);
     attempt.sentAt = RuntimeClock::now();
     m_exchange = attempt.exchange;
     m_helper = helper.instance;
