Wait for requests that are being read before a planned end

Cause: an entry process that stops ended as soon as no handler was at work. A request whose head or body was still arriving, or whose first bytes were on their way on a connection that had just been accepted, was cut off without an answer.

Change: HttpServer::unansweredRequests() counts a request from its first byte on. The process ends after 250 ms without such a request, or at the end of its grace period as before.

Connections in the accept queue are answered, and a request after "Connection: close" is not run, without a change.

--- a/include/gentianramp/http/server.hpp
+++ b/include/gentianramp/http/server.hpp
@@ -124,6 +124,9 @@
     std::size_t connections() const;
     /// Number of requests whose handler has not returned.
     std::size_t activeRequests() const;
+    /// Number of requests of which a byte was read and that are not answered, also those of which
+    /// the handler does not know yet.
+    std::size_t unansweredRequests() const;
 
 private:
     struct State;
--- a/src/gentianramp/entry/entry_service.cpp
+++ b/src/gentianramp/entry/entry_service.cpp
@@ -441,7 +441,7 @@
 
 bool EntryService::hasActiveRequests() const
 {
-    return m_state->server.activeRequests() > 0;
+    return m_state->server.unansweredRequests() > 0;
 }
 
 bool EntryService::hasOpenSettlements() const
--- a/src/gentianramp/http/server.cpp
+++ b/src/gentianramp/http/server.cpp
@@ -185,4 +185,9 @@
     return m_state->shared->activeRequests;
 }
 
+std::size_t HttpServer::unansweredRequests() const
+{
+    return m_state->shared->unansweredRequests;
+}
+
 } // namespace gentianramp
--- a/src/gentianramp/http/server_session.cpp
+++ b/src/gentianramp/http/server_session.cpp
@@ -188,6 +188,7 @@
 ServerSession::~ServerSession()
 {
     m_watchdog->stop();
+    setUnanswered(false);
     m_shared->remove(this);
 }
 
@@ -207,6 +208,15 @@
     m_socket.close(ignored);
 }
 
+void ServerSession::setUnanswered(bool unanswered)
+{
+    if (unanswered && !m_unanswered)
+        m_shared->unansweredRequests.fetch_add(1);
+    if (!unanswered && m_unanswered)
+        m_shared->unansweredRequests.fetch_sub(1);
+    m_unanswered = unanswered;
+}
+
 asio::awaitable<void> ServerSession::run()
 {
     const auto self = shared_from_this();
@@ -222,9 +232,11 @@
         if (!received)
             break;
         const bool answered = co_await handle(std::move(request));
+        setUnanswered(false);
         if (!answered)
             break;
     }
+    setUnanswered(false);
     co_await closeGracefully();
 }
 
@@ -268,6 +280,8 @@
         if (error)
             co_return false;
     }
+    // A process that stops waits for requests that are being read too.
+    setUnanswered(true);
     http::request_parser<http::string_body> parser;
     parser.header_limit(options.maxHeaderBytes);
     parser.body_limit(options.maxBodyBytes);
--- a/src/gentianramp/http/server_session.hpp
+++ b/src/gentianramp/http/server_session.hpp
@@ -35,6 +35,7 @@
     std::atomic<bool> keepAliveDisabled{false}; ///< Each connection closes after a response.
     std::atomic<bool> stopped{false};           ///< HttpServer::stop() was called.
     std::atomic<std::size_t> activeRequests{0};
+    std::atomic<std::size_t> unansweredRequests{0}; ///< From their first byte on.
 
 private:
     mutable std::mutex m_mutex;
@@ -82,6 +83,8 @@
     std::optional<UnansweredReason> unansweredReason() const;
     void beginResponse();
     void closeSocket();
+    /// Says whether a request is being read or answered, for ServerContext::unansweredRequests.
+    void setUnanswered(bool unanswered);
 
     boost::asio::any_io_executor m_executor;
     boost::asio::ip::tcp::socket m_socket;
@@ -92,6 +95,7 @@
     TimePoint m_requestReadAt{};
     std::uint64_t m_bytesWritten = 0; ///< Since the request was read.
     std::optional<UnansweredReason> m_writeFailure;
+    bool m_unanswered = false; ///< Counted in ServerContext::unansweredRequests.
     bool m_keepAlive = true;
     bool m_headOnly = false;
     /// The request is HTTP/1.0: a streamed body is sent without chunked encoding and ends when the
--- a/src/gentianramp/http/server_test.cpp
+++ b/src/gentianramp/http/server_test.cpp
@@ -60,6 +60,8 @@
         return m_socket.write_some(asio::buffer(bytes), error);
     }
 
+    void close() { m_socket.close(); }
+
     /// Reads a few kilobytes at most.
     void readPart()
     {
@@ -388,6 +390,61 @@
     cr_assert(response.find("Connection: close") != std::string::npos);
 }
 
+// Closing the listening socket resets the connections that it has not accepted yet.
+// HttpServer::stopListening() accepts them before.
+Test(HttpServer, AnswersConnectionsInTheAcceptQueueWhenItStopsListening)
+{
+    TestServer test;
+    const std::string whole = "GET / HTTP/1.1\r\n\r\n";
+    std::vector<std::unique_ptr<PlainCaller>> callers;
+    for (int number = 0; number < 20; ++number) {
+        callers.push_back(std::make_unique<PlainCaller>(test.port));
+        cr_assert_eq(callers.back()->write(whole), whole.size());
+    }
+    test.server.disableKeepAlive();
+    test.server.stopListening();
+    for (const auto &caller : callers) {
+        runUntil(test.context, [&] {
+            caller->readPart();
+            return caller->ended();
+        });
+        cr_assert(caller->received().starts_with("HTTP/1.1 200"));
+    }
+}
+
+// A caller must not send a request after "Connection: close", and may send one anew that got no
+// answer. ServerSession::run() reads none, so that it has not run.
+Test(HttpServer, ARequestAfterConnectionCloseIsNotRun)
+{
+    TestServer test;
+    test.server.disableKeepAlive();
+    const std::string response
+        = exchangeRaw(test.context, test.port, "GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n");
+    cr_assert(response.find("Connection: close") != std::string::npos);
+    cr_assert_eq(response.find("HTTP/1.1", 1), std::string::npos);
+    cr_assert_eq(test.requestCount, 1);
+}
+
+// A process that stops waits for the requests that it has begun to read.
+Test(HttpServer, CountsARequestFromItsFirstByteUntilItIsAnswered)
+{
+    TestServer test;
+    PlainCaller caller(test.port);
+    cr_assert(runUntil(test.context, [&] { return test.server.connections() == 1; }));
+    cr_assert_eq(test.server.unansweredRequests(), 0U);
+    caller.write("GET / HTTP/1.1\r\n");
+    cr_assert(runUntil(test.context, [&] { return test.server.unansweredRequests() == 1; }));
+    caller.write("\r\n");
+    cr_assert(runUntil(test.context, [&] { return test.server.unansweredRequests() == 0; }));
+    caller.readPart();
+    cr_assert(caller.received().starts_with("HTTP/1.1 200"));
+    PlainCaller leaving(test.port);
+    leaving.write("GET / HT");
+    cr_assert(runUntil(test.context, [&] { return test.server.unansweredRequests() == 1; }));
+    leaving.close();
+    cr_assert(runUntil(test.context, [&] { return test.server.unansweredRequests() == 0; }));
+}
+
 Test(HttpServer, RejectsConnectionsOverTheLimit)
 {
     HttpServerOptions options = lowLimits();
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -30,6 +30,9 @@
 /// is killed.
 constexpr int DrainSixthsOfGrace = 5;
 constexpr Duration DrainCheckInterval = std::chrono::milliseconds(50);
+/// The process ends after this time without a request. The first bytes of a request on a connection
+/// that was accepted last, or was idle, may be on their way for a round trip.
+constexpr Duration QuietBeforeEnd = std::chrono::milliseconds(250);
 /// The smallest instances have 4,100 file descriptors; those beyond this bound are left for
 /// connections to backend servers and for files.
 constexpr std::size_t MaxCallerConnections = 2500;
@@ -299,10 +302,11 @@
         relay.publish(std::move(declaration).value());
     }
 
-    /// Requests of callers and of other instances that have no answer yet.
-    std::size_t activeRequests() const
+    /// Requests of callers and of other instances that have no answer yet. Those that are being
+    /// read count too: a process that ended meanwhile cut them off without an answer.
+    std::size_t unansweredRequests() const
     {
-        return callers->activeRequests() + helper->activeRequests();
+        return callers->unansweredRequests() + helper->unansweredRequests();
     }
 
     asio::awaitable<void> leave(std::function<void()> done)
@@ -321,10 +325,14 @@
         co_await sleepFor(StopListeningDelay - LongRequestRefusalDelay);
         callers->stopListening();
         helper->stopListening();
+        TimePoint busyAt = RuntimeClock::now();
         do {
             co_await sleepFor(DrainCheckInterval);
-        } while (RuntimeClock::now() < drainDeadline && activeRequests() > 0);
-        if (activeRequests() > 0) {
+            if (unansweredRequests() > 0)
+                busyAt = RuntimeClock::now();
+        } while (RuntimeClock::now() < drainDeadline
+                 && RuntimeClock::now() - busyAt < QuietBeforeEnd);
+        if (unansweredRequests() > 0) {
             relay.expireAll();
             co_await sleepFor(FinalAnswersDelay);
         }
@@ -333,7 +341,7 @@
             co_await sleepFor(2 * FeedTickInterval);
         }
         logInfo("left",
-                {{"active", activeRequests()},
+                {{"active", unansweredRequests()},
                  {"after_ms", toMilliseconds(RuntimeClock::now() - drainStartedAt)}});
         stopping = true;
         done();
