Give a reused connection the limits of its call

Cause: TCP_USER_TIMEOUT stayed as the call that opened the connection had set it. A call with little time left could leave a limit of about a second, after which the kernel reset a later, sound stream on that connection when the network paused.

Change: the socket options are set for reused connections too. Tests show that slow streams and stalled ones are told apart otherwise: a server that answers its health check keeps a stream with an event a second, and bytes that come now and then do not outlast the time of the route.

--- a/include/gentianramp/http/client.hpp
+++ b/include/gentianramp/http/client.hpp
@@ -20,8 +20,8 @@
     Duration connectTimeout = std::chrono::seconds(1);
     Duration headTimeout
         = std::chrono::seconds(30); ///< From sending the request to its response head.
-    /// Longest wait for the next bytes of the body, for writing a short request and, on new
-    /// connections, for the peer to acknowledge sent data (TCP_USER_TIMEOUT).
+    /// Longest wait for the next bytes of the body, for writing a short request and for the peer to
+    /// acknowledge sent data (TCP_USER_TIMEOUT).
     Duration silenceTimeout = std::chrono::seconds(10);
     /// From HttpExchange::open() to the end of the body, however steadily bytes arrive.
     /// HttpClient::request() replaces Duration::max() by the sum of the other limits.
--- a/src/gentianramp/http/client_exchange.cpp
+++ b/src/gentianramp/http/client_exchange.cpp
@@ -100,8 +100,10 @@
     if (!m_reused)
         m_socket.emplace(executor);
     m_watchdog = std::make_shared<Watchdog>(executor, *m_socket);
-    if (m_reused)
+    if (m_reused) {
+        setSocketOptions(*m_socket, m_call.silenceTimeout);
         co_return std::error_code();
+    }
     boost::system::error_code error;
     const auto address = asio::ip::make_address(m_call.address.host, error);
     if (error)
--- a/src/gentianramp/http/client_test.cpp
+++ b/src/gentianramp/http/client_test.cpp
@@ -3,6 +3,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <criterion/criterion.h>
 
@@ -22,6 +25,24 @@
     return call;
 }
 
+/// Time without an acknowledgement after which the kernel resets the connection to @p port.
+Duration unacknowledgedTimeout(std::uint16_t port)
+{
+    constexpr int MaxHandle = 256;
+    for (int handle = 0; handle < MaxHandle; ++handle) {
+        sockaddr_in peer{};
+        socklen_t peerSize = sizeof peer;
+        if (getpeername(handle, reinterpret_cast<sockaddr *>(&peer), &peerSize) != 0
+            || peer.sin_family != AF_INET || ntohs(peer.sin_port) != port)
+            continue;
+        unsigned milliseconds = 0;
+        socklen_t size = sizeof milliseconds;
+        getsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, &size);
+        return std::chrono::milliseconds(milliseconds);
+    }
+    return {};
+}
+
 asio::awaitable<void> openExchange(std::shared_ptr<HttpExchange> exchange,
                                    std::optional<std::error_code> &result)
 {
@@ -54,6 +75,21 @@
     cr_assert_eq(test.server.connections(), 2U);
 }
 
+// A reused connection kept the limit of the call that opened it, so that a pause of the network
+// ended a call that had more time.
+Test(HttpClient, AReusedConnectionHasTheLimitsOfItsCall)
+{
+    TestServer test;
+    HttpClient client;
+    HttpCall call = makeCall(test.port, "/");
+    for (const Duration timeout : {Duration(1s), Duration(30s), Duration(2s)}) {
+        call.silenceTimeout = timeout;
+        cr_assert(callOnce(test.context, client, call));
+        cr_assert(unacknowledgedTimeout(test.port) == timeout);
+    }
+    cr_assert_eq(test.server.connections(), 1U);
+}
+
 Test(HttpClient, ConnectionRefusedOnlyWhenNoByteWasSent)
 {
     asio::io_context context;
--- a/src/gentianramp/relay/relay_answer_test.cpp
+++ b/src/gentianramp/relay/relay_answer_test.cpp
@@ -605,3 +605,37 @@
     });
     fixture.checkServed("other", events(1, 3), true);
 }
+
+// Bytes that come now and then kept a stalled stream alive. RelayedRequest::startDeadline() ends it
+// with the time of its route, whatever arrives.
+Test(relay_answers, aStalledStreamThatSendsBytesEndsWithItsRoutesTime)
+{
+    for (const char *filler : {": still here\n\n", ":", "x", "\n"}) {
+        for (const Route &kind : {resumableStream(), runOnceStream()}) {
+            const std::string begun = *filler == 'x' ? "id: 5\ndata: " : "";
+            AnswerFixture fixture;
+            fixture.addServer("stalls",
+                              sendsWithoutEnd(StreamType, events(1, 4) + begun, filler, 100ms));
+            Route route = kind;
+            route.timeout = 700ms;
+            fixture.declare(route);
+            const Result<HttpResponse> answer = fixture.call();
+            cr_assert_not(static_cast<bool>(answer), "complete with: %s", filler);
+            fixture.checkClosed("stalls");
+        }
+    }
+}
+
+Test(relay_answers, aStalledAnswerThatSendsBytesEndsWithItsRoutesTime)
+{
+    const std::string length = "Content-Length: 100000\r\n";
+    for (const RouteKind kind : {RouteKind::RunOnce, RouteKind::Repeatable}) {
+        for (const std::string &fields : {length, std::string()}) {
+            AnswerFixture fixture;
+            fixture.addServer("stalls", sendsWithoutEnd(fields, {}, "x", 100ms));
+            fixture.declare({.kind = kind, .timeout = 700ms});
+            cr_assert_eq(fixture.call()->status, 504U);
+            fixture.checkClosed("stalls");
+        }
+    }
+}
--- a/src/gentianramp/relay/relay_service_test.cpp
+++ b/src/gentianramp/relay/relay_service_test.cpp
@@ -258,6 +258,28 @@
     };
 }
 
+/// Streams events 1 to @p last, one a second; answers health checks at once.
+Handler streamsSlowly(int last)
+{
+    return [last](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
+        if (!request.path().starts_with("/p/")) {
+            co_await writer.send(signedAnswer(request));
+            co_return;
+        }
+        HttpResponse head = signedAnswer(request);
+        head.headers.add("Content-Type", "text/event-stream");
+        for (int id = 1; id <= last && !writer.callerGone(); ++id) {
+            co_await sleepFor(std::chrono::seconds(1));
+            if (id == 1)
+                co_await writer.startStream(head);
+            const std::string event
+                = "id: " + std::to_string(id) + "\ndata: " + std::to_string(id) + "\n\n";
+            co_await writer.writePiece(event);
+        }
+        co_await writer.finishStream();
+    };
+}
+
 constexpr RetryBounds NoRepeats{.ratio = 0, .slack = 0};
 
 std::string eventsUpTo(int last)
@@ -816,6 +838,26 @@
     cr_assert_eq(fixture.requestsAt("first") + fixture.requestsAt("second"), 1);
 }
 
+// Slow streams were taken for stalled ones. RelayedRequest::watchSilence() checks the server's
+// health, and a server that answers keeps its stream.
+Test(relay_service, aSlowStreamOfASoundServerIsNotCut)
+{
+    constexpr int Events = 3;
+    RelayFixture fixture;
+    fixture.addServer("one", streamsSlowly(Events));
+    fixture.addServer("two", streamsSlowly(Events));
+    Route route{.kind = RouteKind::Stream, .attempts = 2, .resumable = true};
+    route.timeout = std::chrono::seconds(20);
+    fixture.declare(route);
+    const Result<HttpResponse> answer = fixture.call({.method = "POST"});
+    cr_assert(answer);
+    cr_assert_eq(answer->body, eventsUpTo(Events));
+    const auto streams
+        = std::count_if(fixture.receivedRequests.begin(), fixture.receivedRequests.end(),
+                        [](const auto &entry) { return entry.second.path().starts_with("/p/"); });
+    cr_assert_eq(streams, 1);
+}
+
 Test(relay_service, aSilentServerKeepsACallThatNoOtherServerCanTake)
 {
     RelayFixture fixture;
