Promise that a request has not run only if its server says so

Cause: an unsigned 408, 429 or 503 of a server without the header that says that the request did not run was passed on. Callers take these statuses for a promise that the request has not run.

Change: for a request that may not run twice, such an answer counts like a lost one and becomes 502. Signed answers and those to repeatable requests pass as before.

--- a/src/gentianramp/relay/hand_over_test.cpp
+++ b/src/gentianramp/relay/hand_over_test.cpp
@@ -132,6 +132,28 @@
     };
 }
 
+/// A helper that ends within the answer that it passes on.
+Handler endsInAnswer()
+{
+    return [](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
+        HttpResponse head = signedAnswer(request);
+        head.headers.set("Gentianramp-Verdict", "Complete");
+        co_await writer.startStream(std::move(head));
+        co_await writer.writePiece("half");
+    };
+}
+
+/// A helper that does not say whether the request ran.
+Handler refusesWithoutVerdict()
+{
+    return [](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
+        HttpResponse response;
+        response.status = 503;
+        response.headers.set("X-Id", std::string(request.headers.find("X-Id")));
+        co_await writer.send(std::move(response));
+    };
+}
+
 /// Ends the servers as a request reaches the one.
 Handler endsServers(RelayFixture &fixture, const std::vector<std::string> &ids)
 {
@@ -255,6 +277,25 @@
     cr_assert_eq(cut.fixture.requestsAt("one"), 0);
 }
 
+// The request may have run at a helper that ended, or that answered without saying whether it did.
+// RelayedRequest::noteHelperHead() takes only a stated verdict for a promise.
+Test(hand_over, aRunOnceRequestWhoseHelperEndsIsNeitherRepeatedNorRefused)
+{
+    for (const HttpHandler &handler :
+         {HttpHandler(endsInAnswer()), HttpHandler(refusesWithoutVerdict())}) {
+        CutInstance cut;
+        cut.fixture.addServer("one", answers(200));
+        cut.cutOff(RunOnce);
+        Helper &first = cut.addHelper(RunOnce, handler);
+        Helper &second = cut.addHelper(RunOnce);
+        const Result<HttpResponse> answer = cut.fixture.call(post("me"));
+        cr_assert(answer);
+        cr_assert_eq(answer->status, 502U);
+        cr_assert_eq(first.taken(), 1);
+        cr_assert_eq(second.taken(), 0);
+    }
+}
+
 Test(hand_over, aRepeatableRequestWhoseHopBreaksIsHandedToAnother)
 {
     const Route route{.kind = RouteKind::Repeatable, .attempts = 2};
--- a/src/gentianramp/relay/relay_answer_test.cpp
+++ b/src/gentianramp/relay/relay_answer_test.cpp
@@ -639,3 +639,44 @@
         }
     }
 }
+
+// Callers sent requests again that had run, since the server, or what stands before it, answered
+// with a status that promises that they had not.
+Test(relay_answers, aRefusalThatDoesNotSayThatTheRequestDidNotRunIsNoPromise)
+{
+    for (const char *status : {"408 Timeout", "429 Many", "503 Full"}) {
+        const std::string line = std::string("HTTP/1.1 ") + status + "\r\n";
+        for (const Route &route : {Route{.kind = RouteKind::RunOnce, .attempts = 2},
+                                   Route{.kind = RouteKind::Stream, .attempts = 2}}) {
+            AnswerFixture fixture;
+            for (const char *id : {"one", "two"})
+                fixture.addServer(id, [=](const std::string &head) -> RawAnswer {
+                    return {.bytes = line + "X-Id: " + fieldOf(head, "X-Id")
+                                + "\r\nContent-Length: 0\r\n\r\n"};
+                });
+            fixture.declare(route);
+            const Result<HttpResponse> answer = fixture.call();
+            cr_assert_eq(answer->status, 502U, "%u after %s", answer->status, status);
+            cr_assert_eq(fixture.requests["one"] + fixture.requests["two"], 1);
+        }
+    }
+}
+
+// The server may have run the request before it ended the connection, also if it answered nothing
+// or sent a part of an answer. RelayedRequest::mayRepeat() sends it to no other server then.
+Test(relay_answers, aRunOnceRequestIsNotSentAgainAfterAnyPartOfItsAnswerWasLost)
+{
+    const std::string whole = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull";
+    for (const AnswerEnd end : {AnswerEnd::Finish, AnswerEnd::Reset}) {
+        for (const std::size_t size : {std::size_t(0), std::size_t(12), whole.find("Content")}) {
+            AnswerFixture fixture;
+            for (const char *id : {"one", "two"})
+                fixture.addServer(id, [=](const std::string &) -> RawAnswer {
+                    return {.bytes = whole.substr(0, size), .end = end};
+                });
+            fixture.declare({.kind = RouteKind::RunOnce, .attempts = 2});
+            cr_assert_eq(fixture.call()->status, 502U);
+            cr_assert_eq(fixture.requests["one"] + fixture.requests["two"], 1);
+        }
+    }
+}
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -70,6 +70,15 @@
     return status >= 200 && status < 300;
 }
 
+/// True for an answer by which a caller knows that its request has not run and never will.
+bool promisesNotRun(unsigned status)
+{
+    constexpr unsigned RequestTimeout = 408;
+    constexpr unsigned TooManyRequests = 429;
+    constexpr unsigned ServiceUnavailable = 503;
+    return status == RequestTimeout || status == TooManyRequests || status == ServiceUnavailable;
+}
+
 /// True when the end of the body does not have to be told from the connection's end.
 bool isDelimited(const HttpExchange &exchange)
 {
@@ -850,6 +859,9 @@
     const bool signedAnswer = exchange.headers().contains(protocol.signature);
     if (isSuccess(exchange.status()) && !signedAnswer)
         co_return AttemptResult::MayHaveRun;
+    // Callers take these for a promise, which the server has not given.
+    if (promisesNotRun(exchange.status()) && !signedAnswer && !m_route->repeatable())
+        co_return AttemptResult::MayHaveRun;
     co_return co_await relayAnswer(attempt);
 }
 
