--- a/src/gentianramp/relay/hand_over_test.cpp
+++ b/src/gentianramp/relay/hand_over_test.cpp
@@ -143,6 +143,18 @@
     };
 }
 
+/// A helper that ends after the first event of a stream that it passes on.
+Handler endsInStream()
+{
+    return [](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
+        HttpResponse head = signedAnswer(request);
+        head.headers.set("Gentianramp-Verdict", "Complete");
+        head.headers.set("Content-Type", "text/event-stream");
+        co_await writer.startStream(std::move(head));
+        co_await writer.writePiece("id: 1\ndata: 1\n\n");
+    };
+}
+
 /// A helper that does not say whether the request ran.
 Handler refusesWithoutVerdict()
 {
@@ -324,6 +336,17 @@
     cr_assert_eq(cut.fixture.requestsAt("one"), 1);
 }
 
+// A helper that ends within a stream leaves the stream without its last chunk.
+Test(hand_over, aStreamWhoseHelperEndsIsNotComplete)
+{
+    const Route route{.kind = RouteKind::Stream};
+    CutInstance cut;
+    cut.fixture.addServer("one", answers(200));
+    cut.addHelper(route, endsInStream());
+    cut.cutOff(route);
+    cr_assert_not(static_cast<bool>(cut.fixture.call(post("me"))));
+}
+
 // Callers may not choose the headers that instances send each other.
 Test(hand_over, headersOfInstancesAreDroppedFromCallersRequests)
 {
--- a/src/gentianramp/relay/relay_answer_test.cpp
+++ b/src/gentianramp/relay/relay_answer_test.cpp
@@ -680,3 +680,80 @@
         }
     }
 }
+
+namespace {
+
+/// Begins an answer with @p body in @p framing and ends the connection before the answer's end.
+RawServer::Script breaksOff(Framing framing, const std::string &fields, const std::string &body,
+                            AnswerEnd end)
+{
+    return [=](const std::string &head) -> RawAnswer {
+        if (framing == Framing::Chunks)
+            return {.bytes
+                    = answerHead(head, fields + "Transfer-Encoding: chunked\r\n") + chunk(body),
+                    .end = end};
+        const std::string length = std::to_string(body.size() + 1);
+        return {.bytes = answerHead(head, fields + "Content-Length: " + length + "\r\n") + body,
+                .end = end};
+    };
+}
+
+} // namespace
+
+// The length of an answer, or its last chunk, shows that it broke off, however the connection
+// ended. An answer without either is complete when its connection ends in order: nothing tells it
+// from one that broke off (see aWholeAnswerMayEndWithItsConnection).
+Test(relay_answers, aWholeAnswerThatBreaksOffIsNoSuccess)
+{
+    for (const Framing framing : {Framing::Length, Framing::Chunks}) {
+        for (const AnswerEnd end : {AnswerEnd::Finish, AnswerEnd::Reset}) {
+            AnswerFixture once;
+            once.addServer("breaks-off", breaksOff(framing, {}, "half", end));
+            once.declare({.kind = RouteKind::RunOnce});
+            const Result<HttpResponse> failure = once.call();
+            cr_assert_eq(failure->status, 502U);
+            cr_assert_not(failure->headers.contains("X-Signature"));
+            cr_assert_eq(failure->body.find("half"), std::string::npos);
+            AnswerFixture again;
+            again.addServer("breaks-off", breaksOff(framing, {}, "half", end));
+            again.addServer("other", answers(Framing::Length, {}, "body"));
+            again.declare({.kind = RouteKind::Repeatable, .attempts = 2});
+            again.checkServed("breaks-off", "body");
+        }
+    }
+}
+
+// Between two events only the missing end of the answer shows that the stream broke off.
+Test(relay_answers, aStreamThatBreaksOffBetweenEventsIsNotComplete)
+{
+    for (const Framing framing : {Framing::Length, Framing::Chunks}) {
+        for (const AnswerEnd end : {AnswerEnd::Finish, AnswerEnd::Reset}) {
+            const auto broken = breaksOff(framing, StreamType, events(1, 4), end);
+            AnswerFixture resumed;
+            resumed.addServer("breaks-off", broken);
+            resumed.addServer("other", streamsOn(9));
+            resumed.declare(resumableStream());
+            resumed.checkServed("breaks-off", events(1, 9));
+            AnswerFixture cut;
+            cut.addServer("breaks-off", broken);
+            cut.declare(runOnceStream());
+            cr_assert_not(static_cast<bool>(cut.call()));
+            cr_assert_eq(cut.requests["breaks-off"], 1);
+        }
+    }
+}
+
+// Half of a handle names another prompt, or none.
+Test(relay_answers, aPrefillsAnswerThatBreaksOffIsNotUsed)
+{
+    for (const Framing framing : {Framing::Length, Framing::Chunks}) {
+        AnswerFixture fixture;
+        fixture.addServer("reader", breaksOff(framing, {}, "hand", AnswerEnd::Finish), true);
+        fixture.addServer("decoder", [](const std::string &head) {
+            cr_assert(fieldOf(head, "X-Take").empty(), "%s", head.c_str());
+            return streamsOn(3)(head);
+        });
+        fixture.declare({.kind = RouteKind::Stream, .attempts = 2, .carriesPrompt = true});
+        fixture.checkServed("reader", events(1, 3), true);
+    }
+}
