Check the authority directly before a duty or a stage order is sent

Cause: leadership was confirmed before each call, but not looked at again. A process that was suspended after the confirmation, or while it read an engine's report, sent its order when it was resumed, which may be after its successor's first one. Stage orders that were decided under one term were sent under a later one without its wait. A call that timed out was closed in order, so that the kernel could still send the rest of it.

Change: DutyPermit ties a call to the term in which it was decided and to 700 ms after its confirmation was asked for.

--- a/include/gentianramp/http/client.hpp
+++ b/include/gentianramp/http/client.hpp
@@ -30,6 +30,9 @@
     /// Opens a new connection instead of reusing a pooled one. Needed for requests that must not be
     /// repeated, since the server may already have closed a pooled connection.
     bool freshConnection = false;
+    /// Resets the connection unless the call succeeds, so that the kernel does not send the rest of
+    /// the request later. For calls that must not arrive after their time.
+    bool resetOnFailure = false;
     /// Header that the server copies from the request into its response. A response with another
     /// value is a late response to an earlier request on the same connection and is skipped. A
     /// response without the header is accepted on a new connection, which is closed after it, and
--- a/include/gentianramp/registry/duty_runner.hpp
+++ b/include/gentianramp/registry/duty_runner.hpp
@@ -59,6 +59,34 @@
     TimePoint m_since{};
 };
 
+/// Allows one call after the leadership was confirmed. Checked directly before the first byte is
+/// sent: the process may have been suspended, or have lost and regained the leadership, meanwhile.
+class DutyPermit
+{
+public:
+    /// Longest time from the request for the confirmation to the call. With the time-out of a call
+    /// it stays below the margin after which a successor, elected directly after the confirmation,
+    /// makes calls.
+    static constexpr Duration MaxAge = std::chrono::milliseconds(700);
+
+    /// @p askedAt is when the confirmation was asked for.
+    DutyPermit(std::uint64_t token, TimePoint askedAt)
+        : m_token(token)
+        , m_askedAt(askedAt)
+    { }
+
+    bool isValid(const DutyAuthority &authority, TimePoint now) const
+    {
+        return authority.token() == m_token && authority.mayAct(now) && now - m_askedAt <= MaxAge;
+    }
+    std::uint64_t token() const { return m_token; }
+    bool operator==(const DutyPermit &) const = default;
+
+private:
+    std::uint64_t m_token;
+    TimePoint m_askedAt;
+};
+
 /// Options of a DutyRunner.
 struct DutyRunnerOptions
 {
--- a/include/gentianramp/registry/registry_node.hpp
+++ b/include/gentianramp/registry/registry_node.hpp
@@ -18,9 +18,13 @@
 
 namespace gentianramp {
 
+/// Asked directly before the first byte of a call is sent; when it returns false, nothing is sent.
+using MayStartHook = std::function<bool()>;
+
 /// Orders an engine to change its stage. The second argument is the fencing number, which increases
 /// with each new leader.
-using StageOrderHook = std::function<boost::asio::awaitable<bool>(StageOrder, std::uint64_t)>;
+using StageOrderHook
+    = std::function<boost::asio::awaitable<bool>(StageOrder, std::uint64_t, MayStartHook)>;
 
 /// Requests the load of an engine; returns no value if the engine does not answer.
 using EngineLoadHook
@@ -28,7 +32,8 @@
 
 /// Makes a call to the platform that one process at a time may make. The second argument is the
 /// fencing token. Must end, and reset its connection, well before a successor makes calls.
-using DutyHook = std::function<boost::asio::awaitable<DutyAnswer>(DutyCall, std::uint64_t)>;
+using DutyHook
+    = std::function<boost::asio::awaitable<DutyAnswer>(DutyCall, std::uint64_t, MayStartHook)>;
 
 /// Options of a RegistryNode.
 struct RegistryOptions
--- a/src/gentianramp/http/client_exchange.cpp
+++ b/src/gentianramp/http/client_exchange.cpp
@@ -116,6 +116,8 @@
     if (error || m_cancelled || m_watchdog->expired())
         co_return make_error_code(Error::ConnectionRefused);
     setSocketOptions(*m_socket, m_call.silenceTimeout);
+    if (m_call.resetOnFailure)
+        m_socket->set_option(asio::socket_base::linger(true, 0), error);
     co_return std::error_code();
 }
 
@@ -358,6 +360,9 @@
     m_watchdog->stop();
     const bool reusable = m_parser->get().keep_alive() && m_buffer.size() == 0 && !m_writing
         && !m_writeFailed && echoesRequest();
+    boost::system::error_code ignored;
+    if (m_call.resetOnFailure)
+        m_socket->set_option(asio::socket_base::linger(false, 0), ignored);
     if (reusable && m_socket->is_open())
         m_pool->put(m_call.address, m_call.echoedHeader.name, std::move(*m_socket),
                     keepAliveTimeout(m_headers.find("Keep-Alive")));
--- a/src/gentianramp/http/client_test.cpp
+++ b/src/gentianramp/http/client_test.cpp
@@ -90,6 +90,41 @@
     cr_assert_eq(test.server.connections(), 1U);
 }
 
+// What the kernel had not sent yet of a call that ended would arrive after the call of a successor.
+Test(HttpClient, ACallThatFailsResetsItsConnectionIfAsked)
+{
+    for (const bool asked : {true, false}) {
+        asio::io_context context;
+        HttpClient client;
+        asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+        HttpCall call = makeCall(acceptor.local_endpoint().port(), "/");
+        call.headTimeout = 30ms;
+        call.resetOnFailure = asked;
+        cr_assert(callOnce(context, client, call).error() == Error::TimedOut);
+        asio::ip::tcp::socket socket = acceptor.accept();
+        std::array<char, 4096> bytes{};
+        boost::system::error_code error;
+        while (!error)
+            socket.read_some(asio::buffer(bytes), error);
+        cr_assert_eq(error == asio::error::connection_reset, asked, "%s", error.message().c_str());
+    }
+}
+
+// HttpClient sends a call once, so that a duty or an order is repeated only by its own rules.
+Test(HttpClient, ALostCallIsNotSentAgain)
+{
+    TestServer test;
+    HttpClient client;
+    for (const bool fresh : {false, true}) {
+        cr_assert(callOnce(test.context, client, makeCall(test.port, "/")));
+        const int before = test.requestCount;
+        HttpCall call = makeCall(test.port, "/close", "order");
+        call.freshConnection = fresh;
+        cr_assert(callOnce(test.context, client, call).error() == Error::ConnectionLost);
+        cr_assert_eq(test.requestCount, before + 1);
+    }
+}
+
 Test(HttpClient, ConnectionRefusedOnlyWhenNoByteWasSent)
 {
     asio::io_context context;
--- a/src/gentianramp/registry/duty_runner_test.cpp
+++ b/src/gentianramp/registry/duty_runner_test.cpp
@@ -97,6 +97,36 @@
     cr_assert_geq(calls, 90);
 }
 
+// A process that was suspended between the confirmation and the call called after its successor.
+Test(duty_runner, aPermitEndsBeforeASuccessorMakesCalls)
+{
+    constexpr milliseconds OrderMargin(1200);
+    constexpr milliseconds CallTimeout(400);
+    cr_assert(DutyPermit::MaxAge + CallTimeout < OrderMargin);
+    DutyAuthority authority(OrderMargin);
+    authority.gain(5, at(0));
+    const DutyPermit permit(5, at(2000));
+    cr_assert(permit.isValid(authority, at(2000)));
+    cr_assert(permit.isValid(authority, at(2700)));
+    cr_assert_not(permit.isValid(authority, at(2701)));
+}
+
+// Orders were decided under one term, and the rest of them sent under the next one without its
+// wait.
+Test(duty_runner, aPermitDoesNotOutlastTheTerm)
+{
+    DutyAuthority authority(milliseconds(100));
+    authority.gain(5, at(0));
+    const DutyPermit permit(5, at(1000));
+    authority.lose();
+    cr_assert_not(permit.isValid(authority, at(1010)));
+    authority.gain(7, at(1020));
+    cr_assert_not(permit.isValid(authority, at(1030)));
+    cr_assert_not(permit.isValid(authority, at(1200)), "of another term");
+    cr_assert_not(DutyPermit(7, at(1030)).isValid(authority, at(1030)), "before the term's wait");
+    cr_assert(DutyPermit(7, at(1130)).isValid(authority, at(1130)));
+}
+
 // Leaders are lost, frozen and cut off at random. A former one takes itself for the leader until
 // its election timeout is over, and its calls arrive up to the time-out of a call later.
 Test(duty_runner, aSuccessorCallsOnlyAfterTheLastCallOfItsPredecessor)
--- a/src/gentianramp/registry/duty_service.cpp
+++ b/src/gentianramp/registry/duty_service.cpp
@@ -235,12 +235,15 @@
     const auto self = shared_from_this();
     DutyAnswer answer = DutyAnswer::Unanswered;
     // Confirmed directly before each call: a process that was suspended wakes believing it leads.
+    const DutyPermit permit(token, RuntimeClock::now());
     const bool confirmed = co_await m_hooks.confirmLeadership();
-    if (confirmed && m_authority.token() == token && m_authority.mayAct(RuntimeClock::now())) {
+    const auto mayStart
+        = [self, permit] { return permit.isValid(self->m_authority, RuntimeClock::now()); };
+    if (confirmed && mayStart()) {
         const TimePoint sentAt = RuntimeClock::now();
         if (m_calls)
             m_calls->add();
-        answer = co_await m_options.callDuty(call, token);
+        answer = co_await m_options.callDuty(call, token, mayStart);
         const TimePoint now = RuntimeClock::now();
         if (answer != DutyAnswer::Unanswered)
             notePlatformReached(now);
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -562,6 +562,7 @@
             if (!leads() || !duties->authority().mayAct(now) || listing.digest == 0
                 || now - listing.takenAt > MaxListAge)
                 continue;
+            const std::uint64_t term = duties->authority().token();
             stageController.setEntryProcesses(entryProcesses.size()
                                               + directory.entryProcessesElsewhere(now));
             ServiceDelays meanDelays = stageController.meanDelays();
@@ -575,11 +576,15 @@
             if (!orders.empty())
                 co_await sleepFor(AnnouncementDelay);
             for (const StageOrder &order : orders) {
+                // A leader that was elected again waits before it orders, and decides anew.
+                const DutyPermit permit(term, RuntimeClock::now());
+                const auto mayStart = [self, permit] {
+                    return permit.isValid(self->duties->authority(), RuntimeClock::now());
+                };
                 const std::optional<RawDeclaration> confirmed = co_await readNewest();
-                if (!confirmed || !leads())
+                if (!confirmed || !mayStart())
                     break;
-                const std::uint64_t term = ledger->replica().term().value();
-                const bool accepted = co_await options.orderStage(order, term);
+                const bool accepted = co_await options.orderStage(order, term, mayStart);
                 const StageDelays &cause = meanDelays[order.engine.service];
                 logInfo("stage_ordered",
                         {{"backend", order.engine.id.value()},
