--- a/src/gentianramp/registry/registry_node_test.cpp
+++ b/src/gentianramp/registry/registry_node_test.cpp
@@ -206,6 +206,27 @@
     context.stop();
 }
 
+/// Times at which a duty asked whether it may start.
+struct DutyStarts
+{
+    bool atOnce = false;
+    bool afterSuspension = false;
+    int calls = 0;
+};
+
+/// Asks at once, and again after a time as a suspended process would.
+asio::awaitable<DutyAnswer> askTwice(MayStartHook mayStart, DutyStarts &starts,
+                                     asio::io_context &context)
+{
+    ++starts.calls;
+    starts.atOnce = starts.atOnce || mayStart();
+    co_await sleepFor(DutyPermit::MaxAge + AttemptInterval);
+    starts.afterSuspension = starts.afterSuspension || mayStart();
+    if (starts.atOnce || starts.calls == MaxAttempts)
+        context.stop();
+    co_return DutyAnswer::Unanswered;
+}
+
 } // namespace
 
 // A process that had lost its disk was heard, but the connections to it did not open for seconds,
@@ -309,3 +330,25 @@
     context.run();
     cr_assert(told);
 }
+
+// A process that was suspended between the confirmation of its leadership and the call took itself
+// for the leader, and called after its successor.
+Test(registry_node, aDutyIsNotStartedLongAfterTheLeadershipWasConfirmed)
+{
+    const TemporaryFolder folder;
+    asio::io_context context;
+    DutyStarts starts;
+    RegistryOptions options = singleVoter(folder.path);
+    options.successorOrderDelay = Duration::zero();
+    options.usage = UsageReporterOptions{.window = std::chrono::milliseconds(200),
+                                         .lateness = std::chrono::milliseconds(400)};
+    options.encodeUsage = [](std::uint64_t, const UsageCounts &) { return std::string("{}"); };
+    options.callDuty = [&](DutyCall, std::uint64_t, MayStartHook mayStart) {
+        return askTwice(std::move(mayStart), starts, context);
+    };
+    RegistryNode node(context.get_executor(), options);
+    node.start();
+    context.run_for(std::chrono::seconds(60));
+    cr_assert(starts.atOnce, "%d calls", starts.calls);
+    cr_assert_not(starts.afterSuspension);
+}
