--- a/src/gentianramp/http/client_test.cpp
+++ b/src/gentianramp/http/client_test.cpp
@@ -28,8 +28,8 @@
 /// Time without an acknowledgement after which the kernel resets the connection to @p port.
 Duration unacknowledgedTimeout(std::uint16_t port)
 {
-    constexpr int MaxHandle = 256;
-    for (int handle = 0; handle < MaxHandle; ++handle) {
+    constexpr int maxHandle = 256;
+    for (int handle = 0; handle < maxHandle; ++handle) {
         sockaddr_in peer{};
         socklen_t peerSize = sizeof peer;
         if (getpeername(handle, reinterpret_cast<sockaddr *>(&peer), &peerSize) != 0
--- a/src/gentianramp/registry/duty_runner_test.cpp
+++ b/src/gentianramp/registry/duty_runner_test.cpp
@@ -100,10 +100,10 @@
 // A process that was suspended between the confirmation and the call called after its successor.
 Test(duty_runner, aPermitEndsBeforeASuccessorMakesCalls)
 {
-    constexpr milliseconds OrderMargin(1200);
-    constexpr milliseconds CallTimeout(400);
-    cr_assert(DutyPermit::MaxAge + CallTimeout < OrderMargin);
-    DutyAuthority authority(OrderMargin);
+    constexpr milliseconds orderMargin(1200);
+    constexpr milliseconds callTimeout(400);
+    cr_assert(DutyPermit::MaxAge + callTimeout < orderMargin);
+    DutyAuthority authority(orderMargin);
     authority.gain(5, at(0));
     const DutyPermit permit(5, at(2000));
     cr_assert(permit.isValid(authority, at(2000)));
@@ -131,10 +131,10 @@
 // its election timeout is over, and its calls arrive up to the time-out of a call later.
 Test(duty_runner, aSuccessorCallsOnlyAfterTheLastCallOfItsPredecessor)
 {
-    constexpr std::int64_t Lease = 3000;
-    constexpr std::int64_t Margin = Lease + 1200;
-    constexpr std::int64_t LongestBelief = 800;
-    constexpr std::int64_t LongestCall = 400;
+    constexpr std::int64_t lease = 3000;
+    constexpr std::int64_t margin = lease + 1200;
+    constexpr std::int64_t longestBelief = 800;
+    constexpr std::int64_t longestCall = 400;
     struct Arrival
     {
         std::int64_t at;
@@ -144,7 +144,7 @@
     };
     for (unsigned seed = 1; seed <= 1000; ++seed) {
         std::mt19937 random(seed);
-        std::vector<DutyAuthority> authorities(5, DutyAuthority(milliseconds(Margin)));
+        std::vector<DutyAuthority> authorities(5, DutyAuthority(milliseconds(margin)));
         std::vector<DutyRunner> runners(5, DutyRunner({.callsPerSecond = 25}));
         std::vector<std::int64_t> believesUntil(5, 0);
         std::vector<Arrival> arrivals;
@@ -154,7 +154,7 @@
         for (std::int64_t now = 0; now < 60'000; now += 50) {
             if (now >= nextChange) {
                 if (leader >= 0)
-                    believesUntil[leader] = now + random() % LongestBelief;
+                    believesUntil[leader] = now + random() % longestBelief;
                 // The next leader is elected once the former one is silent.
                 leader = static_cast<int>(random() % 5);
                 authorities[leader].lose();
@@ -174,7 +174,7 @@
                 runners[instance].add(
                     servers(std::to_string(random() % 3), "spot", std::to_string(now)), at(now));
                 if (const auto call = runners[instance].take(at(now))) {
-                    const auto onTheWay = static_cast<std::int64_t>(random() % LongestCall);
+                    const auto onTheWay = static_cast<std::int64_t>(random() % longestCall);
                     arrivals.push_back(
                         {now + onTheWay, authority.token(), instance, call->subject});
                     runners[instance].finish(
@@ -197,7 +197,7 @@
                 cr_assert_geq(arrival.token, before->second.token, "seed %u: token fell", seed);
                 const auto own = lastOf[arrival.subject].find(arrival.holder);
                 if (before->second.holder != arrival.holder && own != lastOf[arrival.subject].end())
-                    cr_assert_geq(arrival.at - own->second, Lease, "seed %u: holders took turns",
+                    cr_assert_geq(arrival.at - own->second, lease, "seed %u: holders took turns",
                                   seed);
             }
             last[arrival.subject] = arrival;
--- a/src/gentianramp/registry/registry_node_test.cpp
+++ b/src/gentianramp/registry/registry_node_test.cpp
@@ -343,7 +343,7 @@
     options.usage = UsageReporterOptions{.window = std::chrono::milliseconds(200),
                                          .lateness = std::chrono::milliseconds(400)};
     options.encodeUsage = [](std::uint64_t, const UsageCounts &) { return std::string("{}"); };
-    options.callDuty = [&](DutyCall, std::uint64_t, MayStartHook mayStart) {
+    options.callDuty = [&](const DutyCall &, std::uint64_t, MayStartHook mayStart) {
         return askTwice(std::move(mayStart), starts, context);
     };
     RegistryNode node(context.get_executor(), options);
--- a/src/gentianramp/relay/relay_service_test.cpp
+++ b/src/gentianramp/relay/relay_service_test.cpp
@@ -842,16 +842,16 @@
 // health, and a server that answers keeps its stream.
 Test(relay_service, aSlowStreamOfASoundServerIsNotCut)
 {
-    constexpr int Events = 3;
+    constexpr int events = 3;
     RelayFixture fixture;
-    fixture.addServer("one", streamsSlowly(Events));
-    fixture.addServer("two", streamsSlowly(Events));
+    fixture.addServer("one", streamsSlowly(events));
+    fixture.addServer("two", streamsSlowly(events));
     Route route{.kind = RouteKind::Stream, .attempts = 2, .resumable = true};
     route.timeout = std::chrono::seconds(20);
     fixture.declare(route);
     const Result<HttpResponse> answer = fixture.call({.method = "POST"});
     cr_assert(answer);
-    cr_assert_eq(answer->body, eventsUpTo(Events));
+    cr_assert_eq(answer->body, eventsUpTo(events));
     const auto streams
         = std::count_if(fixture.receivedRequests.begin(), fixture.receivedRequests.end(),
                         [](const auto &entry) { return entry.second.path().starts_with("/p/"); });
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -73,10 +73,10 @@
 /// True for an answer by which a caller knows that its request has not run and never will.
 bool promisesNotRun(unsigned status)
 {
-    constexpr unsigned RequestTimeout = 408;
-    constexpr unsigned TooManyRequests = 429;
-    constexpr unsigned ServiceUnavailable = 503;
-    return status == RequestTimeout || status == TooManyRequests || status == ServiceUnavailable;
+    constexpr unsigned requestTimeout = 408;
+    constexpr unsigned tooManyRequests = 429;
+    constexpr unsigned serviceUnavailable = 503;
+    return status == requestTimeout || status == tooManyRequests || status == serviceUnavailable;
 }
 
 /// True when the end of the body does not have to be told from the connection's end.
