--- a/include/gentianramp/http/client.hpp
+++ b/include/gentianramp/http/client.hpp
@@ -20,8 +20,8 @@
     Duration connectTimeout = std::chrono::seconds(1);
     Duration headTimeout
         = std::chrono::seconds(30); ///< From sending the request to its response head.
-    /// Longest wait for the next bytes of the body, for writing a short request and, on new
-    /// connections, for the peer to acknowledge sent data (TCP_USER_TIMEOUT).
+    /// Longest wait for the next bytes of the body, for writing a short request and for the peer to
+    /// acknowledge sent data (TCP_USER_TIMEOUT).
     Duration silenceTimeout = std::chrono::seconds(10);
     /// From HttpExchange::open() to the end of the body, however steadily bytes arrive.
     /// HttpClient::request() replaces Duration::max() by the sum of the other limits.
@@ -30,9 +30,13 @@
     /// Opens a new connection instead of reusing a pooled one. Needed for requests that must not be
     /// repeated, since the server may already have closed a pooled connection.
     bool freshConnection = false;
+    /// Resets the connection unless the call succeeds, so that the kernel does not send the rest of
+    /// the request later. For calls that must not arrive after their time.
+    bool resetOnFailure = false;
     /// Header that the server copies from the request into its response. A response with another
-    /// value is a late response to an earlier request on the same connection and is skipped; a
-    /// response without the header is accepted. An empty name turns the check off.
+    /// value is a late response to an earlier request on the same connection and is skipped. A
+    /// response without the header is accepted on a new connection, which is closed after it, and
+    /// is Error::Malformed on a reused one. An empty name turns the check off.
     HttpHeader echoedHeader;
     /// Called directly before the first byte of the request is written. When it returns false,
     /// nothing is sent and HttpExchange::open() returns Error::ConnectionRefused.
--- a/src/gentianramp/http/client_test.cpp
+++ b/src/gentianramp/http/client_test.cpp
@@ -3,6 +3,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <criterion/criterion.h>
 
@@ -22,6 +25,24 @@
     return call;
 }
 
+/// Time without an acknowledgement after which the kernel resets the connection to @p port.
+Duration unacknowledgedTimeout(std::uint16_t port)
+{
+    constexpr int maxHandle = 256;
+    for (int handle = 0; handle < maxHandle; ++handle) {
+        sockaddr_in peer{};
+        socklen_t peerSize = sizeof peer;
+        if (getpeername(handle, reinterpret_cast<sockaddr *>(&peer), &peerSize) != 0
+            || peer.sin_family != AF_INET || ntohs(peer.sin_port) != port)
+            continue;
+        unsigned milliseconds = 0;
+        socklen_t size = sizeof milliseconds;
+        getsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &milliseconds, &size);
+        return std::chrono::milliseconds(milliseconds);
+    }
+    return {};
+}
+
 asio::awaitable<void> openExchange(std::shared_ptr<HttpExchange> exchange,
                                    std::optional<std::error_code> &result)
 {
@@ -54,6 +75,56 @@
     cr_assert_eq(test.server.connections(), 2U);
 }
 
+// A reused connection kept the limit of the call that opened it, so that a pause of the network
+// ended a call that had more time.
+Test(HttpClient, AReusedConnectionHasTheLimitsOfItsCall)
+{
+    TestServer test;
+    HttpClient client;
+    HttpCall call = makeCall(test.port, "/");
+    for (const Duration timeout : {Duration(1s), Duration(30s), Duration(2s)}) {
+        call.silenceTimeout = timeout;
+        cr_assert(callOnce(test.context, client, call));
+        cr_assert(unacknowledgedTimeout(test.port) == timeout);
+    }
+    cr_assert_eq(test.server.connections(), 1U);
+}
+
+// What the kernel had not sent yet of a call that ended would arrive after the call of a successor.
+Test(HttpClient, ACallThatFailsResetsItsConnectionIfAsked)
+{
+    for (const bool asked : {true, false}) {
+        asio::io_context context;
+        HttpClient client;
+        asio::ip::tcp::acceptor acceptor(context, {asio::ip::address_v4::loopback(), 0});
+        HttpCall call = makeCall(acceptor.local_endpoint().port(), "/");
+        call.headTimeout = 30ms;
+        call.resetOnFailure = asked;
+        cr_assert(callOnce(context, client, call).error() == Error::TimedOut);
+        asio::ip::tcp::socket socket = acceptor.accept();
+        std::array<char, 4096> bytes{};
+        boost::system::error_code error;
+        while (!error)
+            socket.read_some(asio::buffer(bytes), error);
+        cr_assert_eq(error == asio::error::connection_reset, asked, "%s", error.message().c_str());
+    }
+}
+
+// HttpClient sends a call once, so that a duty or an order is repeated only by its own rules.
+Test(HttpClient, ALostCallIsNotSentAgain)
+{
+    TestServer test;
+    HttpClient client;
+    for (const bool fresh : {false, true}) {
+        cr_assert(callOnce(test.context, client, makeCall(test.port, "/")));
+        const int before = test.requestCount;
+        HttpCall call = makeCall(test.port, "/close", "order");
+        call.freshConnection = fresh;
+        cr_assert(callOnce(test.context, client, call).error() == Error::ConnectionLost);
+        cr_assert_eq(test.requestCount, before + 1);
+    }
+}
+
 Test(HttpClient, ConnectionRefusedOnlyWhenNoByteWasSent)
 {
     asio::io_context context;
--- a/src/gentianramp/relay/relay_answer_test.cpp
+++ b/src/gentianramp/relay/relay_answer_test.cpp
@@ -107,8 +107,22 @@
                                      .slots = 8,
                                      .engine = prefill,
                                      .prefillOnly = prefill});
-        m_listing.digest = listingDigest(m_listing.servers);
-        m_relay.publish(m_listing);
+        publishListing();
+    }
+
+    /// Lists an engine as one that prefills, or decodes.
+    void setPrefillOnly(const std::string &id, bool prefill)
+    {
+        for (ListedServer &server : m_listing.servers)
+            server.prefillOnly = server.id == BackendId(id) ? prefill : server.prefillOnly;
+        publishListing();
+    }
+
+    void remove(const std::string &id)
+    {
+        std::erase_if(m_listing.servers,
+                      [&](const ListedServer &server) { return server.id == BackendId(id); });
+        publishListing();
     }
 
     void declare(Route route)
@@ -182,6 +196,13 @@
     std::map<std::string, std::unique_ptr<RawServer>> servers;
 
 private:
+    void publishListing()
+    {
+        m_listing.digest = listingDigest(m_listing.servers);
+        m_listing.takenAt = RuntimeClock::now();
+        m_relay.publish(m_listing);
+    }
+
     asio::io_context m_context{1};
     HttpClient m_client;
     BackendListing m_listing;
@@ -490,3 +511,249 @@
         cr_assert(fixture.runUntil([&] { return checks >= 3; }), "%d checks", checks);
     }
 }
+
+// A second copy of the first answer carries the id of the request that is sent again, so that only
+// another connection tells it from the second answer.
+Test(relay_answers, aCopyOfTheFirstAnswerIsNotTheAnswerToTheSecondSend)
+{
+    AnswerFixture fixture;
+    int firstConnection = 0;
+    fixture.addServer("one", [&](const std::string &head) -> RawAnswer {
+        const std::string failure = "HTTP/1.1 500 Failure\r\nX-Id: " + fieldOf(head, "X-Id")
+            + "\r\nContent-Length: 0\r\n\r\n";
+        const int connection = fixture.servers["one"]->lastConnection();
+        if (firstConnection == 0) {
+            firstConnection = connection;
+            return {.bytes = failure};
+        }
+        return {.bytes = (connection == firstConnection ? failure : "")
+                    + answers(Framing::Length, {}, "body")(head).bytes};
+    });
+    fixture.declare({.kind = RouteKind::Repeatable, .attempts = 2});
+    const Result<HttpResponse> answer = fixture.call();
+    cr_assert_eq(answer->status, 200U);
+    cr_assert_eq(answer->body, "body");
+    cr_assert_eq(fixture.requests["one"], 2);
+}
+
+// An engine may get the prefill of a request and the request itself. A copy of the answer to the
+// prefill reached the caller as a success.
+Test(relay_answers, aCopyOfThePrefillsAnswerIsNotTheRequestsAnswer)
+{
+    AnswerFixture fixture;
+    int prefillConnection = 0;
+    std::string prefillAnswer;
+    fixture.addServer(
+        "reader",
+        [&](const std::string &head) -> RawAnswer {
+            const int connection = fixture.servers["reader"]->lastConnection();
+            if (fieldOf(head, "X-Stage") == "prefill") {
+                // The engine is listed as one that decodes when the prompt is prefilled.
+                fixture.setPrefillOnly("reader", false);
+                fixture.remove("decoder");
+                prefillConnection = connection;
+                prefillAnswer = answers(Framing::Length, {}, "handle7")(head).bytes;
+                return {.bytes = prefillAnswer};
+            }
+            return {.bytes = (connection == prefillConnection ? prefillAnswer : "")
+                        + streamsOn(3)(head).bytes};
+        },
+        true);
+    fixture.addServer("decoder", streamsOn(3));
+    fixture.declare(
+        {.kind = RouteKind::Stream, .attempts = 2, .carriesPrompt = true, .resumable = true});
+    const Result<HttpResponse> answer = fixture.call(true);
+    cr_assert_eq(answer->status, 200U);
+    cr_assert_eq(answer->body, events(1, 3));
+    cr_assert_eq(fixture.requests["reader"], 2);
+}
+
+// Requests that free handles have no id: a copy of their answers was taken for the handle of the
+// next prompt.
+Test(relay_answers, anAnswerToAFreedHandleIsNotTheNextPrefillsAnswer)
+{
+    AnswerFixture fixture;
+    std::map<int, std::string> copies; // By connection.
+    int freed = 0;
+    fixture.addServer(
+        "reader",
+        [&](const std::string &head) -> RawAnswer {
+            std::string &copy = copies[fixture.servers["reader"]->lastConnection()];
+            if (head.starts_with("DELETE")) {
+                ++freed;
+                copy = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfreed";
+                return {.bytes = copy};
+            }
+            return {.bytes = copy + answers(Framing::Length, {}, "handle7")(head).bytes};
+        },
+        true);
+    bool rejects = true;
+    fixture.addServer("decoder", [&](const std::string &head) -> RawAnswer {
+        if (std::exchange(rejects, false))
+            return {.bytes = "HTTP/1.1 421 Other\r\nX-Id: " + fieldOf(head, "X-Id")
+                        + "\r\nContent-Length: 0\r\n\r\n"};
+        cr_assert(fieldOf(head, "X-Take").ends_with("/handle7"), "%s", head.c_str());
+        return streamsOn(3)(head);
+    });
+    fixture.declare(
+        {.kind = RouteKind::Stream, .attempts = 1, .carriesPrompt = true, .resumable = true});
+    cr_assert_eq(fixture.call(true)->status, 503U);
+    cr_assert(fixture.runUntil([&] { return freed == 1; }));
+    fixture.addServer("other", [&](const std::string &head) -> RawAnswer {
+        cr_assert(fieldOf(head, "X-Take").ends_with("/handle7"), "%s", head.c_str());
+        return streamsOn(3)(head);
+    });
+    fixture.checkServed("other", events(1, 3), true);
+}
+
+// Bytes that come now and then kept a stalled stream alive. RelayedRequest::startDeadline() ends it
+// with the time of its route, whatever arrives.
+Test(relay_answers, aStalledStreamThatSendsBytesEndsWithItsRoutesTime)
+{
+    for (const char *filler : {": still here\n\n", ":", "x", "\n"}) {
+        for (const Route &kind : {resumableStream(), runOnceStream()}) {
+            const std::string begun = *filler == 'x' ? "id: 5\ndata: " : "";
+            AnswerFixture fixture;
+            fixture.addServer("stalls",
+                              sendsWithoutEnd(StreamType, events(1, 4) + begun, filler, 100ms));
+            Route route = kind;
+            route.timeout = 700ms;
+            fixture.declare(route);
+            const Result<HttpResponse> answer = fixture.call();
+            cr_assert_not(static_cast<bool>(answer), "complete with: %s", filler);
+            fixture.checkClosed("stalls");
+        }
+    }
+}
+
+Test(relay_answers, aStalledAnswerThatSendsBytesEndsWithItsRoutesTime)
+{
+    const std::string length = "Content-Length: 100000\r\n";
+    for (const RouteKind kind : {RouteKind::RunOnce, RouteKind::Repeatable}) {
+        for (const std::string &fields : {length, std::string()}) {
+            AnswerFixture fixture;
+            fixture.addServer("stalls", sendsWithoutEnd(fields, {}, "x", 100ms));
+            fixture.declare({.kind = kind, .timeout = 700ms});
+            cr_assert_eq(fixture.call()->status, 504U);
+            fixture.checkClosed("stalls");
+        }
+    }
+}
+
+// Callers sent requests again that had run, since the server, or what stands before it, answered
+// with a status that promises that they had not.
+Test(relay_answers, aRefusalThatDoesNotSayThatTheRequestDidNotRunIsNoPromise)
+{
+    for (const char *status : {"408 Timeout", "429 Many", "503 Full"}) {
+        const std::string line = std::string("HTTP/1.1 ") + status + "\r\n";
+        for (const Route &route : {Route{.kind = RouteKind::RunOnce, .attempts = 2},
+                                   Route{.kind = RouteKind::Stream, .attempts = 2}}) {
+            AnswerFixture fixture;
+            for (const char *id : {"one", "two"})
+                fixture.addServer(id, [=](const std::string &head) -> RawAnswer {
+                    return {.bytes = line + "X-Id: " + fieldOf(head, "X-Id")
+                                + "\r\nContent-Length: 0\r\n\r\n"};
+                });
+            fixture.declare(route);
+            const Result<HttpResponse> answer = fixture.call();
+            cr_assert_eq(answer->status, 502U, "%u after %s", answer->status, status);
+            cr_assert_eq(fixture.requests["one"] + fixture.requests["two"], 1);
+        }
+    }
+}
+
+// The server may have run the request before it ended the connection, also if it answered nothing
+// or sent a part of an answer. RelayedRequest::mayRepeat() sends it to no other server then.
+Test(relay_answers, aRunOnceRequestIsNotSentAgainAfterAnyPartOfItsAnswerWasLost)
+{
+    const std::string whole = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull";
+    for (const AnswerEnd end : {AnswerEnd::Finish, AnswerEnd::Reset}) {
+        for (const std::size_t size : {std::size_t(0), std::size_t(12), whole.find("Content")}) {
+            AnswerFixture fixture;
+            for (const char *id : {"one", "two"})
+                fixture.addServer(id, [=](const std::string &) -> RawAnswer {
+                    return {.bytes = whole.substr(0, size), .end = end};
+                });
+            fixture.declare({.kind = RouteKind::RunOnce, .attempts = 2});
+            cr_assert_eq(fixture.call()->status, 502U);
+            cr_assert_eq(fixture.requests["one"] + fixture.requests["two"], 1);
+        }
+    }
+}
+
+namespace {
+
+/// Begins an answer with @p body in @p framing and ends the connection before the answer's end.
+RawServer::Script breaksOff(Framing framing, const std::string &fields, const std::string &body,
+                            AnswerEnd end)
+{
+    return [=](const std::string &head) -> RawAnswer {
+        if (framing == Framing::Chunks)
+            return {.bytes
+                    = answerHead(head, fields + "Transfer-Encoding: chunked\r\n") + chunk(body),
+                    .end = end};
+        const std::string length = std::to_string(body.size() + 1);
+        return {.bytes = answerHead(head, fields + "Content-Length: " + length + "\r\n") + body,
+                .end = end};
+    };
+}
+
+} // namespace
+
+// The length of an answer, or its last chunk, shows that it broke off, however the connection
+// ended. An answer without either is complete when its connection ends in order: nothing tells it
+// from one that broke off (see aWholeAnswerMayEndWithItsConnection).
+Test(relay_answers, aWholeAnswerThatBreaksOffIsNoSuccess)
+{
+    for (const Framing framing : {Framing::Length, Framing::Chunks}) {
+        for (const AnswerEnd end : {AnswerEnd::Finish, AnswerEnd::Reset}) {
+            AnswerFixture once;
+            once.addServer("breaks-off", breaksOff(framing, {}, "half", end));
+            once.declare({.kind = RouteKind::RunOnce});
+            const Result<HttpResponse> failure = once.call();
+            cr_assert_eq(failure->status, 502U);
+            cr_assert_not(failure->headers.contains("X-Signature"));
+            cr_assert_eq(failure->body.find("half"), std::string::npos);
+            AnswerFixture again;
+            again.addServer("breaks-off", breaksOff(framing, {}, "half", end));
+            again.addServer("other", answers(Framing::Length, {}, "body"));
+            again.declare({.kind = RouteKind::Repeatable, .attempts = 2});
+            again.checkServed("breaks-off", "body");
+        }
+    }
+}
+
+// Between two events only the missing end of the answer shows that the stream broke off.
+Test(relay_answers, aStreamThatBreaksOffBetweenEventsIsNotComplete)
+{
+    for (const Framing framing : {Framing::Length, Framing::Chunks}) {
+        for (const AnswerEnd end : {AnswerEnd::Finish, AnswerEnd::Reset}) {
+            const auto broken = breaksOff(framing, StreamType, events(1, 4), end);
+            AnswerFixture resumed;
+            resumed.addServer("breaks-off", broken);
+            resumed.addServer("other", streamsOn(9));
+            resumed.declare(resumableStream());
+            resumed.checkServed("breaks-off", events(1, 9));
+            AnswerFixture cut;
+            cut.addServer("breaks-off", broken);
+            cut.declare(runOnceStream());
+            cr_assert_not(static_cast<bool>(cut.call()));
+            cr_assert_eq(cut.requests["breaks-off"], 1);
+        }
+    }
+}
+
+// Half of a handle names another prompt, or none.
+Test(relay_answers, aPrefillsAnswerThatBreaksOffIsNotUsed)
+{
+    for (const Framing framing : {Framing::Length, Framing::Chunks}) {
+        AnswerFixture fixture;
+        fixture.addServer("reader", breaksOff(framing, {}, "hand", AnswerEnd::Finish), true);
+        fixture.addServer("decoder", [](const std::string &head) {
+            cr_assert(fieldOf(head, "X-Take").empty(), "%s", head.c_str());
+            return streamsOn(3)(head);
+        });
+        fixture.declare({.kind = RouteKind::Stream, .attempts = 2, .carriesPrompt = true});
+        fixture.checkServed("reader", events(1, 3), true);
+    }
+}
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -70,6 +70,15 @@
     return status >= 200 && status < 300;
 }
 
+/// True for an answer by which a caller knows that its request has not run and never will.
+bool promisesNotRun(unsigned status)
+{
+    constexpr unsigned requestTimeout = 408;
+    constexpr unsigned tooManyRequests = 429;
+    constexpr unsigned serviceUnavailable = 503;
+    return status == requestTimeout || status == tooManyRequests || status == serviceUnavailable;
+}
+
 /// True when the end of the body does not have to be told from the connection's end.
 bool isDelimited(const HttpExchange &exchange)
 {
@@ -587,15 +596,21 @@
     call.silenceTimeout = call.headTimeout;
     // A pooled connection may be closed at the server's end already, and a request that may not run
     // twice can't be sent again.
-    call.freshConnection = !m_route->repeatable();
+    call.freshConnection = !m_route->repeatable() || wasSentTo(target.address);
     return call;
 }
 
+bool RelayedRequest::wasSentTo(const HttpAddress &address) const
+{
+    return std::find(m_sentTo.begin(), m_sentTo.end(), address) != m_sentTo.end();
+}
+
 asio::awaitable<RelayedRequest::AttemptResult> RelayedRequest::sendOnce(const SendTarget &target)
 {
     Attempt attempt;
     attempt.target = target;
     attempt.exchange = m_state->client.exchange(makeCall(target));
+    m_sentTo.push_back(target.address);
     attempt.sentAt = attempt.target.sentAt = RuntimeClock::now();
     m_exchange = attempt.exchange;
     m_backend = target.backend;
@@ -648,12 +663,14 @@
 {
     const BackendProtocol &protocol = m_state->options.protocol;
     HttpCall call = makeCall(prefillEngine);
-    call.freshConnection = false; // A prefill may be repeated: it does not run the request.
+    // A prefill may be repeated: it does not run the request.
+    call.freshConnection = wasSentTo(prefillEngine.address);
     call.request.headers.set(protocol.prefillOnly, protocol.prefillValue);
     call.maxBodyBytes = MaxPrefillAnswerBytes;
     Attempt attempt;
     attempt.target = prefillEngine;
     attempt.exchange = m_state->client.exchange(std::move(call));
+    m_sentTo.push_back(prefillEngine.address);
     attempt.sentAt = RuntimeClock::now();
     m_exchange = attempt.exchange;
     m_backend = m_prefillEngine = prefillEngine.backend;
@@ -842,6 +859,9 @@
     const bool signedAnswer = exchange.headers().contains(protocol.signature);
     if (isSuccess(exchange.status()) && !signedAnswer)
         co_return AttemptResult::MayHaveRun;
+    // Callers take these for a promise, which the server has not given.
+    if (promisesNotRun(exchange.status()) && !signedAnswer && !m_route->repeatable())
+        co_return AttemptResult::MayHaveRun;
     co_return co_await relayAnswer(attempt);
 }
 
