Wait for open calls before a usage window is complete; bound the time in which stages are held back

Change: an instance reports its counts complete up to its oldest open call; stages are held back for 6 s at most.

--- a/include/gentianramp/registry/fleet_sizer.hpp
+++ b/include/gentianramp/registry/fleet_sizer.hpp
@@ -41,6 +41,8 @@
     double shrinkStep = 0.1;
     /// Before traffic no server is released before the list has stopped growing for this time.
     Duration listSettlingTime = std::chrono::seconds(3);
+    /// Time until the list shows that servers were released.
+    Duration releaseTime = std::chrono::seconds(3);
     /// An order that could not be carried out is repeated after this time.
     Duration unavailableDelay = std::chrono::seconds(2);
     /// A data centre where no servers on demand could be had does not stand in for others for this
@@ -82,7 +84,8 @@
     std::optional<EngineDemand> requiredEngines(const std::string &service, TimePoint now) const;
     /// There was no traffic yet, and some of the servers on demand of this scaled service are, or
     /// may be, about to leave: none of them should be given another stage.
-    bool isReleasing(const std::string &service, const BackendListing &listing) const;
+    bool isReleasing(const std::string &service, const BackendListing &listing,
+                     TimePoint now) const;
     /// The size that the last decision aimed at, for display.
     const FleetSize &target(const std::string &service) const;
 
--- a/include/gentianramp/registry/registry_feed.hpp
+++ b/include/gentianramp/registry/registry_feed.hpp
@@ -100,6 +100,9 @@
     void setDelays(ServiceDelays delays) { m_delays = std::move(delays); }
     /// Adds measured speeds to report with the next request.
     void addSpeeds(std::vector<SpeedObservation> observations);
+    /// Sets up to when all requests that began to run are counted: an earlier one may still be
+    /// added.
+    void setUsageCompleteAt(TimePoint time) { m_usageCompleteAt = time; }
     /// Sets the prompt parts because of which requests were refused lately.
     void setRefusedParts(std::vector<std::uint64_t> parts) { m_refusedParts = std::move(parts); }
     /// Sets whether to ask which software versions were listed before this process started.
@@ -186,6 +189,7 @@
     std::uint32_t m_entryProcessCount = 1;
     ServiceDelays m_delays;
     std::vector<SpeedObservation> m_speeds;
+    std::optional<TimePoint> m_usageCompleteAt;
     std::vector<std::uint64_t> m_refusedParts;
     std::vector<PeerInstance> m_peers;
     std::uint64_t m_peersDigest = 0; ///< Of m_peers.
--- a/include/gentianramp/relay/relay_service.hpp
+++ b/include/gentianramp/relay/relay_service.hpp
@@ -139,6 +139,8 @@
     void setInstances(std::uint32_t instances);
     /// Delays at engines that this instance measured.
     ServiceDelays delays(TimePoint now) const;
+    /// When the oldest request was sent that may be counted later with that time; empty: none.
+    std::optional<TimePoint> oldestUncounted() const;
     /// Speeds of engines that this instance measured since the last call.
     std::vector<SpeedObservation> takeSpeedObservations();
     /// Number of the declaration in force; 0: none.
--- a/src/gentianramp/registry/duty_service.cpp
+++ b/src/gentianramp/registry/duty_service.cpp
@@ -146,14 +146,15 @@
         asio::co_spawn(m_executor, makeCall(std::move(*call), m_authority.token()), asio::detached);
 }
 
-bool DutyService::isReleasing(const std::string &service, const BackendListing &listing) const
+bool DutyService::isReleasing(const std::string &service, const BackendListing &listing,
+                              TimePoint now) const
 {
     const bool isScaled = m_options.encodeOrder
         && std::any_of(m_declaration.services.begin(), m_declaration.services.end(),
                        [&](const DeclaredService &declared) {
                            return declared.name == service && declared.scaling;
                        });
-    return isScaled && m_sizer.isReleasing(service, listing);
+    return isScaled && m_sizer.isReleasing(service, listing, now);
 }
 
 /// Parses a declaration when it comes into force.
--- a/src/gentianramp/registry/duty_service.hpp
+++ b/src/gentianramp/registry/duty_service.hpp
@@ -46,7 +46,8 @@
     std::int64_t trueMs(TimePoint now) const { return m_clocks.trueMs(wallClockMs(), now); }
 
     /// See FleetSizer::isReleasing().
-    bool isReleasing(const std::string &service, const BackendListing &listing) const;
+    bool isReleasing(const std::string &service, const BackendListing &listing,
+                     TimePoint now) const;
     ClockMedian &clocks() { return m_clocks; }
     UsageAggregate &usage() { return m_usage; }
     const DutyAuthority &authority() const { return m_authority; }
--- a/src/gentianramp/registry/fleet_sizer.cpp
+++ b/src/gentianramp/registry/fleet_sizer.cpp
@@ -110,10 +110,17 @@
     return found != m_demand.end() && found->second.everBusy;
 }
 
-bool FleetSizer::isReleasing(const std::string &service, const BackendListing &listing) const
+bool FleetSizer::isReleasing(const std::string &service, const BackendListing &listing,
+                             TimePoint now) const
 {
     const auto found = m_orders.find(service);
-    if (hasTraffic(service))
+    const auto observed = m_demand.find(service);
+    if (hasTraffic(service) || observed == m_demand.end())
+        return false;
+    const TimePoint since
+        = found == m_orders.end() ? observed->second.since : found->second.grownAt;
+    // Servers that can't be had must not keep engines from the stages that callers need.
+    if (now - since >= m_options.listSettlingTime + m_options.releaseTime)
         return false;
     if (found == m_orders.end())
         return true;
--- a/src/gentianramp/registry/fleet_sizer_test.cpp
+++ b/src/gentianramp/registry/fleet_sizer_test.cpp
@@ -174,6 +174,19 @@
     cr_assert_eq(platform.count(true), 72U);
 }
 
+// Where no spot servers can be had, the servers on demand stay, and engines that all begin in one
+// stage must be given the other one before the first callers come.
+Test(fleet_sizer, stagesAreNotHeldBackForServersThatNeverCome)
+{
+    Platform platform(6);
+    platform.noSpotUntil = platform.now + seconds(600);
+    platform.run(seconds(2), 0);
+    cr_assert(platform.sizer.isReleasing("s", platform.listing(), platform.now));
+    platform.run(seconds(5), 0);
+    cr_assert_not(platform.sizer.isReleasing("s", platform.listing(), platform.now));
+    cr_assert_eq(platform.count(false), 18U);
+}
+
 // With traffic, callers need the old servers until the new ones are there.
 Test(fleet_sizer, underTrafficOldServersStayUntilNewOnesAreThere)
 {
--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -222,8 +222,8 @@
     if (!m_options.usage)
         return;
     const Source &source = m_sources.at(*m_current);
-    *request.mutable_usage()
-        = toProto(m_options.usage->changedSince(source.usageSequence, trueMs(now)));
+    *request.mutable_usage() = toProto(m_options.usage->changedSince(
+        source.usageSequence, trueMs(std::min(now, m_usageCompleteAt.value_or(now)))));
 }
 
 void RegistryFeed::receiveUsage(const InstanceId &sender, const proto::FeedAnswer &answer,
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -578,7 +578,7 @@
             ServiceDelays meanDelays = stageController.meanDelays();
             BackendListing settled = current;
             std::erase_if(settled.servers, [&](const ListedServer &server) {
-                return !server.spot && duties->isReleasing(server.service, current);
+                return !server.spot && duties->isReleasing(server.service, current, now);
             });
             const std::vector<StageOrder> orders
                 = stageController.decide(settled, loadTable.reports(), now);
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -238,6 +238,8 @@
         while (!stopping) {
             const TimePoint now = RuntimeClock::now();
             feed.setDelays(relay.delays(now));
+            if (usage)
+                feed.setUsageCompleteAt(relay.oldestUncounted().value_or(now));
             feed.addSpeeds(relay.takeSpeedObservations());
             relay.resendPeerMessages(now);
             relay.checkReach(now);
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -562,6 +562,17 @@
     return m_state->table.delays(now);
 }
 
+std::optional<TimePoint> RelayService::oldestUncounted() const
+{
+    std::optional<TimePoint> oldest;
+    for (const RelayedRequest *request : m_state->openRequests) {
+        const std::optional<TimePoint> since = request->uncountedSince();
+        if (since && (!oldest || *since < *oldest))
+            oldest = since;
+    }
+    return oldest;
+}
+
 std::vector<SpeedObservation> RelayService::takeSpeedObservations()
 {
     return m_state->table.takeSpeedObservations();
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -783,6 +783,13 @@
         m_state->options.usage.begun(m_customer, at);
 }
 
+std::optional<TimePoint> RelayedRequest::uncountedSince() const
+{
+    // A stream is counted as its first event arrives, a call with the time of its send.
+    const bool isCountedLater = !m_customer.empty() && !m_prompt && !m_isCounted && !m_ended;
+    return isCountedLater ? std::optional(m_startedAt) : std::nullopt;
+}
+
 void RelayedRequest::countUnanswered(const Attempt &attempt)
 {
     // A stream begins to run with its first token; before that it may wait in the engine's queue.
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -28,6 +28,9 @@
     /// Gives the request up. A caller to whom nothing was sent yet gets a final answer; a stream
     /// that has started is cut.
     void expire();
+    /// When the request was read, if it may be counted for its customer with an earlier time than
+    /// that of its answer; empty: not.
+    std::optional<TimePoint> uncountedSince() const;
 
 private:
     /// How one attempt ended.
