Decide in a library who is served, who waits and who is refused

Cause: the path by declared routes places every request at once or refuses it, so that under overload requests wait in servers' queues, where they can be neither reordered nor withdrawn; the product's own path has a queue of its own. Change: library admission with decide(), the fairness floors, the bound on what an instance sends while places are short, and the queue, which moves from routing and becomes a template over the request type. Nothing of relay uses it yet. The tests of the queue in routing check what they did.

--- a/include/gentianramp/routing/router.hpp
+++ b/include/gentianramp/routing/router.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <gentianramp/admission/admission_queue.hpp>
 #include <gentianramp/config/declared_configuration.hpp>
 #include <gentianramp/core/clock.hpp>
 #include <gentianramp/core/ids.hpp>
@@ -38,9 +39,6 @@
     MetricsRegistry *metrics = nullptr;
 };
 
-/// Identifies a waiting request; 0 is never used.
-using WaitNumber = std::uint64_t;
-
 /// Called exactly once for each submitted request, possibly from inside another call of Router,
 /// on the thread of that call and with no lock held.
 using DecisionCallback = std::function<void(Decision)>;
--- a/src/gentianramp/routing/router_state.cpp
+++ b/src/gentianramp/routing/router_state.cpp
@@ -184,7 +184,7 @@
                                   std::vector<Delivery> &deliveries)
 {
     const std::lock_guard lock(service.state->queueMutex);
-    AdmissionQueue &queue = service.state->queue;
+    RequestQueue &queue = service.state->queue;
     if (stopping.load(std::memory_order_acquire)) {
         refuse(service, std::move(request), {RefusalReason::ShuttingDown, {}}, deliveries);
         return 0;
@@ -341,7 +341,7 @@
 bool Router::State::dispatchFirstWaiting(const ServiceEntry &service, TimePoint now,
                                          std::vector<Delivery> &deliveries)
 {
-    AdmissionQueue &queue = service.state->queue;
+    RequestQueue &queue = service.state->queue;
     for (const WaitNumber number : queue.firstInOrder(MaxTriesPerDispatch)) {
         const WaitingRequest *request = queue.find(number);
         std::optional<Decision> decision
--- a/src/gentianramp/routing/routing_components_test.cpp
+++ b/src/gentianramp/routing/routing_components_test.cpp
@@ -1,7 +1,7 @@
-#include "gentianramp/routing/admission_queue.hpp"
 #include "gentianramp/routing/circuit_breaker.hpp"
 #include "gentianramp/routing/output_estimate.hpp"
 #include "gentianramp/routing/prefix_index.hpp"
+#include "gentianramp/routing/waiting_request.hpp"
 #include <random>
 
 #include <criterion/criterion.h>
@@ -67,7 +67,7 @@
 
 Test(AdmissionQueue, OrdersByPriorityThenDeadline)
 {
-    AdmissionQueue queue(10);
+    RequestQueue queue(10);
     queue.push(waitingWith(1, 1, 5));
     queue.push(waitingWith(2, 1, 3));
     queue.push(waitingWith(3, 0, 9));
@@ -77,7 +77,7 @@
 
 Test(AdmissionQueue, LeastUrgentClassIsTriedAfterEightUrgentDispatches)
 {
-    AdmissionQueue queue(100);
+    RequestQueue queue(100);
     queue.push(waitingWith(1, 1, 5));
     for (WaitNumber number = 2; number < 20; ++number)
         queue.push(waitingWith(number, 0, 5));
--- a/src/gentianramp/routing/routing_table.hpp
+++ b/src/gentianramp/routing/routing_table.hpp
@@ -12,10 +12,10 @@
 #include <unordered_map>
 #include <vector>
 
-#include "gentianramp/routing/admission_queue.hpp"
 #include "gentianramp/routing/backend_choice.hpp"
 #include "gentianramp/routing/output_estimate.hpp"
 #include "gentianramp/routing/retry_budget.hpp"
+#include "gentianramp/routing/waiting_request.hpp"
 
 namespace gentianramp {
 
@@ -45,7 +45,7 @@
     std::array<std::unique_ptr<OutputEstimate>, Priorities> outputs;
     std::array<DemandCounters, Priorities> demands;
     std::mutex queueMutex;
-    AdmissionQueue queue;
+    RequestQueue queue;
     std::atomic<std::size_t> waiting{0};
 };
 
