Let requests with prompts wait at the instance while places at engines are short

Cause: under overload every request was sent at once to an engine's queue, where it could be neither withdrawn nor overtaken by a more urgent one, and was refused only by its expected wait. Change: before its first send, a caller's request with a prompt is decided on by library admission with the reported loads of the service's engines. It waits in a queue of the instance, and looks for room again when a request ends, a load report arrives, or 20 ms have passed. Shutdown and expireAll answer what waits; a request whose caller leaves is dropped. Without fresh loads of half of the engines, and with room, requests are placed at once as before. The option RelayOptions::queuesWhenShort turns it off. Resumed streams, repeats, requests of other instances and requests to plain servers are not decided on. Under half of the places taken, nothing is refused that an idle server could serve.

--- a/include/gentianramp/admission/waiting_requests.hpp
+++ b/include/gentianramp/admission/waiting_requests.hpp
@@ -16,6 +16,7 @@
     ReportedRoom room;
     std::uint32_t instances = 1;
     Duration serverWait{}; ///< Expected wait in the queue of the server that would get the request.
+    bool mayPlace = true;  ///< False: no server was chosen, since others go before the request.
     double random = 0.5;   ///< Uniformly distributed in [0, 1).
     bool operator==(const AdmissionConditions &) const = default;
 };
@@ -29,7 +30,8 @@
 class WaitingRequests
 {
 public:
-    explicit WaitingRequests(std::size_t limit = DefaultLimit);
+    /// @p savedAllowance differs between instances, see QueueAllowance.
+    explicit WaitingRequests(std::size_t limit = DefaultLimit, double savedAllowance = 1);
 
     /// Decides on a request that arrives. If it has to wait, it is kept under @p number.
     AdmissionDecision arrive(WaitNumber number, const AdmissionRequest &request,
@@ -39,6 +41,8 @@
                              TimePoint now);
     /// The caller left, or the instance shuts down.
     void drop(WaitNumber number);
+    /// Whether the request is among the first @p count that wait.
+    bool isAmongFirst(WaitNumber number, std::size_t count) const;
     /// What the decision on a request would be, without any effect.
     AdmissionDecision preview(const AdmissionRequest &request,
                               const AdmissionConditions &conditions, TimePoint now) const;
@@ -46,9 +50,9 @@
     std::vector<WaitNumber> first(std::size_t count) const { return m_queue.firstInOrder(count); }
     std::size_t size() const { return m_queue.size(); }
 
-private:
     static constexpr std::size_t DefaultLimit = 2048;
 
+private:
     struct Waiting
     {
         WaitKey key;
--- a/include/gentianramp/relay/backend_table.hpp
+++ b/include/gentianramp/relay/backend_table.hpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <gentianramp/admission/queue_allowance.hpp>
 #include <gentianramp/declaration/declaration.hpp>
 #include <gentianramp/http/client.hpp>
 #include <gentianramp/registry/backend_listing.hpp>
@@ -70,6 +71,16 @@
     bool operator==(const RequestPlacement &) const = default;
 };
 
+/// What the table knows of the places of a service's engines, and expects of a request there.
+struct PlacementRoom
+{
+    ReportedRoom room;         ///< Of all engines that decode and state their load.
+    Duration work{};           ///< Time for which the request is expected to take a place.
+    Duration firstEventTime{}; ///< Time until the first event while nothing else waits.
+    Duration wait{};           ///< Expected wait beyond that at the engines chosen.
+    bool operator==(const PlacementRoom &) const = default;
+};
+
 /// How a request at a backend server ended.
 enum class SendOutcome {
     Served,
@@ -102,6 +113,10 @@
     void publish(const BackendListing &listing);
     /// Chooses where to send a request; empty when no backend server may take it now.
     std::optional<RequestPlacement> choose(const PlacementQuery &request, TimePoint now);
+    /// The places of the engines that may answer the prompt of @p request. Empty while the loads of
+    /// half of them are unknown, or no request has ended.
+    std::optional<PlacementRoom> room(const PlacementQuery &request,
+                                      const RequestPlacement &placement, TimePoint now) const;
     /// Whether a request could be sent now to a server whose circuit breaker lets requests pass.
     bool canPlace(const PlacementQuery &request, TimePoint now) const;
     /// Sets the declaration of a service: its engines' properties, and the connections that each
--- a/src/gentianramp/admission/admission_decision.cpp
+++ b/src/gentianramp/admission/admission_decision.cpp
@@ -6,12 +6,14 @@
 
 namespace {
 
-/// Nothing is refused or delayed while less than this part of the places is taken and nothing
-/// waits.
+/// While less than this part of the places is taken, the first request is sent and nothing is
+/// refused that could be served at an idle server.
 constexpr double AlwaysRoomShare = 0.5;
 /// Servers have free places below this part: the reports are 0.2 s old, and requests spread over
 /// the servers unevenly.
 constexpr double FreeShare = 0.9;
+/// Expected waits at servers are off by a factor of two when requests of other priorities wait too.
+constexpr int ServerWaitUncertainty = 2;
 /// Callers honour a time to return up to a third of the time that they have left.
 constexpr int ReturnTimeLeftDivisor = 3;
 constexpr Duration ShortestReturnTime = std::chrono::milliseconds(20);
@@ -72,9 +74,10 @@
     const TimePoint latestSend = request.deadline - request.firstEventTime;
     if (now > latestSend)
         return {Refuse, DeadlineTooNear, returnTime(state, request, now), {}};
-    if (state.waiting == 0 && state.taken < AlwaysRoomShare * state.places)
+    const bool isFirst = state.workAhead <= Duration::zero();
+    const bool hasRoom = state.taken < AlwaysRoomShare * state.places;
+    if (hasRoom && isFirst)
         return {Place, Room, {}, {}};
-    const bool isFirst = state.workAhead == Duration::zero();
     // A request that returns early takes no place of those that keep their time to return.
     // While requests wait, all instances see the same free places and must not fill them at once.
     const bool isFree = state.waiting == 0 && state.taken < FreeShare * state.places;
@@ -85,7 +88,8 @@
     if (goesFirst && (isFree || state.mayQueue) && now + state.serverWait <= allowed)
         return {Place, state.serverWait > Duration::zero() ? ShortWait : Room, {}, {}};
     const Duration aheadHere = timeFor(state.workAhead, state.ownPlaces);
-    if (now + std::max(aheadHere, state.serverWait) > latestSend)
+    if (!hasRoom
+        && now + std::max(aheadHere, state.serverWait / ServerWaitUncertainty) > latestSend)
         return {Refuse, NoRoomBeforeDeadline, returnTime(state, request, now), {}};
     return {Wait, goesFirst ? NoRoom : OthersFirst, {}, latestSend};
 }
--- a/src/gentianramp/admission/admission_test.cpp
+++ b/src/gentianramp/admission/admission_test.cpp
@@ -57,6 +57,9 @@
     state.serverWait = std::chrono::hours(1);
     const AdmissionDecision decision = decide(state, requestWith(1), at(0));
     cr_assert_eq(decision, (AdmissionDecision{AdmissionAction::Place, AdmissionReason::Room}));
+    state.waiting = 20;
+    state.workAhead = std::chrono::hours(1);
+    cr_assert_eq(decide(state, requestWith(1), at(0)).action, AdmissionAction::Wait);
     const AdmissionDecision hopeless = decide(state, requestWith(1), at(2950));
     cr_assert_eq(hopeless.action, AdmissionAction::Refuse);
     cr_assert_eq(hopeless.reason, AdmissionReason::DeadlineTooNear);
--- a/src/gentianramp/admission/waiting_requests.cpp
+++ b/src/gentianramp/admission/waiting_requests.cpp
@@ -25,8 +25,9 @@
 
 } // namespace
 
-WaitingRequests::WaitingRequests(std::size_t limit)
+WaitingRequests::WaitingRequests(std::size_t limit, double savedAllowance)
     : m_queue(limit, QueueOrder::Strict)
+    , m_allowance(savedAllowance)
 { }
 
 bool WaitingRequests::returnsEarly(const AdmissionRequest &request, TimePoint now) const
@@ -59,7 +60,7 @@
     state.workAhead = std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>(m_queue.engineSecondsBefore(key)));
     state.serverWait = conditions.serverWait;
-    state.mayQueue = m_allowance.mayTake();
+    state.mayQueue = conditions.mayPlace && m_allowance.mayTake();
     state.returnsEarly = returnsEarly(request, now);
     state.promised = m_promisedWork;
     state.random = conditions.random;
@@ -117,6 +118,12 @@
                   now);
 }
 
+bool WaitingRequests::isAmongFirst(WaitNumber number, std::size_t count) const
+{
+    const std::vector<WaitNumber> numbers = first(count);
+    return std::find(numbers.begin(), numbers.end(), number) != numbers.end();
+}
+
 void WaitingRequests::drop(WaitNumber number)
 {
     m_queue.take(number);
--- a/src/gentianramp/relay/backend_table.cpp
+++ b/src/gentianramp/relay/backend_table.cpp
@@ -65,6 +65,8 @@
 constexpr double IdleDecodeQuantile = 0.2;
 /// Delay that a rejected request counts with, in latency targets.
 constexpr double RejectionDelay = 1;
+/// Bound of a request's stated output over the usual one: callers may state any bound.
+constexpr double MaxLengthRatio = 8;
 /// Shorter prefills are not measured: the call's overhead dominates their time.
 constexpr double MinMeasuredPrefillMs = 10;
 /// A failed KV transfer shows that one of two engines transfers slowly, but not which one. Both get
@@ -129,6 +131,7 @@
     PrefillRate prefillRate;
     double meanUncachedTokens = 0; ///< Moving average of the uncached tokens of a prompt.
     double streamMs = 0;           ///< Moving average of the time for which an answer takes a slot.
+    double meanOutputTokens = 0;   ///< Moving average of the stated bounds of answers.
     /// Time from the send to a decode engine to the first event, without the declared time of the
     /// KV transfer, when little else runs there.
     QuantileEstimate idleDecodeMs{IdleDecodeQuantile};
@@ -796,6 +799,50 @@
     return placement;
 }
 
+std::optional<PlacementRoom> BackendTable::room(const PlacementQuery &request,
+                                                const RequestPlacement &placement,
+                                                TimePoint now) const
+{
+    const ServiceState &service = serviceState(request.service);
+    if (!request.prompt || service.streamMs <= 0)
+        return std::nullopt;
+    PlacementRoom result;
+    std::size_t known = 0;
+    std::size_t listed = 0;
+    for (const auto &[id, backend] : m_backends) {
+        if (backend->server.service != request.service || backend->server.prefillOnly
+            || !backend->takesWork(now) || backend->silent)
+            continue;
+        ++listed;
+        if (!backend->loadIsFresh(now) || backend->server.slots == 0)
+            continue;
+        ++known;
+        const double slots = backend->server.slots;
+        const double taken = backend->takenSlots(now);
+        result.room.places += slots;
+        result.room.taken += taken;
+        result.room.endsPerSecond += 1000 * std::min(slots, taken) / service.streamMs;
+    }
+    if (known == 0 || 2 * known < listed)
+        return std::nullopt;
+    const SendTarget &reader
+        = placement.prefillEngine ? *placement.prefillEngine : placement.responder;
+    const Backend *engine = findBackend(reader.backend);
+    const double readMs
+        = engine ? reader.uncachedTokens / tokensPerMs(*engine) * reader.timeFactor : 0;
+    const double lengthRatio = service.meanOutputTokens > 0 && request.prompt->outputTokens > 0
+        ? request.prompt->outputTokens / service.meanOutputTokens
+        : 1;
+    const auto duration = [](double ms) {
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
+    };
+    result.work = duration(readMs + service.streamMs * std::min(lengthRatio, MaxLengthRatio));
+    result.firstEventTime = duration(readMs + service.idleDecodeMs.value().value_or(0)
+                                     + placement.responder.kvTransferMs);
+    result.wait = std::max<Duration>(placement.responder.expectedWait - result.firstEventTime, {});
+    return result;
+}
+
 bool BackendTable::canPlace(const PlacementQuery &request, TimePoint now) const
 {
     return std::any_of(m_backends.begin(), m_backends.end(), [&](const auto &entry) {
@@ -984,6 +1031,12 @@
         return;
     backend->rememberParts(*prompt, now);
     ServiceState &service = serviceState(backend->server.service);
+    if (prompt->outputTokens > 0 && !backend->server.prefillOnly) {
+        if (service.meanOutputTokens == 0)
+            service.meanOutputTokens = prompt->outputTokens;
+        service.meanOutputTokens
+            += ServiceMeanWeight * (prompt->outputTokens - service.meanOutputTokens);
+    }
     if (target.uncachedTokens > 0) {
         if (service.meanUncachedTokens == 0)
             service.meanUncachedTokens = target.uncachedTokens;
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -76,6 +76,10 @@
                                       "Streams not gone on with for their software version"))
     , unknownKeys(registry.counter("gentianramp_relay_unknown_keys_total",
                                    "Refused because no customer holds the key"))
+    , admissionWaits(registry.counter("gentianramp_relay_admission_waits_total",
+                                      "Requests that waited here while servers were short"))
+    , admissionRefusals(registry.counter("gentianramp_relay_admission_refusals_total",
+                                         "Refused because servers are short"))
     , handedOver(registry.counter("gentianramp_relay_handed_over_total",
                                   "Requests handed over to other instances"))
     , handOversFailed(registry.counter("gentianramp_relay_hand_overs_failed_total",
@@ -160,6 +164,24 @@
     return std::uniform_real_distribution<double>(0, 1)(random);
 }
 
+void RelayState::wakeWaiting(const std::string &service)
+{
+    const auto queue = waiting.find(service);
+    if (queue == waiting.end())
+        return;
+    for (const WaitNumber number : queue->second.first(WaitingLookAhead)) {
+        const auto request = waitingByNumber.find(number);
+        if (request != waitingByNumber.end())
+            request->second->wake();
+    }
+}
+
+void RelayState::wakeAllWaiting()
+{
+    for (const auto &[number, request] : waitingByNumber)
+        request->wake();
+}
+
 void RelayState::noteAnswerHead(const BackendId &backend, unsigned status,
                                 const HttpHeaders &headers)
 {
@@ -486,6 +508,8 @@
     for (const ReportedLoad &load : loads.engines)
         if (m_state->table.noteReport(load, loads.takenAt))
             m_state->checkHealth(load.engine, {});
+    for (const auto &[service, queue] : m_state->waiting)
+        m_state->wakeWaiting(service);
 }
 
 void RelayService::publish(const CrashReports &reports)
@@ -534,6 +558,7 @@
 void RelayService::setShutdownDeadline(TimePoint deadline)
 {
     m_state->shutdownDeadline = deadline;
+    m_state->wakeAllWaiting();
 }
 
 void RelayService::expireAll()
--- a/src/gentianramp/relay/relay_state.hpp
+++ b/src/gentianramp/relay/relay_state.hpp
@@ -3,6 +3,7 @@
 #include "origin_lookup.hpp"
 #include <boost/asio/any_io_executor.hpp>
 
+#include <gentianramp/admission/waiting_requests.hpp>
 #include <gentianramp/core/metrics.hpp>
 #include <gentianramp/relay/backend_table.hpp>
 #include <gentianramp/relay/crash_watch.hpp>
@@ -32,6 +33,8 @@
     Counter &limitRefusals;
     Counter &originRefusals;
     Counter &unknownKeys;
+    Counter &admissionWaits;
+    Counter &admissionRefusals;
     Counter &handedOver;
     Counter &handOversFailed;
     Counter &takenOver;
@@ -55,6 +58,9 @@
     bool operator==(const CrashAdmission &) const = default;
 };
 
+/// Waiting requests that look for room at a time: those behind them can't be sent before.
+inline constexpr std::size_t WaitingLookAhead = 4;
+
 /// State that all requests of a RelayService share.
 struct RelayState : std::enable_shared_from_this<RelayState>
 {
@@ -111,6 +117,10 @@
     std::optional<Duration> takeReturnTime(const std::string &service);
     /// Uniformly distributed in [0, 1).
     double uniformRandom();
+    /// Lets the first requests that wait for servers of the service look for room again.
+    void wakeWaiting(const std::string &service);
+    /// The same for all requests that wait for servers.
+    void wakeAllWaiting();
 
     boost::asio::any_io_executor executor;
     RelayOptions options;
@@ -134,8 +144,11 @@
     std::vector<BlamedPart> currentBlame; ///< As of blameUpdatedAt.
     TimePoint blameUpdatedAt{};
     std::map<std::uint64_t, TimePoint> partRefusedAt;
-    std::map<std::uint64_t, TimePoint> trialsUsed; ///< Grant of the last used trial of each part.
-    std::set<RelayedRequest *> openRequests;       ///< Requests that are being served.
+    std::map<std::uint64_t, TimePoint> trialsUsed;  ///< Grant of the last used trial of each part.
+    std::set<RelayedRequest *> openRequests;        ///< Requests that are being served.
+    std::map<std::string, WaitingRequests> waiting; ///< Requests that wait for servers, by service.
+    std::map<WaitNumber, RelayedRequest *> waitingByNumber;
+    WaitNumber lastWaitNumber = 0;
     std::mt19937_64 random;
 };
 
--- a/src/gentianramp/relay/relay_test_fixture.hpp
+++ b/src/gentianramp/relay/relay_test_fixture.hpp
@@ -200,6 +200,8 @@
     }
 
     asio::io_context &context() { return m_context; }
+    /// Where callers connect to.
+    HttpAddress callerAddress() const { return {"127.0.0.1", m_port}; }
     const BackendListing &listing() const { return m_listing; }
 
     int requestsAt(const std::string &id) const
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <charconv>
 #include <gentianramp/core/hexadecimal.hpp>
 #include <gentianramp/core/log.hpp>
@@ -61,6 +63,10 @@
 constexpr std::size_t MaxPrefillAnswerBytes = 64 * 1024;
 constexpr Duration PrefillBodyTimeout = std::chrono::seconds(2);
 
+/// Longest time after which a waiting request looks for room again; an answer that ends or a load
+/// report wakes it earlier.
+constexpr Duration RoomCheckInterval = std::chrono::milliseconds(20);
+
 constexpr unsigned Ok = 200;
 /// Longer names of earlier attempts are cut off, and so match none.
 constexpr std::size_t MaxRequestIdLength = 128;
@@ -140,11 +146,13 @@
     , m_startedAt(RuntimeClock::now())
     , m_deadlineTimer(m_state->executor)
     , m_silenceTimer(m_state->executor)
+    , m_waitTimer(m_state->executor)
     , m_progressAt(m_startedAt)
 { }
 
 RelayedRequest::~RelayedRequest()
 {
+    leaveQueue();
     m_state->openRequests.erase(this);
 }
 
@@ -162,6 +170,7 @@
     if (!exceptionText.empty())
         co_await failAfterException(exceptionText);
     releasePrefilledPrompt();
+    leaveQueue();
     m_ended = true;
     m_deadlineTimer.cancel();
     m_silenceTimer.cancel();
@@ -359,6 +368,21 @@
             co_return co_await refusePart(*blamedPart);
         if (!mayGoOn())
             co_return co_await fail();
+        if (m_waitNumber != 0 && m_state->shutdownDeadline) {
+            m_writer->closeAfterResponse();
+            co_return co_await answerLocally(503, "leaving", LeavingRetryAfter);
+        }
+        if (isBehindOthers()) {
+            m_conditions.mayPlace = false;
+            const AdmissionDecision decision = noteAdmission(m_state->waiting.at(m_service).review(
+                m_waitNumber, m_conditions, RuntimeClock::now()));
+            if (decision.action == AdmissionAction::Refuse)
+                co_return co_await refuseAdmission(decision);
+            if (decision.action == AdmissionAction::Wait) {
+                co_await waitForRoom();
+                continue;
+            }
+        }
         const std::optional<RequestPlacement> placement = choosePlacement();
         if (!placement && m_prefilledPrompt && mayWaitForLimit()) {
             co_await sleepFor(LimitWaitInterval);
@@ -382,6 +406,21 @@
         }
         if (!placement)
             co_return co_await fail();
+        if (needsAdmission()) {
+            const AdmissionDecision decision = decideAdmission(*placement);
+            if (decision.action != AdmissionAction::Place) {
+                m_lastExpectedWait = placement->responder.expectedWait;
+                m_state->table.notSent(placement->responder);
+                if (placement->prefillEngine)
+                    m_state->table.notSent(*placement->prefillEngine);
+            }
+            if (decision.action == AdmissionAction::Refuse)
+                co_return co_await refuseAdmission(decision);
+            if (decision.action == AdmissionAction::Wait) {
+                co_await waitForRoom();
+                continue;
+            }
+        }
         if (m_sendCount == 0 && m_prefillCount == 0
             && placement->responder.expectedWait > RefusalWaitFactor * timeLeft()) {
             m_refusedWait = m_lastExpectedWait = placement->responder.expectedWait;
@@ -425,6 +464,100 @@
     }
 }
 
+/// Streams that go on, repeats and requests of other instances are sent at once: each of them has
+/// been admitted before, here or elsewhere.
+bool RelayedRequest::needsAdmission() const
+{
+    return m_state->options.queuesWhenShort && !m_isAdmitted && m_prompt && !m_origin
+        && m_sendCount == 0 && m_prefillCount == 0 && m_tried.empty()
+        && m_source == RequestSource::Caller;
+}
+
+bool RelayedRequest::isBehindOthers() const
+{
+    return m_waitNumber != 0
+        && !m_state->waiting.at(m_service).isAmongFirst(m_waitNumber, WaitingLookAhead);
+}
+
+AdmissionDecision RelayedRequest::decideAdmission(const RequestPlacement &placement)
+{
+    const TimePoint now = RuntimeClock::now();
+    const std::optional<PlacementRoom> room = m_state->table.room(placementQuery(), placement, now);
+    // Without reports nothing is known to be short.
+    if (!room)
+        return noteAdmission({});
+    m_conditions = {room->room, m_state->instances, room->wait, true, m_state->uniformRandom()};
+    const auto queue
+        = m_state->waiting
+              .try_emplace(m_service, WaitingRequests::DefaultLimit, m_state->uniformRandom())
+              .first;
+    if (m_waitNumber != 0)
+        return noteAdmission(queue->second.review(m_waitNumber, m_conditions, now));
+    AdmissionRequest request;
+    request.priority = m_priority;
+    request.kind = m_route->name;
+    request.customer = m_customer;
+    request.identity = m_identity;
+    request.work = room->work;
+    request.firstEventTime = room->firstEventTime;
+    request.onTimeUntil = m_route->latencyTarget > Duration::zero()
+        ? m_startedAt + m_route->latencyTarget
+        : m_deadline;
+    request.deadline = m_deadline;
+    const WaitNumber number = ++m_state->lastWaitNumber;
+    const AdmissionDecision decision = queue->second.arrive(number, request, m_conditions, now);
+    if (decision.action == AdmissionAction::Wait) {
+        m_waitNumber = number;
+        m_state->waitingByNumber.emplace(number, this);
+        m_state->metrics.admissionWaits.add();
+        logInfo("request_waits",
+                {{"request", m_id},
+                 {"reason", gentianramp::toString(decision.reason)},
+                 {"expected_ms", toMilliseconds(room->wait)},
+                 {"taken", static_cast<std::int64_t>(room->room.taken)},
+                 {"places", static_cast<std::int64_t>(room->room.places)},
+                 {"waiting", queue->second.size()}});
+    }
+    return noteAdmission(decision);
+}
+
+/// A decision other than to wait ends the wait.
+AdmissionDecision RelayedRequest::noteAdmission(const AdmissionDecision &decision)
+{
+    m_isAdmitted = decision.action == AdmissionAction::Place;
+    if (decision.action != AdmissionAction::Wait)
+        leaveQueue();
+    return decision;
+}
+
+asio::awaitable<void> RelayedRequest::refuseAdmission(const AdmissionDecision &decision)
+{
+    m_state->metrics.admissionRefusals.add();
+    m_returnAfter = decision.returnAfter;
+    co_await refuse(gentianramp::toString(decision.reason));
+}
+
+/// Returns when there may be room, the caller left or the request was given up.
+asio::awaitable<void> RelayedRequest::waitForRoom()
+{
+    const TimePoint waitsSince = RuntimeClock::now();
+    m_waitTimer.expires_after(std::min<Duration>(RoomCheckInterval, timeLeft()));
+    boost::system::error_code woken;
+    co_await m_waitTimer.async_wait(asio::redirect_error(asio::use_awaitable, woken));
+    m_waitedTime += RuntimeClock::now() - waitsSince;
+}
+
+void RelayedRequest::leaveQueue()
+{
+    const WaitNumber number = std::exchange(m_waitNumber, 0);
+    if (number == 0)
+        return;
+    m_state->waitingByNumber.erase(number);
+    const auto queue = m_state->waiting.find(m_service);
+    if (queue != m_state->waiting.end())
+        queue->second.drop(number);
+}
+
 /// True while a prompt that is prefilled may wait for a server below its limit.
 bool RelayedRequest::mayWaitForLimit()
 {
@@ -801,6 +934,7 @@
     else if (result != AttemptResult::Done)
         outcome = SendOutcome::Failed;
     m_state->table.ended(attempt.target, attempt.answered, outcome, now);
+    m_state->wakeWaiting(m_service);
     reportLostConnection(attempt);
     if (result == AttemptResult::Unreached)
         m_state->checkHealth(attempt.target.backend, m_service);
@@ -1084,6 +1218,8 @@
         return *held + std::chrono::duration_cast<Duration>(longest * m_state->uniformRandom());
     if (m_helperRetryAfter)
         return *m_helperRetryAfter;
+    if (m_returnAfter)
+        return *m_returnAfter;
     // The backlog that caused the refusal has to be processed first.
     if (m_refusedWait > Duration::zero())
         longest = std::min<Duration>(timeLeft() / RetryAfterLongWaitDivisor, m_refusedWait);
@@ -1118,6 +1254,7 @@
              {"sends", m_sendCount},
              {"first_ms", m_firstEventAt ? toMilliseconds(*m_firstEventAt - m_startedAt) : -1},
              {"total_ms", toMilliseconds(took)},
+             {"waited_ms", toMilliseconds(m_waitedTime)},
              {"left_ms", m_route ? toMilliseconds(timeLeft()) : -1},
              {"declaration", m_routes ? m_routes->declaration().number : 0},
              {"declaration_age_ms", ageMs(m_state->options.declarationAge())},
@@ -1148,6 +1285,7 @@
     if (m_ended)
         return;
     m_expired = true;
+    wake();
     if (m_exchange)
         m_exchange->cancel();
 }
@@ -1157,6 +1295,7 @@
     if (m_ended)
         return;
     m_callerGone = true;
+    wake();
     if (m_exchange)
         m_exchange->cancel();
 }
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -25,6 +25,8 @@
     ~RelayedRequest();
 
     boost::asio::awaitable<void> serve();
+    /// Lets a request that waits for room look for it again.
+    void wake() { m_waitTimer.cancel(); }
     /// Gives the request up. A caller to whom nothing was sent yet gets a final answer; a stream
     /// that has started is cut.
     void expire();
@@ -76,6 +78,18 @@
     // Attempts
     boost::asio::awaitable<void> sendUntilDone();
     bool mayWaitForLimit();
+
+    // Admission
+    /// The instance decides whether the request is sent now, waits or is refused.
+    bool needsAdmission() const;
+    /// The request waits and others go before it, so that no server has to be chosen.
+    bool isBehindOthers() const;
+    AdmissionDecision decideAdmission(const RequestPlacement &placement);
+    AdmissionDecision noteAdmission(const AdmissionDecision &decision);
+    boost::asio::awaitable<void> refuseAdmission(const AdmissionDecision &decision);
+    boost::asio::awaitable<void> waitForRoom();
+    void leaveQueue();
+
     PlacementQuery placementQuery() const;
     std::optional<BlamedPart> admit();
     std::optional<RequestPlacement> choosePlacement();
@@ -185,6 +199,12 @@
     TimePoint m_deadline = TimePoint::max();
     Timer m_deadlineTimer;
     Timer m_silenceTimer;
+    Timer m_waitTimer;
+    WaitNumber m_waitNumber = 0;           ///< In the queue of the service; 0: does not wait.
+    bool m_isAdmitted = false;             ///< The instance decided that it is sent.
+    AdmissionConditions m_conditions;      ///< Of the last decision.
+    std::optional<Duration> m_returnAfter; ///< Time to return of a refusal by the decision.
+    Duration m_waitedTime{};               ///< Time in the queue.
     TimePoint m_progressAt; ///< Last start of an attempt, or last bytes of its answer.
     std::optional<TimePoint> m_firstEventAt;
 
