Follow the naming rules in the tests of admission

Cause: scripts/lint names six places in two test files. Change: constants move to the file's top; one reservation.

--- a/src/gentianramp/admission/admission_replay_test.cpp
+++ b/src/gentianramp/admission/admission_replay_test.cpp
@@ -41,6 +41,8 @@
 constexpr int BurstToMs = 22'000;
 constexpr int ImpatientReturnMs = 10;
 constexpr int ImpatientReturns = 3;
+/// Replays over which the shares of impatient and patient callers are averaged.
+constexpr std::uint64_t Seeds = 4;
 
 /// Value of a request that is on time, by priority.
 constexpr std::array<double, 3> Weights{4, 2, 1};
@@ -262,6 +264,7 @@
     void report()
     {
         std::vector<double> taken;
+        taken.reserve(Servers);
         for (const Server &server : m_servers)
             taken.push_back(static_cast<double>(server.running.size() + server.waiting.size()));
         m_reports.push_back(std::move(taken));
@@ -526,7 +529,6 @@
     };
     double impatient = 0;
     double patient = 0;
-    constexpr std::uint64_t Seeds = 4;
     for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
         Load seeded = load;
         seeded.seed = seed;
--- a/src/gentianramp/admission/admission_test.cpp
+++ b/src/gentianramp/admission/admission_test.cpp
@@ -10,6 +10,12 @@
 
 namespace {
 
+// Of the simulation of allowances.
+constexpr double Places = 1000;
+constexpr double WorkS = 0.8;
+constexpr int StepMs = 5;
+constexpr int ReportAgeSteps = 40; // 0.2 s
+
 TimePoint at(int ms)
 {
     return TimePoint(std::chrono::seconds(1000) + milliseconds(ms));
@@ -173,10 +179,6 @@
 // Guards against instances that together fill the servers' queues between two reports.
 Test(queue_allowance, sendsOfAllInstancesStayBounded)
 {
-    constexpr double Places = 1000;
-    constexpr double WorkS = 0.8;
-    constexpr int StepMs = 5;
-    constexpr int ReportAgeSteps = 40; // 0.2 s
     for (const std::uint32_t instances : {75U, 150U, 300U}) {
         std::vector<QueueAllowance> allowances;
         for (std::uint32_t index = 0; index < instances; ++index)
