Decide on requests behind others by the newest reports

Cause: a waiting request behind others was decided on by the reports of its own last choice of a server. Old reports could refuse it while places were free, and lowered the allowance for all. Change: WaitingRequests keeps the room of the last decision with a server.

--- a/include/gentianramp/admission/waiting_requests.hpp
+++ b/include/gentianramp/admission/waiting_requests.hpp
@@ -16,8 +16,10 @@
     ReportedRoom room;
     std::uint32_t instances = 1;
     Duration serverWait{}; ///< Expected wait in the queue of the server that would get the request.
-    bool mayPlace = true;  ///< False: no server was chosen, since others go before the request.
-    double random = 0.5;   ///< Uniformly distributed in [0, 1).
+    /// False: no server was chosen, since others go before the request. The room is then that of
+    /// the last decision with a server.
+    bool mayPlace = true;
+    double random = 0.5; ///< Uniformly distributed in [0, 1).
     bool operator==(const AdmissionConditions &) const = default;
 };
 
@@ -74,7 +76,7 @@
     AdmissionState stateFor(const WaitKey &key, const AdmissionRequest &request,
                             const AdmissionConditions &conditions, TimePoint now) const;
     AdmissionDecision decideOn(WaitNumber number, const AdmissionRequest &request,
-                               const AdmissionConditions &conditions, TimePoint now);
+                               AdmissionConditions conditions, TimePoint now);
     void notePromise(const AdmissionRequest &request, Duration returnAfter, TimePoint now);
     void erasePromise(std::map<std::uint64_t, Promise>::iterator promise);
     void expirePromises(TimePoint now);
@@ -82,6 +84,7 @@
     AdmissionQueue<Waiting> m_queue;
     ServedShares m_shares;
     QueueAllowance m_allowance;
+    ReportedRoom m_room;                         ///< Of the last decision with a server.
     std::map<std::uint64_t, Promise> m_promises; ///< By the identity of the request.
     Duration m_promisedWork{};
     TimePoint m_promisesExpiredAt{};
--- a/src/gentianramp/admission/admission_test.cpp
+++ b/src/gentianramp/admission/admission_test.cpp
@@ -157,6 +157,27 @@
     cr_assert_eq(waiting.first(1), (std::vector<WaitNumber>{4}));
 }
 
+// Guards against refusals by old reports, which requests far behind keep.
+Test(waiting_requests, requestsBehindOthersAreDecidedOnByTheNewestReports)
+{
+    WaitingRequests waiting;
+    AdmissionConditions conditions = fullConditions();
+    cr_assert_eq(waiting.arrive(1, requestWith(1, 0), conditions, at(0)).action,
+                 AdmissionAction::Wait);
+    AdmissionRequest behind = requestWith(2, 1);
+    behind.onTimeUntil = behind.deadline;
+    cr_assert_eq(waiting.arrive(2, behind, conditions, at(0)).action, AdmissionAction::Wait);
+    AdmissionConditions old = conditions;
+    old.mayPlace = false;
+    // The other one takes the only place of this instance until the deadline by the old report.
+    old.room.places = 5;
+    conditions.room = {100, 49, 0};
+    AdmissionRequest first = requestWith(3, 0);
+    first.onTimeUntil = at(500);
+    cr_assert_eq(waiting.arrive(3, first, conditions, at(10)).action, AdmissionAction::Place);
+    cr_assert_eq(waiting.review(2, old, at(10)).action, AdmissionAction::Wait);
+}
+
 // Guards against a request that goes before the others because it is sent anew at once.
 Test(waiting_requests, earlyReturnsGoAfterTheOthersOfTheirPriority)
 {
--- a/src/gentianramp/admission/waiting_requests.cpp
+++ b/src/gentianramp/admission/waiting_requests.cpp
@@ -84,8 +84,12 @@
 }
 
 AdmissionDecision WaitingRequests::decideOn(WaitNumber number, const AdmissionRequest &request,
-                                            const AdmissionConditions &conditions, TimePoint now)
+                                            AdmissionConditions conditions, TimePoint now)
 {
+    if (conditions.mayPlace)
+        m_room = conditions.room;
+    else
+        conditions.room = m_room;
     expirePromises(now);
     m_allowance.update(conditions.room, conditions.instances, now);
     const WaitKey key = keyOf(number, request, now);
--- a/src/gentianramp/relay/admission_wait_test.cpp
+++ b/src/gentianramp/relay/admission_wait_test.cpp
@@ -29,8 +29,9 @@
 class ShortFixture : public RelayFixture
 {
 public:
-    ShortFixture()
+    explicit ShortFixture(std::optional<std::vector<Customer>> declared = std::nullopt)
     {
+        customers = std::move(declared);
         addServer("engine", streamsForAWhile(m_streams));
         listAsEngine();
         declare({.kind = RouteKind::Stream,
@@ -52,13 +53,28 @@
         relay.publish(loads);
     }
 
-    static HttpRequest prompt(int own)
+    /// @p key is that of a customer.
+    static HttpRequest prompt(int own, const std::string &key = "urgent-key")
     {
         HttpRequest request{.method = "POST"};
+        request.headers.add("Authorization", "Bearer " + key);
         request.headers.add("X-Prompt", std::to_string(own));
         return request;
     }
 
+    /// For a caller other than that of call().
+    HttpCall callOf(const std::string &id, HttpRequest request) const
+    {
+        HttpCall call;
+        call.address = callerAddress();
+        call.request = std::move(request);
+        call.request.target = "/p/x";
+        call.request.headers.set("Host", "host.example");
+        call.request.headers.set("X-Id", id);
+        call.freshConnection = true;
+        return call;
+    }
+
     /// Calls @p action after @p delay while requests are served.
     void after(Duration delay, std::function<void()> action)
     {
@@ -144,17 +160,38 @@
     cr_expect_eq(fixture.requestsAt("engine"), 1);
 }
 
+// Guards against places that go by order of arrival.
+Test(admission_wait, urgentRequestsGoBeforeThoseThatArrivedEarlier)
+{
+    ShortFixture fixture(
+        std::vector<Customer>{{"later", {"later-key"}, 2}, {"urgent", {"urgent-key"}, 0}});
+    fixture.report(8, 30);
+    HttpClient client;
+    std::vector<std::shared_ptr<HttpExchange>> exchanges;
+    for (const std::string name : {"later", "urgent"}) {
+        const int own = 2 + static_cast<int>(exchanges.size());
+        exchanges.push_back(
+            client.exchange(fixture.callOf(name, ShortFixture::prompt(own, name + "-key"))));
+        asio::co_spawn(fixture.context(), open(exchanges.back()), asio::detached);
+        fixture.wait(milliseconds(50));
+    }
+    cr_assert_eq(fixture.requestsAt("engine"), 1);
+    fixture.report(7, 0);
+    fixture.wait(milliseconds(300));
+    std::vector<std::string> ids;
+    for (const auto &[server, request] : fixture.receivedRequests) {
+        if (request.path().starts_with("/p/"))
+            ids.emplace_back(request.headers.find("X-Id"));
+    }
+    cr_assert_eq(ids, (std::vector<std::string>{"id-1", "urgent", "later"}));
+}
+
 // Guards against a request that is sent for a caller who has left.
 Test(admission_wait, aRequestWhoseCallerLeavesIsDropped)
 {
     ShortFixture fixture;
     fixture.report(8, 30);
-    HttpCall call;
-    call.address = fixture.callerAddress();
-    call.request = ShortFixture::prompt(2);
-    call.request.target = "/p/x";
-    call.request.headers.set("Host", "host.example");
-    call.request.headers.set("X-Id", "leaves");
+    HttpCall call = fixture.callOf("leaves", ShortFixture::prompt(2));
     HttpClient client;
     const std::shared_ptr<HttpExchange> exchange = client.exchange(std::move(call));
     asio::co_spawn(fixture.context(), open(exchange), asio::detached);
