--- a/include/gentianramp/relay/relay_service.hpp
+++ b/include/gentianramp/relay/relay_service.hpp
@@ -93,7 +93,8 @@
     Duration versionSettleTime = std::chrono::seconds(3);
     /// Time by which the platform's list lags behind.
     Duration listingLag = std::chrono::milliseconds(800);
-    /// Requests with prompts wait at this instance while the engines' places are short.
+    /// Requests with prompts wait at this instance while the engines' places are short, if
+    /// customers are declared.
     bool queuesWhenShort = true;
 };
 
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -477,8 +477,8 @@
 /// been admitted before, here or elsewhere.
 bool RelayedRequest::needsAdmission() const
 {
-    return m_state->options.queuesWhenShort && !m_isAdmitted && m_prompt && !m_origin
-        && m_sendCount == 0 && m_prefillCount == 0 && m_tried.empty()
+    return m_state->options.queuesWhenShort && m_routes->requiresKeys() && !m_isAdmitted && m_prompt
+        && !m_origin && m_sendCount == 0 && m_prefillCount == 0 && m_tried.empty()
         && m_source == RequestSource::Caller;
 }
 
