--- a/include/gentianramp/registry/duty_runner.hpp
+++ b/include/gentianramp/registry/duty_runner.hpp
@@ -48,8 +48,6 @@
 
     /// This process leads from @p now on; @p token is larger than those of all former holders.
     void gain(std::uint64_t token, TimePoint now);
-    /// The same for the first holder ever, which has no former one to wait for.
-    void gainFirst(std::uint64_t token);
     void lose() { m_token = 0; }
     bool mayAct(TimePoint now) const { return m_token != 0 && now >= m_actsFrom; }
     /// 0 while this process does not lead.
--- a/include/gentianramp/registry/usage_reporter.hpp
+++ b/include/gentianramp/registry/usage_reporter.hpp
@@ -34,6 +34,7 @@
     std::size_t maxUndelivered = 64;
     /// An entry process that was not heard for longer is gone.
     Duration processTimeout = std::chrono::seconds(3);
+    bool operator==(const UsageReporterOptions &) const = default;
 };
 
 /// Decides on the leader when the counts of a window are final. Performs no I/O.
--- a/src/gentianramp/registry/duty_runner.cpp
+++ b/src/gentianramp/registry/duty_runner.cpp
@@ -16,12 +16,6 @@
     m_actsFrom = now + m_margin;
 }
 
-void DutyAuthority::gainFirst(std::uint64_t token)
-{
-    m_token = token;
-    m_actsFrom = {};
-}
-
 DutyRunner::DutyRunner(DutyRunnerOptions options)
     : m_options(options)
 { }
--- a/src/gentianramp/registry/duty_service.cpp
+++ b/src/gentianramp/registry/duty_service.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr std::uint64_t FirstTerm = 1;
 constexpr Duration StepInterval = std::chrono::milliseconds(50);
 /// A leader that lost its majority may still consider itself the leader for an election timeout,
 /// and its last call may be in transit until it times out.
@@ -81,13 +80,10 @@
 {
     m_runner.clear();
     m_hasTakenOver = false;
-    if (!leads)
-        return m_authority.lose();
-    // In the first term of a system that starts for the first time there was no holder before.
-    if (m_options.firstStart && term.value() == FirstTerm)
-        m_authority.gainFirst(term.value());
-    else
+    if (leads)
         m_authority.gain(term.value(), now);
+    else
+        m_authority.lose();
 }
 
 std::optional<Duration> DutyService::platformAge(TimePoint now) const
