--- a/src/gentianramp/relay/admission_wait_test.cpp
+++ b/src/gentianramp/relay/admission_wait_test.cpp
@@ -29,7 +29,7 @@
 class ShortFixture : public RelayFixture
 {
 public:
-    explicit ShortFixture(std::optional<std::vector<Customer>> declared = std::nullopt)
+    explicit ShortFixture(const std::optional<std::vector<Customer>> &declared = std::nullopt)
     {
         // Requests wait only where customers are declared; a public route needs no key of them.
         const bool isPublic = !declared;
