Split the decision on servers on demand out of the fleet sizer's orders

Cause: one function held the order of all steps and the rule on what may leave; a reader had to hold both. Change: the rule is a function of its own; no behaviour changes.

--- a/include/gentianramp/registry/fleet_sizer.hpp
+++ b/include/gentianramp/registry/fleet_sizer.hpp
@@ -128,6 +128,9 @@
                      TimePoint now) const;
     FleetSize shrunkSlowly(ServiceOrders &orders, FleetSize target, const FleetSize &former,
                            TimePoint now) const;
+    std::uint32_t onDemandToKeep(const std::string &service, const ServiceOrders &orders,
+                                 const DataCentreId &site, std::uint32_t presentSpot,
+                                 TimePoint now) const;
     void order(const std::string &service, const DataCentreId &site, bool spot,
                std::uint32_t servers, std::uint32_t present, const DeclaredService &declared,
                TimePoint now, std::vector<ServerOrder> &result);
--- a/src/gentianramp/registry/fleet_sizer.cpp
+++ b/src/gentianramp/registry/fleet_sizer.cpp
@@ -222,6 +222,27 @@
     }
 }
 
+/// Servers on demand of a data centre by its target, or more while these are not replaced yet.
+std::uint32_t FleetSizer::onDemandToKeep(const std::string &service, const ServiceOrders &orders,
+                                         const DataCentreId &site, std::uint32_t presentSpot,
+                                         TimePoint now) const
+{
+    const ServerCounts wanted = orders.target.at(site);
+    const auto ordered = orders.bySite.find({site, false});
+    const std::uint32_t former = ordered == orders.bySite.end() ? 0 : ordered->second.servers;
+    if (former <= wanted.onDemand)
+        return wanted.onDemand;
+    if (!hasTraffic(service) && now - orders.grownAt < m_options.listSettlingTime)
+        return former;
+    // Under traffic, spot servers have to be there. Before, it suffices that they are promised:
+    // engines that are about to leave can't be given the stages of the first callers.
+    const auto accepted = orders.acceptedSpot.find(site);
+    const std::uint32_t promisedSpot = accepted == orders.acceptedSpot.end() ? 0 : accepted->second;
+    const std::uint32_t replaced = hasTraffic(service) ? presentSpot : promisedSpot;
+    const std::uint32_t missing = wanted.total() > replaced ? wanted.total() - replaced : 0;
+    return std::clamp(missing, wanted.onDemand, former);
+}
+
 std::vector<ServerOrder> FleetSizer::decide(const Declaration &declaration,
                                             const BackendListing &listing, TimePoint now)
 {
@@ -252,21 +273,7 @@
             const auto here = present.find(site);
             const ServerCounts counts = here == present.end() ? ServerCounts() : here->second;
             const std::uint32_t most = service.scaling->maxServers;
-            // Old servers go only as new ones are there, or before traffic, as these are promised:
-            // the others would be given stages that they leave with.
-            std::uint32_t onDemand = wanted.onDemand;
-            const std::uint32_t former = orders.bySite[{site, false}].servers;
-            if (former > onDemand) {
-                const std::uint32_t replaced
-                    = hasTraffic(service.name) ? counts.spot : orders.acceptedSpot[site];
-                const std::uint32_t missing
-                    = wanted.total() > replaced ? wanted.total() - replaced : 0;
-                onDemand = std::clamp(missing, onDemand, former);
-                const bool mayGrow = !hasTraffic(service.name)
-                    && now - orders.grownAt < m_options.listSettlingTime;
-                if (mayGrow)
-                    onDemand = former;
-            }
+            std::uint32_t onDemand = onDemandToKeep(service.name, orders, site, counts.spot, now);
             const std::uint32_t room
                 = most > onDemand + wanted.spot ? most - onDemand - wanted.spot : 0;
             const TimePoint unavailableAt = orders.bySite[{site, false}].unavailableAt;
