--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,8 +9,8 @@
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "common"))
-from standins import (CONTACT_S, GRACE_S, Client, Deployment, configuration, main,  # noqa: E402
-                      plain_route)
+from standins import (CONTACT_S, GRACE_S, ONCE, Client, Deployment, configuration,  # noqa: E402
+                      main, plain_route)
 
 EDGES = 9
 CLIENTS_PER_EDGE = 3
@@ -64,7 +64,7 @@
     end = [float("inf")]
     try:
         await deployment.start(configuration(
-            1, [plain_route("card", "non_idempotent", "desk-app")], ["desk-app"]))
+            1, [plain_route("card", ONCE, "desk-app")], ["desk-app"]))
         for edge in deployment.edges:
             edge.accepts = True
         senders = [asyncio.create_task(keep_sending(record, edge, f"{edge.name}-c{n}", outcomes,
