--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -108,15 +108,24 @@
         self._record = record
         self._running = 0
         self._server = None
+        self._writers = set()
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, *self.address, backlog=256)
 
+    def stop(self):
+        """Ends, with what runs there."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         with contextlib.suppress(Closed, OSError, ValueError):
             while (message := await read_message(reader)) is not None:
                 if not await self._handle(message, writer):
                     break
+        self._writers.discard(writer)
         writer.close()
 
     async def _handle(self, message, writer):
