--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -287,6 +287,9 @@
         self.edges = [Machine(self, f"edge-{n}", "edge", ZONES[n % 3], self._ip())
                       for n in range(edges)]
 
+    def free_ip(self):
+        return self._ip()
+
     def _ip(self):
         self._next_ip += 1
         return f"{self._net}.{self._next_ip}"
