--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -167,7 +167,7 @@
 
     def __init__(self, address, workers):
         self.address, self.workers = address, workers
-        self.strange = []  # bytes of entries of another writer
+        self.strange = []  # bytes of entries of another writer, which come first
         self.reads = 0
 
     async def start(self):
@@ -178,7 +178,7 @@
             while await read_message(reader) is not None:
                 self.reads += 1
                 entries = [json.dumps(worker.entry()).encode() for worker in self.workers]
-                body = b'{"Instances":[' + b",".join(entries + self.strange)
+                body = b'{"Instances":[' + b",".join(self.strange + entries)
                 body += WIRE["end_of_list"].encode()
                 writer.write(render("HTTP/1.1 200 OK", {"Content-Type": "application/json"}, body))
                 await writer.drain()
@@ -287,9 +287,6 @@
         self.edges = [Machine(self, f"edge-{n}", "edge", ZONES[n % 3], self._ip())
                       for n in range(edges)]
 
-    def free_ip(self):
-        return self._ip()
-
     def _ip(self):
         self._next_ip += 1
         return f"{self._net}.{self._next_ip}"
