core: log the thread and the reason of an exception that ends the process

A terminate handler now writes the lines that are held and then event=process_aborted with the thread's name and the reason. It goes past glog and waits for no lock, since the thread that ends may hold one. Threads of the libraries have names (mesh, timeline, worker), which the system's tools show as well.

--- a/include/gentianramp/core/log.hpp
+++ b/include/gentianramp/core/log.hpp
@@ -39,7 +39,8 @@
         = 256 * 1024; ///< Held while the reader is slow; then lines are dropped.
 };
 
-/// Starts glog for the program @p name.
+/// Starts glog for the program @p name. From then on an exception that leaves a thread is logged
+/// with the thread's name before it ends the process.
 void startLogging(const std::string &name, LogTarget target = LogTarget::StandardError,
                   const LogBounds &bounds = {});
 /// Writes what is held for standard output as far as that takes it without waiting. To be called
--- a/src/gentianramp/core/log.cpp
+++ b/src/gentianramp/core/log.cpp
@@ -4,8 +4,10 @@
 
 #include <cstdlib>
 #include <ctime>
+#include <exception>
 #include <fcntl.h>
 #include <gentianramp/core/clock.hpp>
+#include <gentianramp/core/thread.hpp>
 #include <glog/logging.h>
 #include <memory>
 #include <unistd.h>
@@ -96,6 +98,12 @@
     return written > 0 ? static_cast<std::size_t>(written) : 0;
 }
 
+std::string linePrefix(TimePoint now, char level)
+{
+    return "time_ms=" + std::to_string(wallClockMs()) + " mono_ms="
+        + std::to_string(toMilliseconds(now.time_since_epoch())) + " level=" + level + " event=";
+}
+
 /// glog's way to the bounded buffer.
 class BufferSink : public google::LogSink
 {
@@ -108,9 +116,7 @@
               const google::LogMessageTime &, const char *message, std::size_t length) override
     {
         const TimePoint now = RuntimeClock::now();
-        std::string line = "time_ms=" + std::to_string(wallClockMs())
-            + " mono_ms=" + std::to_string(toMilliseconds(now.time_since_epoch()))
-            + " level=" + google::GetLogSeverityName(severity)[0] + " event=";
+        std::string line = linePrefix(now, google::GetLogSeverityName(severity)[0]);
         line.append(message, length);
         line += '\n';
         m_buffer.add(line, now);
@@ -128,6 +134,36 @@
     return sink;
 }
 
+std::string currentExceptionText()
+{
+    const std::exception_ptr error = std::current_exception();
+    if (!error)
+        return "no exception";
+    try {
+        std::rethrow_exception(error);
+    } catch (const std::exception &problem) {
+        return problem.what();
+    } catch (...) {
+        return "unknown exception";
+    }
+}
+
+/// Logs what ends the process, after the lines that are held. Writes past glog and waits for no
+/// lock, since the thread that ends the process may hold it.
+[[noreturn]] void logAndAbort()
+{
+    const bool held = bufferSink() != nullptr;
+    if (held)
+        bufferSink()->buffer().tryFlush();
+    const std::string line = linePrefix(RuntimeClock::now(), 'E')
+        + formatLine("process_aborted",
+                     {{"thread", threadName()}, {"reason", currentExceptionText()}})
+        + '\n';
+    [[maybe_unused]] const ssize_t written
+        = ::write(held ? STDOUT_FILENO : STDERR_FILENO, line.data(), line.size());
+    std::abort();
+}
+
 void sendToStandardOutput(const LogBounds &bounds)
 {
     FLAGS_logtostderr = false;
@@ -152,6 +188,7 @@
     // With TZ it does so at the first use only; do it before other threads log.
     tzset();
     google::InitGoogleLogging(programName.c_str());
+    std::set_terminate(logAndAbort);
     if (target == LogTarget::StandardOutput)
         sendToStandardOutput(bounds);
 }
--- a/src/gentianramp/core/log_buffer.cpp
+++ b/src/gentianramp/core/log_buffer.cpp
@@ -58,6 +58,13 @@
     flushLocked();
 }
 
+void LogBuffer::tryFlush()
+{
+    const std::unique_lock lock(m_mutex, std::try_to_lock);
+    if (lock)
+        flushLocked();
+}
+
 void LogBuffer::flushLocked()
 {
     if (m_held.empty())
--- a/src/gentianramp/core/log_buffer.hpp
+++ b/src/gentianramp/core/log_buffer.hpp
@@ -18,6 +18,8 @@
 
     void add(const std::string &line, TimePoint now);
     void flush();
+    /// As flush(), unless another call is in progress.
+    void tryFlush();
     std::uint64_t dropped() const;
 
 private:
--- a/src/gentianramp/core/timeline.cpp
+++ b/src/gentianramp/core/timeline.cpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <fstream>
 #include <gentianramp/core/clock.hpp>
+#include <gentianramp/core/thread.hpp>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <thread>
@@ -198,7 +199,10 @@
     if (m_state->options.file.empty())
         return;
     m_state->open();
-    m_state->thread = std::thread([state = m_state.get()] { state->run(); });
+    m_state->thread = std::thread([state = m_state.get()] {
+        setThreadName("timeline");
+        state->run();
+    });
 }
 
 TimelineWriter::~TimelineWriter()
--- a/src/gentianramp/entry/worker_threads.cpp
+++ b/src/gentianramp/entry/worker_threads.cpp
@@ -1,6 +1,7 @@
 #include "worker_threads.hpp"
 
 #include <algorithm>
+#include <gentianramp/core/thread.hpp>
 
 namespace gentianramp {
 
@@ -15,7 +16,10 @@
 
 void WorkerThread::start()
 {
-    m_thread = std::thread([this] { m_context.run(); });
+    m_thread = std::thread([this] {
+        setThreadName("worker");
+        m_context.run();
+    });
 }
 
 void WorkerThread::stop()
--- a/src/gentianramp/wire/mesh.cpp
+++ b/src/gentianramp/wire/mesh.cpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <fstream>
 #include <gentianramp/core/log.hpp>
+#include <gentianramp/core/thread.hpp>
 #include <gentianramp/wire/mesh.hpp>
 #include <map>
 #include <mutex>
@@ -525,7 +526,10 @@
 Mesh::Mesh(MeshOptions options, MessageHook onMessage)
     : m_state(std::make_unique<State>(std::move(options), std::move(onMessage)))
 {
-    m_state->thread = std::thread([state = m_state.get()] { state->run(); });
+    m_state->thread = std::thread([state = m_state.get()] {
+        setThreadName("mesh");
+        state->run();
+    });
 }
 
 Mesh::~Mesh()
