wire: a signal that interrupts the mesh's thread no longer ends the process

Control processes have the same thread.

Cause: while a signal is pending for the main thread, the kernel hands the next one to another thread, and the only other one without a signal mask is the mesh's. Its wait then fails with EINTR, for which zmq::poll throws, and no one catches it. Backtrace of such a process: zmq::poll in Mesh::State::waitForEvents. ZeroMQ's sends, receives, binds and connects fail in the same way when the signal arrives while they look at their mailbox; between the frames of a reply that would have left the socket within a message.

Change: all calls of ZeroMQ go through wire/socket_calls. An interrupted wait returns early, and the loop goes on; any other interrupted call is made again. The signal itself is handled as before, by the main thread.

--- a/src/gentianramp/wire/mesh.cpp
+++ b/src/gentianramp/wire/mesh.cpp
@@ -1,5 +1,6 @@
 #include "message_filter.hpp"
 #include "peer_authenticator.hpp"
+#include "socket_calls.hpp"
 
 #include <algorithm>
 #include <array>
@@ -16,7 +17,6 @@
 #include <thread>
 #include <unistd.h>
 #include <zmq.hpp>
-#include <zmq_addon.hpp>
 
 #include "gentianramp/wire/generated/envelope.pb.h"
 
@@ -137,7 +137,7 @@
             router.set(zmq::sockopt::curve_secretkey, options.keys.secretKey);
             router.set(zmq::sockopt::zap_domain, "gentianramp");
         }
-        router.bind(options.endpoint);
+        bindSocket(router, options.endpoint);
     }
 
     void replacePeers(std::vector<MeshPeer> peers, const std::vector<std::string> &operators)
@@ -186,7 +186,7 @@
             dealer.set(zmq::sockopt::curve_publickey, options.keys.publicKey);
             dealer.set(zmq::sockopt::curve_secretkey, options.keys.secretKey);
         }
-        dealer.connect(peer.endpoint);
+        connectSocket(dealer, peer.endpoint);
         PeerConnection connection{std::move(dealer), peer.endpoint, serverKey, RuntimeClock::now()};
         return dealers.insert_or_assign(peer.instance, std::move(connection)).first->second;
     }
@@ -234,7 +234,7 @@
             items.push_back({router.handle(), 0, ZMQ_POLLIN, 0});
         for (auto &[instance, dealer] : dealers)
             items.push_back({dealer.socket.handle(), 0, ZMQ_POLLIN, 0});
-        zmq::poll(items, PollInterval);
+        waitForItems(items, PollInterval);
         std::uint64_t ignored = 0;
         while (read(wakeFd, &ignored, sizeof ignored) > 0) {
         }
@@ -291,7 +291,7 @@
         PeerConnection *dealer = findOrConnect(to);
         if (!dealer)
             return false;
-        if (!dealer->socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
+        if (!sendFrame(dealer->socket, bytes, zmq::send_flags::dontwait)) {
             tryNextKey(to, *dealer);
             return false;
         }
@@ -302,10 +302,8 @@
     bool sendToRoute(const std::string &route, const std::string &bytes)
     {
         try {
-            if (!router.send(zmq::buffer(route),
-                             zmq::send_flags::dontwait | zmq::send_flags::sndmore))
-                return false;
-            return router.send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value();
+            return sendFrame(router, route, zmq::send_flags::dontwait | zmq::send_flags::sndmore)
+                && sendFrame(router, bytes, zmq::send_flags::dontwait);
         } catch (const zmq::error_t &) {
             return false; // The connection of the route is closed.
         }
@@ -322,8 +320,8 @@
     void receiveFromRouter()
     {
         for (;;) {
-            std::vector<zmq::message_t> frames;
-            if (!zmq::recv_multipart(router, std::back_inserter(frames), zmq::recv_flags::dontwait))
+            const std::vector<zmq::message_t> frames = receiveFrames(router);
+            if (frames.empty())
                 return;
             if (frames.size() != 2) {
                 drop(DropReason::Malformed, {});
@@ -342,8 +340,8 @@
     void receiveFromDealer(const InstanceId &instance, zmq::socket_t &dealer)
     {
         for (;;) {
-            std::vector<zmq::message_t> frames;
-            if (!zmq::recv_multipart(dealer, std::back_inserter(frames), zmq::recv_flags::dontwait))
+            const std::vector<zmq::message_t> frames = receiveFrames(dealer);
+            if (frames.empty())
                 return;
             if (frames.size() == 1)
                 receive(frames[0], KeyOwner{instance, false}, {});
--- a/src/gentianramp/wire/mesh_test.cpp
+++ b/src/gentianramp/wire/mesh_test.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
+#include <csignal>
 #include <gentianramp/wire/mesh.hpp>
 #include <mutex>
 #include <sys/socket.h>
@@ -111,6 +112,18 @@
     return inbox.size() >= count;
 }
 
+/// Lets @p signal interrupt the blocking calls of all threads but the calling one.
+void interruptOtherThreads(int signal)
+{
+    struct sigaction action = {};
+    action.sa_handler = [](int) {};
+    sigaction(signal, &action, nullptr);
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, signal);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 bool hasMetric(const MetricsRegistry &metrics, const std::string &line)
 {
     return metrics.prometheusText().find(line) != std::string::npos;
@@ -275,3 +288,21 @@
     }
     cr_assert(hasMetric(b.metrics, "not_permitted"));
 }
+
+// Guards against a process that ends at once, without draining, because a signal interrupted the
+// thread of its mesh.
+Test(Mesh, SignalsDoNotEndTheProcess)
+{
+    Node a{"a"};
+    Node b{"b"};
+    Mesh meshA(a.options({b.peer()}), a.inbox.hook());
+    Mesh meshB(b.options({a.peer()}), b.inbox.hook());
+    interruptOtherThreads(SIGUSR1);
+    for (int round = 0; round < 500; ++round) {
+        meshA.send(InstanceId("b"), PayloadKind::Notice, "interrupted", Ttl);
+        kill(getpid(), SIGUSR1);
+        usleep(1000);
+    }
+    cr_assert(sendUntilReceived(meshA, InstanceId("b"), b.inbox, b.inbox.size() + 1));
+    cr_assert_not(hasMetric(b.metrics, "reason=\"malformed\""));
+}
--- a/src/gentianramp/wire/peer_authenticator.cpp
+++ b/src/gentianramp/wire/peer_authenticator.cpp
@@ -1,8 +1,8 @@
 #include "peer_authenticator.hpp"
+#include "socket_calls.hpp"
 
 #include <array>
 #include <gentianramp/core/log.hpp>
-#include <zmq_addon.hpp>
 
 namespace gentianramp {
 
@@ -36,8 +36,7 @@
     };
     for (std::size_t index = 0; index < frames.size(); ++index) {
         const bool last = index + 1 == frames.size();
-        socket.send(zmq::buffer(frames[index]),
-                    last ? zmq::send_flags::none : zmq::send_flags::sndmore);
+        sendFrame(socket, frames[index], last ? zmq::send_flags::none : zmq::send_flags::sndmore);
     }
 }
 
@@ -47,7 +46,7 @@
     : m_socket(context, zmq::socket_type::rep)
 {
     m_socket.set(zmq::sockopt::linger, 0);
-    m_socket.bind(ZapEndpoint);
+    bindSocket(m_socket, ZapEndpoint);
 }
 
 void PeerAuthenticator::setKeys(const std::vector<MeshPeer> &peers,
@@ -79,10 +78,8 @@
 
 bool PeerAuthenticator::handleOne()
 {
-    std::vector<zmq::message_t> frames;
-    const auto received
-        = zmq::recv_multipart(m_socket, std::back_inserter(frames), zmq::recv_flags::dontwait);
-    if (!received)
+    const std::vector<zmq::message_t> frames = receiveFrames(m_socket);
+    if (frames.empty())
         return false;
     const std::string requestId
         = frames.size() > RequestIdFrame ? frames[RequestIdFrame].to_string() : std::string();
