Receive signals by a descriptor, so that they interrupt no thread and are kept from the start on

What callers and operators saw: a SIGHUP during the start of a process, before its handlers were installed, ended it. The product's own daemons installed them only after their servers listened, so that a SIGTERM then cut off what had been accepted.

Cause: signals were handled by a handler of the whole process, which the kernel runs on any thread, and which did not exist before the signal set was made.

Change: core/process_signals. Each daemon blocks SIGHUP, SIGINT and SIGTERM before it starts a thread, all threads inherit that, and a signalfd delivers them to the executor of the main thread. Signals of the start stay pending; a pending SIGHUP comes before a pending SIGTERM. The product's entry daemon drains as before, once.

Tests: program/aReloadDuringTheStartIsKept failed before (the process was ended by the signal).

--- a/src/programs/control/main.cpp
+++ b/src/programs/control/main.cpp
@@ -1,4 +1,3 @@
-#include <boost/asio/signal_set.hpp>
 #include <boost/program_options.hpp>
 #include <csignal>
 #include <gentianramp/config/key_files.hpp>
@@ -10,6 +9,7 @@
 #include <gentianramp/control/control_node.hpp>
 #include <gentianramp/control/membership_component.hpp>
 #include <gentianramp/core/log.hpp>
+#include <gentianramp/core/process_signals.hpp>
 #include <gentianramp/core/random_seed.hpp>
 #include <iostream>
 
@@ -68,22 +68,9 @@
         node.setPeers(reloaded->peers, std::move(reloaded->operatorKeys));
 }
 
-void waitForSignals(boost::asio::signal_set &signals, ControlNode &node,
-                    const std::string &settingsFile)
-{
-    signals.async_wait([&](const boost::system::error_code &error, int signal) {
-        if (error)
-            return;
-        if (signal == SIGHUP)
-            takePeers(node, settingsFile);
-        else
-            node.shutdown();
-        waitForSignals(signals, node, settingsFile);
-    });
-}
-
 ExitCode run(const NodeSettings &settings, const std::string &settingsFile)
 {
+    blockProcessSignals();
     Result<ControlOptions> options = controlOptions(settings);
     if (!options) {
         std::cerr << options.message() << "\n";
@@ -101,8 +88,16 @@
         return ExitCode::Failed;
     }
     logInfo("listening", {{"host", settings.httpHost}, {"port", *port}});
-    boost::asio::signal_set signals(node.executor(), SIGTERM, SIGINT, SIGHUP);
-    waitForSignals(signals, node, settingsFile);
+    ProcessSignals signals(node.executor(), [&](int signal) {
+        if (signal == SIGHUP)
+            takePeers(node, settingsFile);
+        else
+            node.shutdown();
+    });
+    if (const std::error_code error = signals.start()) {
+        logError("start_failed", {{"error", error.message()}, {"reason", "no signal descriptor"}});
+        return ExitCode::Failed;
+    }
     return node.run() ? ExitCode::Ok : ExitCode::Failed;
 }
 
--- a/src/programs/entry/main.cpp
+++ b/src/programs/entry/main.cpp
@@ -1,8 +1,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <gentianramp/config/key_files.hpp>
 #include <gentianramp/config/peer_reload.hpp>
@@ -11,6 +9,7 @@
 #include <gentianramp/control_link/fleet_link.hpp>
 #include <gentianramp/core/invariant.hpp>
 #include <gentianramp/core/log.hpp>
+#include <gentianramp/core/process_signals.hpp>
 #include <gentianramp/entry/entry_service.hpp>
 #include <iostream>
 
@@ -58,16 +57,12 @@
     co_await waitWhile([&service] { return service.hasOpenSettlements(); }, SettlementTime);
 }
 
-/// Shuts down at SIGTERM or SIGINT; SIGHUP takes over keys and addresses of other processes.
-asio::awaitable<void> runUntilSignal(EntryService &service, const NodeSettings &settings,
-                                     std::filesystem::path settingsFile)
+/// Takes over keys and addresses of other processes.
+void takePeers(EntryService &service, const NodeSettings &settings,
+               const std::filesystem::path &settingsFile)
 {
-    asio::signal_set signals(co_await asio::this_coro::executor, SIGTERM, SIGINT, SIGHUP);
-    while (co_await signals.async_wait(asio::use_awaitable) == SIGHUP) {
-        if (const auto reloaded = reloadPeers(settingsFile, settings.instance))
-            service.setPeers(reloaded->peers);
-    }
-    co_await shutDown(service, std::chrono::seconds(settings.drainSeconds));
+    if (const auto reloaded = reloadPeers(settingsFile, settings.instance))
+        service.setPeers(reloaded->peers);
 }
 
 /// Reads the key pair of the mesh; prints what is wrong with it.
@@ -106,8 +101,18 @@
     }
     reportInvariants(service);
     logInfo("listening", {{"host", settings.httpHost}, {"port", *port}});
-    const auto stop = [&context](const std::exception_ptr &) { context.stop(); };
-    asio::co_spawn(context, runUntilSignal(service, settings, settingsFile), stop);
+    bool leaving = false;
+    ProcessSignals signals(context.get_executor(), [&](int signal) {
+        if (signal == SIGHUP)
+            takePeers(service, settings, settingsFile);
+        else if (!std::exchange(leaving, true))
+            asio::co_spawn(context, shutDown(service, std::chrono::seconds(settings.drainSeconds)),
+                           [&context](const std::exception_ptr &) { context.stop(); });
+    });
+    if (const std::error_code error = signals.start()) {
+        logError("start_failed", {{"error", error.message()}, {"reason", "no signal descriptor"}});
+        return ExitCode::Failed;
+    }
     context.run();
     service.timeline().record({.kind = EventKind::ProcessStopped});
     service.timeline().flush();
@@ -117,6 +122,7 @@
 
 ExitCode run(const CommandLine &line)
 {
+    blockProcessSignals();
     const auto settings = loadDaemonSettings(settingsFileOf(line), ProcessKind::Entry);
     if (!settings) {
         std::cerr << settings.message() << "\n";
