Failed writes no longer end a process by SIGPIPE or SIGXFSZ

What callers saw: when the reader of a process's log went away (a restarted log collector), or a file reached the limit on file sizes, the next write ended the process without draining, with every request that it had.

Cause: the default action of SIGPIPE and SIGXFSZ.

Change: the daemons ignore both, so that the write fails with EPIPE or EFBIG.

--- a/include/gentianramp/core/process_signals.hpp
+++ b/include/gentianramp/core/process_signals.hpp
@@ -12,6 +12,10 @@
 /// system call nor end the process. To be called before the program starts a thread.
 void blockProcessSignals();
 
+/// Lets a write to a closed pipe or connection, or over the limit on file sizes, fail instead of
+/// ending the process (SIGPIPE, SIGXFSZ).
+void ignoreWriteSignals();
+
 /// Receives the signals that blockProcessSignals() blocks.
 class ProcessSignals
 {
--- a/src/gentianramp/core/process_signals.cpp
+++ b/src/gentianramp/core/process_signals.cpp
@@ -29,6 +29,12 @@
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
+void ignoreWriteSignals()
+{
+    for (const int signal : {SIGPIPE, SIGXFSZ})
+        std::signal(signal, SIG_IGN);
+}
+
 struct ProcessSignals::State : std::enable_shared_from_this<ProcessSignals::State>
 {
     State(const asio::any_io_executor &executor, Hook given)
--- a/src/programs/control/main.cpp
+++ b/src/programs/control/main.cpp
@@ -71,6 +71,7 @@
 ExitCode run(const NodeSettings &settings, const std::string &settingsFile)
 {
     blockProcessSignals();
+    ignoreWriteSignals();
     Result<ControlOptions> options = controlOptions(settings);
     if (!options) {
         std::cerr << options.message() << "\n";
--- a/src/programs/entry/main.cpp
+++ b/src/programs/entry/main.cpp
@@ -123,6 +123,7 @@
 ExitCode run(const CommandLine &line)
 {
     blockProcessSignals();
+    ignoreWriteSignals();
     const auto settings = loadDaemonSettings(settingsFileOf(line), ProcessKind::Entry);
     if (!settings) {
         std::cerr << settings.message() << "\n";
