wire: an address that can't be connected to drops the message instead of ending the process

Where instances are named by their addresses, a message whose sender is no address, or one more peer than ZeroMQ has sockets for, ended the process that sent to it at once, with all its requests.

Cause: Mesh::State::connect let the exceptions of zmq_socket and zmq_connect out of the thread.

Change: such a peer counts as not connected: the message is dropped and counted, and a warning names the peer, the endpoint and the reason. The connection that existed, if any, stays.

Test: Mesh/AnAddressWithoutAConnectionDropsTheMessage ended with SIGABRT ("Invalid argument") before the change.

--- a/src/gentianramp/wire/mesh.cpp
+++ b/src/gentianramp/wire/mesh.cpp
@@ -165,15 +165,31 @@
         if (!options.curveEnabled) {
             const MeshPeer addressedPeer{.instance = instance,
                                          .endpoint = "tcp://" + instance.value()};
-            return &connect(addressedPeer, {});
+            return connect(addressedPeer, {});
         }
         const auto peer = knownPeers.find(instance);
         if (peer == knownPeers.end() || peer->second.endpoint.empty())
             return nullptr;
-        return &connect(peer->second, peer->second.publicKey);
+        return connect(peer->second, peer->second.publicKey);
     }
 
-    PeerConnection &connect(const MeshPeer &peer, const std::string &serverKey)
+    /// Null if the address is none, or if no socket is left.
+    PeerConnection *connect(const MeshPeer &peer, const std::string &serverKey)
+    {
+        try {
+            PeerConnection connection{openDealer(peer, serverKey), peer.endpoint, serverKey,
+                                      RuntimeClock::now()};
+            return &dealers.insert_or_assign(peer.instance, std::move(connection)).first->second;
+        } catch (const zmq::error_t &error) {
+            logWarning("connect_failed",
+                       {{"peer", peer.instance.value()},
+                        {"endpoint", peer.endpoint},
+                        {"reason", error.what()}});
+            return nullptr;
+        }
+    }
+
+    zmq::socket_t openDealer(const MeshPeer &peer, const std::string &serverKey)
     {
         zmq::socket_t dealer(context, zmq::socket_type::dealer);
         setCommonOptions(dealer);
@@ -187,8 +203,7 @@
             dealer.set(zmq::sockopt::curve_secretkey, options.keys.secretKey);
         }
         connectSocket(dealer, peer.endpoint);
-        PeerConnection connection{std::move(dealer), peer.endpoint, serverKey, RuntimeClock::now()};
-        return dealers.insert_or_assign(peer.instance, std::move(connection)).first->second;
+        return dealer;
     }
 
     /// Reconnects under the peer's next key when the present key has not worked for
--- a/src/gentianramp/wire/mesh_test.cpp
+++ b/src/gentianramp/wire/mesh_test.cpp
@@ -306,3 +306,17 @@
     cr_assert(sendUntilReceived(meshA, InstanceId("b"), b.inbox, b.inbox.size() + 1));
     cr_assert_not(hasMetric(b.metrics, "reason=\"malformed\""));
 }
+
+// Guards against a process that ends at once because a message names a sender or receiver whose
+// address no connection can be made to.
+Test(Mesh, AnAddressWithoutAConnectionDropsTheMessage)
+{
+    Node a{"a"};
+    MeshOptions options = a.options({});
+    options.curveEnabled = false;
+    Mesh mesh(std::move(options), a.inbox.hook());
+    mesh.send(InstanceId("no address"), PayloadKind::Notice, "hello", Ttl);
+    cr_assert(metricReached(a.metrics, "reason=\"not_connected\"} 1"));
+    const InstanceId self(a.endpoint.substr(std::string("tcp://").size()));
+    cr_assert(sendUntilReceived(mesh, self, a.inbox, 1));
+}
