wire: an exception in the receiver of a message loses that message only

An exception in what takes received messages over ended the process at once, with all its requests.

Cause: Mesh::State::receive called the hook without a handler for exceptions; its thread has none either.

Change: the exception is logged as message_failed with peer, kind and reason, and the message counts as dropped with the reason "failed". A message may be lost at any time, so that its sender and receiver cope with that.

Test: Mesh/AThrowingHookLosesItsMessageOnly ended with SIGABRT before the change.

--- a/src/gentianramp/wire/mesh.cpp
+++ b/src/gentianramp/wire/mesh.cpp
@@ -377,10 +377,26 @@
         }
         countTraffic("received", frame.size());
         recordSample(EventKind::MessageReceived, envelope, sender);
-        onMessage({sender, Incarnation(envelope.incarnation()),
-                   static_cast<PayloadKind>(envelope.kind()),
-                   std::move(*envelope.mutable_payload()), std::move(route),
-                   RuntimeClock::now() + std::chrono::milliseconds(envelope.ttl_ms())});
+        handOver({sender, Incarnation(envelope.incarnation()),
+                  static_cast<PayloadKind>(envelope.kind()), std::move(*envelope.mutable_payload()),
+                  std::move(route),
+                  RuntimeClock::now() + std::chrono::milliseconds(envelope.ttl_ms())});
+    }
+
+    /// A message may be lost at any time; one that can't be handled is lost like that.
+    void handOver(ReceivedMessage message)
+    {
+        const InstanceId sender = message.sender;
+        const proto::PayloadKind kind = static_cast<proto::PayloadKind>(message.kind);
+        try {
+            onMessage(std::move(message));
+        } catch (const std::exception &error) {
+            logError("message_failed",
+                     {{"peer", sender.value()},
+                      {"kind", proto::PayloadKind_Name(kind)},
+                      {"reason", error.what()}});
+            drop(DropReason::Failed, sender);
+        }
     }
 
     std::optional<DropReason> dropReasonFor(const proto::Envelope &envelope, const KeyOwner &owner,
--- a/src/gentianramp/wire/mesh_test.cpp
+++ b/src/gentianramp/wire/mesh_test.cpp
@@ -320,3 +320,20 @@
     const InstanceId self(a.endpoint.substr(std::string("tcp://").size()));
     cr_assert(sendUntilReceived(mesh, self, a.inbox, 1));
 }
+
+// Guards against a process that ends at once because the receiver of a message throws.
+Test(Mesh, AThrowingHookLosesItsMessageOnly)
+{
+    Node a{"a"};
+    Node b{"b"};
+    std::atomic<bool> throws{true};
+    Mesh meshA(a.options({b.peer()}), a.inbox.hook());
+    Mesh meshB(b.options({a.peer()}), [&, take = b.inbox.hook()](ReceivedMessage message) {
+        if (throws.exchange(false))
+            throw std::runtime_error("unreadable");
+        take(std::move(message));
+    });
+    cr_assert(sendUntilReceived(meshA, InstanceId("b"), b.inbox, 1));
+    cr_assert_not(throws);
+    cr_assert(hasMetric(b.metrics, "reason=\"failed\"} 1"));
+}
--- a/src/gentianramp/wire/message_filter.cpp
+++ b/src/gentianramp/wire/message_filter.cpp
@@ -31,6 +31,8 @@
         return "not_connected";
     case DropReason::QueueFull:
         return "queue_full";
+    case DropReason::Failed:
+        return "failed";
     }
     return "unknown";
 }
--- a/src/gentianramp/wire/message_filter.hpp
+++ b/src/gentianramp/wire/message_filter.hpp
@@ -22,6 +22,7 @@
     NotPermitted,
     NotConnected,
     QueueFull,
+    Failed, ///< The hook for received messages threw.
 };
 
 std::string_view toString(DropReason reason);
