An exception of a handler drains an entry process instead of ending it at once

A handler of the main thread, or of a worker of the product's entry daemon, that threw ended the process, and all requests were cut without an answer.

Cause: io_context::run lets exceptions of handlers out, and no thread caught them.

Change: core/run_context logs task_failed with thread and reason and goes on with the other handlers. An entry process then leaves as at SIGTERM and ends with code 1, so that its requests are answered and a new process starts clean. A control process has no requests of callers, and what it stores may be half changed: it ends at once, now with a log line and code 1 in place of SIGABRT; what it acknowledged was synced before.

--- a/include/gentianramp/control/control_node.hpp
+++ b/include/gentianramp/control/control_node.hpp
@@ -83,8 +83,8 @@
 
     /// Opens the data folder and all sockets; returns the HTTP port.
     Result<std::uint16_t> start();
-    /// Runs until a shutdown has ended or the data folder has failed; returns false after a
-    /// failure.
+    /// Runs until a shutdown has ended. Returns false, at once, when the data folder has failed or
+    /// a handler threw an exception, since the state may be half changed then.
     bool run();
     /// Begins a graceful shutdown, from any thread.
     void shutdown();
--- a/include/gentianramp/entry/entry_service.hpp
+++ b/include/gentianramp/entry/entry_service.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <gentianramp/config/declared_configuration.hpp>
 #include <gentianramp/config/node_settings.hpp>
 #include <gentianramp/core/error.hpp>
@@ -24,6 +25,8 @@
     /// Set by the operator: no idempotency key was ever claimed in this deployment.
     bool firstStart = false;
     std::uint64_t seed = 1;
+    /// Called on any thread when a background task threw an exception. Requests still run.
+    std::function<void()> failed = [] {};
 };
 
 /// Entry instance: HTTP server for callers, request pipeline and its background tasks.
--- a/src/gentianramp/control/control_node.cpp
+++ b/src/gentianramp/control/control_node.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <gentianramp/core/log.hpp>
+#include <gentianramp/core/run_context.hpp>
 #include <gentianramp/http/server.hpp>
 #include <map>
 
@@ -121,7 +122,7 @@
     std::unique_ptr<Mesh> mesh;
     std::size_t pendingShutdownSteps = 0; ///< Hooks and the transfer of leadership.
     bool shuttingDown = false;
-    bool storageFailed = false;
+    bool failed = false; ///< The data folder, or a handler.
 };
 
 ControlNode::ControlNode(ControlOptions options)
@@ -196,11 +197,14 @@
 
 bool ControlNode::run()
 {
-    m_state->context.run();
+    runContext(m_state->context, [this] {
+        m_state->failed = true;
+        m_state->context.stop();
+    });
     m_state->mesh.reset();
     m_state->timeline.record({.kind = EventKind::ProcessStopped});
     m_state->timeline.flush();
-    return !m_state->storageFailed;
+    return !m_state->failed;
 }
 
 void ControlNode::shutdown()
@@ -254,7 +258,7 @@
     };
     hooks.storageFailed = [this](const std::string &reason) {
         logError("storage_failed", {{"reason", reason}});
-        storageFailed = true;
+        failed = true;
         context.stop();
     };
     ledger = std::make_unique<LedgerDriver>(replicaOptions(settings, options.seed),
--- a/src/gentianramp/entry/entry_service.cpp
+++ b/src/gentianramp/entry/entry_service.cpp
@@ -414,7 +414,7 @@
     asio::co_spawn(executor, state.tickKeys(), asio::detached);
     asio::co_spawn(executor, state.tickRouter(), asio::detached);
     asio::co_spawn(executor, state.tickSlowly(), asio::detached);
-    state.workers.start();
+    state.workers.start(state.options.failed);
     state.timeline.record({.kind = EventKind::ProcessStarted});
     return port;
 }
--- a/src/gentianramp/entry/entry_test_support.cpp
+++ b/src/gentianramp/entry/entry_test_support.cpp
@@ -73,7 +73,7 @@
     for (unsigned number = 0; number < services; ++number)
         addBackend(fakeOptions(number, false), "bay");
     setInvariantHook([](std::string_view, std::string_view) { std::abort(); });
-    m_thread.start();
+    m_thread.start([] {});
     EntryOptions entryOptions;
     entryOptions.settings.instance = InstanceId("entry-1");
     entryOptions.settings.dataCentre = Site;
--- a/src/gentianramp/entry/worker_threads.cpp
+++ b/src/gentianramp/entry/worker_threads.cpp
@@ -1,6 +1,7 @@
 #include "worker_threads.hpp"
 
 #include <algorithm>
+#include <gentianramp/core/run_context.hpp>
 #include <gentianramp/core/thread.hpp>
 
 namespace gentianramp {
@@ -14,11 +15,11 @@
     stop();
 }
 
-void WorkerThread::start()
+void WorkerThread::start(std::function<void()> failed)
 {
-    m_thread = std::thread([this] {
+    m_thread = std::thread([this, failed = std::move(failed)] {
         setThreadName("worker");
-        m_context.run();
+        runContext(m_context, failed);
     });
 }
 
@@ -40,11 +41,11 @@
         m_workers.push_back(std::make_unique<WorkerThread>());
 }
 
-void WorkerPool::start()
+void WorkerPool::start(const std::function<void()> &failed)
 {
-    m_background.start();
+    m_background.start(failed);
     for (const auto &worker : m_workers)
-        worker->start();
+        worker->start(failed);
 }
 
 void WorkerPool::stop()
--- a/src/gentianramp/entry/worker_threads.hpp
+++ b/src/gentianramp/entry/worker_threads.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -19,7 +20,8 @@
     WorkerThread(const WorkerThread &) = delete;
     WorkerThread &operator=(const WorkerThread &) = delete;
 
-    void start();
+    /// @p failed is called on the thread when a handler threw; the other handlers go on.
+    void start(std::function<void()> failed);
     /// Lets the current handler finish and joins the thread.
     void stop();
     /// Destroys all handlers that have not run; the thread has been stopped.
@@ -46,7 +48,8 @@
 public:
     explicit WorkerPool(unsigned workers);
 
-    void start();
+    /// @p failed is called on any of the threads when a handler threw.
+    void start(const std::function<void()> &failed);
     /// Joins all threads, then destroys the handlers that have not run. Both are done for all
     /// threads before any executor ends, since a handler of one may own a socket of another.
     void stop();
--- a/src/programs/entry/main.cpp
+++ b/src/programs/entry/main.cpp
@@ -1,6 +1,8 @@
+#include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <csignal>
 #include <gentianramp/config/key_files.hpp>
 #include <gentianramp/config/peer_reload.hpp>
@@ -10,6 +12,7 @@
 #include <gentianramp/core/invariant.hpp>
 #include <gentianramp/core/log.hpp>
 #include <gentianramp/core/process_signals.hpp>
+#include <gentianramp/core/run_context.hpp>
 #include <gentianramp/entry/entry_service.hpp>
 #include <iostream>
 
@@ -91,6 +94,12 @@
 {
     const NodeSettings settings = options.settings;
     asio::io_context context;
+    std::function<void()> leave;
+    std::atomic<bool> failed{false};
+    options.failed = [&] {
+        failed = true;
+        asio::post(context, [&leave] { leave(); });
+    };
     EntryService service(std::move(options));
     const ConfigurationLink configurationLink(service, settings, context.get_executor());
     const FleetLink fleetLink(service, settings, context.get_executor());
@@ -101,23 +110,29 @@
     }
     reportInvariants(service);
     logInfo("listening", {{"host", settings.httpHost}, {"port", *port}});
-    bool leaving = false;
+    leave = [&, leaving = false]() mutable {
+        if (!std::exchange(leaving, true))
+            asio::co_spawn(context, shutDown(service, std::chrono::seconds(settings.drainSeconds)),
+                           [&context](const std::exception_ptr &) { context.stop(); });
+    };
     ProcessSignals signals(context.get_executor(), [&](int signal) {
         if (signal == SIGHUP)
             takePeers(service, settings, settingsFile);
-        else if (!std::exchange(leaving, true))
-            asio::co_spawn(context, shutDown(service, std::chrono::seconds(settings.drainSeconds)),
-                           [&context](const std::exception_ptr &) { context.stop(); });
+        else
+            leave();
     });
     if (const std::error_code error = signals.start()) {
         logError("start_failed", {{"error", error.message()}, {"reason", "no signal descriptor"}});
         return ExitCode::Failed;
     }
-    context.run();
+    runContext(context, [&] {
+        failed = true;
+        leave();
+    });
     service.timeline().record({.kind = EventKind::ProcessStopped});
     service.timeline().flush();
     setInvariantHook({});
-    return ExitCode::Ok;
+    return failed ? ExitCode::Failed : ExitCode::Ok;
 }
 
 ExitCode run(const CommandLine &line)
