ledger: an interrupted call is no failure of the disk

An open or a sync of the data folder that fails with EINTR counted as a failed disk: a platform control process closes its ledger and opens it again later, and the product's control daemon ends at once.

Cause: only read and write were made again. Signals of the daemons reach no thread any more (core/process_signals), but disks behind a network or a user-space file system may return EINTR for others, as at a debugger.

Change: every open, read, write and sync of the data folder is made again while it is interrupted.

--- a/src/gentianramp/ledger/data_folder.cpp
+++ b/src/gentianramp/ledger/data_folder.cpp
@@ -50,12 +50,34 @@
     int m_fd;
 };
 
+/// Repeats a system call that a signal interrupts.
+template <typename Call>
+auto repeatIfInterrupted(const Call &call)
+{
+    for (;;) {
+        const auto result = call();
+        if (result >= 0 || errno != EINTR)
+            return result;
+    }
+}
+
+Descriptor openFile(const fs::path &path, int flags)
+{
+    return Descriptor(
+        repeatIfInterrupted([&] { return ::open(path.c_str(), flags | O_CLOEXEC, FileMode); }));
+}
+
+/// Makes the content of a file or folder durable.
+std::error_code syncAll(int fd)
+{
+    return repeatIfInterrupted([&] { return ::fsync(fd); }) == 0 ? std::error_code{} : lastError();
+}
+
 std::error_code writeAll(int fd, std::string_view bytes)
 {
     while (!bytes.empty()) {
-        const ssize_t written = ::write(fd, bytes.data(), bytes.size());
-        if (written < 0 && errno == EINTR)
-            continue;
+        const ssize_t written
+            = repeatIfInterrupted([&] { return ::write(fd, bytes.data(), bytes.size()); });
         if (written < 0)
             return lastError();
         bytes.remove_prefix(static_cast<std::size_t>(written));
@@ -88,15 +110,14 @@
 
     Result<std::string> read(const std::string &name) const
     {
-        const Descriptor file(::open((m_path / name).c_str(), O_RDONLY | O_CLOEXEC));
+        const Descriptor file = openFile(m_path / name, O_RDONLY);
         if (!file.valid())
             return lastError();
         std::string bytes;
         std::string block(64 * 1024, '\0');
         while (true) {
-            const ssize_t count = ::read(file.fd(), block.data(), block.size());
-            if (count < 0 && errno == EINTR)
-                continue;
+            const ssize_t count = repeatIfInterrupted(
+                [&] { return ::read(file.fd(), block.data(), block.size()); });
             if (count < 0)
                 return lastError();
             if (count == 0)
@@ -109,7 +130,7 @@
     {
         Descriptor &file = m_open[name];
         if (!file.valid())
-            file = Descriptor(::open((m_path / name).c_str(), O_WRONLY | O_APPEND | O_CLOEXEC));
+            file = openFile(m_path / name, O_WRONLY | O_APPEND);
         if (!file.valid())
             return lastError();
         return writeAll(file.fd(), bytes);
@@ -120,7 +141,9 @@
         const auto file = m_open.find(name);
         if (file == m_open.end() || !file->second.valid())
             return std::make_error_code(std::errc::bad_file_descriptor);
-        return ::fdatasync(file->second.fd()) == 0 ? std::error_code{} : lastError();
+        const int fd = file->second.fd();
+        return repeatIfInterrupted([&] { return ::fdatasync(fd); }) == 0 ? std::error_code{}
+                                                                         : lastError();
     }
 
     std::error_code replace(const std::string &name, std::string_view bytes)
@@ -128,14 +151,13 @@
         m_open.erase(name);
         const fs::path temporary = m_path / (name + TemporarySuffix);
         {
-            const Descriptor file(
-                ::open(temporary.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FileMode));
+            const Descriptor file = openFile(temporary, O_WRONLY | O_CREAT | O_TRUNC);
             if (!file.valid())
                 return lastError();
             if (const std::error_code error = writeAll(file.fd(), bytes))
                 return error;
-            if (::fsync(file.fd()) != 0)
-                return lastError();
+            if (const std::error_code error = syncAll(file.fd()))
+                return error;
         }
         if (::rename(temporary.c_str(), (m_path / name).c_str()) != 0)
             return lastError();
@@ -153,10 +175,8 @@
 private:
     std::error_code syncFolder() const
     {
-        const Descriptor folder(::open(m_path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC));
-        if (!folder.valid() || ::fsync(folder.fd()) != 0)
-            return lastError();
-        return {};
+        const Descriptor folder = openFile(m_path, O_RDONLY | O_DIRECTORY);
+        return folder.valid() ? syncAll(folder.fd()) : lastError();
     }
 
     fs::path m_path;
@@ -172,7 +192,7 @@
     fs::create_directories(folder, error);
     if (error)
         return {error, "cannot create data folder " + folder.string()};
-    Descriptor lock(::open((folder / LockName).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, FileMode));
+    Descriptor lock = openFile(folder / LockName, O_RDWR | O_CREAT);
     if (!lock.valid())
         return {lastError(), "cannot open the lock file of data folder " + folder.string()};
     if (::flock(lock.fd(), LOCK_EX | LOCK_NB) != 0)
