core: a reload that throws loses no later signal

When the hook threw at a SIGHUP, the wait for the next signal was not started any more, so that a SIGTERM would be left pending until the process is killed.

Change: the wait for the next signal starts before the hook is called, and one signal is read at a time.

Test: process_signals/aHookThatThrowsLosesNoOtherSignal; written with the change, not run on the code before it.

--- a/include/gentianramp/core/process_signals.hpp
+++ b/include/gentianramp/core/process_signals.hpp
@@ -22,7 +22,7 @@
 public:
     using Hook = std::function<void(int signal)>;
 
-    /// @p hook is called on @p executor.
+    /// @p hook is called on @p executor; when it throws, later signals are still received.
     ProcessSignals(const boost::asio::any_io_executor &executor, Hook hook);
     ~ProcessSignals();
     ProcessSignals(const ProcessSignals &) = delete;
--- a/src/gentianramp/core/process_signals.cpp
+++ b/src/gentianramp/core/process_signals.cpp
@@ -47,17 +47,18 @@
         descriptor.async_wait(asio::posix::stream_descriptor::wait_read,
                               [weak = weak_from_this()](const boost::system::error_code &error) {
                                   const auto self = weak.lock();
-                                  if (error || !self)
-                                      return;
-                                  self->handlePending();
-                                  self->wait();
+                                  if (!error && self)
+                                      self->receiveOne();
                               });
     }
 
-    void handlePending()
+    /// Waits for the next signal before it calls the hook, which may throw.
+    void receiveOne()
     {
         signalfd_siginfo info{};
-        while (::read(descriptor.native_handle(), &info, sizeof info) == sizeof info)
+        const bool received = ::read(descriptor.native_handle(), &info, sizeof info) == sizeof info;
+        wait();
+        if (received)
             hook(static_cast<int>(info.ssi_signo));
     }
 
--- a/src/gentianramp/core/process_signals_test.cpp
+++ b/src/gentianramp/core/process_signals_test.cpp
@@ -2,7 +2,9 @@
 #include <boost/asio/io_context.hpp>
 #include <csignal>
 #include <gentianramp/core/process_signals.hpp>
+#include <gentianramp/core/run_context.hpp>
 #include <poll.h>
+#include <stdexcept>
 #include <thread>
 #include <unistd.h>
 #include <vector>
@@ -39,6 +41,27 @@
     cr_assert(receive(2) == (std::vector<int>{SIGHUP, SIGTERM}));
 }
 
+// Guards against a process that can't be stopped any more after a reload failed.
+Test(process_signals, aHookThatThrowsLosesNoOtherSignal)
+{
+    blockProcessSignals();
+    kill(getpid(), SIGHUP);
+    kill(getpid(), SIGTERM);
+    boost::asio::io_context context(1);
+    int last = 0;
+    ProcessSignals signals(context.get_executor(), [&](int signal) {
+        last = signal;
+        if (signal == SIGHUP)
+            throw std::runtime_error("unreadable settings");
+        context.stop();
+    });
+    cr_assert_not(signals.start());
+    unsigned failures = 0;
+    runContext(context, [&] { ++failures; });
+    cr_assert_eq(failures, 1U);
+    cr_assert_eq(last, SIGTERM);
+}
+
 // Guards against a call of another thread that fails because a signal came.
 Test(process_signals, otherThreadsAreNotInterrupted)
 {
