--- a/include/gentianramp/registry/registry_feed.hpp
+++ b/include/gentianramp/registry/registry_feed.hpp
@@ -160,6 +160,7 @@
     void addCrashes(proto::FeedRequest &request, OpenRequest &open, TimePoint now) const;
     CrashReports receiveCrashes(const InstanceId &sender, const proto::FeedAnswer &answer,
                                 std::uint64_t reportedVersion, TimePoint now);
+    void logSource(const InstanceId &source, TimePoint now) const;
     void logStale(const InstanceId &source, const proto::FeedAnswer &answer, TimePoint now);
 
     FeedOptions m_options;
--- a/src/gentianramp/ledger/replica.cpp
+++ b/src/gentianramp/ledger/replica.cpp
@@ -18,7 +18,7 @@
 ReplicaOutput Replica::step(const InstanceId &from, const proto::LedgerMessage &message,
                             TimePoint now)
 {
-    m_state->now = now;
+    m_state->setTime(now);
     m_state->receive(from.value(), message);
     return m_state->takeOutput();
 }
@@ -26,7 +26,7 @@
 ReplicaOutput Replica::tick(TimePoint now)
 {
     State &state = *m_state;
-    state.now = now;
+    state.setTime(now);
     if (state.role == ReplicaRole::Leader) {
         if (now >= state.nextQuorumCheckAt)
             state.stepDownWithoutQuorum();
@@ -43,7 +43,7 @@
 std::optional<LogIndex> Replica::propose(std::string command, TimePoint now, ReplicaOutput &output)
 {
     State &state = *m_state;
-    state.now = now;
+    state.setTime(now);
     if (state.role != ReplicaRole::Leader || state.handOverDeadline)
         return std::nullopt;
     proto::LogEntry entry;
@@ -59,7 +59,7 @@
 ReplicaOutput Replica::requestRead(std::uint64_t id, TimePoint now)
 {
     State &state = *m_state;
-    state.now = now;
+    state.setTime(now);
     if (state.role != ReplicaRole::Leader) {
         state.output.failedReads.push_back(id);
         return state.takeOutput();
@@ -83,7 +83,7 @@
 ReplicaOutput Replica::transferLeadership(TimePoint now)
 {
     State &state = *m_state;
-    state.now = now;
+    state.setTime(now);
     if (state.role != ReplicaRole::Leader)
         return {};
     const PeerState *best = nullptr;
@@ -214,6 +214,13 @@
     advanceCommit(hard.commit());
 }
 
+void Replica::State::setTime(TimePoint time)
+{
+    checkInvariant(time >= now, "ledger.time_never_goes_back",
+                   std::to_string((time - now).count()) + " ns");
+    now = time;
+}
+
 void Replica::State::receive(const std::string &from, const proto::LedgerMessage &message)
 {
     if (!peers.contains(from) || isFromEarlierIncarnation(from, message))
--- a/src/gentianramp/ledger/replica_state.hpp
+++ b/src/gentianramp/ledger/replica_state.hpp
@@ -37,6 +37,8 @@
     State(ReplicaOptions options, StoredLog stored, TimePoint now);
 
     // Common
+    /// Takes over the time of the call in progress.
+    void setTime(TimePoint time);
     void receive(const std::string &from, const proto::LedgerMessage &message);
     void dispatch(const std::string &from, const proto::LedgerMessage &message);
     bool isFromEarlierIncarnation(const std::string &from,
--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -160,7 +160,7 @@
         return output;
     const InstanceId target = chooseSource(now);
     if (m_current != target)
-        logInfo("registry_source", {{"source", target.value()}});
+        logSource(target, now);
     m_current = target;
     m_requestedAt = now;
     m_nextRequestAt = now + m_options.interval;
@@ -381,6 +381,15 @@
     return output;
 }
 
+void RegistryFeed::logSource(const InstanceId &source, TimePoint now) const
+{
+    const std::optional<Duration> age = declarationAge(now);
+    logInfo("registry_source",
+            {{"source", source.value()},
+             {"held_number", m_number},
+             {"confirmed_ms", age ? toMilliseconds(*age) : -1}});
+}
+
 void RegistryFeed::logStale(const InstanceId &source, const proto::FeedAnswer &answer,
                             TimePoint now)
 {
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <cmath>
 #include <gentianramp/core/hexadecimal.hpp>
+#include <gentianramp/core/invariant.hpp>
 #include <gentianramp/core/log.hpp>
 #include <gentianramp/core/random_seed.hpp>
 #include <gentianramp/registry/absence_watch.hpp>
@@ -286,6 +287,7 @@
                 flushLog();
             }
             publishVoters(now);
+            publishConfirmation(now);
             co_await sleepFor(TickInterval);
         }
     }
@@ -1103,6 +1105,23 @@
             logWarning("folder_rolled_back", {{"seat", seat}, {"folder", identity}});
     }
 
+    /// Age of the confirmation that entry processes are told; infinite without one. Below zero, the
+    /// confirmation is dated after the present.
+    void publishConfirmation(TimePoint now)
+    {
+        if (!options.metrics)
+            return;
+        const std::optional<TimePoint> confirmed = ledger ? ledger->confirmedAt() : std::nullopt;
+        options.metrics
+            ->gauge("gentianramp_registry_confirmation_age_seconds",
+                    "Time since a majority confirmed the committed declaration")
+            .set(confirmed ? std::chrono::duration<double>(now - *confirmed).count()
+                           : std::numeric_limits<double>::infinity());
+        options.metrics
+            ->gauge("gentianramp_broken_invariants", "Invariants that were found broken so far")
+            .set(static_cast<double>(brokenInvariantCount()));
+    }
+
     /// Only the leader knows how current the voters are; elsewhere the gauge is 0.
     void publishVoters(TimePoint now)
     {
@@ -1426,6 +1445,9 @@
     std::uint32_t confirmationAgeMs(TimePoint now) const
     {
         const std::optional<TimePoint> confirmed = ledger ? ledger->confirmedAt() : std::nullopt;
+        if (confirmed)
+            checkInvariant(*confirmed <= now, "registry.confirmation_not_after_now",
+                           std::to_string(toMilliseconds(*confirmed - now)) + " ms");
         return confirmed ? clampedMs(now - *confirmed) : NeverConfirmed;
     }
 
