--- a/src/gentianramp/ledger/ledger_schedule_test.cpp
+++ b/src/gentianramp/ledger/ledger_schedule_test.cpp
@@ -48,6 +48,13 @@
     checkSchedules({.staleDisks = true}, 3000);
 }
 
+// A leader that was handed an earlier time sent the age of an answer as a wrapped number, which
+// dated the confirmations of its followers weeks after the present.
+Test(known_red, NoConfirmationIsDatedAfterThePresent)
+{
+    checkSchedules({.earlierTimeShare = 0.1, .impossibleAgeShare = 0.02, .clockDrift = 1e-4}, 5000);
+}
+
 Test(LedgerSchedules, KeepInvariantsWithAllFaults)
 {
     checkSchedules({.dropShare = 0.15, .lostDisks = true, .staleDisks = true}, 4000);
--- a/src/gentianramp/ledger/ledger_simulation.cpp
+++ b/src/gentianramp/ledger/ledger_simulation.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <bit>
 #include <gentianramp/core/invariant.hpp>
+#include <limits>
 
 namespace gentianramp::testing {
 
@@ -21,6 +22,13 @@
 /// Elections within which a connected majority has to have a leader that stays in office. Messages
 /// take up to 0.4 s here, so that elections with split votes are frequent.
 constexpr int MaxElections = 8;
+/// How long a caller may have held on to the time that it passes on.
+constexpr Duration MaxHeldTime = 100ms;
+constexpr Duration MaxClockStart = 240h;
+/// Bounds the time over which clocks of different rates are compared for a confirmation.
+constexpr Duration ConfirmationLifetime = 60s;
+/// Reported because of ScheduleOptions::earlierTimeShare.
+constexpr std::string_view EarlierTimeInvariant = "ledger.time_never_goes_back";
 
 StoredLog loadStoredLog(const MemoryDataFolder &disk)
 {
@@ -43,12 +51,50 @@
     , m_random(options.seed)
 {
     setInvariantHook([this](std::string_view name, std::string_view detail) {
-        m_violations.push_back("invariant " + std::string(name) + " " + std::string(detail));
+        if (name != EarlierTimeInvariant || m_options.earlierTimeShare == 0)
+            m_violations.push_back("invariant " + std::string(name) + " " + std::string(detail));
     });
     for (std::size_t i = 0; i < options.voters; ++i) {
         m_voters.push_back(std::make_unique<TestVoter>());
         m_voters.back()->instance = InstanceId("voter-" + std::to_string(i));
     }
+    if (m_options.clockDrift > 0)
+        startClocks();
+}
+
+void LedgerSimulation::startClocks()
+{
+    std::uniform_int_distribution<Duration::rep> start(0, MaxClockStart.count());
+    std::uniform_real_distribution<double> deviation(-m_options.clockDrift, m_options.clockDrift);
+    for (auto &voter : m_voters) {
+        voter->clockStart = Duration(start(m_random));
+        voter->clockRate = 1 + deviation(m_random);
+    }
+}
+
+TimePoint LedgerSimulation::localTime(std::size_t index) const
+{
+    const TestVoter &voter = *m_voters[index];
+    const std::chrono::duration<double, std::nano> shown = m_now.time_since_epoch();
+    return TimePoint(voter.clockStart
+                     + std::chrono::duration_cast<Duration>(shown * voter.clockRate));
+}
+
+TimePoint LedgerSimulation::simulatedTime(std::size_t index, TimePoint local) const
+{
+    const TestVoter &voter = *m_voters[index];
+    const std::chrono::duration<double, std::nano> shown
+        = local.time_since_epoch() - voter.clockStart;
+    return TimePoint(std::chrono::duration_cast<Duration>(shown / voter.clockRate));
+}
+
+TimePoint LedgerSimulation::callTime(std::size_t index)
+{
+    const TimePoint now = localTime(index);
+    if (m_options.earlierTimeShare == 0 || !withProbability(m_options.earlierTimeShare))
+        return now;
+    std::uniform_int_distribution<Duration::rep> held(1, MaxHeldTime.count());
+    return now - Duration(held(m_random));
 }
 
 void LedgerSimulation::found()
@@ -86,8 +132,8 @@
     options.retainedEntries = 8;
     voter.paused = false;
     voter.deferred.clear();
-    voter.replica = std::make_unique<Replica>(options, std::move(stored).value(), m_now);
-    perform(index, voter.replica->tick(m_now));
+    voter.replica = std::make_unique<Replica>(options, std::move(stored).value(), localTime(index));
+    perform(index, voter.replica->tick(localTime(index)));
     // A folder that was rolled back starts with less until another voter tells it.
     if (voter.lastRevisionIdentity == voter.replica->identity() && voter.folderCopy.empty()
         && voter.rolledBackIdentity != voter.replica->identity())
@@ -140,8 +186,25 @@
         voter.deferred.push_back({m_now, m_voters[inTransit.from]->instance, inTransit.message});
         return;
     }
-    perform(inTransit.to,
-            voter.replica->step(m_voters[inTransit.from]->instance, inTransit.message, m_now));
+    proto::LedgerMessage message = inTransit.message;
+    if (m_options.impossibleAgeShare > 0 && withProbability(m_options.impossibleAgeShare))
+        makeAgeImpossible(message);
+    perform(
+        inTransit.to,
+        voter.replica->step(m_voters[inTransit.from]->instance, message, callTime(inTransit.to)));
+}
+
+/// Age of an answer that was received after the message was sent, in the message's unsigned field.
+void LedgerSimulation::makeAgeImpossible(proto::LedgerMessage &message)
+{
+    std::uniform_int_distribution<std::uint32_t> wrapped(
+        std::numeric_limits<std::uint32_t>::max() / 2, std::numeric_limits<std::uint32_t>::max());
+    if (message.append_request().has_confirmation())
+        message.mutable_append_request()->mutable_confirmation()->set_answered_ms(
+            wrapped(m_random));
+    if (message.snapshot_request().has_confirmation())
+        message.mutable_snapshot_request()->mutable_confirmation()->set_answered_ms(
+            wrapped(m_random));
 }
 
 void LedgerSimulation::tickAll()
@@ -152,10 +215,10 @@
             continue;
         for (const DeferredMessage &deferred : std::exchange(voter.deferred, {})) {
             if (voter.replica && m_now - deferred.arrived < MessageLifetime)
-                perform(i, voter.replica->step(deferred.from, deferred.message, m_now));
+                perform(i, voter.replica->step(deferred.from, deferred.message, callTime(i)));
         }
-        if (voter.replica && m_now >= voter.replica->nextTick())
-            perform(i, voter.replica->tick(m_now));
+        if (voter.replica && localTime(i) >= voter.replica->nextTick())
+            perform(i, voter.replica->tick(callTime(i)));
     }
 }
 
@@ -264,7 +327,11 @@
     const std::optional<TimePoint> confirmed = voter.replica->confirmedAt();
     if (!confirmed)
         return;
-    const auto before = std::lower_bound(m_acceptedAt.begin(), m_acceptedAt.end(), *confirmed);
+    check(*confirmed <= localTime(index), "no confirmation is dated after the present");
+    const Duration difference = std::chrono::duration_cast<Duration>(
+        2 * m_options.clockDrift * std::chrono::duration<double, std::nano>(ConfirmationLifetime));
+    const auto before = std::lower_bound(m_acceptedAt.begin(), m_acceptedAt.end(),
+                                         simulatedTime(index, *confirmed) - difference);
     check(voter.configuration.revision().value()
               >= static_cast<std::uint64_t>(before - m_acceptedAt.begin()),
           "every command accepted before confirmedAt() is applied");
@@ -379,7 +446,8 @@
         return;
     }
     ReplicaOutput output;
-    if (voter.replica->propose(voter.configuration.encodeCommand(proposal), m_now, output))
+    if (voter.replica->propose(voter.configuration.encodeCommand(proposal), callTime(index),
+                               output))
         perform(index, std::move(output));
 }
 
@@ -426,7 +494,7 @@
     if (!m_voters[index]->replica || m_voters[index]->paused)
         return;
     m_reads[m_nextRead] = m_highestAccepted;
-    perform(index, m_voters[index]->replica->requestRead(m_nextRead++, m_now));
+    perform(index, m_voters[index]->replica->requestRead(m_nextRead++, callTime(index)));
 }
 
 void LedgerSimulation::randomFault()
@@ -533,14 +601,14 @@
 
 void LedgerSimulation::transferLeadership(std::size_t index)
 {
-    perform(index, m_voters[index]->replica->transferLeadership(m_now));
+    perform(index, m_voters[index]->replica->transferLeadership(callTime(index)));
 }
 
 bool LedgerSimulation::confirmsRead(std::size_t index)
 {
     const std::uint64_t id = m_nextRead++;
     m_reads[id] = m_highestAccepted;
-    perform(index, m_voters[index]->replica->requestRead(id, m_now));
+    perform(index, m_voters[index]->replica->requestRead(id, callTime(index)));
     run(5s);
     return m_confirmed.contains(id);
 }
--- a/src/gentianramp/ledger/ledger_simulation.hpp
+++ b/src/gentianramp/ledger/ledger_simulation.hpp
@@ -30,6 +30,13 @@
     bool lostDisks = false;
     bool staleDisks = false;
     bool diskFaults = true;
+    /// Share of the calls with an earlier time than the call before: their caller held on to it.
+    double earlierTimeShare = 0;
+    /// Share of the confirmations that arrive with an age that no sender can know of.
+    double impossibleAgeShare = 0;
+    /// Largest deviation of a voter's clock rate; clocks also start at different times. 0: all
+    /// voters share one clock.
+    double clockDrift = 0;
     int steps = 4000;
 };
 
@@ -57,6 +64,8 @@
     std::uint64_t lastRevisionIdentity = 0; ///< Identity of the folder with `lastRevision`.
     MemoryFiles folderCopy;                 ///< Earlier state of the folder, for a rollback.
     std::uint64_t rolledBackIdentity = 0;   ///< May never vote again; 0 when there is none.
+    Duration clockStart{};                  ///< What its clock showed at the start of the run.
+    double clockRate = 1;
 };
 
 /// Simulation of several voters with an unreliable network, reproducible by its seed; checks the
@@ -123,6 +132,14 @@
     void checkAnswer(const std::string &command, const CommandAnswer &answer);
     void checkLeader(std::size_t voter);
     void checkConfirmation(std::size_t voter);
+    void startClocks();
+    /// The present on the voter's own clock.
+    TimePoint localTime(std::size_t voter) const;
+    /// Simulated time at which the voter's clock showed @p local.
+    TimePoint simulatedTime(std::size_t voter, TimePoint local) const;
+    /// Time that the voter's caller passes on: the present, or one that it held on to.
+    TimePoint callTime(std::size_t voter);
+    void makeAgeImpossible(proto::LedgerMessage &message);
     /// If a majority is connected, keeps the faults as they are for a bounded time and checks that
     /// a leader then confirms a read and accepts a change.
     void checkLiveness();
--- a/src/gentianramp/ledger/replica_test.cpp
+++ b/src/gentianramp/ledger/replica_test.cpp
@@ -303,6 +303,58 @@
     cr_assert(replica.confirmedAt() == Start + 1300ms);
 }
 
+// A caller that had held on to its time over a wait let the leader send an age below zero as 49
+// days.
+Test(known_red, AnEarlierTimeMakesNoAnswerOfAFollowerOlder)
+{
+    Replica replica = leaderFrom(foundedLog());
+    ReplicaOutput output = replica.tick(Start + 11s);
+    const std::uint64_t round = roundOf(output);
+    cr_assert_gt(round, 0U);
+    const std::uint64_t last = replica.lastIndex().value();
+    replica.step(InstanceId("b"), acknowledged(2, 2, last, round), Start + 12s);
+    replica.propose("change", Start + 12s - 5ms, output);
+    std::size_t confirmations = 0;
+    for (const OutgoingMessage &each : output.messages) {
+        const proto::AppendRequest &request = each.message.append_request();
+        if (!request.has_confirmation())
+            continue;
+        ++confirmations;
+        cr_assert_leq(request.confirmation().answered_ms(), 1000U);
+        cr_assert_leq(request.confirmation().age_ms(), 2000U);
+    }
+    cr_assert_gt(confirmations, 0U);
+}
+
+// A follower took an age that cannot be for a confirmation 49 days ahead, and kept it for good.
+Test(known_red, AConfirmationThatWasAnsweredBeforeItWasAskedForIsRefused)
+{
+    for (const std::uint32_t answeredMs : {4294967291U, 4294967295U, 2147483648U, 1001U}) {
+        Replica replica(optionsOfA(), foundedLog(), Start);
+        proto::LedgerMessage message = messageOf(2, 2);
+        proto::AppendRequest &request = *message.mutable_append_request();
+        request.set_prev_index(10);
+        request.set_prev_term(1);
+        request.set_commit(10);
+        request.set_probe(1);
+        const ReplicaOutput answer = replica.step(InstanceId("b"), message, Start + 1s);
+        request.set_probe(2);
+        request.mutable_confirmation()->set_answered_probe(1);
+        request.mutable_confirmation()->set_answered_session(
+            answer.messages.front().message.session());
+        request.mutable_confirmation()->set_answered_ms(answeredMs);
+        replica.step(InstanceId("b"), message, Start + 2s);
+        cr_expect_not(replica.confirmedAt(), "answered_ms=%u", answeredMs);
+        // The next one that can be is used.
+        request.set_probe(3);
+        request.mutable_confirmation()->set_answered_probe(2);
+        request.mutable_confirmation()->set_answered_ms(500);
+        request.mutable_confirmation()->set_age_ms(100);
+        replica.step(InstanceId("b"), message, Start + 3s);
+        cr_expect(replica.confirmedAt() == Start + 2400ms, "answered_ms=%u", answeredMs);
+    }
+}
+
 Test(Replica, AConfirmationForAnEarlierIncarnationIsNotUsed)
 {
     Replica replica(optionsOfA(), foundedLog(), Start);
