registry: a new leader's duties read the clock after the wait for the majority

Cause: DutyService::step() took the time as an argument, waited for a majority to confirm the leader, and went on with the time from before the wait. The calls that became due were judged by it too. Fix: no coroutine of the duties takes a time. run() reads the clock for each part, and the part that waits reads it again. A leadership that was lost and gained during the wait is confirmed anew. Evidence: usageIsRecordedAtThePresentAfterAWaitForTheMajority failed before (an age above 5,000 ms in a confirmation), passes.

--- a/src/gentianramp/registry/duty_service.cpp
+++ b/src/gentianramp/registry/duty_service.cpp
@@ -95,49 +95,66 @@
 {
     const auto self = shared_from_this();
     while (!m_stopping) {
-        co_await step(RuntimeClock::now());
+        observe(RuntimeClock::now());
+        if (mayAct(RuntimeClock::now()) && !m_hasTakenOver)
+            co_await takeOver();
+        act(RuntimeClock::now());
         co_await sleepFor(StepInterval);
     }
 }
 
-asio::awaitable<void> DutyService::step(TimePoint now)
+void DutyService::observe(TimePoint now)
 {
     m_usage.expire(now - ProcessRetention);
     DeclarationLedger *ledger = m_hooks.ledger();
     if (ledger && ledger->committedUsage())
         m_usage.dropDecided(ledger->committedUsage()->decided);
-    if (!m_options.callDuty || !ledger)
-        co_return;
-    const bool mayAct = ledger->leads() && m_authority.mayAct(now);
-    if (m_options.encodeOrder && now >= m_nextSizingAt) {
+    if (ledger && m_options.callDuty && m_options.encodeOrder && now >= m_nextSizingAt) {
         m_nextSizingAt = now + SizingInterval;
-        sizeFleet(*ledger, mayAct && m_hasTakenOver, now);
+        sizeFleet(*ledger, mayAct(now) && m_hasTakenOver, now);
     }
-    if (!mayAct)
-        co_return;
-    if (!m_hasTakenOver) {
-        // Only a confirmed leader has applied all that its predecessors committed.
-        if (!co_await m_hooks.confirmLeadership())
-            co_return;
-        ledger = m_hooks.ledger();
-        if (!ledger || !ledger->leads())
-            co_return;
-        m_hasTakenOver = true;
-        m_sizer.takeOver();
-        m_serverOrders.clear();
-        if (m_reporter) {
-            const std::optional<UsageRecord> &record = ledger->committedUsage();
-            m_reporter->lead(record, trueMs(now),
-                             m_options.firstStart ? std::optional(m_startedAtMs) : std::nullopt);
-            if (record)
-                addUndelivered(record->undelivered, now);
-        }
-        logInfo("duties_taken_over",
-                {{"term", m_authority.token()}, {"waiting_calls", m_runner.waiting()}});
+}
+
+bool DutyService::mayAct(TimePoint now) const
+{
+    const DeclarationLedger *ledger = m_hooks.ledger();
+    return m_options.callDuty && ledger && ledger->leads() && m_authority.mayAct(now);
+}
+
+asio::awaitable<void> DutyService::takeOver()
+{
+    const std::uint64_t token = m_authority.token();
+    // Only a confirmed leader has applied all that its predecessors committed.
+    const bool confirmed = co_await m_hooks.confirmLeadership();
+    const TimePoint now = RuntimeClock::now();
+    if (confirmed && mayAct(now) && m_authority.token() == token)
+        startFromRecord(*m_hooks.ledger(), now);
+}
+
+void DutyService::startFromRecord(const DeclarationLedger &ledger, TimePoint now)
+{
+    m_hasTakenOver = true;
+    m_sizer.takeOver();
+    m_serverOrders.clear();
+    if (m_reporter) {
+        const std::optional<UsageRecord> &record = ledger.committedUsage();
+        m_reporter->lead(record, trueMs(now),
+                         m_options.firstStart ? std::optional(m_startedAtMs) : std::nullopt);
+        if (record)
+            addUndelivered(record->undelivered, now);
     }
+    logInfo("duties_taken_over",
+            {{"term", m_authority.token()}, {"waiting_calls", m_runner.waiting()}});
+}
+
+void DutyService::act(TimePoint now)
+{
+    if (!m_hasTakenOver || !mayAct(now))
+        return;
+    DeclarationLedger &ledger = *m_hooks.ledger();
     if (m_reporter)
-        decideUsage(*ledger, now);
-    passOnIfUnreached(*ledger, now);
+        decideUsage(ledger, now);
+    passOnIfUnreached(ledger, now);
     while (std::optional<DutyCall> call = m_runner.take(now))
         asio::co_spawn(m_executor, makeCall(std::move(*call), m_authority.token()), asio::detached);
 }
--- a/src/gentianramp/registry/duty_service.hpp
+++ b/src/gentianramp/registry/duty_service.hpp
@@ -53,7 +53,13 @@
     const DutyAuthority &authority() const { return m_authority; }
 
 private:
-    boost::asio::awaitable<void> step(TimePoint now);
+    /// Keeps what the duties need up to date, whether or not this process leads.
+    void observe(TimePoint now);
+    bool mayAct(TimePoint now) const;
+    /// Continues the duties of the former leader. Takes until a majority has confirmed this one.
+    boost::asio::awaitable<void> takeOver();
+    void startFromRecord(const DeclarationLedger &ledger, TimePoint now);
+    void act(TimePoint now);
     void sizeFleet(DeclarationLedger &ledger, bool mayOrder, TimePoint now);
     void updateDeclaration(const RawDeclaration &stored);
     void decideUsage(DeclarationLedger &ledger, TimePoint now);
--- a/src/gentianramp/registry/duty_service_test.cpp
+++ b/src/gentianramp/registry/duty_service_test.cpp
@@ -95,7 +95,7 @@
 
 // A leader that took its duties over proposed the first usage record with the time from before the
 // confirmation that it had waited for, so that its followers dated their own weeks ahead.
-Test(known_red, usageIsRecordedAtThePresentAfterAWaitForTheMajority)
+Test(duty_service, usageIsRecordedAtThePresentAfterAWaitForTheMajority)
 {
     LeadingDuties leading;
     for (int tries = 0; tries < 100 && !leading.voters.leader(); ++tries)
