registry: nothing dated after the present is sent as fresh, and no age wraps

Ages of messages are made in one place now. What others rely on while it is fresh (a confirmation, a list, loads) counts as never confirmed or as the oldest when it is dated after the present; what restricts them (limits, crashes, trials) is kept for its whole time. Either is a broken invariant, counted and logged.

--- a/src/gentianramp/registry/registry_codec.cpp
+++ b/src/gentianramp/registry/registry_codec.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <gentianramp/core/invariant.hpp>
 #include <gentianramp/core/log.hpp>
+#include <gentianramp/core/time_order.hpp>
 #include <gentianramp/http/address.hpp>
 #include <gentianramp/registry/packed_text.hpp>
 #include <limits>
@@ -32,15 +34,11 @@
     return known ? static_cast<PartSuspicion>(number) : PartSuspicion::Cleared;
 }
 
-std::uint32_t clampedMs(Duration value)
+/// Age of what restricts others, such as a limit or a crash: nothing is newer than the present, and
+/// what is dated after it must not expire early.
+std::uint32_t evidenceAgeMs(TimePoint time, TimePoint now)
 {
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
-        toMilliseconds(value), 0, std::numeric_limits<std::uint32_t>::max()));
-}
-
-std::uint32_t ageMs(TimePoint time, TimePoint now)
-{
-    return clampedMs(now - time);
+    return messageAgeMs(ageOf(time, now, "registry.evidence_not_after_now").value_or(Duration{}));
 }
 
 proto::ListedBackend toProto(const ListedServer &server)
@@ -99,7 +97,7 @@
     message.set_ended(!limit.perSecond);
     if (limit.perSecond)
         message.set_per_second(usableLimit(*limit.perSecond));
-    message.set_age_ms(ageMs(limit.statedAt, now));
+    message.set_age_ms(evidenceAgeMs(limit.statedAt, now));
     return message;
 }
 
@@ -116,7 +114,7 @@
 proto::InstanceDemand toProto(const ReportedDemand &demand, TimePoint now)
 {
     proto::InstanceDemand message;
-    message.set_age_ms(ageMs(demand.reportedAt, now));
+    message.set_age_ms(evidenceAgeMs(demand.reportedAt, now));
     for (const auto &[service, perSecond] : demand.perSecond) {
         proto::ServiceDemand &entry = *message.add_services();
         entry.set_service(service);
@@ -147,6 +145,19 @@
 
 } // namespace
 
+std::uint32_t messageAgeMs(Duration age)
+{
+    checkInvariant(age >= Duration{}, "registry.age_not_below_zero");
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(toMilliseconds(age), 0, OldestMessageAgeMs));
+}
+
+std::uint32_t freshnessAgeMs(TimePoint time, TimePoint now)
+{
+    const std::optional<Duration> age = ageOf(time, now, "registry.state_not_after_now");
+    return age ? messageAgeMs(*age) : OldestMessageAgeMs;
+}
+
 proto::LimitReports toProto(const LimitReports &reports, TimePoint now)
 {
     proto::LimitReports message;
@@ -173,7 +184,7 @@
 proto::LimitTable toProto(const LimitTable &table, TimePoint now)
 {
     proto::LimitTable message;
-    message.set_age_ms(ageMs(table.grantedAt, now));
+    message.set_age_ms(evidenceAgeMs(table.grantedAt, now));
     message.set_term(table.term);
     std::map<std::pair<BackendId, std::int64_t>, std::uint32_t> indices;
     for (const RequestLimit &limit : table.limits) {
@@ -270,8 +281,7 @@
 proto::LoadTable toProto(const LoadChange &change, TimePoint now)
 {
     proto::LoadTable table;
-    table.set_age_ms(static_cast<std::uint32_t>(
-        std::max<std::int64_t>(toMilliseconds(now - change.takenAt), 0)));
+    table.set_age_ms(freshnessAgeMs(change.takenAt, now));
     table.set_epoch(change.epoch);
     table.set_base_version(change.baseVersion);
     table.set_version(change.newVersion);
@@ -314,7 +324,7 @@
         entry.set_server(crash.server.value());
         entry.set_born_ms(crash.startedAtMs);
         entry.set_service(crash.service);
-        entry.set_age_ms(ageMs(crash.crashedAt, now));
+        entry.set_age_ms(evidenceAgeMs(crash.crashedAt, now));
         for (const auto &[number, part] : crash.parts) {
             proto::CrashPart &added = *entry.add_parts();
             added.set_part(number);
@@ -323,14 +333,14 @@
         }
         entry.set_service_works(crash.worksSince.has_value());
         if (crash.worksSince)
-            entry.set_works_age_ms(ageMs(*crash.worksSince, now));
+            entry.set_works_age_ms(evidenceAgeMs(*crash.worksSince, now));
     }
     for (const PartTrial &trial : reports.trials) {
         proto::PartTrial &entry = *message.add_trials();
         entry.set_part(trial.part);
         entry.set_number(trial.number);
         entry.set_instance(trial.instance.value());
-        entry.set_age_ms(ageMs(trial.grantedAt, now));
+        entry.set_age_ms(evidenceAgeMs(trial.grantedAt, now));
     }
     return message;
 }
@@ -463,14 +473,14 @@
 void addToProto(const VersionReport &report, proto::FeedAnswer &answer)
 {
     // 0 says that nothing is stated.
-    answer.set_versions_known_ms(std::max(clampedMs(report.knownFor), 1U));
+    answer.set_versions_known_ms(std::max(messageAgeMs(report.knownFor), 1U));
     for (const ListedVersion &listed : report.versions) {
         proto::ListedVersion &entry = *answer.add_versions();
         entry.set_service(listed.service);
         entry.set_version(listed.version);
-        entry.set_since_ms(clampedMs(listed.listedFor));
+        entry.set_since_ms(messageAgeMs(listed.listedFor));
         if (listed.goneFor)
-            entry.set_gone_ms(1 + clampedMs(*listed.goneFor));
+            entry.set_gone_ms(1 + messageAgeMs(*listed.goneFor));
     }
 }
 
--- a/src/gentianramp/registry/registry_codec.hpp
+++ b/src/gentianramp/registry/registry_codec.hpp
@@ -9,11 +9,22 @@
 #include <gentianramp/registry/stage_delays.hpp>
 #include <gentianramp/registry/versioned_load_table.hpp>
 #include <gentianramp/usage/usage_counts.hpp>
+#include <limits>
 
 #include "gentianramp/registry/generated/registry.pb.h"
 
 namespace gentianramp {
 
+/// Greatest age in a message, in milliseconds; one more says that there is none.
+constexpr std::uint32_t OldestMessageAgeMs = std::numeric_limits<std::uint32_t>::max() - 1;
+
+/// @p age in whole milliseconds, rounded down and bounded to 0 and OldestMessageAgeMs.
+std::uint32_t messageAgeMs(Duration age);
+
+/// Age of what others rely on while it is fresh, such as a list. What is dated after @p now is a
+/// broken invariant and counts as the oldest.
+std::uint32_t freshnessAgeMs(TimePoint time, TimePoint now);
+
 /// Full listings are packed.
 proto::BackendList toProto(const ListingChange &change);
 /// Skips entries whose address is invalid; returns no value if the packed form is damaged.
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -16,6 +16,7 @@
 #include <gentianramp/core/invariant.hpp>
 #include <gentianramp/core/log.hpp>
 #include <gentianramp/core/random_seed.hpp>
+#include <gentianramp/core/time_order.hpp>
 #include <gentianramp/registry/absence_watch.hpp>
 #include <gentianramp/registry/crash_evidence.hpp>
 #include <gentianramp/registry/leader_calls.hpp>
@@ -134,12 +135,6 @@
     return "seat-" + std::to_string(number);
 }
 
-std::uint32_t clampedMs(Duration value)
-{
-    return static_cast<std::uint32_t>(
-        std::clamp<std::int64_t>(toMilliseconds(value), 0, NeverConfirmed - 1));
-}
-
 /// Last load answer of an engine.
 struct EngineLoadState
 {
@@ -726,7 +721,7 @@
         presence.set_crashes_digest(crashes.digest());
         presence.set_wall_clock_ms(wallClockMs());
         if (const std::optional<Duration> age = duties->platformAge(now))
-            presence.set_platform_ms(clampedMs(*age) + 1);
+            presence.set_platform_ms(messageAgeMs(*age) + 1);
         addPeers(presence, now);
         addKnown(*presence.mutable_known(), now);
         for (const InstanceId &member : directory.contacts()) {
@@ -771,8 +766,8 @@
             proto::RegistryMember &entry = *list.Add();
             entry.set_instance(member.instance.value());
             entry.set_data_centre(member.dataCentre.value());
-            entry.set_heard_ms(clampedMs(member.contactAge));
-            entry.set_contact_ms(clampedMs(member.directContactAge));
+            entry.set_heard_ms(messageAgeMs(member.contactAge));
+            entry.set_contact_ms(messageAgeMs(member.directContactAge));
         }
     }
 
@@ -1277,7 +1272,7 @@
                     {"term", replica.term().value()},
                     {"committed_index", replica.commitIndex().value()},
                     {"last_index", replica.lastIndex().value()},
-                    {"confirmed_ms", confirmationAgeMs(RuntimeClock::now())}});
+                    {"confirmed_ms", loggedMs(confirmationAge(RuntimeClock::now()))}});
     }
 
     static asio::awaitable<void> waitFor(Timer &timer)
@@ -1308,7 +1303,7 @@
                              ->FindFieldByNumber(message.body_case())
                              ->name()},
                         {"contact_ms", contactAgeMs(*to)},
-                        {"confirmed_ms", confirmationAgeMs(RuntimeClock::now())}});
+                        {"confirmed_ms", loggedMs(confirmationAge(RuntimeClock::now()))}});
         co_return std::move(waiting->answer);
     }
 
@@ -1368,7 +1363,9 @@
         // asks another registry process at once.
         const bool withinBudget
             = fullBytes == 0 || fullAnswerBudget.take(static_cast<double>(fullBytes), now);
-        feed.set_confirmed_ms(withinBudget ? confirmationAgeMs(now) : NeverConfirmed);
+        const std::optional<Duration> confirmed = confirmationAge(now);
+        feed.set_confirmed_ms(withinBudget && confirmed ? messageAgeMs(*confirmed)
+                                                        : NeverConfirmed);
         if (ledger && withinBudget) {
             feed.set_number(ledger->committed().number);
             if (ledger->committed().number > request.number() && !request.registry())
@@ -1376,7 +1373,7 @@
         }
         if (listing.digest != 0 && withinBudget) {
             feed.set_list_digest(listing.digest);
-            feed.set_list_age_ms(clampedMs(now - listing.takenAt));
+            feed.set_list_age_ms(freshnessAgeMs(listing.takenAt, now));
             if (listing.digest != request.list_digest())
                 *feed.mutable_list() = listSince(request.list_digest());
         }
@@ -1445,14 +1442,19 @@
         return packed;
     }
 
-    /// Time since a majority last confirmed that the committed declaration is the newest one.
-    std::uint32_t confirmationAgeMs(TimePoint now) const
+    /// Time since a majority last confirmed that the committed declaration is the newest one;
+    /// empty: never, as far as can be told.
+    std::optional<Duration> confirmationAge(TimePoint now) const
     {
         const std::optional<TimePoint> confirmed = ledger ? ledger->confirmedAt() : std::nullopt;
-        if (confirmed)
-            checkInvariant(*confirmed <= now, "registry.confirmation_not_after_now",
-                           std::to_string(toMilliseconds(*confirmed - now)) + " ms");
-        return confirmed ? clampedMs(now - *confirmed) : NeverConfirmed;
+        return confirmed ? ageOf(*confirmed, now, "registry.confirmation_not_after_now")
+                         : std::nullopt;
+    }
+
+    /// Of a log line; -1: never.
+    static std::int64_t loggedMs(const std::optional<Duration> &age)
+    {
+        return age ? toMilliseconds(*age) : -1;
     }
 
     asio::awaitable<void> pollListing()
