spread: a confirmation of impossible age is none, and calls with earlier times change nothing

Callers could be served an older configuration with an age that looks fresh: an age below zero wrapped to nearly 2^64, and the reader turned that into a confirmation after the present. A control process passed the time of a callback to the distribution and then the earlier time of the tick around it. Fix: an age above 49 days is none where it is read; where it is sent, what is dated after the present has no age; the time of the distribution never goes back; the tick of a control process reads the clock for each part.

--- a/src/gentianramp/control/control_node.cpp
+++ b/src/gentianramp/control/control_node.cpp
@@ -332,13 +332,13 @@
 asio::awaitable<void> ControlNode::State::runTicks()
 {
     while (true) {
-        const TimePoint now = RuntimeClock::now();
+        // Each reads the clock: callbacks of the ones before pass later times on.
         if (ledger)
-            ledger->tick(now);
+            ledger->tick(RuntimeClock::now());
         reportLeader();
-        perform(distribution.tick(now));
-        operators->tick(now);
-        updateMetrics(now);
+        perform(distribution.tick(RuntimeClock::now()));
+        operators->tick(RuntimeClock::now());
+        updateMetrics(RuntimeClock::now());
         co_await sleepFor(TickInterval);
     }
 }
--- a/src/gentianramp/ledger/configuration_distribution.cpp
+++ b/src/gentianramp/ledger/configuration_distribution.cpp
@@ -4,13 +4,18 @@
 
 #include <algorithm>
 #include <gentianramp/core/invariant.hpp>
+#include <gentianramp/core/time_order.hpp>
 #include <gentianramp/ledger/configuration_delta.hpp>
+#include <limits>
 #include <map>
 
 namespace gentianramp {
 
 namespace {
 
+/// Greatest age of a confirmation in an update; a greater one says that there is none.
+constexpr std::uint64_t MaxAgeMs = std::numeric_limits<std::uint32_t>::max();
+
 constexpr Duration ReportMergeDelay
     = std::chrono::milliseconds(50); ///< Merges reports of several children into one.
 /// A longer gap between two ticks means that this process was suspended, not that its parent is
@@ -57,6 +62,12 @@
                });
     }
 
+    TimePoint advance(TimePoint now)
+    {
+        latest = latestTime(latest, now, "spread.time_never_goes_back");
+        return latest;
+    }
+
     DataCentreId dataCentreOf(const InstanceId &instance) const
     {
         for (const DistributionMember &member : options.members) {
@@ -148,7 +159,7 @@
     {
         if (!confirmedAt)
             return std::nullopt;
-        return now - *confirmedAt;
+        return ageOf(*confirmedAt, now, "spread.confirmation_not_after_now");
     }
 
     /// Puts a newer configuration in force here and sends it to the live children.
@@ -210,7 +221,7 @@
             return;
         if (update.revision() > current.revision.value() && !applyUpdate(output, update, now))
             return;
-        if (update.age_ms() == UINT64_MAX)
+        if (update.age_ms() > MaxAgeMs)
             return;
         const TimePoint confirmed = now - std::chrono::milliseconds(update.age_ms());
         if (!confirmedAt || confirmed > *confirmedAt)
@@ -274,6 +285,7 @@
     TimePoint parentLastContact{};
     TimePoint nextReportAt{};
     std::optional<TimePoint> mergedReportAt; ///< Set when a child's report changed the revisions.
+    TimePoint latest{};                      ///< Of the times of all calls.
     TimePoint lastTick{};
     /// Delay until an unanswered report is repeated; doubles up to reportInterval.
     Duration reportBackoff = std::chrono::milliseconds(100);
@@ -290,6 +302,7 @@
                                                         std::string_view payload, TimePoint now)
 {
     DistributionOutput output;
+    now = m_state->advance(now);
     proto::SpreadMessage message;
     if (!message.ParseFromArray(payload.data(), static_cast<int>(payload.size())))
         ++m_state->malformed;
@@ -304,6 +317,7 @@
 {
     State &state = *m_state;
     DistributionOutput output;
+    now = state.advance(now);
     state.chooseParent(now);
     state.lastTick = now;
     for (auto &[instance, child] : state.children) {
@@ -324,6 +338,7 @@
                                                          TimePoint now)
 {
     DistributionOutput output;
+    now = m_state->advance(now);
     if (configuration.revision > m_state->current.revision)
         m_state->accept(output, configuration, now);
     return output;
--- a/src/gentianramp/ledger/configuration_distribution_test.cpp
+++ b/src/gentianramp/ledger/configuration_distribution_test.cpp
@@ -6,6 +6,8 @@
 #include <random>
 #include <set>
 
+#include "gentianramp/ledger/generated/spread.pb.h"
+
 #include <criterion/criterion.h>
 
 using namespace gentianramp;
@@ -156,6 +158,46 @@
 
 } // namespace
 
+// An age below zero arrived as a number that wrapped, and dated the confirmation after the present.
+Test(ConfigurationDistribution, AnImpossibleAgeIsNoConfirmation)
+{
+    const std::vector<DistributionMember> members = membersOf(1, 1, 1);
+    const TimePoint now{1h};
+    for (const std::uint64_t ageMs :
+         {UINT64_MAX, UINT64_MAX - 4, std::uint64_t{1} << 63, std::uint64_t{1} << 40}) {
+        ConfigurationDistribution entry({.self = InstanceId("entry-0-0"), .members = members}, now);
+        proto::SpreadMessage message;
+        message.mutable_update()->set_revision(1);
+        message.mutable_update()->set_whole(true);
+        message.mutable_update()->set_configuration("first");
+        message.mutable_update()->set_age_ms(ageMs);
+        entry.onMessage(InstanceId("control-0-0"), message.SerializeAsString(), now);
+        cr_expect_eq(entry.current().revision, Revision(1));
+        cr_expect_not(entry.age(now).has_value(), "age_ms=%lu", static_cast<unsigned long>(ageMs));
+        message.mutable_update()->set_age_ms(250);
+        entry.onMessage(InstanceId("control-0-0"), message.SerializeAsString(), now);
+        cr_expect(entry.age(now) == Duration(250ms));
+    }
+}
+
+// The time of a callback was passed on before the earlier time of the call that had made it.
+Test(ConfigurationDistribution, AnEarlierTimeSendsNoImpossibleAge)
+{
+    const std::vector<DistributionMember> members = membersOf(1, 1, 1);
+    const TimePoint now{1h};
+    ConfigurationDistribution control({.self = InstanceId("control-0-0"), .members = members}, now);
+    control.distribute({Revision(1), "first"}, now + 1s);
+    control.noteLeader(InstanceId("control-0-0"), now + 1s);
+    proto::SpreadMessage report;
+    report.mutable_report()->set_data_centre("site-0");
+    const DistributionOutput output
+        = control.onMessage(InstanceId("entry-0-0"), report.SerializeAsString(), now + 1s - 5ms);
+    cr_assert_eq(output.messages.size(), 1U);
+    proto::SpreadMessage update;
+    cr_assert(update.ParseFromString(output.messages.front().payload));
+    cr_assert_leq(update.update().age_ms(), 1000U);
+}
+
 Test(ConfigurationDistribution, LimitsChildrenPerProcessInLargeSites)
 {
     const std::vector<DistributionMember> members = membersOf(12, 34, 34);
