membership: a relay that is handed an earlier time sends no digest of 49 days

The age of a digest was cast to an unsigned number; below zero, it became 49 days, and the members of a data centre took no news of another one. Fix: time never goes back here, and an age has bounds.

--- a/src/gentianramp/membership/membership_service.cpp
+++ b/src/gentianramp/membership/membership_service.cpp
@@ -1,7 +1,9 @@
 #include <gentianramp/membership/membership_service.hpp>
 
 #include <algorithm>
+#include <gentianramp/core/time_order.hpp>
 #include <gentianramp/membership/generated/membership.pb.h>
+#include <limits>
 #include <map>
 #include <set>
 #include <utility>
@@ -12,6 +14,8 @@
 
 /// Time for which a process counts as leaving after the platform last listed it so.
 constexpr Duration PlatformLeavingTimeout = std::chrono::minutes(2);
+/// Greatest age in a digest.
+constexpr std::int64_t MaxAgeMs = std::numeric_limits<std::uint32_t>::max();
 
 MemberState fromCode(proto::MemberStateCode code)
 {
@@ -79,6 +83,12 @@
             relaysOf[site] = replicaGroup("relay", site, relayCandidatesIn(site), RelayCount);
     }
 
+    TimePoint advance(TimePoint now)
+    {
+        latest = latestTime(latest, now, "membership.time_never_goes_back");
+        return latest;
+    }
+
     std::vector<PlacedInstance> relayCandidatesIn(const DataCentreId &site) const;
     bool isRelayOf(const DataCentreId &site) const;
     void onDigest(const proto::MembershipDigest &digest, TimePoint now);
@@ -102,6 +112,7 @@
     std::map<DataCentreId, SiteReport> siteReports;
     std::map<InstanceId, TimePoint> platformLeaving;
     std::uint64_t malformed = 0;
+    TimePoint latest{}; ///< Of the times of all calls.
 };
 
 std::vector<PlacedInstance>
@@ -155,7 +166,9 @@
     digest.set_data_centre(site.value());
     if (!isRelayOf(site)) {
         const SiteReport &known = siteReports.at(site);
-        digest.set_age_ms(static_cast<std::uint32_t>(toMilliseconds(now - known.createdAt)));
+        const auto age = ageOf(known.createdAt, now, "membership.digest_not_after_now");
+        digest.set_age_ms(static_cast<std::uint32_t>(
+            std::min<std::int64_t>(age ? toMilliseconds(*age) : MaxAgeMs, MaxAgeMs)));
         for (const auto &[instance, state] : known.exceptions) {
             proto::MemberException &added = *digest.add_exceptions();
             added.set_instance(instance.value());
@@ -239,6 +252,7 @@
                                   std::string_view payload, TimePoint now)
 {
     State &state = *m_state;
+    now = state.advance(now);
     proto::MembershipMessage message;
     if (!message.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
         ++state.malformed;
@@ -260,6 +274,7 @@
 void MembershipService::tick(TimePoint now)
 {
     State &state = *m_state;
+    now = state.advance(now);
     std::erase_if(state.platformLeaving, [now](const auto &hint) { return hint.second <= now; });
     if (now >= state.nextHeartbeatAt) {
         state.nextHeartbeatAt = now + state.options.heartbeatInterval;
@@ -273,6 +288,7 @@
 
 void MembershipService::onPlatformList(const std::vector<InstanceId> &leaving, TimePoint now)
 {
+    now = m_state->advance(now);
     for (const InstanceId &instance : leaving)
         m_state->platformLeaving[instance] = now + PlatformLeavingTimeout;
 }
--- a/src/gentianramp/membership/membership_service_test.cpp
+++ b/src/gentianramp/membership/membership_service_test.cpp
@@ -5,6 +5,8 @@
 #include <set>
 #include <string>
 
+#include "gentianramp/membership/generated/membership.pb.h"
+
 #include <criterion/criterion.h>
 
 using namespace gentianramp;
@@ -67,6 +69,37 @@
 
 } // namespace
 
+// A relay that was handed an earlier time sent the age of a digest as 49 days, so that the members
+// of its data centre took no news of another one from it.
+Test(Membership, AnEarlierTimeMakesNoDigestOlder)
+{
+    const std::vector<PlacedInstance> placed{{InstanceId("a1"), DataCentreId("a")},
+                                             {InstanceId("a2"), DataCentreId("a")},
+                                             {InstanceId("b1"), DataCentreId("b")}};
+    const TimePoint now{1h};
+    std::vector<std::uint32_t> ages;
+    MembershipService relay(
+        {.self = InstanceId("a1"),
+         .dataCentre = DataCentreId("a"),
+         .instances = placed,
+         .relayCandidates = placed},
+        [&](const InstanceId &, const std::string &payload) {
+            proto::MembershipMessage message;
+            cr_assert(message.ParseFromString(payload));
+            for (const proto::SiteDigest &site : message.digest().sites()) {
+                if (site.data_centre() == "b")
+                    ages.push_back(site.age_ms());
+            }
+        },
+        now);
+    proto::MembershipMessage received;
+    received.mutable_digest()->add_sites()->set_data_centre("b");
+    relay.onMessage(InstanceId("b1"), Incarnation(1), received.SerializeAsString(), now + 5s);
+    relay.tick(now + 5s - 10ms);
+    cr_assert_eq(ages.size(), 1U);
+    cr_assert_leq(ages.front(), 1000U);
+}
+
 Test(Membership, EveryProcessSeesAllOthersAlive)
 {
     MembershipSimulation simulation({{"a", 4}, {"b", 3}, {"c", 1}});
