authority: earlier times shorten no grant, and lengths that can't be are malformed

A grant was dated by whatever time the process was handed, so that it could end before its holder let go; a message could name a grant of any length, also below zero. Fix: the time of the lease service never goes back; lengths below zero or above an hour are refused where they are read.

--- a/src/gentianramp/authority/lease_messages.cpp
+++ b/src/gentianramp/authority/lease_messages.cpp
@@ -90,6 +90,20 @@
             .promised = fromProto(in.promised())};
 }
 
+/// No process may hold a lease for longer, so that a wrong figure can't block it for good.
+constexpr Duration MaxLeaseLength = std::chrono::hours(1);
+
+bool isLeaseLength(std::int64_t ns)
+{
+    return ns >= 0 && ns <= MaxLeaseLength.count();
+}
+
+bool hasPossibleLengths(const proto::LeaseMessage &in)
+{
+    return isLeaseLength(in.propose().length_ns())
+        && isLeaseLength(in.promise().grant().remaining_ns());
+}
+
 bool hasKnownEnumValues(const proto::LeaseMessage &in)
 {
     return proto::LeaseReply_IsValid(in.promise().reply())
@@ -111,9 +125,10 @@
     proto::LeaseMessage in;
     if (payload.size() > static_cast<std::size_t>(std::numeric_limits<int>::max())
         || !in.ParseFromArray(payload.data(), static_cast<int>(payload.size()))
-        || !hasKnownEnumValues(in))
+        || !hasKnownEnumValues(in) || !hasPossibleLengths(in))
         return {Error::Malformed,
-                "lease message is not valid protobuf or has an unknown reply value"};
+                "lease message is not valid protobuf, or has an unknown reply value or a length "
+                "below zero or above an hour"};
     const DataCentreId dataCentre(in.data_centre());
     switch (in.body_case()) {
     case proto::LeaseMessage::kPrepare:
--- a/src/gentianramp/authority/lease_service.cpp
+++ b/src/gentianramp/authority/lease_service.cpp
@@ -5,6 +5,7 @@
 #include <gentianramp/authority/lease_member.hpp>
 #include <gentianramp/authority/lease_messages.hpp>
 #include <gentianramp/authority/lease_round.hpp>
+#include <gentianramp/core/time_order.hpp>
 #include <map>
 #include <random>
 #include <utility>
@@ -55,6 +56,13 @@
         , fencingFloor(options.fencingFloor)
     { }
 
+    /// A grant that is dated earlier than it was given ends before its holder lets go.
+    TimePoint advance(TimePoint now)
+    {
+        latest = latestTime(latest, now, "lease.time_never_goes_back");
+        return latest;
+    }
+
     LeaseMember &member(const DataCentreId &dataCentre);
     void deliver(const InstanceId &to, LeaseMessage message);
     void broadcast(const LeaseBody &body);
@@ -90,6 +98,7 @@
     std::optional<TimePoint> releaseAt;
     int releasesSent = 0;
     std::uint64_t malformed = 0;
+    TimePoint latest{}; ///< Of the times of all calls.
 };
 
 LeaseMember &LeaseService::State::member(const DataCentreId &dataCentre)
@@ -248,6 +257,7 @@
         ++m_state->malformed;
         return;
     }
+    now = m_state->advance(now);
     m_state->handle(sender, *message, now);
     m_state->handleLocalMessages(now);
 }
@@ -255,6 +265,7 @@
 void LeaseService::tick(TimePoint now)
 {
     State &state = *m_state;
+    now = state.advance(now);
     if (state.releaseAt && now >= *state.releaseAt && state.releasesSent < ReleaseSendCount) {
         ++state.releasesSent;
         if (state.lease)
@@ -278,6 +289,7 @@
 void LeaseService::raiseFencing(FencingNumber seen, TimePoint now)
 {
     State &state = *m_state;
+    now = state.advance(now);
     if (seen <= state.fencingFloor)
         return;
     state.fencingFloor = seen;
@@ -288,6 +300,7 @@
 void LeaseService::release(TimePoint now, TimePoint ordersArrived)
 {
     State &state = *m_state;
+    now = state.advance(now);
     if (state.releaseAt)
         return;
     state.releaseAt = std::max(now, ordersArrived);
--- a/src/gentianramp/authority/lease_service_test.cpp
+++ b/src/gentianramp/authority/lease_service_test.cpp
@@ -68,6 +68,48 @@
     cr_assert_not(static_cast<bool>(decodeLeaseMessage("")));
 }
 
+// A grant of any length that a message named blocked the lease for as long.
+Test(LeaseCodec, LengthsThatCannotBeAreMalformed)
+{
+    for (const Duration length : {Duration(-1ns), Duration(2h), Duration::max(), Duration::min()}) {
+        cr_expect_not(static_cast<bool>(decodeLeaseMessage(
+            encodeLeaseMessage({Site, LeasePropose{ballot(1), FencingNumber(2), length}}))));
+        cr_expect_not(static_cast<bool>(decodeLeaseMessage(
+            encodeLeaseMessage({Site,
+                                LeasePromise{ballot(1),
+                                             LeaseReply::Ok,
+                                             {},
+                                             LeaseGrant{ballot(2), FencingNumber(3), length},
+                                             FencingNumber(5)}}))));
+    }
+}
+
+// A grant that was given with an earlier time ended before its holder let go.
+Test(LeaseService, AnEarlierTimeDoesNotShortenAGrant)
+{
+    std::vector<LeaseMessage> sent;
+    LeaseService service(
+        {.self = InstanceId("a1"),
+         .dataCentre = Site,
+         .incarnation = Incarnation(1),
+         .instances
+         = {{InstanceId("a1"), Site}, {InstanceId("a2"), Site}, {InstanceId("a3"), Site}}},
+        [&](const InstanceId &, const std::string &payload) {
+            sent.push_back(decodeLeaseMessage(payload).value());
+        },
+        Now);
+    service.tick(Now + 10s);
+    const auto deliver = [&](const char *from, const LeaseBody &body, TimePoint now) {
+        service.onMessage(InstanceId(from), encodeLeaseMessage({Site, body}), now);
+    };
+    deliver("a2", LeasePropose{ballot(100, "a2"), FencingNumber(5), 3s}, Now + 9s);
+    deliver("a3", LeasePrepare{ballot(101, "a3")}, Now + 12500ms);
+    const auto *promise = std::get_if<LeasePromise>(&sent.back().body);
+    cr_assert_not_null(promise);
+    cr_assert(promise->grant.has_value());
+    cr_assert(promise->grant->remaining == Duration(500ms));
+}
+
 Test(LeaseCodec, DecoderSurvivesCorruptedMessagesAndRejectsSome)
 {
     std::mt19937_64 random(1);
