control: operators' requests read the clock when they are decided

Found by reading. Fix: what runs after a wait reads the clock. Ages below zero are shown as unknown instead of 2^64. Evidence: none but the ledger's tests of earlier times; OperatorService has no test program of its own.

--- a/src/gentianramp/control/authority_answers.cpp
+++ b/src/gentianramp/control/authority_answers.cpp
@@ -1,6 +1,7 @@
 #include "authority_answers.hpp"
 
 #include <algorithm>
+#include <gentianramp/core/time_order.hpp>
 #include <map>
 
 namespace gentianramp {
@@ -41,7 +42,8 @@
 
 std::uint64_t ageMs(const SiteOverview &site, TimePoint now)
 {
-    return static_cast<std::uint64_t>(toMilliseconds(now - site.confirmedAt));
+    const auto age = ageOf(site.confirmedAt, now, "fleet.confirmation_not_after_now");
+    return age ? static_cast<std::uint64_t>(toMilliseconds(*age)) : UINT64_MAX;
 }
 
 const BackendDeclaration *findBackend(const DeclaredConfiguration &configuration,
--- a/src/gentianramp/control/operator_answers.cpp
+++ b/src/gentianramp/control/operator_answers.cpp
@@ -11,7 +11,8 @@
 
 std::uint64_t ageMs(const std::optional<Duration> &age)
 {
-    return age ? static_cast<std::uint64_t>(toMilliseconds(*age)) : UINT64_MAX;
+    const bool isKnown = age && *age >= Duration{};
+    return isKnown ? static_cast<std::uint64_t>(toMilliseconds(*age)) : UINT64_MAX;
 }
 
 void addMember(proto::SiteStatus &site, const MemberRevision &member, Revision current)
--- a/src/gentianramp/control/operator_service.cpp
+++ b/src/gentianramp/control/operator_service.cpp
@@ -45,7 +45,6 @@
 void OperatorService::onRequest(const std::string &replyRoute, std::string_view payload,
                                 TimePoint now)
 {
-    m_now = now;
     proto::OperatorRequest request;
     if (!request.ParseFromArray(payload.data(), static_cast<int>(payload.size())))
         return refuse(replyRoute, {}, proto::OPERATOR_ERROR_MALFORMED,
@@ -85,7 +84,8 @@
     case proto::OperatorRequest::kSetDrained:
         return decideSetDrained(replyRoute, request);
     case proto::OperatorRequest::kStatus:
-        return answer(replyRoute, id, statusAnswer(m_ledger, m_distribution, true, m_now));
+        return answer(replyRoute, id,
+                      statusAnswer(m_ledger, m_distribution, true, RuntimeClock::now()));
     case proto::OperatorRequest::kHistory:
         return answer(replyRoute, id, historyAnswer(m_ledger->store(), request.history().limit()));
     case proto::OperatorRequest::kConfiguration:
@@ -93,7 +93,7 @@
             replyRoute, id,
             configurationAnswer(m_ledger->store(), Revision(request.configuration().revision())));
     case proto::OperatorRequest::kMembers:
-        return answer(replyRoute, id, membersAnswer(m_distribution, m_now));
+        return answer(replyRoute, id, membersAnswer(m_distribution, RuntimeClock::now()));
     default:
         return refuse(replyRoute, id, proto::OPERATOR_ERROR_UNSUPPORTED,
                       "this process does not support requests of this kind");
@@ -128,7 +128,7 @@
 {
     if (request.has_status())
         return answer(replyRoute, request.request_id(),
-                      statusAnswer(m_ledger, m_distribution, false, m_now));
+                      statusAnswer(m_ledger, m_distribution, false, RuntimeClock::now()));
     refuse(replyRoute, request.request_id(), proto::OPERATOR_ERROR_NO_LEADER,
            "no leader of the ledger could be confirmed from " + m_self.value()
                + "; the request was not executed");
@@ -209,13 +209,14 @@
         waiting->second.request = id;
         return;
     }
+    const TimePoint now = RuntimeClock::now();
     // Recorded before propose(), which calls onDecided() itself when there is a single voter.
     m_pendingProposals[proposal.command] = {.replyRoute = replyRoute,
                                             .request = id,
                                             .changesState = true,
-                                            .deadline = m_now + DecisionTimeout,
+                                            .deadline = now + DecisionTimeout,
                                             .configurationDigest = configurationDigest};
-    if (m_ledger->propose(proposal, m_now))
+    if (m_ledger->propose(proposal, now))
         return;
     m_pendingProposals.erase(proposal.command);
     refuse(replyRoute, id, proto::OPERATOR_ERROR_NO_LEADER, "this process is no longer the leader");
@@ -239,7 +240,6 @@
 
 void OperatorService::tick(TimePoint now)
 {
-    m_now = now;
     const auto expireLate = [&](const PendingAnswer &waiting) {
         if (waiting.deadline > now)
             return false;
--- a/src/gentianramp/control/operator_service.hpp
+++ b/src/gentianramp/control/operator_service.hpp
@@ -81,7 +81,6 @@
     std::map<proto::OperatorRequest::RequestCase, OperatorHandler> m_handlers;
     std::map<std::string, ForwardedRequest> m_forwarded; ///< By request id.
     std::map<CommandId, PendingAnswer> m_pendingProposals;
-    TimePoint m_now{};
 };
 
 } // namespace gentianramp
