--- a/src/gentianramp/wire/mesh.cpp
+++ b/src/gentianramp/wire/mesh.cpp
@@ -31,6 +31,8 @@
 constexpr int InitialReconnectDelayMs = 50;
 constexpr int MaxReconnectDelayMs = 500;
 constexpr std::int64_t MaxMessageBytes = 8 * 1024 * 1024;
+/// No message may be acted on for longer, so that a wrong figure can't keep one for good.
+constexpr std::uint32_t MaxTtlMs = 60'000;
 constexpr std::size_t MaxQueuedMessages = 4096;
 constexpr std::chrono::milliseconds PollInterval(100);
 /// A longer loop iteration means that this process was paused.
@@ -410,6 +412,8 @@
             return DropReason::ForgedSender;
         if (isBlocked(sender))
             return DropReason::Blocked;
+        if (envelope.ttl_ms() > MaxTtlMs)
+            return DropReason::Malformed;
         // Without keys, incarnations are random and have no order. Each incarnation then counts as
         // a separate sender, so that none is dropped as older than another.
         const InstanceId filterSender = options.curveEnabled
@@ -518,7 +522,8 @@
         OutgoingMessage message;
         message.envelope.set_sender(options.instance.value());
         message.envelope.set_incarnation(options.incarnation.value());
-        message.envelope.set_ttl_ms(static_cast<std::uint32_t>(toMilliseconds(ttl)));
+        message.envelope.set_ttl_ms(static_cast<std::uint32_t>(
+            std::clamp<std::int64_t>(toMilliseconds(ttl), 0, MaxTtlMs + 1)));
         message.envelope.set_kind(static_cast<proto::PayloadKind>(kind));
         message.envelope.set_payload(std::move(payload));
         return message;
--- a/src/gentianramp/wire/mesh_test.cpp
+++ b/src/gentianramp/wire/mesh_test.cpp
@@ -156,6 +156,21 @@
     cr_assert(a.inbox.message(0).payload == "answer");
 }
 
+// A message was acted on for as long as its sender said, up to 49 days.
+Test(Mesh, DropsMessagesThatClaimToLastForDays)
+{
+    Node a{"a"};
+    Node b{"b"};
+    Mesh meshA(a.options({b.peer()}), a.inbox.hook());
+    Mesh meshB(b.options({a.peer()}), b.inbox.hook());
+    cr_assert(sendUntilReceived(meshA, InstanceId("b"), b.inbox, 1));
+    meshA.send(InstanceId("b"), PayloadKind::Notice, "lasting", std::chrono::hours(24));
+    meshA.send(InstanceId("b"), PayloadKind::Notice, "last", Ttl);
+    cr_assert(b.inbox.waitForPayload("last"));
+    for (std::size_t i = 0; i < b.inbox.size(); ++i)
+        cr_expect_neq(b.inbox.message(i).payload, "lasting");
+}
+
 Test(Mesh, RejectsPeersWithUnknownKeys)
 {
     Node a{"a"};
