registry: a source that is cut off no longer makes all others silent

A source counts as in contact with a majority while its confirmation is fresh, and others as gone if it has not heard them for 1.5 s; after a cut, both ages grow, and the second can pass its bound before the first one does: with a bound of 1.25 s for confirmations, if the others were last heard 0.25 s before the cut. Fix: only silence before the source's own last confirmation counts. The difference of the two ages stays the same after a cut, so that the bounds can't meet at any settings.

--- a/src/gentianramp/registry/registry_codec_test.cpp
+++ b/src/gentianramp/registry/registry_codec_test.cpp
@@ -34,7 +34,8 @@
 Test(registry_codec, anAgeOfMonthsStaysOld)
 {
     for (const int days : {49, 50, 51, 99, 100, 300})
-        cr_assert(receivedLoadAge(Now - std::chrono::hours(24 * days)) >= std::chrono::hours(24 * 49),
+        cr_assert(receivedLoadAge(Now - std::chrono::hours(24 * days))
+                      >= std::chrono::hours(24 * 49),
                   "%d days", days);
     cr_assert_eq(messageAgeMs(std::chrono::hours(24 * 365)), OldestMessageAgeMs);
     cr_assert_eq(messageAgeMs(-1ms), 0U);
--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -102,14 +102,16 @@
 }
 
 /// Each request to a source that is gone costs a time-out. Only a process that is in contact with a
-/// majority can tell: in a partition, the smaller part hears nothing of the larger one.
+/// majority can tell: in a partition, the smaller part hears nothing of the larger one. The sender
+/// may have been cut off since its last confirmation, so that only silence before it counts.
 void RegistryFeed::noteSilentSources(const InstanceId &sender, const proto::FeedAnswer &answer,
                                      TimePoint now)
 {
     for (auto &[instance, source] : m_sources)
         source.silentUntil = instance == sender ? TimePoint{} : now + SilenceRetention;
     for (const proto::RegistryMember &member : answer.known()) {
-        if (std::chrono::milliseconds(member.heard_ms()) <= SilentTimeout)
+        if (std::chrono::milliseconds(member.heard_ms())
+            <= SilentTimeout + std::chrono::milliseconds(answer.confirmed_ms()))
             m_sources[InstanceId(member.instance())].silentUntil = {};
     }
 }
--- a/src/gentianramp/registry/registry_feed_test.cpp
+++ b/src/gentianramp/registry/registry_feed_test.cpp
@@ -252,6 +252,37 @@
     cr_assert_leq(requests, 5000 / 250 + 2 * 5000 / 2000);
 }
 
+// A process that had been cut off counted all others as silent while its last confirmation was
+// still fresh, so that its entry processes stayed with it for three seconds.
+Test(registry_feed, aSourceThatIsCutOffDoesNotMakeTheOthersSilent)
+{
+    for (const auto &[maxConfirmationMs, lastHeardMs] :
+         {std::pair(500, 1400), std::pair(1000, 300), std::pair(1000, 900), std::pair(1000, 1400),
+          std::pair(1250, 300), std::pair(1250, 1400), std::pair(5000, 0), std::pair(5000, 900)}) {
+        RegistryFeed feed({.dataCentre = DataCentreId("a"),
+                           .seeds = {Near, Far},
+                           .seed = 7,
+                           .maxConfirmationAge = std::chrono::milliseconds(maxConfirmationMs)},
+                          at(0));
+        const int cutAt = runUntilStable(feed, 3);
+        bool asksFar = false;
+        for (int ms = cutAt; ms < cutAt + maxConfirmationMs + 600 && !asksFar; ms += 50) {
+            const FeedOutput output = feed.tick(at(ms));
+            asksFar = output.requestTo == Far;
+            if (!output.requestTo || asksFar)
+                continue;
+            proto::FeedAnswer answer = answerTo(output, 3);
+            answer.set_confirmed_ms(50 + ms - cutAt);
+            for (proto::RegistryMember &member : *answer.mutable_known())
+                member.set_heard_ms(member.instance() == Near.value() ? 0
+                                                                      : lastHeardMs + ms - cutAt);
+            deliver(feed, Near, answer, at(ms + 5));
+        }
+        cr_expect(asksFar, "max. age %d ms, heard %d ms before the cut", maxConfirmationMs,
+                  lastHeardMs);
+    }
+}
+
 Test(registry_feed, lateDamagedAnswerDoesNotEndThePresentRequest)
 {
     RegistryFeed feed = makeFeed();
