routing: an entry that was stored a moment later is not the oldest

The age of an entry of the prefix index wraps at 28 bits of tenths of a second. Threads take their time before they use the index, so that one may look at an entry of another one's next tenth: it counted as 310 days old, was not used, and was replaced first. Callers: a prompt's prefix is read again, at most.

--- a/src/gentianramp/routing/prefix_index.cpp
+++ b/src/gentianramp/routing/prefix_index.cpp
@@ -43,9 +43,11 @@
     return static_cast<std::uint32_t>(value & TimestampMask);
 }
 
+/// 0 for a timestamp after @p now: another thread may have taken its time a moment later.
 std::uint32_t ageOf(std::uint32_t timestamp, std::uint32_t now)
 {
-    return static_cast<std::uint32_t>((now - timestamp) & TimestampMask);
+    const auto age = static_cast<std::uint32_t>((now - timestamp) & TimestampMask);
+    return age > TimestampMask / 2 ? 0 : age;
 }
 
 void mergeHolder(std::vector<CacheHolder> &holders, CacheHolder found)
--- a/src/gentianramp/routing/routing_components_test.cpp
+++ b/src/gentianramp/routing/routing_components_test.cpp
@@ -51,6 +51,16 @@
     cr_assert_eq(holders[1], (CacheHolder{4, 100}));
 }
 
+// An entry that another thread had stored a moment later counted as the oldest of all.
+Test(PrefixIndex, AnEntryFromAMomentLaterIsNotOld)
+{
+    PrefixIndex index(64);
+    index.store(1, 3, 100, Start + std::chrono::milliseconds(100));
+    const auto holders = index.holders(std::vector<PromptPrefix>{{1, 100}}, Start);
+    cr_assert_eq(holders.size(), 1);
+    cr_assert_eq(holders[0], (CacheHolder{3, 100}));
+}
+
 Test(PrefixIndex, EntriesFromBeforeAGapCountHalfTheirTokens)
 {
     PrefixIndex index(64);
