--- a/src/gentianramp/registry/declaration_ledger_test.cpp
+++ b/src/gentianramp/registry/declaration_ledger_test.cpp
@@ -8,7 +8,6 @@
 
 using namespace gentianramp;
 using gentianramp::testing::DiskFault;
-using gentianramp::testing::MemoryDataFolder;
 using gentianramp::testing::Seats;
 using gentianramp::testing::VoterSimulation;
 
--- a/src/gentianramp/registry/duty_service_test.cpp
+++ b/src/gentianramp/registry/duty_service_test.cpp
@@ -10,7 +10,6 @@
 #include <criterion/criterion.h>
 
 using namespace gentianramp;
-using gentianramp::testing::Seats;
 using gentianramp::testing::VoterSimulation;
 
 namespace {
