http: trailers, chunk sizes and chunk extensions without end are refused

Callers saw a process end by its memory within a second after four clients had begun a trailer, a trailer line, a chunk extension or a chunk size that never ended, at any of its servers. Cause: Beast asks for more input until the head of a chunk, and all of a trailer, are whole, and neither header_limit nor body_limit counts them; the buffer of the connection had no bound.

The connection's bytes now go through RequestReader, which does no input or output: what can't be parsed and is larger than the header may be is refused with 431, and the buffer is given back before the refusal is written. A refusal is logged (request_not_read, bounded) and counted by HttpServerOptions::unreadHook.

Single requests with chunk extensions and a short trailer are served as before (single_requests_at_the_limits).

--- a/include/gentianramp/http/server.hpp
+++ b/include/gentianramp/http/server.hpp
@@ -70,16 +70,39 @@
     bool operator==(const UnansweredRequest &) const = default;
 };
 
+/// Why a request was not passed to the handler, or a connection was closed before it was read.
+enum class UnreadReason {
+    Malformed,
+    HeaderTooLarge,
+    BodyTooLarge,
+    TrailerTooLarge, ///< Or the head of a chunk.
+    TookTooLong,
+    TooManyConnections,
+};
+
+std::string_view toString(UnreadReason reason);
+
+/// A request that was not passed to the handler; it has not run.
+struct UnreadRequest
+{
+    UnreadReason reason = UnreadReason::Malformed;
+    unsigned status = 0; ///< 0: the connection was closed without a response.
+    bool operator==(const UnreadRequest &) const = default;
+};
+
 /// Options of an HttpServer.
 struct HttpServerOptions
 {
-    std::string host = "127.0.0.1";    ///< IP address to listen on.
-    std::uint16_t port = 0;            ///< 0 selects a free port.
-    std::size_t maxConnections = 4096; ///< Further connections get 503 and are closed.
-    std::uint32_t maxHeaderBytes = 16 * 1024;
+    std::string name;                         ///< Names the server in log lines.
+    std::string host = "127.0.0.1";           ///< IP address to listen on.
+    std::uint16_t port = 0;                   ///< 0 selects a free port.
+    std::size_t maxConnections = 4096;        ///< Further connections get 503 and are closed.
+    std::uint32_t maxHeaderBytes = 16 * 1024; ///< Also of a trailer, and of the head of a chunk.
     std::uint64_t maxBodyBytes = 8 * 1024 * 1024;
     Duration headerTimeout = std::chrono::seconds(10); ///< From the first byte to the last header.
-    Duration bodyTimeout = std::chrono::seconds(30);
+    Duration bodyTimeout = std::chrono::seconds(30);   ///< From the last header to the last byte.
+    /// Retry-After of a 503 that the server sends itself, in seconds.
+    std::string retryAfter = "1";
     Duration idleTimeout = std::chrono::seconds(75);  ///< Between two requests.
     Duration writeTimeout = std::chrono::seconds(15); ///< For each write.
     /// Added to error responses to requests that were not passed to the handler, for example
@@ -89,6 +112,8 @@
     HttpHeaders handlerErrorHeaders;
     /// Called on the connection's executor after each UnansweredRequest.
     std::function<void(const UnansweredRequest &)> unansweredHook;
+    /// Called after each UnreadRequest, on the executor of its connection or of the server.
+    std::function<void(const UnreadRequest &)> unreadHook;
     /// Returns the executor for the next connection; the default is a new strand on the server's
     /// executor. All work of a connection runs on it, so it must not run two handlers concurrently.
     std::function<boost::asio::any_io_executor()> connectionExecutor;
--- a/src/gentianramp/http/server.cpp
+++ b/src/gentianramp/http/server.cpp
@@ -44,6 +44,25 @@
     return "unknown";
 }
 
+std::string_view toString(UnreadReason reason)
+{
+    switch (reason) {
+    case UnreadReason::Malformed:
+        return "malformed";
+    case UnreadReason::HeaderTooLarge:
+        return "header_too_large";
+    case UnreadReason::BodyTooLarge:
+        return "body_too_large";
+    case UnreadReason::TrailerTooLarge:
+        return "trailer_too_large";
+    case UnreadReason::TookTooLong:
+        return "took_too_long";
+    case UnreadReason::TooManyConnections:
+        return "too_many_connections";
+    }
+    return "unknown";
+}
+
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State>
 {
     State(const asio::any_io_executor &executor, HttpServerOptions options, HttpHandler handler)
--- a/src/gentianramp/http/server_session.cpp
+++ b/src/gentianramp/http/server_session.cpp
@@ -23,44 +23,18 @@
 namespace {
 
 constexpr std::size_t ReadBytes = 8192;
-constexpr unsigned HttpVersion10 = 10;
+/// Read at once of a large body.
+constexpr std::size_t LargeReadBytes = 32 * 1024;
 constexpr Duration LingerTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t MaxLingerBytes = 1024 * 1024;
-constexpr Duration UnansweredLogPeriod = std::chrono::seconds(1);
-constexpr unsigned MaxUnansweredLinesPerPeriod = 20;
+constexpr Duration LogPeriod = std::chrono::seconds(1);
+constexpr unsigned MaxLinesPerPeriod = 20;
+constexpr unsigned RequestTimeout = 408;
+constexpr unsigned ServiceUnavailable = 503;
 
-struct ErrorResponse
+bool isLarge(const RequestReader &reader)
 {
-    unsigned status = 400;
-    std::string message;
-};
-
-/// Response to a request that could not be read; status 0 when the caller has closed the connection
-/// and no response is due.
-ErrorResponse errorResponseFor(const boost::system::error_code &error, bool timedOut)
-{
-    if (timedOut)
-        return {408, "the request took too long"};
-    if (error == http::error::header_limit || error == http::error::buffer_overflow)
-        return {431, "the header is too large"};
-    if (error == http::error::body_limit)
-        return {413, "the body is too large"};
-    // bad_target stands for the category of all errors of Beast's HTTP parser.
-    if (error.category() == make_error_code(http::error::bad_target).category()
-        && error != http::error::end_of_stream && error != http::error::partial_message)
-        return {400, "malformed request: " + error.message()};
-    return {0, {}};
-}
-
-HttpRequest toRequest(http::request<http::string_body> &&message)
-{
-    HttpRequest request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto &field : message)
-        request.headers.add(std::string(field.name_string()), std::string(field.value()));
-    request.body = std::move(message.body());
-    return request;
+    return reader.heldBytes() > LargeReadBytes;
 }
 
 void appendDecimal(std::string &out, std::size_t value)
@@ -146,35 +120,55 @@
     return m_sessions.size();
 }
 
+std::optional<unsigned> BoundedLines::next(TimePoint now)
+{
+    if (now - m_periodStartedAt >= LogPeriod) {
+        m_periodStartedAt = now;
+        m_loggedLines = 0;
+    }
+    if (m_loggedLines >= MaxLinesPerPeriod) {
+        ++m_omittedLines;
+        return std::nullopt;
+    }
+    ++m_loggedLines;
+    return std::exchange(m_omittedLines, 0);
+}
+
 void ServerContext::reportUnanswered(const UnansweredRequest &request)
 {
-    bool logged = false;
-    unsigned omittedLines = 0;
+    std::optional<unsigned> omitted;
     {
         const std::lock_guard lock(m_mutex);
-        const TimePoint now = RuntimeClock::now();
-        if (now - m_logPeriodStartedAt >= UnansweredLogPeriod) {
-            m_logPeriodStartedAt = now;
-            m_loggedLines = 0;
-        }
-        logged = m_loggedLines < MaxUnansweredLinesPerPeriod;
-        if (logged) {
-            ++m_loggedLines;
-            omittedLines = std::exchange(m_omittedLines, 0);
-        } else {
-            ++m_omittedLines;
-        }
+        omitted = m_unansweredLines.next(RuntimeClock::now());
     }
-    if (logged)
+    if (omitted)
         logWarning("connection_unanswered",
                    {{"reason", toString(request.reason)},
                     {"since_read_ms", toMilliseconds(request.sinceRead)},
                     {"bytes", request.bytesWritten},
-                    {"omitted", omittedLines}});
+                    {"omitted", *omitted}});
     if (options.unansweredHook)
         options.unansweredHook(request);
 }
 
+void ServerContext::reportUnread(const UnreadRequest &request)
+{
+    std::optional<unsigned> omitted;
+    {
+        const std::lock_guard lock(m_mutex);
+        omitted = m_unreadLines.next(RuntimeClock::now());
+    }
+    if (omitted)
+        logWarning("request_not_read",
+                   {{"server", options.name},
+                    {"reason", toString(request.reason)},
+                    {"status", request.status},
+                    {"connections", count()},
+                    {"omitted", *omitted}});
+    if (options.unreadHook)
+        options.unreadHook(request);
+}
+
 ServerSession::ServerSession(asio::any_io_executor executor, tcp::socket socket,
                              std::shared_ptr<ServerContext> shared)
     : m_executor(std::move(executor))
@@ -221,8 +215,9 @@
 {
     const auto self = shared_from_this();
     if (m_shared->count() > m_shared->options.maxConnections) {
-        co_await sendErrorResponse(503, "too many connections",
-                                   m_shared->options.errorResponseHeaders);
+        ReadFailure failure{UnreadReason::TooManyConnections, ServiceUnavailable,
+                            "too many connections"};
+        co_await refuse(std::move(failure));
         co_await closeGracefully();
         co_return;
     }
@@ -265,54 +260,91 @@
     closeSocket();
 }
 
-asio::awaitable<bool> ServerSession::readRequest(HttpRequest &request)
+asio::awaitable<bool> ServerSession::waitForRequest()
 {
-    const HttpServerOptions &options = m_shared->options;
-    boost::system::error_code error;
     m_keepAlive = true;
     m_headOnly = false;
     m_closesGracefully = false;
-    if (m_buffer.size() == 0) {
-        m_watchdog->expireAfter(options.idleTimeout, ExpiryAction::CancelOperations);
-        const std::size_t bytesRead = co_await m_socket.async_read_some(
-            m_buffer.prepare(ReadBytes), asio::redirect_error(asio::use_awaitable, error));
-        m_buffer.commit(bytesRead);
-        if (error)
-            co_return false;
-    }
+    if (m_buffer.size() > 0)
+        co_return true;
+    if (m_buffer.capacity() > ReadBytes)
+        m_buffer.shrink_to_fit();
+    m_watchdog->expireAfter(m_shared->options.idleTimeout, ExpiryAction::CancelOperations);
+    co_return !co_await readSome(ReadBytes);
+}
+
+asio::awaitable<boost::system::error_code> ServerSession::readSome(std::size_t maxBytes)
+{
+    boost::system::error_code error;
+    m_buffer.commit(co_await m_socket.async_read_some(
+        m_buffer.prepare(maxBytes), asio::redirect_error(asio::use_awaitable, error)));
+    co_return error;
+}
+
+asio::awaitable<bool> ServerSession::readRequest(HttpRequest &request)
+{
+    const HttpServerOptions &options = m_shared->options;
+    if (!co_await waitForRequest())
+        co_return false;
     // A process that stops waits for requests that are being read too.
     setUnanswered(true);
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(options.maxHeaderBytes);
-    parser.body_limit(options.maxBodyBytes);
-    // The socket stays open for the 408.
-    m_watchdog->expireAfter(options.headerTimeout, ExpiryAction::CancelOperations);
-    co_await http::async_read_header(m_socket, m_buffer, parser,
-                                     asio::redirect_error(asio::use_awaitable, error));
-    if (!error && !parser.is_done()) {
-        if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
-            co_await writeText("HTTP/1.1 100 Continue\r\n\r\n");
-        m_watchdog->expireAfter(options.bodyTimeout, ExpiryAction::CancelOperations);
-        co_await http::async_read(m_socket, m_buffer, parser,
-                                  asio::redirect_error(asio::use_awaitable, error));
-    }
-    if (error) {
-        ErrorResponse errorResponse = errorResponseFor(error, m_watchdog->expired());
-        if (errorResponse.status != 0)
-            co_await sendErrorResponse(errorResponse.status, std::move(errorResponse.message),
-                                       options.errorResponseHeaders);
+    std::optional<RequestReader> reader(std::in_place, options.maxHeaderBytes,
+                                        options.maxBodyBytes);
+    std::optional<ReadFailure> failure = co_await readRest(*reader);
+    if (failure) {
+        // The response may take time to be written.
+        reader.reset();
+        m_buffer = {};
+        if (failure->status != 0)
+            co_await refuse(std::move(*failure));
         co_return false;
     }
     m_watchdog->clearDeadline();
-    m_keepAlive = parser.get().keep_alive() && !m_shared->keepAliveDisabled;
-    m_http10 = parser.get().version() == HttpVersion10;
-    m_headOnly = parser.get().method() == http::verb::head;
-    request = toRequest(parser.release());
+    m_keepAlive = reader->keepAlive() && !m_shared->keepAliveDisabled;
+    m_http10 = reader->isHttp10();
+    request = reader->take();
+    m_headOnly = request.method == "HEAD";
     co_return true;
 }
 
+asio::awaitable<std::optional<ReadFailure>> ServerSession::readRest(RequestReader &reader)
+{
+    const HttpServerOptions &options = m_shared->options;
+    // The socket stays open for the 408.
+    m_watchdog->expireAfter(options.headerTimeout, ExpiryAction::CancelOperations);
+    for (;;) {
+        const bool hadHead = reader.hasHead();
+        std::optional<ReadFailure> failure = reader.parse(m_buffer);
+        if (failure)
+            co_return failure;
+        if (reader.isDone())
+            co_return std::nullopt;
+        if (!hadHead && reader.hasHead()) {
+            if (reader.expectsContinue())
+                co_await writeText("HTTP/1.1 100 Continue\r\n\r\n");
+            m_watchdog->expireAfter(options.bodyTimeout, ExpiryAction::CancelOperations);
+        }
+        const boost::system::error_code error
+            = co_await readSome(isLarge(reader) ? LargeReadBytes : ReadBytes);
+        if (error && m_watchdog->expired())
+            co_return ReadFailure{UnreadReason::TookTooLong, RequestTimeout,
+                                  "the request took too long"};
+        if (error)
+            co_return ReadFailure{UnreadReason::Malformed, 0, {}};
+    }
+}
+
+asio::awaitable<void> ServerSession::refuse(ReadFailure failure)
+{
+    m_shared->reportUnread({failure.reason, failure.status});
+    HttpHeaders headers = m_shared->options.errorResponseHeaders;
+    if (failure.status == ServiceUnavailable)
+        headers.set("Retry-After", m_shared->options.retryAfter);
+    co_await sendErrorResponse(failure.status, std::move(failure.message), std::move(headers));
+}
+
 asio::awaitable<void> ServerSession::sendErrorResponse(unsigned status, std::string message,
-                                                       const HttpHeaders &headers)
+                                                       HttpHeaders headers)
 {
     if (!m_socket.is_open())
         co_return;
@@ -320,7 +352,7 @@
     m_started = false;
     HttpResponse response;
     response.status = status;
-    response.headers = headers;
+    response.headers = std::move(headers);
     response.headers.set("Content-Type", "text/plain");
     response.body = std::move(message) + "\n";
     co_await send(std::move(response));
@@ -423,9 +455,8 @@
     text += "Content-Length: ";
     appendDecimal(text, response.body.size());
     text += "\r\n\r\n";
-    if (!m_headOnly)
-        text += response.body;
-    const std::error_code error = co_await writeText(text);
+    const std::string_view body = m_headOnly ? std::string_view() : response.body;
+    const std::error_code error = co_await writeText(text, body);
     m_finished = !error;
     co_return error;
 }
@@ -468,13 +499,16 @@
     co_return error;
 }
 
-asio::awaitable<std::error_code> ServerSession::writeText(std::string_view text)
+asio::awaitable<std::error_code> ServerSession::writeText(std::string_view text,
+                                                          std::string_view body)
 {
     boost::system::error_code error;
     if (m_callerGone)
         co_return make_error_code(Error::ConnectionLost);
     m_watchdog->expireAfter(m_shared->options.writeTimeout);
-    m_bytesWritten += co_await asio::async_write(m_socket, asio::buffer(text.data(), text.size()),
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(text.data(), text.size()),
+                                                    asio::buffer(body.data(), body.size())};
+    m_bytesWritten += co_await asio::async_write(m_socket, buffers,
                                                  asio::redirect_error(asio::use_awaitable, error));
     m_watchdog->clearDeadline();
     if (!error)
--- a/src/gentianramp/http/server_session.hpp
+++ b/src/gentianramp/http/server_session.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "request_reader.hpp"
 #include "watchdog.hpp"
 
 #include <atomic>
@@ -14,6 +15,19 @@
 
 class ServerSession;
 
+/// Lines about one kind of event in a log, bounded for each period.
+class BoundedLines
+{
+public:
+    /// The number of lines that were left out before this one; empty: it is left out too.
+    std::optional<unsigned> next(TimePoint now);
+
+private:
+    TimePoint m_periodStartedAt{};
+    unsigned m_loggedLines = 0; ///< In the current period.
+    unsigned m_omittedLines = 0;
+};
+
 /// State of one server that its sessions share: options, handler, flags and the open sessions.
 struct ServerContext
 {
@@ -29,6 +43,8 @@
     /// Logs @p request and calls the hook. Bounded in lines; the next line says how many were left
     /// out.
     void reportUnanswered(const UnansweredRequest &request);
+    /// The same for a request that was not passed to the handler.
+    void reportUnread(const UnreadRequest &request);
 
     HttpServerOptions options;
     HttpHandler handler;
@@ -40,9 +56,8 @@
 private:
     mutable std::mutex m_mutex;
     std::unordered_map<const ServerSession *, std::weak_ptr<ServerSession>> m_sessions;
-    TimePoint m_logPeriodStartedAt{};
-    unsigned m_loggedLines = 0; ///< In the current period.
-    unsigned m_omittedLines = 0;
+    BoundedLines m_unansweredLines;
+    BoundedLines m_unreadLines;
 };
 
 /// One caller's connection: reads requests one at a time and passes them to the handler.
@@ -70,11 +85,18 @@
 
 private:
     boost::asio::awaitable<bool> readRequest(HttpRequest &request);
+    /// Waits for the first byte of a request; false when none came.
+    boost::asio::awaitable<bool> waitForRequest();
+    /// Reads the rest of a request; a failure without a status when the caller left.
+    boost::asio::awaitable<std::optional<ReadFailure>> readRest(RequestReader &reader);
+    boost::asio::awaitable<boost::system::error_code> readSome(std::size_t maxBytes);
+    boost::asio::awaitable<void> refuse(ReadFailure failure);
     boost::asio::awaitable<void> sendErrorResponse(unsigned status, std::string message,
-                                                   const HttpHeaders &headers);
+                                                   HttpHeaders headers);
     boost::asio::awaitable<bool> handle(HttpRequest request);
     boost::asio::awaitable<void> callHandler(HttpRequest request);
-    boost::asio::awaitable<std::error_code> writeText(std::string_view text);
+    boost::asio::awaitable<std::error_code> writeText(std::string_view text,
+                                                      std::string_view body = {});
     /// Ends a connection on which a response was sent.
     boost::asio::awaitable<void> closeGracefully();
     /// Starts a wait for input that detects when the caller closes the connection.
