http: a connection beyond the limit takes the place of the one that has waited for longest

Callers saw nothing of this by themselves; 450 connections without a request, or with heads that never end, took all descriptors of a process, which then reached neither backend servers nor registry processes. Cause: the limit counted for each server alone (2,500 callers, 400 instances, 2,500 probes, 2,500 for metrics, of 4,100 descriptors), and connections beyond it were accepted, answered and kept for the linger, whatever their number.

A further connection replaces the one that has waited for input for longest, so that a crowd that stays does not shut callers out; requests that are being handled keep theirs. When all are handled, 16 more are told 503 with Retry-After, and others are closed at once. The receive buffer of the kernel is small until a large body is read, since what waits unread takes memory of the machine.

--- a/include/gentianramp/http/server.hpp
+++ b/include/gentianramp/http/server.hpp
@@ -77,6 +77,7 @@
     BodyTooLarge,
     TrailerTooLarge, ///< Or the head of a chunk.
     TookTooLong,
+    ConnectionReplaced, ///< Closed while it waited for input, to make room for another connection.
     TooManyConnections,
 };
 
@@ -93,10 +94,12 @@
 /// Options of an HttpServer.
 struct HttpServerOptions
 {
-    std::string name;                         ///< Names the server in log lines.
-    std::string host = "127.0.0.1";           ///< IP address to listen on.
-    std::uint16_t port = 0;                   ///< 0 selects a free port.
-    std::size_t maxConnections = 4096;        ///< Further connections get 503 and are closed.
+    std::string name;               ///< Names the server in log lines.
+    std::string host = "127.0.0.1"; ///< IP address to listen on.
+    std::uint16_t port = 0;         ///< 0 selects a free port.
+    /// A further connection takes the place of the one that has waited for input for longest; if
+    /// all requests are being handled, it gets 503, or is closed.
+    std::size_t maxConnections = 4096;
     std::uint32_t maxHeaderBytes = 16 * 1024; ///< Also of a trailer, and of the head of a chunk.
     std::uint64_t maxBodyBytes = 8 * 1024 * 1024;
     Duration headerTimeout = std::chrono::seconds(10); ///< From the first byte to the last header.
--- a/include/gentianramp/relay/relay_node.hpp
+++ b/include/gentianramp/relay/relay_node.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <gentianramp/core/error.hpp>
 #include <gentianramp/http/client.hpp>
+#include <gentianramp/http/process_resources.hpp>
 #include <gentianramp/registry/registry_feed.hpp>
 #include <gentianramp/relay/relay_service.hpp>
 #include <memory>
@@ -22,6 +23,7 @@
     HttpAddress readinessListenAddress; ///< Listens for readiness probes.
     std::string readinessPath;
     HttpAddress metricsAddress; ///< Port 0: metrics are not served.
+    ProcessResources resources; ///< Bounds what all connections of the process hold.
     std::vector<InstanceId> seeds;
     Duration gracePeriod = std::chrono::seconds(8); ///< From SIGTERM until the process is killed.
     /// Time after a fault in which the processes have to reach each other again.
--- a/src/gentianramp/control/control_node.cpp
+++ b/src/gentianramp/control/control_node.cpp
@@ -12,6 +12,7 @@
 #include <gentianramp/core/log.hpp>
 #include <gentianramp/core/run_context.hpp>
 #include <gentianramp/http/server.hpp>
+#include <gentianramp/http/server_metrics.hpp>
 #include <map>
 
 namespace gentianramp {
@@ -308,7 +309,9 @@
     HttpServerOptions httpOptions;
     httpOptions.host = settings.httpHost;
     httpOptions.port = settings.httpPort;
+    httpOptions.name = "status";
     httpOptions.maxConnections = 64;
+    httpOptions.unreadHook = countUnread(metrics, httpOptions.name);
     http = std::make_unique<HttpServer>(context.get_executor(), std::move(httpOptions),
                                         [this](HttpRequest request, ResponseWriter &writer) {
                                             return answerHttp(std::move(request), writer);
--- a/src/gentianramp/entry/entry_service.cpp
+++ b/src/gentianramp/entry/entry_service.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/post.hpp>
 #include <gentianramp/core/invariant.hpp>
 #include <gentianramp/core/log.hpp>
+#include <gentianramp/http/server_metrics.hpp>
 #include <map>
 #include <set>
 
@@ -173,7 +174,9 @@
         HttpServerOptions server;
         server.host = options.settings.httpHost;
         server.port = options.settings.httpPort;
+        server.name = "callers";
         server.maxConnections = options.settings.maxConnections;
+        server.unreadHook = countUnread(metrics, server.name);
         server.errorResponseHeaders.add(header::Verdict, std::string(toString(Verdict::NotRun)));
         server.handlerErrorHeaders.add(header::Verdict, std::string(toString(Verdict::MayHaveRun)));
         server.connectionExecutor = [this] { return workers.next(); };
--- a/src/gentianramp/http/request_reader.cpp
+++ b/src/gentianramp/http/request_reader.cpp
@@ -71,8 +71,8 @@
     m_headCost = CopiesOfHead * m_request.target.size();
     for (const auto &field : message) {
         m_request.headers.add(std::string(field.name_string()), std::string(field.value()));
-        m_headCost += CostOfField
-            + CopiesOfHead * (field.name_string().size() + field.value().size());
+        m_headCost
+            += CostOfField + CopiesOfHead * (field.name_string().size() + field.value().size());
     }
 }
 
--- a/src/gentianramp/http/request_reader_test.cpp
+++ b/src/gentianramp/http/request_reader_test.cpp
@@ -77,7 +77,8 @@
 
 Test(RequestReader, RefusesBodiesOverTheLimit)
 {
-    assertRefused("POST /a HTTP/1.1\r\nContent-Length: 4097\r\n\r\n", UnreadReason::BodyTooLarge, 413);
+    assertRefused("POST /a HTTP/1.1\r\nContent-Length: 4097\r\n\r\n", UnreadReason::BodyTooLarge,
+                  413);
     std::string chunks = ChunkedHead;
     for (int count = 0; count < 5; ++count)
         chunks += "400\r\n" + std::string(1024, 'x') + "\r\n";
@@ -119,7 +120,8 @@
 
 Test(RequestReader, LeavesTheNextRequestInTheBuffer)
 {
-    const Outcome outcome = feed("POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nhiGET /b HTTP/1.1\r\n");
+    const Outcome outcome
+        = feed("POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nhiGET /b HTTP/1.1\r\n");
     cr_assert_eq(outcome.request.value().body, "hi");
     cr_assert_eq(outcome.rest, "GET /b HTTP/1.1\r\n");
 }
@@ -128,11 +130,22 @@
 // on how the bytes are cut into pieces.
 Test(RequestReader, HoldsNoMoreThanItsLimitsForRandomInput)
 {
-    const std::vector<std::string> parts{
-        ChunkedHead,   "POST /a HTTP/1.1\r\n", "Content-Length: 900\r\n", "Transfer-Encoding: chunked\r\n",
-        "\r\n",        "a:\r\n",               "X: " + std::string(300, 'x'), "0\r\n",
-        "1\r\nx\r\n",  "1;e=" + std::string(200, 'e'), "400\r\n",         std::string(1024, 'b'),
-        "\r\n\r\n",    std::string(400, '0'),  "T: " + std::string(500, 't'), std::string(1, '\0')};
+    const std::vector<std::string> parts{ChunkedHead,
+                                         "POST /a HTTP/1.1\r\n",
+                                         "Content-Length: 900\r\n",
+                                         "Transfer-Encoding: chunked\r\n",
+                                         "\r\n",
+                                         "a:\r\n",
+                                         "X: " + std::string(300, 'x'),
+                                         "0\r\n",
+                                         "1\r\nx\r\n",
+                                         "1;e=" + std::string(200, 'e'),
+                                         "400\r\n",
+                                         std::string(1024, 'b'),
+                                         "\r\n\r\n",
+                                         std::string(400, '0'),
+                                         "T: " + std::string(500, 't'),
+                                         std::string(1, '\0')};
     std::mt19937_64 random(Seed);
     std::uniform_int_distribution<std::size_t> pick(0, parts.size() - 1);
     std::uniform_int_distribution<std::size_t> size(1, 700);
--- a/src/gentianramp/http/server.cpp
+++ b/src/gentianramp/http/server.cpp
@@ -17,12 +17,19 @@
 namespace {
 
 constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(50);
+/// Connections beyond the limit that get a response; others are closed at once.
+constexpr std::size_t MaxRefusedConnections = 16;
 
 asio::awaitable<void> runSession(std::shared_ptr<ServerSession> session)
 {
     co_await session->run();
 }
 
+asio::awaitable<void> refuseSession(std::shared_ptr<ServerSession> session)
+{
+    co_await session->runRefused();
+}
+
 } // namespace
 
 std::string_view toString(UnansweredReason reason)
@@ -57,6 +64,8 @@
         return "trailer_too_large";
     case UnreadReason::TookTooLong:
         return "took_too_long";
+    case UnreadReason::ConnectionReplaced:
+        return "connection_replaced";
     case UnreadReason::TooManyConnections:
         return "too_many_connections";
     }
@@ -98,10 +107,18 @@
 
     void startSession(const asio::any_io_executor &connectionExecutor, tcp::socket socket)
     {
+        const std::size_t open = shared->count();
+        const std::size_t most = shared->options.maxConnections;
+        if (open >= most + MaxRefusedConnections)
+            return shared->reportUnread({UnreadReason::TooManyConnections, 0});
+        const bool isRefused = open >= most && !shared->closeLongestWaiting();
         auto session
             = std::make_shared<ServerSession>(connectionExecutor, std::move(socket), shared);
         shared->add(session);
-        asio::co_spawn(connectionExecutor, runSession(std::move(session)), asio::detached);
+        asio::co_spawn(connectionExecutor,
+                       isRefused ? refuseSession(std::move(session))
+                                 : runSession(std::move(session)),
+                       asio::detached);
     }
 
     /// Accepts the connections in the kernel's queue; closing the listening socket would reset
@@ -146,6 +163,11 @@
     acceptor.open(endpoint.protocol(), error);
     if (!error)
         acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    // Connections take it over; it has to be set before they are made.
+    boost::system::error_code ignored;
+    if (!error)
+        acceptor.set_option(
+            asio::socket_base::receive_buffer_size(static_cast<int>(ReceiveBufferBytes)), ignored);
     if (!error)
         acceptor.bind(endpoint, error);
     if (!error)
--- a/src/gentianramp/http/server_session.cpp
+++ b/src/gentianramp/http/server_session.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t ReadBytes = 8192;
 /// Read at once of a large body.
 constexpr std::size_t LargeReadBytes = 32 * 1024;
+/// Of the kernel, while a large body is being read.
+constexpr std::size_t LargeReceiveBufferBytes = 128UL * 1024;
 constexpr Duration LingerTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t MaxLingerBytes = 1024 * 1024;
 constexpr Duration LogPeriod = std::chrono::seconds(1);
@@ -94,10 +96,48 @@
     m_sessions.emplace(session.get(), session);
 }
 
-void ServerContext::remove(const ServerSession *session)
+void ServerContext::remove(ServerSession &session)
 {
     const std::lock_guard lock(m_mutex);
-    m_sessions.erase(session);
+    m_sessions.erase(&session);
+    if (session.m_waitingPlace)
+        m_waiting.erase(*session.m_waitingPlace);
+}
+
+void ServerContext::noteWaiting(ServerSession &session)
+{
+    const std::lock_guard lock(m_mutex);
+    if (session.m_waitingPlace)
+        m_waiting.splice(m_waiting.end(), m_waiting, *session.m_waitingPlace);
+    else
+        session.m_waitingPlace = m_waiting.insert(m_waiting.end(), session.weak_from_this());
+}
+
+void ServerContext::noteBusy(ServerSession &session)
+{
+    const std::lock_guard lock(m_mutex);
+    if (session.m_waitingPlace)
+        m_waiting.erase(*session.m_waitingPlace);
+    session.m_waitingPlace.reset();
+}
+
+bool ServerContext::closeLongestWaiting()
+{
+    std::shared_ptr<ServerSession> session;
+    {
+        const std::lock_guard lock(m_mutex);
+        // A session that is being destroyed removes itself.
+        for (auto place = m_waiting.begin(); !session && place != m_waiting.end(); ++place)
+            session = place->lock();
+        if (session) {
+            m_waiting.erase(*session->m_waitingPlace);
+            session->m_waitingPlace.reset();
+        }
+    }
+    if (!session)
+        return false;
+    ServerSession::closeWaiting(std::move(session));
+    return true;
 }
 
 void ServerContext::closeAll()
@@ -183,7 +223,7 @@
 {
     m_watchdog->stop();
     setUnanswered(false);
-    m_shared->remove(this);
+    m_shared->remove(*this);
 }
 
 void ServerSession::close(std::shared_ptr<ServerSession> session)
@@ -196,6 +236,17 @@
     });
 }
 
+void ServerSession::closeWaiting(std::shared_ptr<ServerSession> session)
+{
+    const asio::any_io_executor executor = session->m_executor;
+    asio::post(executor, [session = std::move(session)] {
+        if (session->m_isHandling || !session->m_socket.is_open())
+            return;
+        session->closeSocket();
+        session->m_shared->reportUnread({UnreadReason::ConnectionReplaced, 0});
+    });
+}
+
 void ServerSession::closeSocket()
 {
     boost::system::error_code ignored;
@@ -214,13 +265,6 @@
 asio::awaitable<void> ServerSession::run()
 {
     const auto self = shared_from_this();
-    if (m_shared->count() > m_shared->options.maxConnections) {
-        ReadFailure failure{UnreadReason::TooManyConnections, ServiceUnavailable,
-                            "too many connections"};
-        co_await refuse(std::move(failure));
-        co_await closeGracefully();
-        co_return;
-    }
     while (m_keepAlive && m_socket.is_open()) {
         HttpRequest request;
         const bool received = co_await readRequest(request);
@@ -235,6 +279,15 @@
     co_await closeGracefully();
 }
 
+asio::awaitable<void> ServerSession::runRefused()
+{
+    const auto self = shared_from_this();
+    ReadFailure failure{UnreadReason::TooManyConnections, ServiceUnavailable,
+                        "too many connections"};
+    co_await refuse(std::move(failure));
+    co_await closeGracefully();
+}
+
 asio::awaitable<void> ServerSession::closeGracefully()
 {
     boost::system::error_code error;
@@ -248,8 +301,10 @@
     // caller could lose the response.
     const bool waits = m_closesGracefully && !isCutWithoutChunks && !m_callerGone
         && !m_shared->stopped && m_socket.is_open();
-    if (waits)
+    if (waits) {
+        m_shared->noteWaiting(*this);
         m_watchdog->expireAfter(LingerTimeout);
+    }
     std::size_t discardedBytes = 0;
     while (waits && !error && discardedBytes < MaxLingerBytes) {
         m_buffer.consume(m_buffer.size());
@@ -265,6 +320,7 @@
     m_keepAlive = true;
     m_headOnly = false;
     m_closesGracefully = false;
+    m_shared->noteWaiting(*this);
     if (m_buffer.size() > 0)
         co_return true;
     if (m_buffer.capacity() > ReadBytes)
@@ -299,6 +355,8 @@
             co_await refuse(std::move(*failure));
         co_return false;
     }
+    if (m_hasLargeReceiveBuffer)
+        setReceiveBuffer(ReceiveBufferBytes);
     m_watchdog->clearDeadline();
     m_keepAlive = reader->keepAlive() && !m_shared->keepAliveDisabled;
     m_http10 = reader->isHttp10();
@@ -324,6 +382,8 @@
                 co_await writeText("HTTP/1.1 100 Continue\r\n\r\n");
             m_watchdog->expireAfter(options.bodyTimeout, ExpiryAction::CancelOperations);
         }
+        if (isLarge(reader) && !m_hasLargeReceiveBuffer)
+            setReceiveBuffer(LargeReceiveBufferBytes);
         const boost::system::error_code error
             = co_await readSome(isLarge(reader) ? LargeReadBytes : ReadBytes);
         if (error && m_watchdog->expired())
@@ -331,9 +391,17 @@
                                   "the request took too long"};
         if (error)
             co_return ReadFailure{UnreadReason::Malformed, 0, {}};
+        m_shared->noteWaiting(*this);
     }
 }
 
+void ServerSession::setReceiveBuffer(std::size_t bytes)
+{
+    boost::system::error_code ignored;
+    m_hasLargeReceiveBuffer = bytes > ReceiveBufferBytes;
+    m_socket.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(bytes)), ignored);
+}
+
 asio::awaitable<void> ServerSession::refuse(ReadFailure failure)
 {
     m_shared->reportUnread({failure.reason, failure.status});
@@ -360,6 +428,8 @@
 
 asio::awaitable<bool> ServerSession::handle(HttpRequest request)
 {
+    m_shared->noteBusy(*this);
+    m_isHandling = true;
     m_started = false;
     m_finished = false;
     m_handlerFailed = false;
@@ -371,6 +441,7 @@
     if (!m_started && !m_callerGone && !m_closedByHandler)
         co_await sendErrorResponse(500, "internal error", m_shared->options.handlerErrorHeaders);
     m_shared->activeRequests.fetch_sub(1);
+    m_isHandling = false;
     m_callerGoneHook = nullptr;
     if (const auto reason = unansweredReason())
         m_shared->reportUnanswered(
--- a/src/gentianramp/http/server_session.hpp
+++ b/src/gentianramp/http/server_session.hpp
@@ -7,14 +7,22 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <gentianramp/http/server.hpp>
+#include <list>
 #include <mutex>
 #include <optional>
 #include <unordered_map>
 
 namespace gentianramp {
 
+/// Receive buffer of the kernel for a connection. What has arrived and waits unread takes memory of
+/// the machine, also on connections that are not read while a request is handled.
+inline constexpr std::size_t ReceiveBufferBytes = 16UL * 1024;
+
 class ServerSession;
 
+/// Sessions that wait for input, the one that has waited for longest first.
+using WaitingSessions = std::list<std::weak_ptr<ServerSession>>;
+
 /// Lines about one kind of event in a log, bounded for each period.
 class BoundedLines
 {
@@ -37,7 +45,7 @@
     { }
 
     void add(const std::shared_ptr<ServerSession> &session);
-    void remove(const ServerSession *session);
+    void remove(ServerSession &session);
     void closeAll();
     std::size_t count() const;
     /// Logs @p request and calls the hook. Bounded in lines; the next line says how many were left
@@ -46,6 +54,13 @@
     /// The same for a request that was not passed to the handler.
     void reportUnread(const UnreadRequest &request);
 
+    /// The session waits for input from now on, as the last of those that do.
+    void noteWaiting(ServerSession &session);
+    /// The session does not wait for input.
+    void noteBusy(ServerSession &session);
+    /// Closes the session that has waited for input for longest; false when none waits.
+    bool closeLongestWaiting();
+
     HttpServerOptions options;
     HttpHandler handler;
     std::atomic<bool> keepAliveDisabled{false}; ///< Each connection closes after a response.
@@ -56,6 +71,7 @@
 private:
     mutable std::mutex m_mutex;
     std::unordered_map<const ServerSession *, std::weak_ptr<ServerSession>> m_sessions;
+    WaitingSessions m_waiting;
     BoundedLines m_unansweredLines;
     BoundedLines m_unreadLines;
 };
@@ -69,9 +85,13 @@
     ~ServerSession() override;
 
     boost::asio::awaitable<void> run();
+    /// Answers that there are too many connections, whatever the caller sends.
+    boost::asio::awaitable<void> runRefused();
     /// Closes the connection of @p session; may be called from any thread. Takes the reference
     /// over, so that it is released on the session's executor.
     static void close(std::shared_ptr<ServerSession> session);
+    /// The same, unless a request is being handled meanwhile.
+    static void closeWaiting(std::shared_ptr<ServerSession> session);
 
     boost::asio::awaitable<std::error_code> send(HttpResponse response) override;
     boost::asio::awaitable<std::error_code> startStream(HttpResponse head) override;
@@ -84,12 +104,15 @@
     void closeWithoutResponse() override { m_closedByHandler = true; }
 
 private:
+    friend struct ServerContext;
+
     boost::asio::awaitable<bool> readRequest(HttpRequest &request);
     /// Waits for the first byte of a request; false when none came.
     boost::asio::awaitable<bool> waitForRequest();
     /// Reads the rest of a request; a failure without a status when the caller left.
     boost::asio::awaitable<std::optional<ReadFailure>> readRest(RequestReader &reader);
     boost::asio::awaitable<boost::system::error_code> readSome(std::size_t maxBytes);
+    void setReceiveBuffer(std::size_t bytes);
     boost::asio::awaitable<void> refuse(ReadFailure failure);
     boost::asio::awaitable<void> sendErrorResponse(unsigned status, std::string message,
                                                    HttpHeaders headers);
@@ -113,10 +136,14 @@
     std::shared_ptr<ServerContext> m_shared;
     std::shared_ptr<Watchdog> m_watchdog;
     boost::beast::flat_buffer m_buffer;
+    /// Place in the list of the context, guarded by its mutex.
+    std::optional<WaitingSessions::iterator> m_waitingPlace;
     std::function<void()> m_callerGoneHook;
     TimePoint m_requestReadAt{};
     std::uint64_t m_bytesWritten = 0; ///< Since the request was read.
     std::optional<UnansweredReason> m_writeFailure;
+    bool m_hasLargeReceiveBuffer = false;
+    bool m_isHandling = false;
     bool m_unanswered = false; ///< Counted in ServerContext::unansweredRequests.
     bool m_keepAlive = true;
     bool m_headOnly = false;
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -7,8 +7,10 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <gentianramp/core/log.hpp>
+#include <gentianramp/http/server_metrics.hpp>
 #include <gentianramp/peers/peer_group.hpp>
 #include <gentianramp/peers/record_keepers.hpp>
+#include <gentianramp/relay/retry_after.hpp>
 #include <gentianramp/wire/mesh.hpp>
 
 namespace gentianramp {
@@ -34,11 +36,13 @@
 /// The process ends after this time without a request. The first bytes of a request on a connection
 /// that was accepted last, or was idle, may be on their way for a round trip.
 constexpr Duration QuietBeforeEnd = std::chrono::milliseconds(250);
-/// The smallest instances have 4,100 file descriptors; those beyond this bound are left for
-/// connections to backend servers and for files.
-constexpr std::size_t MaxCallerConnections = 2500;
-/// From other instances that are cut off from all backend servers.
-constexpr std::size_t MaxHelperConnections = 400;
+/// Shares of the sockets; the rest is left for connections to backend servers and registry
+/// processes.
+constexpr double CallerShare = 0.64;
+constexpr double HelperShare = 0.1; ///< Other instances that are cut off from all backend servers.
+constexpr double StatusShare = 0.015; ///< Readiness and metrics, each.
+/// Another instance can take a request that this one has no room for.
+constexpr Duration UnreadRetryAfter = std::chrono::milliseconds(200);
 /// Room for the headers that an instance adds to a request that it hands over.
 constexpr std::uint32_t HandOverHeaderBytes = 1024;
 constexpr Duration LogFlushInterval = std::chrono::milliseconds(250);
@@ -138,19 +142,27 @@
         return result;
     }
 
-    std::unique_ptr<HttpServer>
-    makeServer(const HttpAddress &address, HttpHandler handler,
-               std::function<void(const UnansweredRequest &)> unansweredHook = {},
-               std::size_t maxConnections = MaxCallerConnections) const
+    HttpServerOptions serverOptions(std::string name, const HttpAddress &address,
+                                    double share) const
     {
         HttpServerOptions server;
+        server.name = std::move(name);
         server.host = address.host;
         server.port = address.port;
-        server.maxConnections = maxConnections;
-        server.unansweredHook = std::move(unansweredHook);
+        server.maxConnections = options.resources.connections(share);
+        server.retryAfter = formatRetryAfter(UnreadRetryAfter);
+        if (options.relay.metrics)
+            server.unreadHook = countUnread(*options.relay.metrics, server.name);
         // The process runs on one thread, so connections need no strand of their own.
         server.connectionExecutor = [executor = executor] { return executor; };
-        return std::make_unique<HttpServer>(executor, std::move(server), std::move(handler));
+        return server;
+    }
+
+    std::unique_ptr<HttpServer> makeStatusServer(std::string name, const HttpAddress &address,
+                                                 const std::string &readyPath)
+    {
+        HttpServerOptions server = serverOptions(std::move(name), address, StatusShare);
+        return std::make_unique<HttpServer>(executor, std::move(server), statusHandler(readyPath));
     }
 
     /// Counts callers' requests without a complete response by their reason.
@@ -168,14 +180,18 @@
 
     Result<bool> start()
     {
-        callers = makeServer(options.callerListenAddress, relay.handler(), unansweredCounter());
+        HttpServerOptions forCallers
+            = serverOptions("callers", options.callerListenAddress, CallerShare);
+        forCallers.unansweredHook = unansweredCounter();
+        callers = std::make_unique<HttpServer>(executor, std::move(forCallers), relay.handler());
         readiness
-            = makeServer(options.readinessListenAddress, statusHandler(options.readinessPath));
-        helper = makeServer(options.helperListenAddress, relay.helperHandler(), {},
-                            MaxHelperConnections);
+            = makeStatusServer("readiness", options.readinessListenAddress, options.readinessPath);
+        helper = std::make_unique<HttpServer>(
+            executor, serverOptions("hand_over", options.helperListenAddress, HelperShare),
+            relay.helperHandler());
         std::vector<HttpServer *> servers{callers.get(), readiness.get(), helper.get()};
         if (options.metricsAddress.port != 0) {
-            metrics = makeServer(options.metricsAddress, statusHandler({}));
+            metrics = makeStatusServer("metrics", options.metricsAddress, {});
             servers.push_back(metrics.get());
         }
         for (HttpServer *server : servers) {
