relay, control: servers for readiness and metrics read no large bodies

80 bodies of a megabyte that stopped short at a server for probes or metrics took 94 MB of a process with 64. Cause: these servers expect no body and yet read up to 8 MiB of one, the default of HttpServer.

They refuse more than 1 KiB with 413, before they read it where the length is announced. No probe has a body.

--- a/src/gentianramp/control/control_node.cpp
+++ b/src/gentianramp/control/control_node.cpp
@@ -22,6 +22,8 @@
 namespace {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(50);
+/// Requests for the state of the process have no body; some clients send a short one.
+constexpr std::uint64_t MaxStatusBodyBytes = 1024;
 constexpr Duration LedgerTtl = std::chrono::seconds(1);
 constexpr Duration DistributionTtl = std::chrono::seconds(2);
 constexpr Duration OperatorTtl = std::chrono::seconds(2);
@@ -311,6 +313,7 @@
     httpOptions.port = settings.httpPort;
     httpOptions.name = "status";
     httpOptions.maxConnections = 64;
+    httpOptions.maxBodyBytes = MaxStatusBodyBytes;
     httpOptions.unreadHook = countUnread(metrics, httpOptions.name);
     http = std::make_unique<HttpServer>(context.get_executor(), std::move(httpOptions),
                                         [this](HttpRequest request, ResponseWriter &writer) {
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -41,6 +41,8 @@
 constexpr double CallerShare = 0.64;
 constexpr double HelperShare = 0.1; ///< Other instances that are cut off from all backend servers.
 constexpr double StatusShare = 0.015; ///< Readiness and metrics, each.
+/// Requests for the state of the process have no body; some clients send a short one.
+constexpr std::uint64_t MaxStatusBodyBytes = 1024;
 /// Another instance can take a request that this one has no room for.
 constexpr Duration UnreadRetryAfter = std::chrono::milliseconds(200);
 /// Room for the headers that an instance adds to a request that it hands over.
@@ -162,6 +164,7 @@
                                                  const std::string &readyPath)
     {
         HttpServerOptions server = serverOptions(std::move(name), address, StatusShare);
+        server.maxBodyBytes = MaxStatusBodyBytes;
         return std::make_unique<HttpServer>(executor, std::move(server), statusHandler(readyPath));
     }
 
