relay: the body of a request is held once for all its attempts

80 whole bodies of a megabyte took 188 MB of an entry process with 64. Cause: a request held its body several times: as it was read, in the call to the backend server, and in the text that is written to it in the background; once more for a prefill, a hand-over and each further attempt.

HttpCall::sharedBody names the body that the request holds; head and body are written without being joined, and the body lives as long as the last write that needs it. Requests of up to 16 KiB are still joined and written at once.

--- a/include/gentianramp/http/client.hpp
+++ b/include/gentianramp/http/client.hpp
@@ -17,6 +17,9 @@
 {
     HttpAddress address;
     HttpRequest request;
+    /// Sent in place of the request's body, if it is set. The calls for one request share it, so
+    /// that a large body is held once.
+    std::shared_ptr<const std::string> sharedBody;
     Duration connectTimeout = std::chrono::seconds(1);
     Duration headTimeout
         = std::chrono::seconds(30); ///< From sending the request to its response head.
--- a/src/gentianramp/http/client_exchange.cpp
+++ b/src/gentianramp/http/client_exchange.cpp
@@ -3,6 +3,7 @@
 #include "socket_options.hpp"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -123,11 +124,12 @@
 
 asio::awaitable<std::error_code> ClientExchange::writeRequest()
 {
-    std::string text = requestText();
+    std::string text = requestHead();
     if (m_call.mayStart && !m_call.mayStart())
         co_return make_error_code(Error::ConnectionRefused);
-    if (text.size() > MaxForegroundWriteBytes)
+    if (text.size() + requestBody().size() > MaxForegroundWriteBytes)
         co_return co_await writeInBackground(std::move(text));
+    text += requestBody();
     boost::system::error_code error;
     expireAfter(m_call.silenceTimeout);
     m_anyBytesWritten = true;
@@ -139,13 +141,15 @@
     co_return m_anyBytesWritten ? closeWithError(error) : make_error_code(Error::ConnectionRefused);
 }
 
-asio::awaitable<std::error_code> ClientExchange::writeInBackground(std::string text)
+asio::awaitable<std::error_code> ClientExchange::writeInBackground(std::string head)
 {
-    const auto buffer = std::make_shared<std::string>(std::move(text));
+    const auto buffer = std::make_shared<std::string>(std::move(head));
+    const std::array<asio::const_buffer, 2> parts{asio::buffer(*buffer),
+                                                  asio::buffer(requestBody())};
     m_anyBytesWritten = true;
     m_writing = true;
     asio::async_write(
-        *m_socket, asio::buffer(*buffer),
+        *m_socket, parts,
         [self = shared_from_this(), buffer](const boost::system::error_code &error, std::size_t) {
             self->m_writing = false;
             self->m_writeFailed = static_cast<bool>(error);
@@ -317,20 +321,20 @@
         m_socket->close(ignored);
 }
 
-std::string ClientExchange::requestText() const
+std::string ClientExchange::requestHead() const
 {
     const HttpRequest &request = m_call.request;
     std::string text;
-    text.reserve(512 + request.body.size());
+    const std::size_t bodyBytes = requestBody().size();
+    text.reserve(512 + std::min(bodyBytes, MaxForegroundWriteBytes));
     text += request.method + " " + request.target + " HTTP/1.1\r\n";
     if (!request.headers.contains("Host"))
         text += "Host: " + m_call.address.host + ":" + std::to_string(m_call.address.port) + "\r\n";
     for (const HttpHeader &field : request.headers.fields())
         text += field.name + ": " + field.value + "\r\n";
-    if (!request.body.empty() || request.method != "GET")
-        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    if (bodyBytes > 0 || request.method != "GET")
+        text += "Content-Length: " + std::to_string(bodyBytes) + "\r\n";
     text += "\r\n";
-    text += request.body;
     return text;
 }
 
--- a/src/gentianramp/http/client_exchange.hpp
+++ b/src/gentianramp/http/client_exchange.hpp
@@ -43,7 +43,7 @@
 
     boost::asio::awaitable<std::error_code> connect();
     boost::asio::awaitable<std::error_code> writeRequest();
-    boost::asio::awaitable<std::error_code> writeInBackground(std::string text);
+    boost::asio::awaitable<std::error_code> writeInBackground(std::string head);
     boost::asio::awaitable<std::error_code> readHead();
     boost::asio::awaitable<std::error_code> readOneHead(Duration limit);
     boost::asio::awaitable<std::error_code> skipBody();
@@ -56,7 +56,11 @@
     /// True when the body came in far more pieces than bytes of a sound server do.
     bool hasTooManyPieces() const;
     void resetParser();
-    std::string requestText() const;
+    std::string requestHead() const;
+    const std::string &requestBody() const
+    {
+        return m_call.sharedBody ? *m_call.sharedBody : m_call.request.body;
+    }
     /// Closes the socket; returns the Error that @p error stands for.
     std::error_code closeWithError(const boost::system::error_code &error);
     void completeResponse();
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -148,7 +148,7 @@
 RelayedRequest::RelayedRequest(std::shared_ptr<RelayState> state, HttpRequest request,
                                ResponseWriter &writer, RequestSource source)
     : m_state(std::move(state))
-    , m_request(std::move(request))
+    , m_request(std::make_shared<const HttpRequest>(std::move(request)))
     , m_writer(&writer)
     , m_source(source)
     , m_routes(m_state->routes)
@@ -220,12 +220,12 @@
 asio::awaitable<bool> RelayedRequest::resolveRoute()
 {
     const BackendProtocol &protocol = m_state->options.protocol;
-    m_id = std::string(m_request.headers.find(protocol.requestId));
+    m_id = std::string(m_request->headers.find(protocol.requestId));
     if (!m_state->hasListing || !m_routes) {
         co_await answerLocally(503, "no_declaration", DeclarationRetryAfter);
         co_return false;
     }
-    m_route = m_routes->find(m_request.headers.find("Host"), m_request.path());
+    m_route = m_routes->find(m_request->headers.find("Host"), m_request->path());
     if (!m_route && !m_state->declarationIsConfirmed()) {
         co_await answerLocally(503, "declaration_unconfirmed", DeclarationRetryAfter);
         co_return false;
@@ -241,7 +241,7 @@
     if (!co_await identifyCustomer())
         co_return false;
     Duration budget = m_route->timeout;
-    if (const auto stated = parseNumber(m_request.headers.find(protocol.timeBudget)))
+    if (const auto stated = parseNumber(m_request->headers.find(protocol.timeBudget)))
         budget = std::min<Duration>(
             budget, std::chrono::milliseconds(std::min<std::uint64_t>(*stated, 3'600'000)));
     m_deadline = m_startedAt + budget;
@@ -252,16 +252,16 @@
     }
     m_service = pickService(*m_route, m_state->uniformRandom());
     if (m_route->carriesPrompt && protocol.prompt)
-        m_prompt = protocol.prompt(m_request.headers);
+        m_prompt = protocol.prompt(m_request->headers);
     const PromptDescription *prompt = m_prompt ? &*m_prompt : nullptr;
-    m_identity = requestIdentity(m_request, prompt, m_customer, protocol);
+    m_identity = requestIdentity(*m_request, prompt, m_customer, protocol);
     m_suspects = crashSuspects(prompt, m_identity);
     if (m_route->kind == RouteKind::Stream) {
-        m_resumedAfter = m_lastEventId = parseNumber(m_request.headers.find(protocol.lastEventId));
-        m_resumes = m_request.headers.find(protocol.resumes).substr(0, MaxRequestIdLength);
+        m_resumedAfter = m_lastEventId = parseNumber(m_request->headers.find(protocol.lastEventId));
+        m_resumes = m_request->headers.find(protocol.resumes).substr(0, MaxRequestIdLength);
     }
     if (m_source == RequestSource::Instance) {
-        if (const auto left = parseNumber(m_request.headers.find(instance_headers::Attempts)))
+        if (const auto left = parseNumber(m_request->headers.find(instance_headers::Attempts)))
             m_attemptsLeft
                 = static_cast<std::uint32_t>(std::min<std::uint64_t>(*left, m_route->attempts));
     }
@@ -274,14 +274,14 @@
     if (!m_routes->requiresKeys())
         co_return true;
     const bool isNamed = m_source == RequestSource::Instance
-        && m_request.headers.contains(instance_headers::Customer);
+        && m_request->headers.contains(instance_headers::Customer);
     const Customer *customer = isNamed
-        ? m_routes->customer(m_request.headers.find(instance_headers::Customer))
+        ? m_routes->customer(m_request->headers.find(instance_headers::Customer))
         : m_routes->findCustomer(
-            bearerKey(m_request.headers.find(m_state->options.protocol.authorization)));
+            bearerKey(m_request->headers.find(m_state->options.protocol.authorization)));
     // The instance that handed the request over may have a newer declaration.
     if (isNamed)
-        m_customer = m_request.headers.find(instance_headers::Customer);
+        m_customer = m_request->headers.find(instance_headers::Customer);
     else if (customer)
         m_customer = customer->name;
     if (customer)
@@ -690,11 +690,11 @@
     const BackendProtocol &protocol = m_state->options.protocol;
     HttpCall call;
     call.address = target.address;
-    call.request.method = m_request.method;
-    call.request.target = m_request.target;
-    call.request.body = m_request.body;
-    const std::string_view connection = m_request.headers.find("Connection");
-    for (const HttpHeader &field : m_request.headers.fields()) {
+    call.request.method = m_request->method;
+    call.request.target = m_request->target;
+    call.sharedBody = std::shared_ptr<const std::string>(m_request, &m_request->body);
+    const std::string_view connection = m_request->headers.find("Connection");
+    for (const HttpHeader &field : m_request->headers.fields()) {
         const bool stripped = std::any_of(
             protocol.strippedHeaders.begin(), protocol.strippedHeaders.end(),
             [&](const std::string &name) { return sameHeaderName(name, field.name); });
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -185,7 +185,8 @@
     bool isOver() const { return m_callerGone || m_expired; }
 
     std::shared_ptr<RelayState> m_state;
-    HttpRequest m_request;
+    /// Shared with the calls to backend servers, which may outlast the request.
+    std::shared_ptr<const HttpRequest> m_request;
     ResponseWriter *m_writer;
     RequestSource m_source;
     std::shared_ptr<const RouteTable> m_routes;
--- a/src/gentianramp/relay/relayed_request_hand_over.cpp
+++ b/src/gentianramp/relay/relayed_request_hand_over.cpp
@@ -61,11 +61,11 @@
     const BackendProtocol &protocol = m_state->options.protocol;
     HttpCall call;
     call.address = helper.address;
-    call.request.method = m_request.method;
-    call.request.target = m_request.target;
-    call.request.body = m_request.body;
-    const std::string_view connection = m_request.headers.find("Connection");
-    for (const HttpHeader &field : m_request.headers.fields()) {
+    call.request.method = m_request->method;
+    call.request.target = m_request->target;
+    call.sharedBody = std::shared_ptr<const std::string>(m_request, &m_request->body);
+    const std::string_view connection = m_request->headers.find("Connection");
+    for (const HttpHeader &field : m_request->headers.fields()) {
         if (!isInstanceHeader(field.name) && !isHopByHop(field.name)
             && !listedInConnection(connection, field.name))
             call.request.headers.add(field.name, field.value);
