http: one bound over what all connections of a process hold

Callers saw a process end by its memory beside a crowd of large bodies of legal size: whole, or stopped just short of their end and left open, at once or by pieces, with a length or in chunks. Cause: each limit held for one connection alone (2,500 callers x 4 MiB, and the other servers of the process); nothing knew the sum.

A request that holds over 16 KiB, with what its handler's copies of a head take, leases room as its bytes arrive, not as they are announced. The lease goes with the request to its handler and to the calls to backend servers, and ends with the last of them. Without room a request waits for 2 s at most and is then refused with 503 and Retry-After; no backend server gets anything of it. Requests that stall give way to those that arrive, the one with the least progress for its room first; those that proceed keep theirs, so that requests that come together do not take turns in ending each other. A request that has been read is never revoked. Small requests take no room, and a single large one gets it whatever the bound. Counted and logged as no_memory (gentianramp_http_unread_total, request_not_read with held_bytes).

--- a/include/gentianramp/http/message.hpp
+++ b/include/gentianramp/http/message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,6 +40,8 @@
     std::vector<HttpHeader> m_fields;
 };
 
+class MemoryLease;
+
 /// A complete request.
 struct HttpRequest
 {
@@ -46,6 +49,9 @@
     std::string target = "/"; ///< Path with an optional query.
     HttpHeaders headers;
     std::string body;
+    /// Room that the request takes of the server's MemoryBudget, kept as long as the request or its
+    /// body; empty for one that is small or was not read by a server.
+    std::shared_ptr<MemoryLease> lease;
     bool operator==(const HttpRequest &) const = default;
 
     /// The target without its query.
--- a/include/gentianramp/http/server.hpp
+++ b/include/gentianramp/http/server.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <gentianramp/core/clock.hpp>
 #include <gentianramp/core/error.hpp>
+#include <gentianramp/http/memory_budget.hpp>
 #include <gentianramp/http/message.hpp>
 #include <memory>
 #include <string>
@@ -77,6 +78,7 @@
     BodyTooLarge,
     TrailerTooLarge, ///< Or the head of a chunk.
     TookTooLong,
+    NoMemory,           ///< See MemoryBudget.
     ConnectionReplaced, ///< Closed while it waited for input, to make room for another connection.
     TooManyConnections,
 };
@@ -102,6 +104,8 @@
     std::size_t maxConnections = 4096;
     std::uint32_t maxHeaderBytes = 16 * 1024; ///< Also of a trailer, and of the head of a chunk.
     std::uint64_t maxBodyBytes = 8 * 1024 * 1024;
+    /// Shared by the servers of a process; empty: the server has one of its own.
+    std::shared_ptr<MemoryBudget> memory;
     Duration headerTimeout = std::chrono::seconds(10); ///< From the first byte to the last header.
     Duration bodyTimeout = std::chrono::seconds(30);   ///< From the last header to the last byte.
     /// Retry-After of a 503 that the server sends itself, in seconds.
--- a/src/gentianramp/http/server.cpp
+++ b/src/gentianramp/http/server.cpp
@@ -64,6 +64,8 @@
         return "trailer_too_large";
     case UnreadReason::TookTooLong:
         return "took_too_long";
+    case UnreadReason::NoMemory:
+        return "no_memory";
     case UnreadReason::ConnectionReplaced:
         return "connection_replaced";
     case UnreadReason::TooManyConnections:
@@ -79,6 +81,8 @@
         , acceptor(this->executor)
         , shared(std::make_shared<ServerContext>(std::move(options), std::move(handler)))
     {
+        if (!shared->options.memory)
+            shared->options.memory = std::make_shared<MemoryBudget>();
         if (!shared->options.connectionExecutor) {
             shared->options.connectionExecutor
                 = [executor]() -> asio::any_io_executor { return asio::make_strand(executor); };
--- a/src/gentianramp/http/server_session.cpp
+++ b/src/gentianramp/http/server_session.cpp
@@ -27,8 +27,16 @@
 constexpr std::size_t LargeReadBytes = 32 * 1024;
 /// Of the kernel, while a large body is being read.
 constexpr std::size_t LargeReceiveBufferBytes = 128UL * 1024;
+/// A request that holds no more than this takes no room of the MemoryBudget.
+constexpr std::size_t SmallRequestBytes = 16 * 1024;
+/// The room of larger ones grows by multiples of this.
+constexpr std::size_t LeaseStepBytes = 32 * 1024;
 constexpr Duration LingerTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t MaxLingerBytes = 1024 * 1024;
+/// Requests that arrive at the same time do not take room from each other; those that stall do not
+/// keep it longer than this.
+constexpr Duration MaxRoomWait = std::chrono::seconds(2);
+constexpr Duration RoomWaitInterval = std::chrono::milliseconds(50);
 constexpr Duration LogPeriod = std::chrono::seconds(1);
 constexpr unsigned MaxLinesPerPeriod = 20;
 constexpr unsigned RequestTimeout = 408;
@@ -39,6 +47,11 @@
     return reader.heldBytes() > LargeReadBytes;
 }
 
+ReadFailure noMemory()
+{
+    return {UnreadReason::NoMemory, ServiceUnavailable, "no memory for the request"};
+}
+
 void appendDecimal(std::string &out, std::size_t value)
 {
     out += std::to_string(value);
@@ -204,6 +217,7 @@
                     {"reason", toString(request.reason)},
                     {"status", request.status},
                     {"connections", count()},
+                    {"held_bytes", options.memory->heldBytes()},
                     {"omitted", *omitted}});
     if (options.unreadHook)
         options.unreadHook(request);
@@ -344,12 +358,17 @@
         co_return false;
     // A process that stops waits for requests that are being read too.
     setUnanswered(true);
+    ++m_requestsRead;
+    m_leaseRevoked = false;
     std::optional<RequestReader> reader(std::in_place, options.maxHeaderBytes,
                                         options.maxBodyBytes);
     std::optional<ReadFailure> failure = co_await readRest(*reader);
+    if (!failure && m_lease && !m_lease->keep())
+        failure = noMemory();
     if (failure) {
         // The response may take time to be written.
         reader.reset();
+        m_lease.reset();
         m_buffer = {};
         if (failure->status != 0)
             co_await refuse(std::move(*failure));
@@ -361,6 +380,7 @@
     m_keepAlive = reader->keepAlive() && !m_shared->keepAliveDisabled;
     m_http10 = reader->isHttp10();
     request = reader->take();
+    request.lease = std::move(m_lease);
     m_headOnly = request.method == "HEAD";
     co_return true;
 }
@@ -375,6 +395,8 @@
         std::optional<ReadFailure> failure = reader.parse(m_buffer);
         if (failure)
             co_return failure;
+        if (!co_await waitForRoom(reader))
+            co_return noMemory();
         if (reader.isDone())
             co_return std::nullopt;
         if (!hadHead && reader.hasHead()) {
@@ -386,6 +408,8 @@
             setReceiveBuffer(LargeReceiveBufferBytes);
         const boost::system::error_code error
             = co_await readSome(isLarge(reader) ? LargeReadBytes : ReadBytes);
+        if (m_leaseRevoked)
+            co_return noMemory();
         if (error && m_watchdog->expired())
             co_return ReadFailure{UnreadReason::TookTooLong, RequestTimeout,
                                   "the request took too long"};
@@ -395,6 +419,18 @@
     }
 }
 
+asio::awaitable<bool> ServerSession::waitForRoom(const RequestReader &reader)
+{
+    const TimePoint waitEnd = RuntimeClock::now() + MaxRoomWait;
+    while (!takeRoom(reader)) {
+        const bool isHopeless = m_leaseRevoked || m_lease->isRevoked() || !m_socket.is_open();
+        if (isHopeless || RuntimeClock::now() >= waitEnd)
+            co_return false;
+        co_await sleepFor(RoomWaitInterval);
+    }
+    co_return true;
+}
+
 void ServerSession::setReceiveBuffer(std::size_t bytes)
 {
     boost::system::error_code ignored;
@@ -402,6 +438,37 @@
     m_socket.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(bytes)), ignored);
 }
 
+bool ServerSession::takeRoom(const RequestReader &reader)
+{
+    const std::size_t buffered = m_buffer.capacity() > ReadBytes ? m_buffer.capacity() : 0;
+    const std::size_t unread = isLarge(reader) ? LargeReceiveBufferBytes : 0;
+    const std::size_t held = reader.heldBytes() + buffered + unread;
+    if (held <= SmallRequestBytes)
+        return true;
+    if (!m_lease) {
+        m_lease = m_shared->options.memory->lease(
+            [weak = weak_from_this(), executor = m_executor, reading = m_requestsRead] {
+                asio::post(executor, [weak, reading] {
+                    if (const auto self = weak.lock())
+                        self->onLeaseRevoked(reading);
+                });
+            });
+    }
+    const std::size_t wanted
+        = (held - SmallRequestBytes + LeaseStepBytes - 1) / LeaseStepBytes * LeaseStepBytes;
+    const std::size_t taken = m_lease->bytes();
+    return wanted <= taken || m_lease->grow(wanted - taken, RuntimeClock::now());
+}
+
+void ServerSession::onLeaseRevoked(std::uint64_t reading)
+{
+    if (reading != m_requestsRead || m_isHandling || !m_socket.is_open())
+        return;
+    m_leaseRevoked = true;
+    boost::system::error_code ignored;
+    m_socket.cancel(ignored);
+}
+
 asio::awaitable<void> ServerSession::refuse(ReadFailure failure)
 {
     m_shared->reportUnread({failure.reason, failure.status});
--- a/src/gentianramp/http/server_session.hpp
+++ b/src/gentianramp/http/server_session.hpp
@@ -113,6 +113,12 @@
     boost::asio::awaitable<std::optional<ReadFailure>> readRest(RequestReader &reader);
     boost::asio::awaitable<boost::system::error_code> readSome(std::size_t maxBytes);
     void setReceiveBuffer(std::size_t bytes);
+    /// Takes room for what the request that is being read holds by now; false when there is none.
+    bool takeRoom(const RequestReader &reader);
+    /// Waits until there is room; false when there was none for a while.
+    boost::asio::awaitable<bool> waitForRoom(const RequestReader &reader);
+    /// Another request needs the room of the one that is being read.
+    void onLeaseRevoked(std::uint64_t reading);
     boost::asio::awaitable<void> refuse(ReadFailure failure);
     boost::asio::awaitable<void> sendErrorResponse(unsigned status, std::string message,
                                                    HttpHeaders headers);
@@ -136,12 +142,15 @@
     std::shared_ptr<ServerContext> m_shared;
     std::shared_ptr<Watchdog> m_watchdog;
     boost::beast::flat_buffer m_buffer;
+    std::shared_ptr<MemoryLease> m_lease; ///< Of the request that is being read, if it is large.
+    std::uint64_t m_requestsRead = 0;
     /// Place in the list of the context, guarded by its mutex.
     std::optional<WaitingSessions::iterator> m_waitingPlace;
     std::function<void()> m_callerGoneHook;
     TimePoint m_requestReadAt{};
     std::uint64_t m_bytesWritten = 0; ///< Since the request was read.
     std::optional<UnansweredReason> m_writeFailure;
+    bool m_leaseRevoked = false;
     bool m_hasLargeReceiveBuffer = false;
     bool m_isHandling = false;
     bool m_unanswered = false; ///< Counted in ServerContext::unansweredRequests.
--- a/src/gentianramp/http/server_test.cpp
+++ b/src/gentianramp/http/server_test.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 namespace asio = boost::asio;
-using asio::ip::tcp;
 
 constexpr std::uint64_t Seed = 20261203;
 /// A paused clock is looked at this often at least.
@@ -38,52 +37,6 @@
     return exchangeRaw(test.context, test.port, std::move(bytes));
 }
 
-/// A caller on the test's own thread whose reads and writes do not wait.
-class PlainCaller
-{
-public:
-    explicit PlainCaller(std::uint16_t port, int receiveBufferBytes = 0)
-        : m_socket(m_context, tcp::v4())
-    {
-        if (receiveBufferBytes > 0)
-            m_socket.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes));
-        m_socket.connect({asio::ip::address_v4::loopback(), port});
-        m_socket.non_blocking(true);
-    }
-
-    /// Returns the number of bytes that the kernel took.
-    std::size_t write(std::string_view bytes)
-    {
-        if (bytes.empty())
-            return 0;
-        boost::system::error_code error;
-        return m_socket.write_some(asio::buffer(bytes), error);
-    }
-
-    void close() { m_socket.close(); }
-
-    /// Reads a few kilobytes at most.
-    void readPart()
-    {
-        boost::system::error_code error;
-        m_received.append(m_part.data(), m_socket.read_some(asio::buffer(m_part), error));
-        m_ended = error && error != asio::error::would_block;
-        m_reset = m_ended && error != asio::error::eof;
-    }
-
-    const std::string &received() const { return m_received; }
-    bool ended() const { return m_ended; }
-    bool reset() const { return m_reset; }
-
-private:
-    asio::io_context m_context;
-    tcp::socket m_socket;
-    std::array<char, 4096> m_part{};
-    std::string m_received;
-    bool m_ended = false;
-    bool m_reset = false;
-};
-
 /// Collects the log lines about unanswered requests.
 class UnansweredLines : public google::LogSink
 {
@@ -107,16 +60,6 @@
     std::vector<std::string> m_texts;
 };
 
-/// Stops the runtime's clock for the time of a test.
-class PausedClock
-{
-public:
-    PausedClock() { RuntimeClock::pause(); }
-    ~PausedClock() { RuntimeClock::resume(); }
-    PausedClock(const PausedClock &) = delete;
-    PausedClock &operator=(const PausedClock &) = delete;
-};
-
 } // namespace
 
 Test(HttpServer, RespondsToPipelinedRequestsInOrder)
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -56,6 +56,7 @@
     State(asio::any_io_executor ioExecutor, RelayNodeOptions nodeOptions)
         : executor(std::move(ioExecutor))
         , options(std::move(nodeOptions))
+        , memory(std::make_shared<MemoryBudget>(options.resources.requestBytes()))
         , crashes(std::make_shared<CrashEvidence>())
         , usage(usageCounter())
         , feed({.dataCentre = options.relay.dataCentre,
@@ -152,6 +153,7 @@
         server.host = address.host;
         server.port = address.port;
         server.maxConnections = options.resources.connections(share);
+        server.memory = memory;
         server.retryAfter = formatRetryAfter(UnreadRetryAfter);
         if (options.relay.metrics)
             server.unreadHook = countUnread(*options.relay.metrics, server.name);
@@ -395,6 +397,7 @@
 
     asio::any_io_executor executor;
     RelayNodeOptions options;
+    std::shared_ptr<MemoryBudget> memory;
     std::shared_ptr<CrashEvidence> crashes;
     std::optional<UsageCounter> usage; ///< Empty: customers' requests are not counted.
     RegistryFeed feed;
