relay: whole answers take room of the process's bound

80 callers that asked for answers of 4 MiB and read nothing of them took 206 MB of an entry process with 64. Cause: an answer that is no stream is kept until it is whole, up to 8 MiB, and was copied once more to be sent; the sum was not bounded.

An answer of over 16 KiB leases room of the MemoryBudget: all of it, if its head states a length, before any of its body is read. Without room it stays at the backend server until there is some, or the request is over.

--- a/include/gentianramp/relay/relay_service.hpp
+++ b/include/gentianramp/relay/relay_service.hpp
@@ -93,6 +93,8 @@
     Duration versionSettleTime = std::chrono::seconds(3);
     /// Time by which the platform's list lags behind.
     Duration listingLag = std::chrono::milliseconds(800);
+    /// Bounds the answers that are kept until they are whole; null: the service has one of its own.
+    std::shared_ptr<MemoryBudget> memory;
     /// Requests with prompts wait at this instance while the engines' places are short, if
     /// customers are declared.
     bool queuesWhenShort = true;
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -99,6 +99,7 @@
         result.declarationAge = [this] { return feed.declarationAge(RuntimeClock::now()); };
         result.instance = options.self;
         result.crashes = crashes;
+        result.memory = memory;
         result.versionSettleTime = options.contactTime;
         result.peers.keepers = [this](std::string_view key) { return peers.keepers(key); };
         result.peers.witnesses = [this](std::string_view key) { return peers.witnesses(key); };
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -110,7 +110,10 @@
           options.metrics ? *options.metrics : *ownMetrics)
     , crashes(options.crashes ? options.crashes : std::make_shared<CrashEvidence>())
     , random(options.seed)
-{ }
+{
+    if (!options.memory)
+        options.memory = std::make_shared<MemoryBudget>();
+}
 
 bool RelayState::declarationIsConfirmed() const
 {
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -141,6 +141,8 @@
     boost::asio::awaitable<AttemptResult> relay(Attempt &attempt);
     boost::asio::awaitable<AttemptResult> relayAnswer(Attempt &attempt);
     boost::asio::awaitable<AttemptResult> relayWholeAnswer(Attempt &attempt);
+    boost::asio::awaitable<Result<std::string>> readWholeBody(HttpExchange &exchange);
+    boost::asio::awaitable<bool> takeAnswerRoom(std::size_t bytes);
     boost::asio::awaitable<AttemptResult> relayStream(Attempt &attempt);
     boost::asio::awaitable<bool> deliverEvents(Attempt &attempt, std::string_view events);
     HttpResponse callerResponseHead(const HttpExchange &exchange) const;
@@ -254,6 +256,7 @@
     Verdict m_verdict = Verdict::NotRun;
     /// Last event delivered, or named by the caller's Last-Event-Id.
     std::optional<std::uint64_t> m_lastEventId;
+    std::shared_ptr<MemoryLease> m_answerLease; ///< Of the last whole answer, if it is large.
     /// Complete 5xx answer, sent to the caller if all repeats fail.
     std::optional<HttpResponse> m_backendFailure;
     bool m_isCounted = false;     ///< Counted for its customer.
