entry: setting request_memory_bytes

The product's own entry program bounds what all its connections hold with a setting, checked like the others: 64 MiB unless it is stated, 1 MiB at least.

--- a/include/gentianramp/config/node_settings.hpp
+++ b/include/gentianramp/config/node_settings.hpp
@@ -51,8 +51,10 @@
     std::string platformListUrl;
     unsigned threads = 2;                ///< Threads for requests.
     std::uint32_t maxConnections = 4096; ///< Limit of callers' connections.
-    std::uint32_t drainSeconds = 60;     ///< Time limit of a graceful shutdown.
-    std::vector<PeerSettings> peers;     ///< All other processes.
+    /// Bound of the requests and answers that all connections hold together, in bytes.
+    std::uint64_t requestMemoryBytes = 64 * 1024 * 1024;
+    std::uint32_t drainSeconds = 60; ///< Time limit of a graceful shutdown.
+    std::vector<PeerSettings> peers; ///< All other processes.
     bool operator==(const NodeSettings &) const = default;
 };
 
--- a/src/gentianramp/config/node_fields.cpp
+++ b/src/gentianramp/config/node_fields.cpp
@@ -6,6 +6,8 @@
 
 constexpr unsigned MaxThreads = 256;
 constexpr std::uint32_t MaxConnections = 1'000'000;
+constexpr std::uint64_t MinRequestMemoryBytes = 1024 * 1024;
+constexpr std::uint64_t MaxRequestMemoryBytes = 1ULL << 40;
 constexpr std::uint32_t MaxDrainSeconds = 24 * 3600;
 constexpr std::uint64_t MinTimelineBytes = 64 * 1024;
 constexpr std::uint64_t MaxTimelineBytes = 1ULL << 40;
@@ -41,6 +43,8 @@
                                  between(1U, MaxThreads)),
         inheritedField<NodeFile>("max_connections", &Node::maxConnections, Need::Optional,
                                  between(1U, MaxConnections)),
+        inheritedField<NodeFile>("request_memory_bytes", &Node::requestMemoryBytes, Need::Optional,
+                                 between(MinRequestMemoryBytes, MaxRequestMemoryBytes)),
         inheritedField<NodeFile>("drain_seconds", &Node::drainSeconds, Need::Optional,
                                  between(0U, MaxDrainSeconds)),
         field("peers_file", &NodeFile::peersFile),
--- a/src/gentianramp/entry/entry_service.cpp
+++ b/src/gentianramp/entry/entry_service.cpp
@@ -176,6 +176,7 @@
         server.port = options.settings.httpPort;
         server.name = "callers";
         server.maxConnections = options.settings.maxConnections;
+        server.memory = std::make_shared<MemoryBudget>(options.settings.requestMemoryBytes);
         server.unreadHook = countUnread(metrics, server.name);
         server.errorResponseHeaders.add(header::Verdict, std::string(toString(Verdict::NotRun)));
         server.handlerErrorHeaders.add(header::Verdict, std::string(toString(Verdict::MayHaveRun)));
