--- a/src/gentianramp/http/memory_budget.cpp
+++ b/src/gentianramp/http/memory_budget.cpp
@@ -96,11 +96,10 @@
             advanceWindow(entry, now);
             reading.push_back(use(number, entry));
         }
-        const std::vector<std::uint64_t> revoked
-            = leasesToRevoke(reading,
-                             entries.at(growing).isReading ? RoomFor::ReadingRequest
-                                                           : RoomFor::WholeRequest,
-                             missing);
+        const std::vector<std::uint64_t> revoked = leasesToRevoke(
+            reading,
+            entries.at(growing).isReading ? RoomFor::ReadingRequest : RoomFor::WholeRequest,
+            missing);
         for (const std::uint64_t number : revoked) {
             Entry &entry = entries.at(number);
             heldBytes -= entry.bytes;
--- a/src/gentianramp/http/server_limits_test.cpp
+++ b/src/gentianramp/http/server_limits_test.cpp
@@ -36,7 +36,8 @@
 
 std::string largeHead(const std::string &path = "/")
 {
-    return "POST " + path + " HTTP/1.1\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n";
+    return "POST " + path + " HTTP/1.1\r\nContent-Length: " + std::to_string(BodyBytes)
+        + "\r\n\r\n";
 }
 
 void serve(TestServer &test, Duration time = 20ms)
@@ -125,8 +126,9 @@
     }
     RuntimeClock::advance(3s);
     PlainCaller caller(test.port);
-    sendAll(test, caller, "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 100000\r\n\r\n"
-                              + std::string(BodyBytes, 'y'));
+    sendAll(test, caller,
+            "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 100000\r\n\r\n"
+                + std::string(BodyBytes, 'y'));
     cr_assert(responseFor(test, caller).starts_with("HTTP/1.1 200"));
     serve(test);
     stalled.front().readPart();
