routing: a restarted instance ignores grants to its former incarnation

Customers were served over their limit for up to a second after an entry instance restarted, when a grant of the former incarnation arrived late.

Cause, shown by a trace of case: each incarnation numbered its asks from 1. The grant to ask 1 of the former incarnation was taken for the answer to ask 1 of the new one, so that the borrower counted the loan from its later ask and used it 0.7 s longer than the lender withheld it. Present since limits were added.

Asks are now numbered from a value of the incarnation: its seed and its time of start, which differ even where an operator states the seed.

--- a/src/gentianramp/routing/limit_shares.cpp
+++ b/src/gentianramp/routing/limit_shares.cpp
@@ -273,6 +273,9 @@
     : m_state(std::make_unique<State>())
 {
     std::mt19937_64 random(options.seed);
+    // Distinguishes the asks of this incarnation from those of former ones whose grants may still
+    // arrive, also where all were started with the same seed.
+    m_state->lastNumber = random() + static_cast<std::uint64_t>(now.time_since_epoch().count());
     m_state->peers = options.instances;
     std::erase(m_state->peers, options.self);
     std::ranges::shuffle(m_state->peers, random);
--- a/src/gentianramp/routing/limit_shares_test.cpp
+++ b/src/gentianramp/routing/limit_shares_test.cpp
@@ -154,6 +154,45 @@
     cr_assert(held);
 }
 
+Test(LimitShares, LimitHoldsWhereAGrantToAFormerIncarnationArrivesLate)
+{
+    for (const std::uint64_t seed : {13228962737728433685ULL, 36806281556927ULL})
+        cr_assert(limitHoldsInRandomRun(seed), "seed %lu", static_cast<unsigned long>(seed));
+}
+
+Test(LimitShares, RestartedInstanceIgnoresGrantsToItsFormerIncarnation)
+{
+    const std::vector<InstanceId> instances{InstanceId("a"), InstanceId("b")};
+    const auto start = [&instances](std::size_t self, TimePoint now) {
+        auto shares
+            = std::make_unique<LimitShares>(LimitSharesOptions{instances[self], instances}, now);
+        shares->configure({{Firm, 10, 0}}, now);
+        return shares;
+    };
+    const auto ask = [](LimitShares &shares, TimePoint now) {
+        for (int i = 0; i < 100; ++i)
+            shares.take(Firm, 0, now);
+        return shares.requestShares(now).at(0).payload;
+    };
+    const TimePoint begin{std::chrono::seconds(100)};
+    const auto lender = start(0, begin);
+    const auto former = start(1, begin);
+    const TimePoint askedAt = begin + std::chrono::seconds(5);
+    const auto grant = lender->handle(instances[1], ask(*former, askedAt), askedAt);
+    cr_assert(grant);
+
+    const TimePoint restartedAt = askedAt + std::chrono::milliseconds(100);
+    const auto restarted = start(1, restartedAt);
+    const TimePoint later = restartedAt + std::chrono::seconds(1);
+    ask(*restarted, later);
+    const double before = restarted->usableShare(Firm, later);
+    restarted->handle(instances[0], grant->payload, later);
+    cr_assert_float_eq(restarted->usableShare(Firm, later), before, 1e-9);
+
+    former->handle(instances[0], grant->payload, later);
+    cr_assert_gt(former->usableShare(Firm, later), 0.5);
+}
+
 Test(LimitShares, BusyInstanceBorrowsMostOfTheLimit)
 {
     Simulation simulation(9, 90, 7);
