relay: a request that was handed over and not read is said not to have run

A caller whose request was handed over got 502 (may have run) when the instance that took it over refused it unread: for lack of memory, with too many connections, or over a limit. Cause: the server for hand-overs sent these refusals without a verdict, and the instance that hands over takes only a stated verdict for a promise. It asked no further instance for a request that may run once, and paid a repeat for others. The refusals for lack of memory came with the bound on all connections, so that a crowd at one instance would have cost callers of another one.

The server names the verdict NotRun in all its own refusals. Its 500 for a handler that failed stays without one.

Evidence: aRequestOfAnInstanceThatIsNotReadIsSaidNotToHaveRun fails without the change and passes with it.

--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -1,5 +1,6 @@
 #include <gentianramp/relay/relay_node.hpp>
 
+#include "forwarded_headers.hpp"
 #include "relay_state.hpp"
 
 #include <algorithm>
@@ -7,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <gentianramp/core/log.hpp>
+#include <gentianramp/core/verdict.hpp>
 #include <gentianramp/http/server_metrics.hpp>
 #include <gentianramp/peers/peer_group.hpp>
 #include <gentianramp/peers/record_keepers.hpp>
@@ -192,9 +194,14 @@
         callers = std::make_unique<HttpServer>(executor, std::move(forCallers), relay.handler());
         readiness
             = makeStatusServer("readiness", options.readinessListenAddress, options.readinessPath);
-        helper = std::make_unique<HttpServer>(
-            executor, serverOptions("hand_over", options.helperListenAddress, HelperShare),
-            relay.helperHandler());
+        HttpServerOptions forInstances
+            = serverOptions("hand_over", options.helperListenAddress, HelperShare);
+        // Without it, the instance that hands over has to take a refusal for a request that may
+        // have run.
+        forInstances.errorResponseHeaders.add(instance_headers::Verdict,
+                                              std::string(toString(gentianramp::Verdict::NotRun)));
+        helper = std::make_unique<HttpServer>(executor, std::move(forInstances),
+                                              relay.helperHandler());
         std::vector<HttpServer *> servers{callers.get(), readiness.get(), helper.get()};
         if (options.metricsAddress.port != 0) {
             metrics = makeStatusServer("metrics", options.metricsAddress, {});
--- a/src/gentianramp/relay/relay_node_test.cpp
+++ b/src/gentianramp/relay/relay_node_test.cpp
@@ -50,12 +50,9 @@
         m_node.drain([this] { m_ended = true; });
     }
 
-    tcp::socket connect()
-    {
-        tcp::socket socket(m_context);
-        socket.connect({asio::ip::address_v4::loopback(), m_callerPort});
-        return socket;
-    }
+    tcp::socket connect() { return connectTo(m_callerPort); }
+    /// To the server for requests that other instances hand over.
+    tcp::socket connectAsInstance() { return connectTo(m_helperPort); }
 
     bool isListening()
     {
@@ -94,13 +91,21 @@
     bool ended() const { return m_ended; }
 
 private:
+    tcp::socket connectTo(std::uint16_t port)
+    {
+        tcp::socket socket(m_context);
+        socket.connect({asio::ip::address_v4::loopback(), port});
+        return socket;
+    }
+
     RelayNodeOptions options()
     {
         RelayNodeOptions options;
         const HttpAddress anyPort{"127.0.0.1", 0};
         options.self = InstanceId("127.0.0.1:" + std::to_string(freePort()));
         options.peerListenAddress = options.self;
-        options.helperListenAddress = options.readinessListenAddress = anyPort;
+        options.readinessListenAddress = anyPort;
+        options.helperListenAddress = {"127.0.0.1", m_helperPort};
         options.callerListenAddress = {"127.0.0.1", m_callerPort};
         options.readinessPath = "/ready";
         options.gracePeriod = 30s;
@@ -116,6 +121,7 @@
     PausedClock m_clock;
     asio::io_context m_context{1};
     std::uint16_t m_callerPort = freePort();
+    std::uint16_t m_helperPort = freePort();
     bool m_ended = false;
     std::optional<Duration> m_usageWindow;
     RelayNode m_node;
@@ -185,3 +191,19 @@
     fixture.advance(310ms);
     cr_assert(fixture.ended());
 }
+
+// The instance that handed the request over took the refusal for an answer to a request that may
+// have run: it asked no other instance, and callers got a 502.
+Test(relay_node, aRequestOfAnInstanceThatIsNotReadIsSaidNotToHaveRun)
+{
+    NodeFixture fixture;
+    for (const std::string rest : {"Content-Length: 99999999\r\n\r\n", "X: y z\r\n: \r\n\r\n"}) {
+        tcp::socket socket = fixture.connectAsInstance();
+        fixture.send(socket, Head + rest);
+        fixture.advance(100ms);
+        const std::string answer = fixture.received(socket);
+        cr_assert(answer.starts_with("HTTP/1.1 4"), "%s", answer.c_str());
+        cr_assert(answer.find("Gentianramp-Verdict: NotRun") != std::string::npos, "%s",
+                  answer.c_str());
+    }
+}
