http: requests and answers no longer wait for each other's room

Beside a crowd of whole bodies, a caller whose answer was over 16 KiB got 504 at its deadline: requests that had been read held the whole bound until their answers had been sent, and those answers got no room; nor did two answers without a stated length that each held a part.

Answers may hold a quarter of the bound in addition to it, and the oldest one gets room at any rate. So the oldest always ends, and all answers together hold no more than that quarter and one answer beyond the bound. readWholeAnswer(), which was part of RelayedRequest, now has tests of its own without a network and can be used by other programs.

The test LeasesThatAreKeptAreNotRevoked asked a single answer to get no room; it now asks a second one, beside an older one, and that the kept request keeps its room, as before.

Evidence: AnswersGetRoomBesideRequestsThatFillTheBound and TheOldestAnswerGetsRoomWhateverTheBound fail without mayExceed() and pass with it. Tests of http (77) and relay (207) passed.

--- a/include/gentianramp/http/memory_budget.hpp
+++ b/include/gentianramp/http/memory_budget.hpp
@@ -65,7 +65,9 @@
 ///
 /// When there is no room, requests that are still being read give up theirs; see leasesToRevoke().
 /// A lease gets room at any rate while no other one holds any, so that a single request is served
-/// whatever the bound.
+/// whatever the bound. Answers may hold a quarter of the bound in addition to it, and the oldest
+/// one gets room at any rate, so that requests and answers never wait for each other's room for
+/// good.
 class MemoryBudget
 {
 public:
@@ -73,9 +75,11 @@
 
     explicit MemoryBudget(std::size_t maxBytes = DefaultBytes);
 
-    /// A lease without room. @p revokedHook is called when the lease is revoked, by the thread that
-    /// needs the room; empty: the lease is never revoked.
-    std::shared_ptr<MemoryLease> lease(std::function<void()> revokedHook = {});
+    /// A lease without room for a request that is being read. @p revokedHook is called when the
+    /// lease is revoked, by the thread that needs the room.
+    std::shared_ptr<MemoryLease> requestLease(std::function<void()> revokedHook);
+    /// A lease without room for an answer; it is never revoked.
+    std::shared_ptr<MemoryLease> answerLease();
     std::size_t maxBytes() const;
     std::size_t heldBytes() const;
 
--- a/src/gentianramp/http/memory_budget.cpp
+++ b/src/gentianramp/http/memory_budget.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <mutex>
+#include <set>
 #include <tuple>
 #include <unordered_map>
 
@@ -14,6 +15,8 @@
 constexpr Duration ProgressWindow = std::chrono::milliseconds(500);
 /// A request with less progress gives its room up to one that is being read.
 constexpr double StalledProgress = 0.5;
+/// Of the bound; answers together may hold this part in addition to it.
+constexpr std::size_t AnswerShareDivisor = 4;
 
 double progress(const ReadingUse &use)
 {
@@ -59,6 +62,7 @@
         std::size_t bytesInWindowBefore = 0;
         TimePoint progressAt{};
         bool isReading = false;
+        bool isAnswer = false;
         bool isRevoked = false;
         std::function<void()> revokedHook;
     };
@@ -110,6 +114,15 @@
         return !revoked.empty();
     }
 
+    /// Whether an answer gets @p bytes although the bound is reached. Requests that were read wait
+    /// for their answers, and answers for each other's room; none would end otherwise.
+    bool mayExceed(std::uint64_t number, std::size_t bytes) const
+    {
+        if (!entries.at(number).isAnswer)
+            return false;
+        return *answers.begin() == number || heldByAnswers + bytes <= maxBytes / AnswerShareDivisor;
+    }
+
     bool grow(std::uint64_t number, std::size_t bytes, TimePoint now,
               std::vector<std::function<void()>> &hooks)
     {
@@ -120,7 +133,7 @@
         advanceWindow(entry, now);
         const bool isAlone = heldBytes == entry.bytes;
         const bool fits = bytes <= maxBytes && heldBytes <= maxBytes - bytes;
-        if (!fits && !isAlone) {
+        if (!fits && !isAlone && !mayExceed(number, bytes)) {
             const std::size_t missing = heldBytes + bytes - maxBytes;
             if (!makeRoom(number, missing, now, hooks)) {
                 entry.bytesInWindow = entry.bytes;
@@ -132,22 +145,34 @@
         entry.bytesInWindow += bytes;
         entry.progressAt = now;
         heldBytes += bytes;
+        heldByAnswers += entry.isAnswer ? bytes : 0;
         return true;
     }
 
+    void remove(std::uint64_t number)
+    {
+        const std::lock_guard lock(mutex);
+        const auto entry = entries.find(number);
+        heldBytes -= entry->second.bytes;
+        if (entry->second.isAnswer) {
+            heldByAnswers -= entry->second.bytes;
+            answers.erase(number);
+        }
+        entries.erase(entry);
+    }
+
     std::size_t maxBytes;
     mutable std::mutex mutex;
     std::unordered_map<std::uint64_t, Entry> entries;
+    std::set<std::uint64_t> answers; ///< Numbers of their leases, the oldest first.
     std::size_t heldBytes = 0;
+    std::size_t heldByAnswers = 0; ///< Of heldBytes.
     std::uint64_t lastNumber = 0;
 };
 
 MemoryLease::~MemoryLease()
 {
-    const std::lock_guard lock(m_budget->mutex);
-    const auto entry = m_budget->entries.find(m_number);
-    m_budget->heldBytes -= entry->second.bytes;
-    m_budget->entries.erase(entry);
+    m_budget->remove(m_number);
 }
 
 bool MemoryLease::grow(std::size_t bytes, TimePoint now)
@@ -183,16 +208,25 @@
     : m_state(std::make_shared<MemoryBudgetState>(maxBytes))
 { }
 
-std::shared_ptr<MemoryLease> MemoryBudget::lease(std::function<void()> revokedHook)
+std::shared_ptr<MemoryLease> MemoryBudget::requestLease(std::function<void()> revokedHook)
 {
     const std::lock_guard lock(m_state->mutex);
     const std::uint64_t number = ++m_state->lastNumber;
     MemoryBudgetState::Entry &entry = m_state->entries[number];
-    entry.isReading = static_cast<bool>(revokedHook);
+    entry.isReading = true;
     entry.revokedHook = std::move(revokedHook);
     return std::make_shared<MemoryLease>(m_state, number);
 }
 
+std::shared_ptr<MemoryLease> MemoryBudget::answerLease()
+{
+    const std::lock_guard lock(m_state->mutex);
+    const std::uint64_t number = ++m_state->lastNumber;
+    m_state->entries[number].isAnswer = true;
+    m_state->answers.insert(number);
+    return std::make_shared<MemoryLease>(m_state, number);
+}
+
 std::size_t MemoryBudget::maxBytes() const
 {
     return m_state->maxBytes;
--- a/src/gentianramp/http/server_session.cpp
+++ b/src/gentianramp/http/server_session.cpp
@@ -446,7 +446,7 @@
     if (held <= SmallRequestBytes)
         return true;
     if (!m_lease) {
-        m_lease = m_shared->options.memory->lease(
+        m_lease = m_shared->options.memory->requestLease(
             [weak = weak_from_this(), executor = m_executor, reading = m_requestsRead] {
                 asio::post(executor, [weak, reading] {
                     if (const auto self = weak.lock())
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -10,6 +10,7 @@
 #include <charconv>
 #include <gentianramp/core/hexadecimal.hpp>
 #include <gentianramp/core/log.hpp>
+#include <gentianramp/http/whole_answer.hpp>
 #include <gentianramp/relay/request_identity.hpp>
 #include <gentianramp/relay/retry_after.hpp>
 
@@ -59,12 +60,6 @@
 
 /// Answers that are not streams are kept until they are complete.
 constexpr std::size_t MaxWholeAnswerBytes = 8 * 1024 * 1024;
-/// An answer that is no larger takes no room of the memory budget.
-constexpr std::size_t SmallAnswerBytes = 16 * 1024;
-/// The room of larger ones without a stated length grows by multiples of this.
-constexpr std::size_t AnswerStepBytes = 64 * 1024;
-/// Time after which an answer without room looks for it again.
-constexpr Duration AnswerRoomInterval = std::chrono::milliseconds(20);
 /// An answer to a prefill is a handle, which arrives at once unless the engine falls silent.
 constexpr std::size_t MaxPrefillAnswerBytes = 64 * 1024;
 constexpr Duration PrefillBodyTimeout = std::chrono::seconds(2);
@@ -1018,60 +1013,22 @@
     return exchange.headers().find("Content-Type").starts_with("text/event-stream");
 }
 
-/// Waits until the answer may take @p bytes in all; false when the request is over before.
-asio::awaitable<bool> RelayedRequest::takeAnswerRoom(std::size_t bytes)
-{
-    if (bytes <= SmallAnswerBytes)
-        co_return true;
-    if (!m_answerLease)
-        m_answerLease = m_state->options.memory->lease();
-    const std::size_t taken = m_answerLease->bytes();
-    if (bytes <= taken)
-        co_return true;
-    const std::size_t more = std::max(bytes - taken, AnswerStepBytes);
-    while (!isOver()) {
-        if (m_answerLease->grow(more, RuntimeClock::now()))
-            co_return true;
-        co_await sleepFor(AnswerRoomInterval);
-    }
-    co_return false;
-}
-
-asio::awaitable<Result<std::string>> RelayedRequest::readWholeBody(HttpExchange &exchange)
-{
-    std::string body;
-    m_answerLease.reset();
-    const std::uint64_t announced
-        = parseNumber(exchange.headers().find("Content-Length")).value_or(0);
-    const std::size_t expected
-        = std::min<std::uint64_t>(announced, MaxWholeAnswerBytes + SmallAnswerBytes);
-    bool hasRoom = co_await takeAnswerRoom(expected);
-    body.reserve(hasRoom ? expected : 0);
-    while (hasRoom) {
-        const Result<std::string_view> piece = co_await exchange.readPiece();
-        if (!piece)
-            co_return Result<std::string>(piece.error(), piece.message());
-        if (piece->empty())
-            co_return Result<std::string>(std::move(body));
-        if (body.size() + piece->size() > MaxWholeAnswerBytes)
-            co_return Result<std::string>(Error::TooLarge, "the answer has more than 8 MB");
-        body += *piece;
-        hasRoom = co_await takeAnswerRoom(body.size());
-    }
-    co_return Result<std::string>(Error::Cancelled, "no room for the answer in time");
-}
-
 asio::awaitable<RelayedRequest::AttemptResult> RelayedRequest::relayWholeAnswer(Attempt &attempt)
 {
-    Result<std::string> body = co_await readWholeBody(*attempt.exchange);
-    attempt.error = body.error();
-    if (!body)
+    m_answerLease.reset();
+    WholeAnswerOptions options{m_state->options.memory, MaxWholeAnswerBytes,
+                               [this] { return isOver(); }};
+    Result<WholeAnswer> result = co_await readWholeAnswer(*attempt.exchange, std::move(options));
+    attempt.error = result.error();
+    if (!result)
         co_return AttemptResult::MayHaveRun;
+    WholeAnswer answer = std::move(result).value();
+    m_answerLease = std::move(answer.lease);
     markAnswered(attempt);
     if (!attempt.byHelper)
         countBegun(m_prompt ? attempt.answeredAt : attempt.sentAt);
     HttpResponse response = callerResponseHead(*attempt.exchange);
-    response.body = std::move(body).value();
+    response.body = std::move(answer.body);
     const bool failure = response.status >= 500;
     // A started stream can't continue with an answer of another kind.
     if (m_writer->started())
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -141,8 +141,6 @@
     boost::asio::awaitable<AttemptResult> relay(Attempt &attempt);
     boost::asio::awaitable<AttemptResult> relayAnswer(Attempt &attempt);
     boost::asio::awaitable<AttemptResult> relayWholeAnswer(Attempt &attempt);
-    boost::asio::awaitable<Result<std::string>> readWholeBody(HttpExchange &exchange);
-    boost::asio::awaitable<bool> takeAnswerRoom(std::size_t bytes);
     boost::asio::awaitable<AttemptResult> relayStream(Attempt &attempt);
     boost::asio::awaitable<bool> deliverEvents(Attempt &attempt, std::string_view events);
     HttpResponse callerResponseHead(const HttpExchange &exchange) const;
