entry: whole answers take room of the process's bound

An answer that is no stream was read whole, up to 64 MiB for each caller, and nothing knew the sum. It now takes room of request_memory_bytes, like the answers of the programs for the users' platform.

Shown by the tests of readWholeAnswer() alone: no crowd is played against the product's own entry program yet.

--- a/src/gentianramp/entry/entry_service.cpp
+++ b/src/gentianramp/entry/entry_service.cpp
@@ -125,6 +125,7 @@
 {
     explicit State(EntryOptions serviceOptions)
         : options(std::move(serviceOptions))
+        , memory(std::make_shared<MemoryBudget>(options.settings.requestMemoryBytes))
         , timeline(timelineOptions(options.settings))
         , router(routerOptions(options, metrics))
         , workers(options.settings.threads)
@@ -154,6 +155,7 @@
         result.context.router = &router;
         result.context.client = &client;
         result.context.telemetry = &telemetry;
+        result.context.memory = memory;
         result.context.onStatedPhase = [this](const BackendId &backend, BackendPhase phase) {
             router.markPhase(backend, phase, RuntimeClock::now());
             asio::post(workers.background(),
@@ -176,7 +178,7 @@
         server.port = options.settings.httpPort;
         server.name = "callers";
         server.maxConnections = options.settings.maxConnections;
-        server.memory = std::make_shared<MemoryBudget>(options.settings.requestMemoryBytes);
+        server.memory = memory;
         server.unreadHook = countUnread(metrics, server.name);
         server.errorResponseHeaders.add(header::Verdict, std::string(toString(Verdict::NotRun)));
         server.handlerErrorHeaders.add(header::Verdict, std::string(toString(Verdict::MayHaveRun)));
@@ -363,6 +365,7 @@
     }
 
     EntryOptions options;
+    std::shared_ptr<MemoryBudget> memory;
     MetricsRegistry metrics;
     TimelineWriter timeline;
     Router router;
--- a/src/gentianramp/entry/relay_buffered.cpp
+++ b/src/gentianramp/entry/relay_buffered.cpp
@@ -1,6 +1,7 @@
 #include "header_names.hpp"
 #include "relay.hpp"
 
+#include <gentianramp/http/whole_answer.hpp>
 #include <nlohmann/json.hpp>
 
 namespace gentianramp {
@@ -10,6 +11,7 @@
 namespace {
 
 constexpr unsigned ServerErrorBegin = 500;
+constexpr std::size_t MaxAnswerBytes = 64UL * 1024 * 1024;
 
 /// True when a complete body can be told from one cut off by a lost connection.
 bool isBodyDelimited(const HttpExchange &exchange)
@@ -105,10 +107,15 @@
     HttpExchange &exchange = answer.exchange->answer();
     AttemptFailure failure = AttemptFailure::Broken;
     if (isBodyDelimited(exchange) && !isEngineFailure(attempts, exchange)) {
-        Result<std::string> body = co_await exchange.readAll();
-        if (body)
-            co_return co_await deliver(attempts, answer, std::move(body).value(), writer);
-        failure = failureOf(body.error());
+        WholeAnswerOptions options{attempts.context().memory, MaxAnswerBytes, [&attempts] {
+                                       return attempts.watch().gone() || attempts.deadlinePassed();
+                                   }};
+        Result<WholeAnswer> result = co_await readWholeAnswer(exchange, std::move(options));
+        if (result) {
+            WholeAnswer whole = std::move(result).value();
+            co_return co_await deliver(attempts, answer, std::move(whole.body), writer);
+        }
+        failure = failureOf(result.error());
     }
     attempts.fail(answer, failure, "answer_cut");
     if (failure == AttemptFailure::CallerGone)
--- a/src/gentianramp/entry/request_attempts.hpp
+++ b/src/gentianramp/entry/request_attempts.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <gentianramp/engine/backend_client.hpp>
+#include <gentianramp/http/memory_budget.hpp>
 #include <gentianramp/routing/router.hpp>
 #include <memory>
 #include <variant>
@@ -24,6 +25,7 @@
     Router *router = nullptr;
     HttpClient *client = nullptr;
     Telemetry *telemetry = nullptr;
+    std::shared_ptr<MemoryBudget> memory; ///< Of whole answers.
     StatedPhaseHook onStatedPhase;
     /// True while the view of the backend servers may be outdated, as after the process was
     /// suspended.
