http, relay, entry: answers that wait for memory are counted and logged

An operator saw nothing of an answer that waited for room but its time. gentianramp_relay_answer_room_waits_total (relay) and gentianramp_answer_room_waits_total (entry) count these answers; the line answer_waits, one for each, names the reason and what is held. The test StaysAtTheServerWithoutRoom asks for one call of the hook.

--- a/include/gentianramp/http/whole_answer.hpp
+++ b/include/gentianramp/http/whole_answer.hpp
@@ -16,6 +16,8 @@
     std::size_t maxBytes = 8UL * 1024 * 1024;
     /// Whether the request has ended, so that its answer is not waited for any longer.
     std::function<bool()> isOver;
+    /// Called once when the answer finds no room and waits for it; may be empty.
+    std::function<void()> waitsHook;
 };
 
 /// Body of an answer, and the room that it holds.
--- a/src/gentianramp/entry/relay_buffered.cpp
+++ b/src/gentianramp/entry/relay_buffered.cpp
@@ -1,6 +1,7 @@
 #include "header_names.hpp"
 #include "relay.hpp"
 
+#include <gentianramp/core/log.hpp>
 #include <gentianramp/http/whole_answer.hpp>
 #include <nlohmann/json.hpp>
 
@@ -81,6 +82,15 @@
     return error == Error::Cancelled ? AttemptFailure::CallerGone : AttemptFailure::Broken;
 }
 
+void noteAnswerWaits(const RequestAttempts &attempts)
+{
+    attempts.context().telemetry->answerRoomWaits.add();
+    logWarning("answer_waits",
+               {{"request", attempts.caller().id.value()},
+                {"reason", "no_memory"},
+                {"held_bytes", attempts.context().memory->heldBytes()}});
+}
+
 } // namespace
 
 PipelineOutcome errorOutcome(RequestError error)
@@ -107,9 +117,12 @@
     HttpExchange &exchange = answer.exchange->answer();
     AttemptFailure failure = AttemptFailure::Broken;
     if (isBodyDelimited(exchange) && !isEngineFailure(attempts, exchange)) {
-        WholeAnswerOptions options{attempts.context().memory, MaxAnswerBytes, [&attempts] {
-                                       return attempts.watch().gone() || attempts.deadlinePassed();
-                                   }};
+        WholeAnswerOptions options;
+        options.memory = attempts.context().memory;
+        options.maxBytes = MaxAnswerBytes;
+        options.isOver
+            = [&attempts] { return attempts.watch().gone() || attempts.deadlinePassed(); };
+        options.waitsHook = [&attempts] { noteAnswerWaits(attempts); };
         Result<WholeAnswer> result = co_await readWholeAnswer(exchange, std::move(options));
         if (result) {
             WholeAnswer whole = std::move(result).value();
--- a/src/gentianramp/entry/telemetry.cpp
+++ b/src/gentianramp/entry/telemetry.cpp
@@ -38,6 +38,8 @@
                                   "Callers that left before their answer ended"))
     , replayedAnswers(metrics.counter("gentianramp_replayed_answers_total",
                                       "Repeats that got the answer of the first attempt"))
+    , answerRoomWaits(
+          metrics.counter("gentianramp_answer_room_waits_total", "Answers that waited for memory"))
     , m_metrics(&metrics)
     , m_timeline(&timeline)
     , m_accepted(metrics.counter("gentianramp_accepted_total", "Requests that arrived"))
--- a/src/gentianramp/entry/telemetry.hpp
+++ b/src/gentianramp/entry/telemetry.hpp
@@ -34,6 +34,7 @@
     Counter &retries;
     Counter &callersGone;
     Counter &replayedAnswers;
+    Counter &answerRoomWaits;
 
 private:
     void record(EventKind kind, const RequestId &request, Attempt attempt, std::string_view peer,
--- a/src/gentianramp/http/whole_answer.cpp
+++ b/src/gentianramp/http/whole_answer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <gentianramp/core/clock.hpp>
+#include <utility>
 
 namespace gentianramp {
 
@@ -27,7 +28,7 @@
 }
 
 /// Waits until the answer may hold @p bytes in all; false when the request is over before.
-asio::awaitable<bool> waitForRoom(const WholeAnswerOptions &options, WholeAnswer &answer,
+asio::awaitable<bool> waitForRoom(WholeAnswerOptions &options, WholeAnswer &answer,
                                   std::size_t bytes)
 {
     if (bytes <= SmallAnswerBytes)
@@ -41,6 +42,8 @@
     while (!options.isOver()) {
         if (answer.lease->grow(more, RuntimeClock::now()))
             co_return true;
+        if (const auto hook = std::exchange(options.waitsHook, nullptr))
+            hook();
         co_await sleepFor(RoomInterval);
     }
     co_return false;
--- a/src/gentianramp/http/whole_answer_test.cpp
+++ b/src/gentianramp/http/whole_answer_test.cpp
@@ -74,7 +74,8 @@
 
     asio::awaitable<void> read(FakeAnswer &answer, std::size_t maxBytes, std::size_t place)
     {
-        WholeAnswerOptions options{memory, maxBytes, [this] { return isOver; }};
+        WholeAnswerOptions options{memory, maxBytes, [this] { return isOver; },
+                                   [this] { ++waits; }};
         Result<WholeAnswer> result = co_await readWholeAnswer(answer, std::move(options));
         results[place].emplace(std::move(result));
     }
@@ -98,6 +99,7 @@
     asio::io_context context;
     std::shared_ptr<MemoryBudget> memory;
     bool isOver = false;
+    int waits = 0;
     std::deque<std::optional<Result<WholeAnswer>>> results;
 };
 
@@ -126,6 +128,7 @@
     reading.begin(second);
     reading.advance(std::chrono::milliseconds(100));
     cr_assert_eq(second.piecesRead(), 0U);
+    cr_assert_eq(reading.waits, 1);
     reading.results.front().reset();
     reading.advance(std::chrono::milliseconds(100));
     cr_assert(reading.results.back().has_value());
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -68,6 +68,8 @@
     , callersGone(registry.counter("gentianramp_relay_callers_gone_total", "Callers that left"))
     , crashes(
           registry.counter("gentianramp_relay_crashes_total", "Crashes of backend servers seen"))
+    , answerRoomWaits(registry.counter("gentianramp_relay_answer_room_waits_total",
+                                       "Answers that waited for memory"))
     , blamedRefusals(registry.counter("gentianramp_relay_blamed_refusals_total",
                                       "Refused for a prompt part that crashes backend servers"))
     , limitRefusals(registry.counter("gentianramp_relay_limit_refusals_total",
--- a/src/gentianramp/relay/relay_state.hpp
+++ b/src/gentianramp/relay/relay_state.hpp
@@ -29,6 +29,7 @@
     Counter &resumes;
     Counter &callersGone;
     Counter &crashes;
+    Counter &answerRoomWaits;
     Counter &blamedRefusals;
     Counter &limitRefusals;
     Counter &originRefusals;
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -1013,11 +1013,20 @@
     return exchange.headers().find("Content-Type").starts_with("text/event-stream");
 }
 
+void RelayedRequest::noteAnswerWaits()
+{
+    m_state->metrics.answerRoomWaits.add();
+    logWarning("answer_waits",
+               {{"request", m_id},
+                {"reason", "no_memory"},
+                {"held_bytes", m_state->options.memory->heldBytes()}});
+}
+
 asio::awaitable<RelayedRequest::AttemptResult> RelayedRequest::relayWholeAnswer(Attempt &attempt)
 {
     m_answerLease.reset();
     WholeAnswerOptions options{m_state->options.memory, MaxWholeAnswerBytes,
-                               [this] { return isOver(); }};
+                               [this] { return isOver(); }, [this] { noteAnswerWaits(); }};
     Result<WholeAnswer> result = co_await readWholeAnswer(*attempt.exchange, std::move(options));
     attempt.error = result.error();
     if (!result)
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -142,6 +142,7 @@
     boost::asio::awaitable<AttemptResult> relayAnswer(Attempt &attempt);
     boost::asio::awaitable<AttemptResult> relayWholeAnswer(Attempt &attempt);
     boost::asio::awaitable<AttemptResult> relayStream(Attempt &attempt);
+    void noteAnswerWaits();
     boost::asio::awaitable<bool> deliverEvents(Attempt &attempt, std::string_view events);
     HttpResponse callerResponseHead(const HttpExchange &exchange) const;
     void noteHead(const Attempt &attempt);
