entry: a request holds its room as long as its body, and its body once

Cause: acceptRequest() took the body and dropped the lease of the request, so that room came back as soon as a request had been read; each call to a backend server then copied the body.

The body is shared, and the shared object holds the lease: room comes back with the last call that uses the body. A completion that is changed for an engine is still a text of its own.

--- a/include/gentianramp/engine/backend_client.hpp
+++ b/include/gentianramp/engine/backend_client.hpp
@@ -24,6 +24,8 @@
     std::string target;
     std::string contentType = "application/json";
     std::string body;
+    /// Sent in place of `body`, if it is set.
+    std::shared_ptr<const std::string> sharedBody;
     Duration headTimeout = std::chrono::seconds(30);
     Duration silenceTimeout = std::chrono::seconds(5);
     /// False for requests that must not run twice: a pooled connection may be half closed, and then
--- a/src/gentianramp/engine/backend_client.cpp
+++ b/src/gentianramp/engine/backend_client.cpp
@@ -47,6 +47,7 @@
     if (!call.contentType.empty())
         headers.add("Content-Type", std::move(call.contentType));
     http.request.body = std::move(call.body);
+    http.sharedBody = std::move(call.sharedBody);
     http.headTimeout = call.headTimeout;
     http.silenceTimeout = call.silenceTimeout;
     http.freshConnection = !call.mayReuseConnection;
--- a/src/gentianramp/entry/caller_request.cpp
+++ b/src/gentianramp/entry/caller_request.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <gentianramp/declaration/customer_keys.hpp>
 #include <gentianramp/engine/token_sequence.hpp>
+#include <gentianramp/http/memory_budget.hpp>
 #include <nlohmann/json.hpp>
 
 namespace gentianramp {
@@ -17,6 +18,13 @@
 constexpr std::uint32_t MaxTokensBound = 1U << 24;
 constexpr std::int64_t MaxTimeoutMs = 24LL * 3600 * 1000;
 
+/// Body of a request with the room that it takes.
+struct HeldBody
+{
+    std::string text;
+    std::shared_ptr<MemoryLease> lease;
+};
+
 bool isModelPath(std::string_view path)
 {
     return path == "/v1/chat/completions" || path == "/v1/completions";
@@ -178,17 +186,20 @@
     }
     accepted.method = std::move(request.method);
     accepted.target = std::move(request.target);
-    accepted.body = std::move(request.body);
+    const auto held = std::make_shared<const HeldBody>(
+        HeldBody{std::move(request.body), std::move(request.lease)});
+    accepted.body = std::shared_ptr<const std::string>(held, &held->text);
     return accepted;
 }
 
-std::string engineBody(const CallerRequest &request, const EngineFields &fields)
+std::shared_ptr<const std::string> engineBody(const CallerRequest &request,
+                                              const EngineFields &fields)
 {
     const bool changed = fields.model != request.completion->model || fields.resumeOffset > 0
         || !fields.kvHandle.empty() || fields.prefillOnly;
     if (!changed)
         return request.body;
-    json body = json::parse(request.body);
+    json body = json::parse(*request.body);
     body["model"] = fields.model;
     if (fields.resumeOffset > 0)
         body["gentianramp_resume_offset"] = fields.resumeOffset;
@@ -196,7 +207,7 @@
         body["gentianramp_kv_handle"] = fields.kvHandle;
     if (fields.prefillOnly)
         body["gentianramp_prefill_only"] = true;
-    return body.dump();
+    return std::make_shared<const std::string>(body.dump());
 }
 
 } // namespace gentianramp
--- a/src/gentianramp/entry/caller_request.hpp
+++ b/src/gentianramp/entry/caller_request.hpp
@@ -38,7 +38,8 @@
     std::string method;
     std::string target;
     std::string contentType;
-    std::string body;
+    /// Never empty after acceptRequest(); holds the room of the request as long as it is in use.
+    std::shared_ptr<const std::string> body;
     TimePoint arrivedAt{};
     std::optional<Duration> timeout;                ///< Requested by the caller.
     std::optional<CompletionParameters> completion; ///< Set for the completion paths.
@@ -67,8 +68,9 @@
     bool operator==(const EngineFields &) const = default;
 };
 
-/// Body to send to an engine: the caller's body with @p fields set, byte for byte the same when
-/// no field differs.
-std::string engineBody(const CallerRequest &request, const EngineFields &fields);
+/// Body to send to an engine: the caller's body with @p fields set, or the same one when no field
+/// differs.
+std::shared_ptr<const std::string> engineBody(const CallerRequest &request,
+                                              const EngineFields &fields);
 
 } // namespace gentianramp
--- a/src/gentianramp/entry/caller_request_test.cpp
+++ b/src/gentianramp/entry/caller_request_test.cpp
@@ -1,5 +1,6 @@
 #include "caller_request.hpp"
 
+#include <gentianramp/http/memory_budget.hpp>
 #include <random>
 
 #include <criterion/criterion.h>
@@ -87,8 +88,8 @@
 {
     const std::string body = R"({ "model": "m", "stream": true })";
     const CallerRequest request = acceptedOf(completion(body));
-    cr_assert(engineBody(request, {"m", 0, {}, false}) == body);
-    const std::string resumed = engineBody(request, {"m", 7, "h", false});
+    cr_assert(*engineBody(request, {"m", 0, {}, false}) == body);
+    const std::string resumed = *engineBody(request, {"m", 7, "h", false});
     cr_assert(resumed.find("\"gentianramp_resume_offset\":7") != std::string::npos);
     cr_assert(resumed.find("\"gentianramp_kv_handle\":\"h\"") != std::string::npos);
 }
@@ -106,3 +107,16 @@
         accept(completion(std::string(2000, '[') + body));
     }
 }
+
+// The room was given back as soon as the request had been read, while its body was still held.
+Test(CallerRequest, HoldsItsRoomAsLongAsItsBody)
+{
+    MemoryBudget budget(1000);
+    HttpRequest request{"POST", "/bay/unlock", {}, std::string(100, 'a')};
+    request.lease = budget.requestLease([] {});
+    cr_assert(request.lease->grow(100, TimePoint{}));
+    std::optional<CallerRequest> accepted = acceptedOf(std::move(request));
+    const std::shared_ptr<const std::string> sent = accepted->body;
+    accepted.reset();
+    cr_assert_eq(budget.heldBytes(), 100U);
+}
--- a/src/gentianramp/entry/deduplicate.cpp
+++ b/src/gentianramp/entry/deduplicate.cpp
@@ -26,7 +26,7 @@
     const CallerRequest &caller = request.caller;
     ClaimRequest claim;
     claim.scope = {request.customer, request.service->id, claimedKey(caller)};
-    claim.fingerprint = sha256Hex({caller.method, " ", caller.target, "\n", caller.body});
+    claim.fingerprint = sha256Hex({caller.method, " ", caller.target, "\n", *caller.body});
     claim.firstAttempt = caller.firstAttempt;
     claim.wallMs = wallClockMs();
     claim.deadline = request.deadline - AnswerMargin;
--- a/src/gentianramp/entry/request_attempts.cpp
+++ b/src/gentianramp/entry/request_attempts.cpp
@@ -286,7 +286,7 @@
     call.method = caller().method;
     call.target = caller().target;
     call.contentType = caller().contentType;
-    call.body = caller().completion ? engineBody(caller(), fields) : caller().body;
+    call.sharedBody = caller().completion ? engineBody(caller(), fields) : caller().body;
     call.silenceTimeout = caller().completion ? tokenTimeout() : headTimeout(0);
     call.mayReuseConnection = request().idempotent;
     return call;
