entry: a completion of many brackets no longer takes a hundred times its length

80 bodies of a megabyte of opening brackets took 250 MB of the product's own entry program with 64 on, before any key was looked at. Cause: the JSON parser builds a value for each bracket before it finds that the text is no request.

Text that is nested more than 64 deep or has more than 200,000 values is malformed (400, malformed_json).

--- a/src/gentianramp/entry/caller_request.cpp
+++ b/src/gentianramp/entry/caller_request.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <gentianramp/core/bounded_json.hpp>
 #include <gentianramp/declaration/customer_keys.hpp>
 #include <gentianramp/engine/token_sequence.hpp>
 #include <gentianramp/http/memory_budget.hpp>
@@ -17,6 +18,7 @@
 
 constexpr std::uint32_t MaxTokensBound = 1U << 24;
 constexpr std::int64_t MaxTimeoutMs = 24LL * 3600 * 1000;
+constexpr JsonLimits CompletionLimits{.maxDepth = 64, .maxValues = 200'000};
 
 /// Body of a request with the room that it takes.
 struct HeldBody
@@ -104,9 +106,10 @@
 
 FilterResult<CompletionParameters> parseCompletion(const std::string &text)
 {
-    const json body = json::parse(text, nullptr, false);
+    const json body = parseBoundedJson(text, CompletionLimits);
     if (!body.is_object())
-        return notRun(400, "malformed_json", "the body is not a JSON object");
+        return notRun(400, "malformed_json",
+                      "the body is not a JSON object of at most 200,000 values, 64 levels deep");
     try {
         return readCompletion(body);
     } catch (const std::exception &problem) {
--- a/src/gentianramp/entry/caller_request_test.cpp
+++ b/src/gentianramp/entry/caller_request_test.cpp
@@ -108,6 +108,16 @@
     }
 }
 
+// A megabyte of opening brackets took over a hundred megabytes of memory.
+Test(CallerRequest, RefusesTextThatTakesMuchMoreMemoryThanItsLength)
+{
+    cr_assert_eq(errorOf(completion(std::string(1024 * 1024, '['))).reason, "malformed_json");
+    std::string many = R"({"model":"m","prompt":[0)";
+    for (int count = 0; count < 250'000; ++count)
+        many += ",0";
+    cr_assert_eq(errorOf(completion(many + "]}")).reason, "malformed_json");
+}
+
 // The room was given back as soon as the request had been read, while its body was still held.
 Test(CallerRequest, HoldsItsRoomAsLongAsItsBody)
 {
