--- a/src/programs/control/main.cpp
+++ b/src/programs/control/main.cpp
@@ -9,6 +9,7 @@
 #include <gentianramp/control/control_node.hpp>
 #include <gentianramp/control/membership_component.hpp>
 #include <gentianramp/core/log.hpp>
+#include <gentianramp/core/process_memory.hpp>
 #include <gentianramp/core/process_signals.hpp>
 #include <gentianramp/core/random_seed.hpp>
 #include <iostream>
@@ -106,6 +107,7 @@
 
 int main(int argc, char **argv)
 {
+    returnFreedMemory();
     CommandLine line(Description);
     std::string file;
     bool initialiseOnly = false;
--- a/src/programs/entry/main.cpp
+++ b/src/programs/entry/main.cpp
@@ -11,6 +11,7 @@
 #include <gentianramp/control_link/fleet_link.hpp>
 #include <gentianramp/core/invariant.hpp>
 #include <gentianramp/core/log.hpp>
+#include <gentianramp/core/process_memory.hpp>
 #include <gentianramp/core/process_signals.hpp>
 #include <gentianramp/core/run_context.hpp>
 #include <gentianramp/entry/entry_service.hpp>
@@ -166,6 +167,7 @@
 
 int main(int argc, char **argv)
 {
+    returnFreedMemory();
     CommandLine line = commandLine();
     const auto ended = line.parse(argc, argv, std::cout, std::cerr);
     return static_cast<int>(ended ? *ended : run(line));
