--- a/review/stand-ins-2/deployment.py
+++ b/review/stand-ins-2/deployment.py
@@ -296,11 +296,20 @@
         self.workers.append(worker)
         return worker
 
+    def replace_core(self, old, zone):
+        """A new machine takes the place of one that is gone for good, at another address."""
+        new = Machine(self, f"core-{zone}-{len(self.cores) + 1}", "core", zone, self._next_host())
+        if not all(_is_free(new.host, port) for port in range(self.ports["front"], self.ports["front"] + 24)):
+            raise CouldNotRun("no free ports")
+        self.cores[self.cores.index(old)] = new
+        return new
+
     def settings(self, machine, bootstrap):
         lines = {"NodeName": machine.name, "Role": "control" if machine.role == "core" else "entry",
                  "MachineClass": machine.role, "Ip": machine.host, "Zone": machine.zone,
                  "Region": "region",
                  "InternalPorts": ",".join(map(str, self.ports["internal"])),
+                 # The operator's list as it is now; the first start has the first three machines.
                  "Seeds": ",".join("%s:%d" % core.control for core in self.cores[:3]),
                  "Bootstrap": str(bootstrap).lower(),
                  "CountsAsLoss": str(machine.role == "core").lower(),
