--- a/review/7/case.py
+++ b/review/7/case.py
@@ -18,7 +18,7 @@
 
 
 def content(version):
-    return configuration(version, [(f"r-{version}", "/a/", "idempotent", "app", 2)], ["app"])
+    return configuration(version, [(f"r-{version}", "/a/", "repeatable", "app", 2)], ["app"])
 
 
 async def case(record, trouble):
--- a/review/stand-ins-2/deployment.py
+++ b/review/stand-ins-2/deployment.py
@@ -9,17 +9,22 @@
 import os
 import pathlib
 import random
+import re
 import shutil
 import signal
 import socket
 import subprocess
 import tempfile
 import time
-import tomllib
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "review.example"
-DEPLOY = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+# Names of the users' platform.
+WIRE = json.loads((pathlib.Path(__file__).resolve().parent / "wire.json").read_text(encoding="utf-8"))
+HEADERS = WIRE["headers"]
+# The command of each role in the deploy file.
+COMMANDS = dict(re.findall(r'^\[roles\.(\w+)\]\nrun = "(.+)"$', (ROOT / "deploy" / "system.toml").read_text(),
+                           re.MULTILINE))
 
 
 class CouldNotRun(Exception):
@@ -139,12 +144,11 @@
     def entry(self):
         """As the platform's list shows it."""
         return {"Id": self.id, "Service": self.service, "Address": "%s:%d" % self.address,
-                "Zone": self.zone, "Version": "v1", "Slots": 6,
-                "State": "draining" if self.draining_since else "ready", "ColdLeftMs": 0,
-                "born": self.born_ms}
+                "Zone": self.zone, "State": "draining" if self.draining_since else "ready",
+                "born": self.born_ms, **WIRE["listed"]}
 
     def _own_headers(self):
-        return {"Server-Leaving": "1"} if self.draining_since else {}
+        return {HEADERS["leaving"]: "1"} if self.draining_since else {}
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
@@ -159,16 +163,16 @@
             writer.close()
 
     async def _answer(self, request):
-        name = request.headers.get("request-id", "")
-        echo = {"Request-Id": name} if name else {}
-        if request.headers.get("target-instance", self.id) != self.id:
-            return render("HTTP/1.1 421 Misdirected", {**echo, "Not-Executed": "1"})
+        name = request.headers.get(HEADERS["id"].lower(), "")
+        echo = {HEADERS["id"]: name} if name else {}
+        if request.headers.get(HEADERS["target"].lower(), self.id) != self.id:
+            return render("HTTP/1.1 421 Misdirected", {**echo, HEADERS["not_run"]: "1"})
         target = request.first.split(" ")[1]
         if target == "/health":
             status = "503 Draining" if self.draining_since else "200 OK"
-            return render(f"HTTP/1.1 {status}", {"Instance-Id": self.id, **self._own_headers()})
+            return render(f"HTTP/1.1 {status}", {HEADERS["instance"]: self.id, **self._own_headers()})
         if not name:
-            return render("HTTP/1.1 400 No id", {"Not-Executed": "1"})
+            return render("HTTP/1.1 400 No id", {HEADERS["not_run"]: "1"})
         record = self._deployment.record
         self.runs.append((name, record.now()))
         record.note(f"worker {self.id} of {self.service} begins to run {name} {target}"
@@ -176,7 +180,7 @@
                        "draining" if self.draining_since else ""))
         await asyncio.sleep(self.work_s)
         return render("HTTP/1.1 200 OK", {**echo, **self._own_headers(),
-                                          "Response-Signature": f"{self.id}.{name}"},
+                                          HEADERS["signature"]: f"{self.id}.{name}"},
                       f"{self.service}/{name}".encode())
 
 
@@ -199,7 +203,7 @@
                            if worker.runs_on and worker.listed]
                 if self.foreign is not None:
                     entries.append(self.foreign)
-                body = b'{"Instances":[' + b",".join(entries) + b'],"NextToken":null}'
+                body = WIRE["list_begin"].encode() + b",".join(entries) + WIRE["list_end"].encode()
                 writer.write(render("HTTP/1.1 200 OK", {"Content-Type": "application/json"}, body))
                 await writer.drain()
         writer.close()
@@ -232,7 +236,7 @@
         self._settings.write_text(deployment.settings(self, bootstrap))
         if self.role == "core":
             self.data.mkdir(exist_ok=True)
-        words = DEPLOY["roles"]["control" if self.role == "core" else "entry"]["run"].split(" ")
+        words = COMMANDS["control" if self.role == "core" else "entry"].split(" ")
         environment = {"PATH": os.environ.get("PATH", "/usr/bin:/bin"), "LANG": "C",
                        "HOME": str(deployment.folder), "GENTIANRAMP_NODE_FILE": str(self._settings)}
         with open(deployment.folder / f"{self.name}.log", "ab") as log:
@@ -305,30 +309,22 @@
         return new
 
     def settings(self, machine, bootstrap):
-        lines = {"NodeName": machine.name, "Role": "control" if machine.role == "core" else "entry",
-                 "MachineClass": machine.role, "Ip": machine.host, "Zone": machine.zone,
-                 "Region": "region",
-                 "InternalPorts": ",".join(map(str, self.ports["internal"])),
-                 # The operator's list as it is now; the first start has the first three machines.
-                 "Seeds": ",".join("%s:%d" % core.control for core in self.cores[:3]),
-                 "Bootstrap": str(bootstrap).lower(),
-                 "CountsAsLoss": str(machine.role == "core").lower(),
-                 "Limits.MemoryMb": 260, "Limits.MaxFds": 4100, "Discovery": "cloud_api",
-                 "Entry": "vip", "ConfigMode": "highest",
-                 "CloudApi.Address": "%s:%d" % self.list_address, "CloudApi.RatePerS": 47.0,
-                 "CloudApi.Duties": "", "CloudApi.LagMs": 800, **self._bounds}
-        lines |= {f"Zones.{zone}": "region" for zone in self.zones}
-        if machine.role == "core":
-            lines |= {"Serves": "control_plane", "Listen.Control": "%s:%d" % machine.control,
-                      "DataDir": machine.data, "Limits.DiskMb": 128}
-        else:
-            lines |= {"Serves": "edge", "Listen.Front": "%s:%d" % machine.front,
-                      "Listen.Ready": "%s:%d" % machine.ready_address}
-        return "".join(f"{key}={value}\n" for key, value in lines.items())
+        is_core = machine.role == "core"
+        first, last = self.ports["internal"]
+        values = {"name": machine.name, "role_name": "control" if is_core else "entry", "machine_class": machine.role,
+                  "host": machine.host, "zone": machine.zone, "first_port": first, "last_port": last,
+                  # The operator's list as it is now; the first start has the first three machines.
+                  "seeds": ",".join("%s:%d" % core.control for core in self.cores[:3]),
+                  "bootstrap": str(bootstrap).lower(), "counts": str(is_core).lower(),
+                  "list_host": self.list_address[0], "list_port": self.list_address[1], "data": machine.data,
+                  **{name: self.ports[name] for name in ("control", "front", "ready")}}
+        lines = WIRE["settings"] + WIRE["core_settings" if is_core else "edge_settings"] + self._bounds
+        lines += [WIRE["zone_setting"].format(zone=zone) for zone in self.zones]
+        return "".join(line.format(**values) + "\n" for line in lines)
 
     async def __aenter__(self):
-        for role in DEPLOY["roles"].values():
-            if not (ROOT / role["run"].split(" ")[0]).exists():
+        for command in COMMANDS.values():
+            if not (ROOT / command.split(" ")[0]).exists():
                 raise CouldNotRun("the programs of the deploy file are not built")
         await self.platform.start()
         return self
@@ -351,7 +347,7 @@
         end = time.monotonic() + until_s
         while time.monotonic() < end:
             for core in cores:
-                answer = await call(core.control, "POST /v1/config/replace HTTP/1.1",
+                answer = await call(core.control, WIRE["replace"],
                                     {"Content-Type": "application/json"}, body)
                 self.record.note(f"operator sends version {content['Version']} to {core.name}: "
                                  f"{answer.status if answer else 'no answer'}")
@@ -365,7 +361,7 @@
         end = time.monotonic() + until_s
         while time.monotonic() < end:
             for core in self.cores:
-                answer = await call(core.control, "GET /v1/config/read HTTP/1.1")
+                answer = await call(core.control, WIRE["read"])
                 self.record.note(f"operator reads at {core.name}: "
                                  f"{answer.status if answer else 'no answer'}")
                 if answer and answer.status == 200:
@@ -378,7 +374,7 @@
         end = time.monotonic() + until_s
         for entry in self.entries:
             while time.monotonic() < end:
-                answer = await call(entry.ready_address, "GET /v1/readiness HTTP/1.1")
+                answer = await call(entry.ready_address, WIRE["ready"])
                 if answer and answer.status == 200:
                     break
                 await asyncio.sleep(0.1)
@@ -400,26 +396,25 @@
 def configuration(version, routes, services):
     """A whole configuration; `routes` are (name, path prefix, kind, service, attempts)."""
     return {"Version": version,
-            "Routes": [{"Name": name, "Host": HOST, "PathPrefix": prefix, "Kind": kind,
-                        "TimeoutMs": 3000, "SloMs": 200, "Priority": 1, "Service": service,
-                        "Attempts": attempts, "Sticky": False, "Resumable": False}
+            "Routes": [{"Name": name, "Host": HOST, WIRE["route_prefix"]: prefix, "Kind": WIRE["kinds"][kind],
+                        "Service": service, "Attempts": attempts, **WIRE["route"]}
                        for name, prefix, kind, service, attempts in routes],
-            "Services": [{"Name": name, "HealthPath": "/health", "MaxConns": 300, "Protocol": "h1",
-                          "Tls": False} for name in services],
-            "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000,
-                       "IdleTimeoutMs": 15000}}
-
-
-def bounds(tolerated, **changed):
-    """Settings of a small deployment, as on its sheet."""
-    return {"FaultTolerance.Machines": tolerated, "FaultTolerance.Zones": 1, "FaultTolerance.Regions": 0,
-            "Bounds.SeedLagS": 3, "Bounds.ReuseAfterS": 2, "Bounds.ContactMs": 3000,
-            "Bounds.AckMs": 4000, "Bounds.CatchUpS": 4, "Bounds.DrainMs": 3000, "Bounds.GraceS": 8,
-            "Bounds.LossSlackMs": 200, "Bounds.ConfigApplyMs": 2000, "Bounds.RollbackSlackMs": 250,
-            "Bounds.MaxSkewMs": 5000, "Bounds.RetryBudgetRatio": 0.2, "Bounds.BudgetWindowS": 10,
-            "Bounds.BudgetSlack": 58, "Bounds.RecoveryS": 12, "Bounds.TransitMs": 120,
-            "Bounds.ReuseWindowS": 9.2, "Bounds.Fencing": "false", "Bounds.LeaseMs": 3000,
-            "Bounds.ThawMs": 300, **changed}
+            "Services": [{"Name": name, **WIRE["service"]} for name in services],
+            "Limits": WIRE["limits"]}
+
+
+def bounds(tolerated):
+    """Settings of a deployment that bears the loss of so many machines with a disk, as on its sheet."""
+    return WIRE["bounds_of_one_loss" if tolerated == 1 else "bounds_of_two_losses"]
+
+
+async def ask(record, entry, target, name):
+    """A client's request that may run once; its answer or None."""
+    answer = await call(entry.front, f"POST {target} HTTP/1.1", {HEADERS["id"]: name, HEADERS["budget"]: "3000"},
+                        b"body", timeout_s=4)
+    record.note(f"client sent {name} to {entry.name} and got "
+                + (f"{answer.status} {answer.body.decode().strip()}" if answer else "no answer"))
+    return answer
 
 
 def play(case, folder):
