review: show that an Id with a line break changes requests

Cause: an Id of the platform's list goes into a header of requests as it is. A line break in it ends the head, and the request's length and body come to the server as a further message.

--- a/review/stand-ins-2/deployment.py
+++ b/review/stand-ins-2/deployment.py
@@ -22,6 +22,7 @@
 # Names of the users' platform.
 WIRE = json.loads((pathlib.Path(__file__).resolve().parent / "wire.json").read_text(encoding="utf-8"))
 HEADERS = WIRE["headers"]
+BODY = b"body"  # of clients' requests
 # The command of each role in the deploy file.
 COMMANDS = dict(re.findall(r'^\[roles\.(\w+)\]\nrun = "(.+)"$', (ROOT / "deploy" / "system.toml").read_text(),
                            re.MULTILINE))
@@ -112,7 +113,7 @@
         self.work_s = work_s
         self.draining_since = None
         self.listed = True
-        self.runs = []  # (request id, seconds since the start)
+        self.runs = []  # (request id, body)
         self._server = None
         self._writers = set()
         self.born_ms = 0
@@ -174,8 +175,8 @@
         if not name:
             return render("HTTP/1.1 400 No id", {HEADERS["not_run"]: "1"})
         record = self._deployment.record
-        self.runs.append((name, record.now()))
-        record.note(f"worker {self.id} of {self.service} begins to run {name} {target}"
+        self.runs.append((name, request.body))
+        record.note(f"worker {self.id} of {self.service} begins to run {name} {target} with the body {request.body!r}"
                     + (f", {time.monotonic() - self.draining_since:.1f} s after the list showed it as "
                        "draining" if self.draining_since else ""))
         await asyncio.sleep(self.work_s)
@@ -340,7 +341,7 @@
 
     # The operator
 
-    async def send_configuration(self, content, cores=None, until_s=30.0):
+    async def send_configuration(self, content, cores=None, until_s=30.0, pause_s=0.05):
         """Sends a configuration until a core machine acknowledges it; that machine, or None."""
         cores = cores or self.cores
         body = json.dumps(content).encode()
@@ -353,7 +354,7 @@
                                  f"{answer.status if answer else 'no answer'}")
                 if answer and answer.status == 200:
                     return core
-                await asyncio.sleep(0.05)
+                await asyncio.sleep(pause_s)
         return None
 
     async def read_configuration(self, until_s):
@@ -411,7 +412,7 @@
 async def ask(record, entry, target, name):
     """A client's request that may run once; its answer or None."""
     answer = await call(entry.front, f"POST {target} HTTP/1.1", {HEADERS["id"]: name, HEADERS["budget"]: "3000"},
-                        b"body", timeout_s=4)
+                        BODY, timeout_s=4)
     record.note(f"client sent {name} to {entry.name} and got "
                 + (f"{answer.status} {answer.body.decode().strip()}" if answer else "no answer"))
     return answer
