http, relay: test that broken names and values in a head are refused

Reported: an answer in whose head the name of a field held a blank or a control byte reached a client.

Names with a blank, a tab, a control byte or another character that is none of a token, values with control bytes, and status lines of another form are Error::Malformed in final heads, interim heads and trailers; the relay answers 502, or another server's answer if the request may be sent again. Names of less common but allowed characters, folded values and empty ones pass.

--- a/src/gentianramp/http/client_answer_test.cpp
+++ b/src/gentianramp/http/client_answer_test.cpp
@@ -22,7 +22,8 @@
 constexpr std::size_t MaxSentBytes = 24 * 1024 * 1024;
 
 const std::string ChunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-const std::string OkAnswer = "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 2\r\n\r\nok";
+const std::string OkFields = "X-Id: mine\r\nContent-Length: 2\r\n\r\nok";
+const std::string OkAnswer = "HTTP/1.1 200 OK\r\n" + OkFields;
 
 struct Fixture
 {
@@ -313,3 +314,84 @@
         cr_assert_eq(fixture.server.connections(), 2);
     }
 }
+
+namespace {
+
+/// Checks that an answer that consists of these bytes is refused.
+void checkMalformed(const std::string &bytes)
+{
+    Fixture fixture({.bytes = bytes, .end = AnswerEnd::Finish});
+    fixture.checkFails(fixture.makeCall(), Error::Malformed, bytes.c_str());
+}
+
+} // namespace
+
+// Blanks, control bytes and other characters that a name must not have, and no name at all.
+Test(HttpClientAnswers, AFieldWithAnotherCharacterInItsNameIsRefused)
+{
+    using namespace std::string_literals;
+    for (const std::string &field : {"X Y: v"s,
+                                     "X : v"s,
+                                     "X\t: v"s,
+                                     " X: v"s,
+                                     "\tX: v"s,
+                                     "X\x01: v"s,
+                                     "X\0Y: v"s,
+                                     "X\x0bY: v"s,
+                                     "X\x1b: v"s,
+                                     "X\x7f: v"s,
+                                     "X\rY: v"s,
+                                     "X\nY: v"s,
+                                     "X\xe9: v"s,
+                                     "X(: v"s,
+                                     "X/Y: v"s,
+                                     ": v"s,
+                                     "X"s,
+                                     "Content Length: 2"s,
+                                     "Content-Length : 2"s,
+                                     "Content-Length\t: 2"s,
+                                     "Content-Length\x01: 2"s,
+                                     "\x01"s + "Content-Length: 2"s,
+                                     "Transfer-Encoding : chunked"s}) {
+        checkMalformed("HTTP/1.1 200 OK\r\n" + field + "\r\nX-Id: mine\r\n\r\nok");
+        checkMalformed("HTTP/1.1 200 OK\r\n" + field + "\r\n" + OkFields);
+        checkMalformed("HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + OkAnswer);
+        checkMalformed(ChunkedHead + "2\r\nok\r\n0\r\n" + field + "\r\n\r\n");
+    }
+}
+
+Test(HttpClientAnswers, AFieldWithAControlByteInItsValueIsRefused)
+{
+    using namespace std::string_literals;
+    for (const std::string &field :
+         {"X: \x01"s, "X: a\0b"s, "X: a\x0b"s, "X: a\x1b[0m"s, "X: a\x7f"s, "X: a\rY: b"s,
+          "X: a\nY: b"s, "Content-Length: 2\x01"s, "Transfer-Encoding: chunked\x0b"s}) {
+        checkMalformed("HTTP/1.1 200 OK\r\n" + field + "\r\nX-Id: mine\r\n\r\nok");
+        checkMalformed("HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\n" + OkAnswer);
+        checkMalformed(ChunkedHead + "2\r\nok\r\n0\r\n" + field + "\r\n\r\n");
+    }
+}
+
+Test(HttpClientAnswers, FieldsWithLessCommonCharactersPassUnchanged)
+{
+    Fixture fixture({.bytes = "HTTP/1.1 200 OK\r\nX!#$%&'*+-.^_`|~1: a\tb\xe9(c)\r\nX-Empty:\r\n"
+                              "X-Folded: a\r\n b\r\nContent-Length: 2\r\n\r\nok"});
+    const Result<HttpResponse> answer = fixture.call();
+    cr_assert(static_cast<bool>(answer));
+    cr_assert_eq(answer->body, "ok");
+    cr_assert_eq(answer->headers.find("X!#$%&'*+-.^_`|~1"), "a\tb\xe9(c)");
+    cr_assert(answer->headers.contains("X-Empty"));
+    cr_assert_eq(answer->headers.find("X-Folded"), "a b");
+}
+
+Test(HttpClientAnswers, AStatusLineOfAnotherFormIsRefused)
+{
+    for (const char *line : {"HTTP/1.1 20 OK",    "HTTP/1.1 2000 OK",    "HTTP/1.1 2 0 OK",
+                             "HTTP/1.1 0x0 OK",   "HTTP/1.1 -20 OK",     "HTTP/1.1 +20 OK",
+                             "HTTP/1.1 20a OK",   "HTTP/1.1 200OK",      "HTTP/1.1  200 OK",
+                             "HTTP/1.1\t200 OK",  "HTTP/1.2 200 OK",     "HTTP/2.0 200 OK",
+                             "HTTP/0.9 200 OK",   "http/1.1 200 OK",     "HTTP/11 200 OK",
+                             " HTTP/1.1 200 OK",  "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\x7fK",
+                             "HTTP/1.1 200 O\rK", "HTTP/1.1 200 O\nK",   "nonsense"})
+        checkMalformed(line + ("\r\n" + OkFields));
+}
--- a/src/gentianramp/relay/relay_answer_test.cpp
+++ b/src/gentianramp/relay/relay_answer_test.cpp
@@ -757,3 +757,56 @@
         fixture.checkServed("reader", events(1, 3), true);
     }
 }
+
+namespace {
+
+constexpr RouteKind RouteKinds[] = {RouteKind::RunOnce, RouteKind::Repeatable, RouteKind::Stream};
+
+/// Answers with these bytes, in which "ID" stands for the request's id.
+RawServer::Script answersWith(const std::string &bytes)
+{
+    return [=](const std::string &head) -> RawAnswer {
+        std::string answer = bytes;
+        for (std::size_t at = 0; (at = answer.find("ID", at)) != std::string::npos;)
+            answer.replace(at, 2, fieldOf(head, "X-Id"));
+        return {.bytes = answer, .end = AnswerEnd::Finish};
+    };
+}
+
+/// Checks that callers get nothing of an answer that consists of these bytes: 502, or the answer of
+/// another server if the request may be sent again.
+void checkNotPassedOn(const std::string &bytes)
+{
+    for (const RouteKind kind : RouteKinds) {
+        AnswerFixture once;
+        once.addServer("broken", answersWith(bytes));
+        once.declare({.kind = kind});
+        const Result<HttpResponse> failure = once.call();
+        cr_assert(static_cast<bool>(failure), "no answer after: %s", bytes.c_str());
+        cr_assert_eq(failure->status, 502U, "%u after: %s", failure->status, bytes.c_str());
+        cr_assert_not(failure->headers.contains("X-Signature"));
+        cr_assert_eq(failure->body.find("half"), std::string::npos);
+    }
+    AnswerFixture again;
+    again.addServer("broken", answersWith(bytes));
+    again.addServer("other", answers(Framing::Length, {}, "body"));
+    again.declare({.kind = RouteKind::Repeatable, .attempts = 2});
+    again.checkServed("broken", "body");
+}
+
+const std::string SignedFields = "X-Signature: signed\r\nX-Id: ID\r\nContent-Length: 4\r\n";
+
+} // namespace
+
+// The parser of the HTTP client refuses such names.
+Test(relay_answers, aHeadWithABlankOrAControlByteInANameIsNotPassedOn)
+{
+    for (const std::string field :
+         {"X Y: v", "X : v", "X\t: v", "X\x01: v", ": v", "Content-Length : 4"}) {
+        checkNotPassedOn("HTTP/1.1 200 OK\r\n" + field + "\r\n" + SignedFields + "\r\nhalf");
+        checkNotPassedOn("HTTP/1.1 200 OK\r\n" + SignedFields + StreamType + field
+                         + "\r\n\r\nhalf");
+        checkNotPassedOn("HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\nHTTP/1.1 200 OK\r\n"
+                         + SignedFields + "\r\nhalf");
+    }
+}
