http: refuse answers with a status outside the classes

Callers saw: a worker's answer with status 000, 001 or 099 came through as an answer with status 0, 1 or 99, signed and with the worker's body. An interim head with such a status made the caller wait for its deadline (504).

Cause: the parser takes any three digits, and nothing after it asked whether they are a status. 600 to 999 came through as well.

Change: the HTTP client, which reads every answer, refuses a status outside 100 to 599 as Error::Malformed, in interim heads too.

Why this works: all readers get their answers from ClientExchange, and an answer that is refused there is one that may have run.

--- a/include/gentianramp/http/client.hpp
+++ b/include/gentianramp/http/client.hpp
@@ -58,6 +58,7 @@
 
     /// Connects, or reuses a pooled connection, sends the request and waits for the response head.
     virtual boost::asio::awaitable<std::error_code> open() = 0;
+    /// Status of the response, from 200 to 599; a response with another one is Error::Malformed.
     virtual unsigned status() const = 0;
     virtual const HttpHeaders &headers() const = 0;
     /// Waits for the next bytes of the body; returns an empty view at the end of the body. The view
--- a/src/gentianramp/http/client_answer_test.cpp
+++ b/src/gentianramp/http/client_answer_test.cpp
@@ -395,3 +395,21 @@
                              "HTTP/1.1 200 O\rK", "HTTP/1.1 200 O\nK",   "nonsense"})
         checkMalformed(line + ("\r\n" + OkFields));
 }
+
+Test(HttpClientAnswers, AStatusOutsideTheClassesIsRefused)
+{
+    for (const std::string status : {"000", "001", "099", "600", "999"}) {
+        checkMalformed("HTTP/1.1 " + status + " Unknown\r\n" + OkFields);
+        checkMalformed("HTTP/1.1 " + status + " Unknown\r\n\r\n" + OkAnswer);
+        checkMalformed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + status + " Unknown\r\n"
+                       + OkFields);
+    }
+    for (const unsigned status : {200U, 299U, 418U, 599U}) {
+        Fixture fixture(
+            {.bytes = "HTTP/1.1 " + std::to_string(status) + " Some Reason\r\n" + OkFields});
+        const Result<HttpResponse> answer = fixture.call();
+        cr_assert(static_cast<bool>(answer));
+        cr_assert_eq(answer->status, status);
+        cr_assert_eq(answer->body, "ok");
+    }
+}
--- a/src/gentianramp/http/client_exchange.cpp
+++ b/src/gentianramp/http/client_exchange.cpp
@@ -29,6 +29,9 @@
 constexpr Duration MaxSkipTime = std::chrono::seconds(1);
 constexpr int MaxInterimResponses = 8;
 constexpr unsigned SwitchingProtocols = 101;
+/// The classes of status codes, RFC 9110 section 15. The parser takes any three digits.
+constexpr unsigned MinStatus = 100;
+constexpr unsigned MaxStatus = 599;
 /// Bytes that the parser may hold at once beyond a head: one read of the socket.
 constexpr std::size_t MaxReadBytes = 64 * 1024;
 /// A chunk takes two pieces, its size and its bytes. Sound servers send some bytes in each.
@@ -208,6 +211,8 @@
     if (error)
         co_return closeWithError(error);
     m_status = m_parser->get().result_int();
+    if (m_status < MinStatus || m_status > MaxStatus)
+        co_return closeWithError(make_error_code(http::error::bad_status));
     m_headers = {};
     for (const auto &field : m_parser->get())
         m_headers.add(std::string(field.name_string()), std::string(field.value()));
--- a/src/gentianramp/relay/hand_over_test.cpp
+++ b/src/gentianramp/relay/hand_over_test.cpp
@@ -1,3 +1,4 @@
+#include "../http/raw_server.hpp"
 #include "relay_test_fixture.hpp"
 
 #include <criterion/criterion.h>
@@ -321,6 +322,24 @@
     cr_assert_eq(cut.fixture.requestsAt("one"), 1);
 }
 
+// An instance of another build may pass on what this one refuses.
+Test(hand_over, aBrokenAnswerOfAnInstanceIsNotPassedOn)
+{
+    CutInstance cut;
+    RawServer helper(cut.fixture.context(), [](const std::string &) -> RawAnswer {
+        return {.bytes = "HTTP/1.1 000 Unknown\r\nX-Signature: signed\r\n"
+                         "Gentianramp-Verdict: Complete\r\nContent-Length: 4\r\n\r\nhalf"};
+    });
+    cut.fixture.addServer("one", answers(200));
+    cut.helpers.push_back({InstanceId("raw"), {"127.0.0.1", helper.port()}});
+    cut.cutOff(RunOnce);
+    const Result<HttpResponse> answer = cut.fixture.call(post("me"));
+    cr_assert(answer);
+    cr_assert_eq(answer->status, 502U);
+    cr_assert_not(answer->headers.contains("X-Signature"));
+    cr_assert_eq(helper.connections(), 1);
+}
+
 // A failure of a server is its answer; the caller gets it and the request isn't sent again.
 Test(hand_over, aFailureOfTheServerIsPassedOn)
 {
--- a/src/gentianramp/relay/relay_answer_test.cpp
+++ b/src/gentianramp/relay/relay_answer_test.cpp
@@ -810,3 +810,34 @@
                          + SignedFields + "\r\nhalf");
     }
 }
+
+// Callers got answers with status 0, 1 or 99, which no caller can tell from a success or a failure.
+Test(relay_answers, aStatusOutsideTheClassesIsNotPassedOn)
+{
+    for (const std::string status : {"000", "001", "099", "600", "999"}) {
+        const std::string line = "HTTP/1.1 " + status + " Unknown\r\n";
+        checkNotPassedOn(line + SignedFields + "\r\nhalf");
+        checkNotPassedOn(line + SignedFields + StreamType + "\r\nhalf");
+        checkNotPassedOn(line + "\r\nHTTP/1.1 200 OK\r\n" + SignedFields + "\r\nhalf");
+        // Not a promise either.
+        checkNotPassedOn(line + "X-Not-Run: 1\r\n" + SignedFields + "\r\nhalf");
+    }
+}
+
+// A check whose answer is broken does not show that the server is sound.
+Test(relay_answers, aHealthCheckWithABrokenAnswerFails)
+{
+    int checks = 0;
+    AnswerFixture fixture;
+    fixture.addServer(
+        "silent", [](const std::string &) { return RawAnswer{}; }, // Falls silent.
+        false,
+        [&](const std::string &) -> RawAnswer {
+            ++checks;
+            return {.bytes = "HTTP/1.1 000 Unknown\r\nContent-Length: 2\r\n\r\n{}"};
+        });
+    fixture.declare({.kind = RouteKind::Repeatable, .attempts = 2});
+    fixture.addServer("other", answers(Framing::Length, {}, "body"));
+    fixture.checkServed("silent", "body");
+    cr_assert(fixture.runUntil([&] { return checks >= 3; }), "%d checks", checks);
+}
