http: an answer whose connection is reset while its request is written is not whole

Callers saw: a worker answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was being written. Callers got the part as a complete answer, signed; a stream got its last chunk; the part of a prefill's handle was sent on as a handle.

Cause: the kernel reports a lost connection once. The request of over 16 KiB is written beside the read of the answer, and with both pending the write runs first and takes the error; the read then sees an end of the stream, by which a body without a length ends in order. The write's error was kept for the reuse of the connection only.

Change: a body that ends with its connection is whole only if no write got an error before, other than broken_pipe. That one is what a write gets after the peer ended its side in order, whether it resets the connection then or not, so that servers that answer early and half-close are served as before.

Why this works: a reset comes with ECONNRESET unless the peer's end arrived before it, and the write's handler has run when the read that follows it completes, since each context has one thread.

--- a/src/gentianramp/http/client_answer_test.cpp
+++ b/src/gentianramp/http/client_answer_test.cpp
@@ -27,12 +27,12 @@
 
 struct Fixture
 {
-    explicit Fixture(RawServer::Script script)
-        : server(context, std::move(script))
+    explicit Fixture(RawServer::Script script, int receiveBufferBytes = 0)
+        : server(context, std::move(script), receiveBufferBytes)
     { }
 
-    explicit Fixture(const RawAnswer &answer)
-        : Fixture([answer](const std::string &) { return answer; })
+    explicit Fixture(const RawAnswer &answer, int receiveBufferBytes = 0)
+        : Fixture([answer](const std::string &) { return answer; }, receiveBufferBytes)
     { }
 
     ~Fixture() { context.run_for(10ms); }
@@ -413,3 +413,95 @@
         cr_assert_eq(answer->body, "ok");
     }
 }
+
+namespace {
+
+constexpr int SmallReceiveBuffer = 4096;
+/// More than a socket's send buffer takes.
+constexpr std::size_t LongRequestBytes = 24UL * 1024 * 1024;
+
+/// An answer to a long request that the server has not read.
+struct EarlyAnswer
+{
+    Result<std::string> body;
+    bool wasWriting = false; ///< The request was still being written when the head came.
+};
+
+asio::awaitable<void> readEarlyAnswer(std::shared_ptr<HttpExchange> exchange,
+                                      std::optional<EarlyAnswer> &answer)
+{
+    const std::error_code error = co_await exchange->open();
+    // A pending write holds the exchange beside this coroutine and its caller.
+    const bool wasWriting = exchange.use_count() > 2;
+    Result<std::string> body(error);
+    if (!error)
+        body = co_await exchange->readAll();
+    answer.emplace(EarlyAnswer{std::move(body), wasWriting});
+}
+
+EarlyAnswer callWithLongRequest(Fixture &fixture)
+{
+    HttpCall call = fixture.makeCall();
+    call.request.method = "POST";
+    call.request.body.assign(LongRequestBytes, 'x');
+    const std::shared_ptr<HttpExchange> exchange = fixture.client.exchange(std::move(call));
+    std::optional<EarlyAnswer> answer;
+    asio::co_spawn(fixture.context, readEarlyAnswer(exchange, answer), asio::detached);
+    const TimePoint end = RuntimeClock::now() + TestTime;
+    while (!answer && RuntimeClock::now() < end) {
+        fixture.context.restart();
+        fixture.context.run_one_for(20ms);
+    }
+    cr_assert(answer.has_value(), "the call did not end");
+    return *answer;
+}
+
+} // namespace
+
+// Callers got the part of a body that had come before a reset as a whole body: the pending write
+// took the error, and the read saw an end of the stream.
+Test(HttpClientAnswers, ABodyThatIsResetDuringTheWriteOfTheRequestIsLost)
+{
+    for (const char *fields : {"", "Connection: close\r\n"}) {
+        for (const char *body : {"half", ""}) {
+            for (const Duration resetAfter : {Duration(20ms), Duration(200ms), Duration()}) {
+                Fixture fixture(
+                    {.bytes = std::string("HTTP/1.1 200 OK\r\n") + fields + "\r\n" + body,
+                     .end = AnswerEnd::Reset,
+                     .early = true,
+                     .resetAfter = resetAfter},
+                    SmallReceiveBuffer);
+                const EarlyAnswer answer = callWithLongRequest(fixture);
+                cr_assert(answer.wasWriting || resetAfter == Duration());
+                cr_assert_not(static_cast<bool>(answer.body), "whole: \"%s\"", body);
+                cr_assert(answer.body.error() == Error::ConnectionLost);
+            }
+        }
+    }
+}
+
+// A server may answer early, end its side of the connection and read on, or not.
+Test(HttpClientAnswers, ABodyThatEndsInOrderDuringTheWriteOfTheRequestIsWhole)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const struct
+    {
+        std::string bytes;
+        AnswerEnd end;
+    } cases[] = {
+        {head + "\r\nwhole", AnswerEnd::Finish},
+        {head + "\r\nwhole", AnswerEnd::FinishAndReset},
+        {head + "Content-Length: 5\r\n\r\nwhole", AnswerEnd::KeepOpen},
+        {head + "Content-Length: 5\r\n\r\nwhole", AnswerEnd::Finish},
+        {head + "Content-Length: 5\r\n\r\nwhole", AnswerEnd::Reset},
+        {ChunkedHead + "5\r\nwhole\r\n0\r\n\r\n", AnswerEnd::KeepOpen},
+        {ChunkedHead + "5\r\nwhole\r\n0\r\n\r\n", AnswerEnd::Reset},
+    };
+    for (const auto &entry : cases) {
+        Fixture fixture({.bytes = entry.bytes, .end = entry.end, .early = true},
+                        SmallReceiveBuffer);
+        const EarlyAnswer answer = callWithLongRequest(fixture);
+        cr_assert(static_cast<bool>(answer.body), "%s", entry.bytes.c_str());
+        cr_assert_eq(*answer.body, "whole");
+    }
+}
--- a/src/gentianramp/http/client_exchange.cpp
+++ b/src/gentianramp/http/client_exchange.cpp
@@ -155,7 +155,7 @@
         *m_socket, parts,
         [self = shared_from_this(), buffer](const boost::system::error_code &error, std::size_t) {
             self->m_writing = false;
-            self->m_writeFailed = static_cast<bool>(error);
+            self->m_writeError = error;
         });
     co_return std::error_code();
 }
@@ -269,6 +269,8 @@
     ++m_bodyPieces;
     if (!error && hasTooManyPieces())
         error = http::error::body_limit;
+    if (!error && endedWithLostConnection())
+        error = m_writeError;
     // A server that sends fast leaves the watchdog's timer little time.
     m_overdue = !error && !m_parser->is_done() && RuntimeClock::now() >= m_endAt;
     if (m_overdue)
@@ -276,6 +278,18 @@
     co_return error;
 }
 
+/// True when the body ended with the connection, but not in order.
+///
+/// The kernel reports a lost connection once: when the write of the request gets the error, the
+/// read sees an end of the stream. The write's handler has run by then, since a context has one
+/// thread. After an end in order the write gets broken_pipe, even if the peer then resets the
+/// connection.
+bool ClientExchange::endedWithLostConnection() const
+{
+    return m_parser->is_done() && m_parser->need_eof() && m_writeError
+        && m_writeError != asio::error::broken_pipe;
+}
+
 void ClientExchange::expireAfter(Duration limit)
 {
     const Duration left = m_endAt - RuntimeClock::now();
@@ -368,7 +382,7 @@
     m_complete = true;
     m_watchdog->stop();
     const bool reusable = m_parser->get().keep_alive() && m_buffer.size() == 0 && !m_writing
-        && !m_writeFailed && echoesRequest();
+        && !m_writeError && echoesRequest();
     boost::system::error_code ignored;
     if (m_call.resetOnFailure)
         m_socket->set_option(asio::socket_base::linger(false, 0), ignored);
--- a/src/gentianramp/http/client_exchange.hpp
+++ b/src/gentianramp/http/client_exchange.hpp
@@ -53,6 +53,7 @@
     bool isInterimResponse() const { return m_status >= 100 && m_status < 200; }
     /// Limits the next operation to @p limit and to what is left of the whole call.
     void expireAfter(Duration limit);
+    bool endedWithLostConnection() const;
     /// True when the body came in far more pieces than bytes of a sound server do.
     bool hasTooManyPieces() const;
     void resetParser();
@@ -83,9 +84,9 @@
     bool m_anyBytesWritten = false;
     bool m_complete = false;
     bool m_refusedByPeer = false;
-    bool m_reused = false;  ///< The connection comes from the pool.
-    bool m_writing = false; ///< The request is being written in the background.
-    bool m_writeFailed = false;
+    bool m_reused = false;                  ///< The connection comes from the pool.
+    bool m_writing = false;                 ///< The request is being written in the background.
+    boost::system::error_code m_writeError; ///< Of the write in the background.
 };
 
 } // namespace gentianramp
--- a/src/gentianramp/http/raw_server.cpp
+++ b/src/gentianramp/http/raw_server.cpp
@@ -17,9 +17,6 @@
 
 namespace {
 
-/// Time in which the peer can read what was sent before the connection is reset.
-constexpr Duration ResetDelay = std::chrono::milliseconds(30);
-
 std::size_t contentLength(const std::string &head)
 {
     const std::size_t at = head.find("Content-Length: ");
@@ -30,10 +27,14 @@
 
 struct RawServer::State : std::enable_shared_from_this<RawServer::State>
 {
-    State(asio::io_context &context, Script answers)
+    State(asio::io_context &context, Script answers, int receiveBufferBytes)
         : script(std::move(answers))
         , acceptor(context, {asio::ip::address_v4::loopback(), 0})
-    { }
+    {
+        // Accepted sockets inherit the size.
+        if (receiveBufferBytes > 0)
+            acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes));
+    }
 
     asio::awaitable<void> accept()
     {
@@ -73,12 +74,16 @@
             co_return false;
         const std::string head = received.substr(0, length);
         const std::size_t total = length + contentLength(head);
-        if (received.size() < total)
-            co_await asio::async_read(socket, asio::dynamic_buffer(received),
-                                      asio::transfer_exactly(total - received.size()),
-                                      asio::redirect_error(asio::use_awaitable, error));
+        const auto readBody = [&]() -> asio::awaitable<void> {
+            if (received.size() < total)
+                co_await asio::async_read(socket, asio::dynamic_buffer(received),
+                                          asio::transfer_exactly(total - received.size()),
+                                          asio::redirect_error(asio::use_awaitable, error));
+        };
         lastConnection = number;
         const RawAnswer answer = script(head);
+        if (!answer.early)
+            co_await readBody();
         co_await asio::async_write(socket, asio::buffer(answer.bytes),
                                    asio::redirect_error(asio::use_awaitable, error));
         if (!answer.late.empty()) {
@@ -86,18 +91,21 @@
             co_await asio::async_write(socket, asio::buffer(answer.late),
                                        asio::redirect_error(asio::use_awaitable, error));
         }
-        if (answer.end == AnswerEnd::KeepOpen)
+        if (answer.end == AnswerEnd::KeepOpen) {
+            co_await readBody();
             co_return !error;
-        if (answer.end == AnswerEnd::Finish) {
+        }
+        if (answer.end == AnswerEnd::Finish || answer.end == AnswerEnd::FinishAndReset)
             socket.shutdown(tcp::socket::shutdown_send, error);
+        if (answer.end == AnswerEnd::Finish) {
             std::string rest;
             co_await asio::async_read(socket, asio::dynamic_buffer(rest),
                                       asio::redirect_error(asio::use_awaitable, error));
         }
-        if (answer.end == AnswerEnd::Reset) {
-            co_await sleepFor(ResetDelay);
+        if (answer.end == AnswerEnd::Reset && answer.resetAfter > Duration::zero())
+            co_await sleepFor(answer.resetAfter);
+        if (answer.end == AnswerEnd::Reset || answer.end == AnswerEnd::FinishAndReset)
             socket.set_option(asio::socket_base::linger(true, 0), error);
-        }
         endlessAnswers += answer.end == AnswerEnd::Endless ? 1 : 0;
         while (answer.end == AnswerEnd::Endless && !error) {
             if (answer.fillerInterval > Duration::zero())
@@ -119,8 +127,8 @@
     std::size_t fillerBytes = 0;
 };
 
-RawServer::RawServer(asio::io_context &context, Script script)
-    : m_state(std::make_shared<State>(context, std::move(script)))
+RawServer::RawServer(asio::io_context &context, Script script, int receiveBufferBytes)
+    : m_state(std::make_shared<State>(context, std::move(script), receiveBufferBytes))
 {
     asio::co_spawn(context, m_state->accept(), asio::detached);
 }
--- a/src/gentianramp/http/raw_server.hpp
+++ b/src/gentianramp/http/raw_server.hpp
@@ -14,7 +14,8 @@
     KeepOpen, ///< The next request is read.
     Finish,   ///< Closed in order, with everything sent.
     Reset,
-    Endless, ///< Sends RawAnswer::filler again and again until the peer closes.
+    FinishAndReset, ///< Closed in order, with everything sent, and reset at once.
+    Endless,        ///< Sends RawAnswer::filler again and again until the peer closes.
 };
 
 /// Bytes of an answer, sent as they are.
@@ -26,6 +27,9 @@
     Duration fillerInterval{};
     std::string late; ///< Sent lateAfter the other bytes, before the next request is read.
     Duration lateAfter{};
+    bool early = false; ///< Sent before the request's body is read.
+    /// Time in which the peer can read what was sent before the connection is reset.
+    Duration resetAfter = std::chrono::milliseconds(30);
 };
 
 /// A server for tests that sends any bytes on a free port of loopback.
@@ -35,7 +39,8 @@
     /// Called with the head of each request.
     using Script = std::function<RawAnswer(const std::string &head)>;
 
-    RawServer(boost::asio::io_context &context, Script script);
+    /// @p receiveBufferBytes replaces the kernel's choice unless it is 0.
+    RawServer(boost::asio::io_context &context, Script script, int receiveBufferBytes = 0);
     ~RawServer();
     RawServer(const RawServer &) = delete;
     RawServer &operator=(const RawServer &) = delete;
--- a/src/gentianramp/relay/hand_over_test.cpp
+++ b/src/gentianramp/relay/hand_over_test.cpp
@@ -340,6 +340,27 @@
     cr_assert_eq(helper.connections(), 1);
 }
 
+// What had come of the answer before the reset was taken for all of it.
+Test(hand_over, anAnswerThatAnInstanceResetsDuringItsRequestIsNotComplete)
+{
+    constexpr int smallReceiveBuffer = 4096;
+    const auto script = [](const std::string &) -> RawAnswer {
+        return {.bytes = "HTTP/1.1 200 OK\r\nX-Signature: signed\r\n"
+                         "Gentianramp-Verdict: Complete\r\n\r\nhalf",
+                .end = AnswerEnd::Reset,
+                .early = true};
+    };
+    CutInstance cut;
+    RawServer helper(cut.fixture.context(), script, smallReceiveBuffer);
+    cut.fixture.addServer("one", answers(200));
+    cut.helpers.push_back({InstanceId("raw"), {"127.0.0.1", helper.port()}});
+    cut.cutOff(RunOnce);
+    const Result<HttpResponse> answer = cut.fixture.call(post(std::string(7UL * 1024 * 1024, 'x')));
+    cr_assert(answer);
+    cr_assert_eq(answer->status, 502U);
+    cr_assert_eq(helper.connections(), 1);
+}
+
 // A failure of a server is its answer; the caller gets it and the request isn't sent again.
 Test(hand_over, aFailureOfTheServerIsPassedOn)
 {
--- a/src/gentianramp/relay/relay_answer_test.cpp
+++ b/src/gentianramp/relay/relay_answer_test.cpp
@@ -98,7 +98,7 @@
             ++requests[id];
             return answer(head);
         };
-        servers[id] = std::make_unique<RawServer>(m_context, script);
+        servers[id] = std::make_unique<RawServer>(m_context, script, receiveBufferBytes);
         m_listing.servers.push_back({.id = BackendId(id),
                                      .service = "s",
                                      .host = "127.0.0.1",
@@ -141,12 +141,13 @@
     }
 
     /// Sends a request and returns the whole answer, or the error that ended it.
-    Result<HttpResponse> call(bool prompt = false)
+    Result<HttpResponse> call(bool prompt = false, const std::string &body = {})
     {
         HttpCall httpCall;
         httpCall.address = {"127.0.0.1", m_port};
         httpCall.request.method = "POST";
         httpCall.request.target = "/p/x";
+        httpCall.request.body = body;
         httpCall.request.headers.set("Host", "host.example");
         httpCall.request.headers.set("X-Id", "id-" + std::to_string(++m_calls));
         if (prompt)
@@ -174,10 +175,11 @@
     }
 
     /// Sends requests until @p id has got one; each must be answered with @p body.
-    void checkServed(const std::string &id, const std::string &body, bool prompt = false)
+    void checkServed(const std::string &id, const std::string &body, bool prompt = false,
+                     const std::string &requestBody = {})
     {
         for (int count = 0; count < 10 && requests[id] == 0; ++count) {
-            const Result<HttpResponse> answer = call(prompt);
+            const Result<HttpResponse> answer = call(prompt, requestBody);
             cr_assert(static_cast<bool>(answer), "%s", answer.error().message().c_str());
             cr_assert_eq(answer->status, 200U, "status %u: %s", answer->status,
                          answer->body.c_str());
@@ -192,6 +194,7 @@
         cr_assert(runUntil([&] { return servers[id]->endlessAnswers() == 0; }));
     }
 
+    int receiveBufferBytes = 0; ///< Of the servers that are added next; 0: the kernel's choice.
     std::map<std::string, int> requests; ///< Without health checks.
     std::map<std::string, std::unique_ptr<RawServer>> servers;
 
@@ -841,3 +844,86 @@
     fixture.checkServed("silent", "body");
     cr_assert(fixture.runUntil([&] { return checks >= 3; }), "%d checks", checks);
 }
+
+namespace {
+
+constexpr int SmallReceiveBuffer = 4096;
+/// More than a socket's send buffer takes, and less than the relay's limit.
+const std::string LongBody(7UL * 1024 * 1024, 'x');
+
+/// Answers a long request before it is read, in the way of @p answer.
+RawServer::Script early(const RawServer::Script &answer)
+{
+    return [=](const std::string &head) {
+        RawAnswer early = answer(head);
+        early.early = true;
+        return early;
+    };
+}
+
+void addEarlyServer(AnswerFixture &fixture, const RawServer::Script &answer, bool prefill = false)
+{
+    fixture.receiveBufferBytes = SmallReceiveBuffer;
+    fixture.addServer("early", early(answer), prefill);
+    fixture.receiveBufferBytes = 0;
+}
+
+} // namespace
+
+// Callers got the part of an answer that had come before a reset as a complete answer. A reset is
+// reported once, to the write of the request or to the read of the answer; here to the write.
+Test(relay_answers, anAnswerThatIsResetDuringItsRequestIsNotComplete)
+{
+    AnswerFixture once;
+    addEarlyServer(once, resets({}, "half"));
+    once.declare({.kind = RouteKind::RunOnce});
+    const Result<HttpResponse> failure = once.call(false, LongBody);
+    cr_assert(static_cast<bool>(failure));
+    cr_assert_eq(failure->status, 502U, "%u: %s", failure->status, failure->body.c_str());
+    cr_assert_not(failure->headers.contains("X-Signature"));
+    AnswerFixture again;
+    addEarlyServer(again, resets({}, "half"));
+    again.addServer("other", answers(Framing::Length, {}, "body"));
+    again.declare({.kind = RouteKind::Repeatable, .attempts = 2});
+    again.checkServed("early", "body", false, LongBody);
+}
+
+Test(relay_answers, aStreamThatIsResetDuringItsRequestIsBrokenOff)
+{
+    AnswerFixture resumed;
+    addEarlyServer(resumed, resets(StreamType, events(1, 4)));
+    resumed.addServer("other", streamsOn(9));
+    resumed.declare(resumableStream());
+    resumed.checkServed("early", events(1, 9), false, LongBody);
+    AnswerFixture cut;
+    addEarlyServer(cut, resets(StreamType, events(1, 4)));
+    cut.declare(runOnceStream());
+    cr_assert_not(static_cast<bool>(cut.call(false, LongBody)));
+}
+
+Test(relay_answers, aPrefillsAnswerThatIsResetDuringItsRequestIsNotUsed)
+{
+    AnswerFixture fixture;
+    addEarlyServer(fixture, resets({}, "hand"), true);
+    fixture.addServer("decoder", [](const std::string &head) {
+        cr_assert(fieldOf(head, "X-Take").empty(), "%s", head.c_str());
+        return streamsOn(3)(head);
+    });
+    fixture.declare({.kind = RouteKind::Stream, .attempts = 2, .carriesPrompt = true});
+    fixture.checkServed("early", events(1, 3), true, LongBody);
+}
+
+// A server may answer before it has read the request, and read on.
+Test(relay_answers, anEarlyAnswerThatEndsInOrderIsComplete)
+{
+    for (const Framing framing : Framings) {
+        AnswerFixture whole;
+        addEarlyServer(whole, answers(framing, {}, "body"));
+        whole.declare({.kind = RouteKind::RunOnce});
+        whole.checkServed("early", "body", false, LongBody);
+        AnswerFixture stream;
+        addEarlyServer(stream, answers(framing, StreamType, events(1, 4)));
+        stream.declare(runOnceStream());
+        stream.checkServed("early", events(1, 4), false, LongBody);
+    }
+}
