http: refuse answers in a transfer coding other than chunked

Callers would see: an answer with Transfer-Encoding: gzip or "chunked, gzip" came through with the raw chunks as its body, and one with "gzip, chunked" with a coded body whose coding no field names any more, all signed and complete.

Cause: the parser ignores every coding but a last chunked, and the relay drops the field, since it concerns one connection only. With another coding the body ends with the connection, which the relay and the entry program take for an end that the head states.

Change: the HTTP client refuses an answer with a body and any coding but chunked as Error::Malformed; no request asks for one. Chunked in any case, with empty elements of the list, and the coding that a 304 names come through as before. "identity", which RFC 9112 does not know any more, is refused.

Measured: HttpClientAnswers/ABodyInAnotherTransferCodingIsRefused (an answer) and relay_answers/aBodyInAnotherTransferCodingIsNotPassedOn (200 with the chunks) fail before and pass after.

Why this works: an answer that is not refused now is framed by its length, by chunks, or by the end of its connection without any coding.

--- a/src/gentianramp/http/client_answer_test.cpp
+++ b/src/gentianramp/http/client_answer_test.cpp
@@ -414,6 +414,29 @@
     }
 }
 
+// The body was passed on as it came, or without the coding that its head names.
+Test(HttpClientAnswers, ABodyInAnotherTransferCodingIsRefused)
+{
+    const std::string chunks = "2\r\nok\r\n0\r\n\r\n";
+    for (const std::string coding :
+         {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "xchunked", "\"chunked\"",
+          "identity", "", "gzip\r\nTransfer-Encoding: chunked",
+          "chunked\r\nTransfer-Encoding: chunked", "gzip\r\nContent-Length: 2",
+          "gzip\r\nContent-Length: 0", "chunked\r\nContent-Length: 2"})
+        checkMalformed("HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: " + coding + "\r\n\r\n"
+                       + chunks);
+    for (const std::string coding : {"chunked", "CHUNKED", " chunked\t", "chunked,"}) {
+        Fixture fixture(
+            {.bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + chunks});
+        const Result<HttpResponse> answer = fixture.call();
+        cr_assert(static_cast<bool>(answer), "%s", coding.c_str());
+        cr_assert_eq(answer->body, "ok");
+    }
+    // It would be the coding of a body that is not sent.
+    Fixture fixture({.bytes = "HTTP/1.1 304 Not Modified\r\nTransfer-Encoding: gzip\r\n\r\n"});
+    cr_assert_eq(fixture.call()->status, 304U);
+}
+
 namespace {
 
 constexpr int SmallReceiveBuffer = 4096;
--- a/src/gentianramp/http/client_exchange.cpp
+++ b/src/gentianramp/http/client_exchange.cpp
@@ -29,6 +29,8 @@
 constexpr Duration MaxSkipTime = std::chrono::seconds(1);
 constexpr int MaxInterimResponses = 8;
 constexpr unsigned SwitchingProtocols = 101;
+constexpr unsigned NoContent = 204;
+constexpr unsigned NotModified = 304;
 /// The classes of status codes, RFC 9110 section 15. The parser takes any three digits.
 constexpr unsigned MinStatus = 100;
 constexpr unsigned MaxStatus = 599;
@@ -216,9 +218,33 @@
     m_headers = {};
     for (const auto &field : m_parser->get())
         m_headers.add(std::string(field.name_string()), std::string(field.value()));
+    if (mayHaveBody() && hasOtherTransferCoding())
+        co_return closeWithError(make_error_code(http::error::bad_transfer_encoding));
     co_return std::error_code();
 }
 
+bool ClientExchange::mayHaveBody() const
+{
+    return m_call.request.method != "HEAD" && !isInterimResponse() && m_status != NoContent
+        && m_status != NotModified;
+}
+
+/// True when the response names a transfer coding other than chunked. No request asks for one.
+bool ClientExchange::hasOtherTransferCoding() const
+{
+    if (!m_headers.contains("Transfer-Encoding"))
+        return false;
+    for (const HttpHeader &field : m_headers.fields()) {
+        if (!sameHeaderName(field.name, "Transfer-Encoding"))
+            continue;
+        for (const auto &coding : http::token_list(field.value)) {
+            if (!boost::beast::iequals(coding, "chunked"))
+                return true;
+        }
+    }
+    return !m_parser->chunked();
+}
+
 /// True for a late response to an earlier request on the same connection.
 bool ClientExchange::isResponseToEarlierRequest() const
 {
--- a/src/gentianramp/http/client_exchange.hpp
+++ b/src/gentianramp/http/client_exchange.hpp
@@ -50,6 +50,8 @@
     boost::asio::awaitable<boost::system::error_code> readSome(std::size_t &bytesRead);
     bool isResponseToEarlierRequest() const;
     bool echoesRequest() const;
+    bool mayHaveBody() const;
+    bool hasOtherTransferCoding() const;
     bool isInterimResponse() const { return m_status >= 100 && m_status < 200; }
     /// Limits the next operation to @p limit and to what is left of the whole call.
     void expireAfter(Duration limit);
--- a/src/gentianramp/relay/relay_answer_test.cpp
+++ b/src/gentianramp/relay/relay_answer_test.cpp
@@ -827,6 +827,17 @@
     }
 }
 
+// Callers got chunks, or bytes in a coding that they were not told of, as a server's answer.
+Test(relay_answers, aBodyInAnotherTransferCodingIsNotPassedOn)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Signature: signed\r\nX-Id: ID\r\n";
+    for (const std::string coding : {"gzip", "gzip, chunked", "chunked, gzip"}) {
+        const std::string fields = "Transfer-Encoding: " + coding + "\r\n";
+        checkNotPassedOn(head + fields + "\r\n" + chunk("half") + "0\r\n\r\n");
+        checkNotPassedOn(head + StreamType + fields + "\r\n" + chunk(events(1, 4)) + "0\r\n\r\n");
+    }
+}
+
 // A check whose answer is broken does not show that the server is sound.
 Test(relay_answers, aHealthCheckWithABrokenAnswerFails)
 {
