--- a/src/gentianramp/engine/backend_client_test.cpp
+++ b/src/gentianramp/engine/backend_client_test.cpp
@@ -1,3 +1,5 @@
+#include "../http/raw_server.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -12,6 +14,11 @@
 
 namespace {
 
+asio::awaitable<void> run(BackendExchange &exchange, std::optional<StartOutcome> &result)
+{
+    result = co_await exchange.start();
+}
+
 /// A server with one fixed answer, and a client that calls it.
 class ClientFixture
 {
@@ -52,11 +59,6 @@
         co_await writer.send(std::move(answer));
     }
 
-    static asio::awaitable<void> run(BackendExchange &exchange, std::optional<StartOutcome> &result)
-    {
-        result = co_await exchange.start();
-    }
-
     asio::io_context m_context;
     HttpResponse m_answer;
     int m_calls = 0;
@@ -124,3 +126,31 @@
     cr_assert_not(fixture.exchange().mayHaveRun());
     cr_assert_eq(fixture.calls(), 0);
 }
+
+Test(BackendClient, ABrokenAnswerIsNoAnswer)
+{
+    const std::string fields = "Gentianramp-Request-Id: r\r\nGentianramp-Attempt: 7\r\n";
+    for (const std::string &head :
+         {"HTTP/1.1 000 Unknown\r\n" + fields, "HTTP/1.1 600 Unknown\r\n" + fields,
+          "HTTP/1.1 200 OK\r\nX Y: v\r\n" + fields,
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n" + fields,
+          "HTTP/1.1 000 Unknown\r\n\r\nHTTP/1.1 200 OK\r\n" + fields}) {
+        asio::io_context context;
+        RawServer server(context, [&](const std::string &) {
+            return RawAnswer{.bytes = head + "\r\n{}", .end = AnswerEnd::Finish};
+        });
+        HttpClient client;
+        BackendCall call;
+        call.address = {"127.0.0.1", server.port()};
+        call.request = RequestId("r");
+        call.attempt = Attempt(7);
+        BackendExchange exchange(client, std::move(call));
+        std::optional<StartOutcome> outcome;
+        asio::co_spawn(context, run(exchange, outcome), asio::detached);
+        while (!outcome)
+            context.run_one();
+        cr_assert(*outcome == StartOutcome::Broken, "%s after: %s",
+                  std::string(toString(*outcome)).c_str(), head.c_str());
+        cr_assert(exchange.mayHaveRun());
+    }
+}
