--- a/src/gentianramp/http/raw_server.cpp
+++ b/src/gentianramp/http/raw_server.cpp
@@ -25,6 +25,14 @@
 
 } // namespace
 
+std::string joined(std::initializer_list<std::string_view> parts)
+{
+    std::string result;
+    for (const std::string_view part : parts)
+        result += part;
+    return result;
+}
+
 struct RawServer::State : std::enable_shared_from_this<RawServer::State>
 {
     State(asio::io_context &context, Script answers, int receiveBufferBytes)
--- a/src/gentianramp/http/raw_server.hpp
+++ b/src/gentianramp/http/raw_server.hpp
@@ -4,11 +4,16 @@
 #include <cstdint>
 #include <functional>
 #include <gentianramp/core/clock.hpp>
+#include <initializer_list>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace gentianramp {
 
+/// Concatenates the parts of an answer.
+std::string joined(std::initializer_list<std::string_view> parts);
+
 /// How a RawServer's connection goes on after an answer.
 enum class AnswerEnd {
     KeepOpen, ///< The next request is read.
