--- a/include/gentianramp/declaration/declaration.hpp
+++ b/include/gentianramp/declaration/declaration.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <gentianramp/core/clock.hpp>
 #include <gentianramp/core/ids.hpp>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -105,6 +106,10 @@
     bool operator==(const CallerLimits &) const = default;
 };
 
+/// Highest number of a declaration; the lowest is 1. Earlier builds took negative numbers, which
+/// became higher ones.
+constexpr std::uint64_t MaxDeclarationNumber = std::numeric_limits<std::int64_t>::max();
+
 /// Routes and services under a number chosen by operators. The declaration with the highest number
 /// is in force.
 struct Declaration
