registry: a number that no declaration has is replaced by the next one

Cause: the adapter wrapped negative numbers. Change: declarations have numbers from 1 to 2^63 - 1, so that each negative number of an earlier build lies above. isNewerDeclaration() ranks such a number below all others; the ledger, the feed of entry processes and the registry node compare with it. An entry process keeps its routes and their confirmation while such a number is stored, and the next valid version comes into force. Evidence: aNumberThatNoDeclarationHasIsReplacedByTheNextOne (a ledger in which an earlier build stored 2^64 - 5) and aNumberThatNoDeclarationHasLeavesTheOneThatIsHeldInForce fail when numbers are compared as they are. What remains: an entry process that starts while such a declaration is stored has no earlier one to serve, and stays unready until the next version. An earlier build beside this one keeps its own view until it is replaced.

--- a/include/gentianramp/declaration/declaration.hpp
+++ b/include/gentianramp/declaration/declaration.hpp
@@ -123,6 +123,10 @@
     bool operator==(const Declaration &) const = default;
 };
 
+/// Whether a declaration with @p number replaces one with the number @p held; 0: none is held. A
+/// number above MaxDeclarationNumber replaces nothing and is replaced by every other one.
+bool isNewerDeclaration(std::uint64_t number, std::uint64_t held);
+
 /// Reasons for which @p declaration is invalid; empty if it is valid.
 std::vector<std::string> declarationFaults(const Declaration &declaration);
 
--- a/include/gentianramp/registry/declaration_ledger.hpp
+++ b/include/gentianramp/registry/declaration_ledger.hpp
@@ -46,7 +46,7 @@
     void tick(TimePoint now);
     /// Proposes @p declaration if this replica leads. If a declaration with at least its number is
     /// already committed here, calls @p done with true at once; otherwise a replica that does not
-    /// lead calls @p done with false.
+    /// lead calls @p done with false, and so does each for a number that no declaration has.
     void declare(RawDeclaration declaration, DeclareHook done, TimePoint now);
     /// Proposes what is to be kept of usage if this replica leads. Calls @p done with true once a
     /// record with at least its decided window is committed.
--- a/src/gentianramp/declaration/declaration.cpp
+++ b/src/gentianramp/declaration/declaration.cpp
@@ -51,6 +51,12 @@
 
 } // namespace
 
+bool isNewerDeclaration(std::uint64_t number, std::uint64_t held)
+{
+    const auto rank = [](std::uint64_t value) { return value <= MaxDeclarationNumber ? value : 0; };
+    return rank(number) > rank(held);
+}
+
 std::vector<std::string> declarationFaults(const Declaration &declaration)
 {
     std::vector<std::string> faults;
--- a/src/gentianramp/registry/declaration_ledger.cpp
+++ b/src/gentianramp/registry/declaration_ledger.cpp
@@ -1,6 +1,7 @@
 #include <gentianramp/registry/declaration_ledger.hpp>
 
 #include <gentianramp/core/log.hpp>
+#include <gentianramp/declaration/declaration.hpp>
 
 #include "gentianramp/registry/generated/registry.pb.h"
 
@@ -114,7 +115,9 @@
 
 void DeclarationLedger::declare(RawDeclaration declaration, DeclareHook done, TimePoint now)
 {
-    if (declaration.number <= m_committed.number)
+    if (declaration.number > MaxDeclarationNumber)
+        return done(false);
+    if (!isNewerDeclaration(declaration.number, m_committed.number))
         return done(true);
     if (!leads())
         return done(false);
@@ -201,7 +204,7 @@
 bool DeclarationLedger::isSettled(const Pending &change) const
 {
     if (change.declaration)
-        return change.declaration->number <= m_committed.number;
+        return !isNewerDeclaration(change.declaration->number, m_committed.number);
     return m_committedUsage && change.usage->decided <= m_committedUsage->decided;
 }
 
--- a/src/gentianramp/registry/declaration_ledger_test.cpp
+++ b/src/gentianramp/registry/declaration_ledger_test.cpp
@@ -63,6 +63,60 @@
     cr_assert(voters.ledgers[first]->committed() == (RawDeclaration{3, "three"}));
 }
 
+// A version of -5 was acknowledged and stored as 2^64 - 5: every later version was acknowledged and
+// changed nothing, so that no operator could change anything any more.
+Test(declaration_ledger, aNumberThatNoDeclarationHasIsReplacedByTheNextOne)
+{
+    constexpr std::uint64_t stored = 0 - std::uint64_t{5};
+    const InstanceId seat("seat-1");
+    testing::MemoryDataFolder folder;
+    cr_assert_not(prepareSeat(folder.disk(), seat.value(), true, 7));
+    const ReplicaOptions options{.self = seat, .voters = {seat}};
+    TimePoint now(std::chrono::seconds(100));
+    const auto runUntilLeading = [&now](auto &voter) {
+        cr_assert(voter.start(now));
+        for (int step = 0; step < 100 && !voter.leads(); ++step)
+            voter.tick(now += milliseconds(50));
+        cr_assert(voter.leads());
+    };
+    {
+        LedgerHooks hooks;
+        hooks.send = [](const InstanceId &, const std::string &) {};
+        hooks.decided = [](const CommandId &, const CommandAnswer &) {};
+        hooks.accepted = [](const AcceptedConfiguration &) {};
+        hooks.leadership = [](bool, Term) {};
+        hooks.storageFailed = [](const std::string &) {};
+        LedgerDriver earlierBuild(options, folder.disk(), hooks);
+        runUntilLeading(earlierBuild);
+        proto::StoredDeclaration declaration;
+        declaration.set_number(stored);
+        declaration.set_content("minus five");
+        ConfigurationProposal proposal;
+        proposal.command = CommandId("1");
+        proposal.base = earlierBuild.store().revision();
+        proposal.configuration = declaration.SerializeAsString();
+        cr_assert(earlierBuild.propose(proposal, now));
+    }
+    DeclarationHooks hooks;
+    hooks.send = [](const InstanceId &, const std::string &) {};
+    hooks.inForce = [](const RawDeclaration &) {};
+    hooks.leadership = [](bool, Term) {};
+    hooks.storageFailed = [](const std::string &) {};
+    DeclarationLedger ledger(options, folder.disk(), hooks);
+    runUntilLeading(ledger);
+    cr_assert_eq(ledger.committed().number, stored);
+    std::optional<bool> accepted;
+    const DeclareHook note = [&accepted](bool value) { accepted = value; };
+    ledger.declare({stored + 1, "minus four"}, note, now);
+    cr_assert(accepted == false);
+    ledger.declare({8, "eight"}, note, now);
+    cr_assert(accepted == true);
+    cr_assert(ledger.committed() == (RawDeclaration{8, "eight"}));
+    ledger.declare({7, "seven"}, note, now);
+    cr_assert(accepted == true);
+    cr_assert(ledger.committed() == (RawDeclaration{8, "eight"}));
+}
+
 // Instances were answered by a control process that was cut off, as if a majority had just
 // confirmed it: a usage record that had been proposed with an earlier time had dated its
 // confirmation weeks ahead.
--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <gentianramp/core/log.hpp>
+#include <gentianramp/declaration/declaration.hpp>
 #include <gentianramp/registry/packed_text.hpp>
 #include <limits>
 #include <tuple>
@@ -310,7 +311,8 @@
         }
         return true;
     });
-    if (answer.number() > m_number && !answer.packed_content().empty()) {
+    // A number that no declaration has leaves the one that is held in force, and confirms it.
+    if (isNewerDeclaration(answer.number(), m_number) && !answer.packed_content().empty()) {
         Result<std::string> content = unpackText(answer.packed_content());
         if (!content) {
             logError("declaration_damaged",
--- a/src/gentianramp/registry/registry_feed_test.cpp
+++ b/src/gentianramp/registry/registry_feed_test.cpp
@@ -105,6 +105,25 @@
     cr_assert_lt(toMilliseconds(*feed.declarationAge(at(ms))), 400);
 }
 
+// A version of -5, acknowledged by an earlier build as 2^64 - 5, took the place of the routes, and
+// no later version came into force.
+Test(registry_feed, aNumberThatNoDeclarationHasLeavesTheOneThatIsHeldInForce)
+{
+    RegistryFeed feed = makeFeed();
+    int ms = runUntilStable(feed, 3);
+    const auto answerWith = [&](std::uint64_t number) {
+        const FeedOutput output = feed.tick(at(ms));
+        FeedOutput received = deliver(feed, Near, answerTo(output, number), at(ms + 5));
+        ms += 260;
+        return received.declaration;
+    };
+    for (int round = 0; round < 20; ++round)
+        cr_assert_not(answerWith(0 - std::uint64_t{5}).has_value());
+    cr_assert_lt(toMilliseconds(*feed.declarationAge(at(ms))), 400);
+    const std::optional<RawDeclaration> next = answerWith(4);
+    cr_assert(next && next->number == 4);
+}
+
 Test(registry_feed, requestIsResentWhileTheConnectionIsEstablished)
 {
     RegistryFeed feed = makeFeed();
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -1207,7 +1207,9 @@
     asio::awaitable<bool> declare(RawDeclaration declaration)
     {
         const auto self = shared_from_this();
-        if (leads() || (ledger && declaration.number <= ledger->committed().number)) {
+        const bool isOld
+            = ledger && !isNewerDeclaration(declaration.number, ledger->committed().number);
+        if (leads() || isOld) {
             const auto accepted = std::make_shared<std::optional<bool>>();
             const auto done = std::make_shared<Timer>(executor, CallTimeout);
             declareHere(std::move(declaration), [accepted, done](bool value) {
@@ -1368,7 +1370,7 @@
                                                         : NeverConfirmed);
         if (ledger && withinBudget) {
             feed.set_number(ledger->committed().number);
-            if (ledger->committed().number > request.number() && !request.registry())
+            if (lacksDeclaration(request))
                 feed.set_packed_content(packedDeclaration());
         }
         if (listing.digest != 0 && withinBudget) {
@@ -1410,12 +1412,18 @@
         answer(received, message);
     }
 
+    bool lacksDeclaration(const proto::FeedRequest &request) const
+    {
+        return ledger && isNewerDeclaration(ledger->committed().number, request.number())
+            && !request.registry();
+    }
+
     /// Size of the list and the declaration in the answer to @p request; 0 if below
     /// SmallAnswerBytes.
     std::size_t fullAnswerBytes(const proto::FeedRequest &request)
     {
         std::size_t bytes = 0;
-        if (ledger && ledger->committed().number > request.number() && !request.registry())
+        if (lacksDeclaration(request))
             bytes += packedDeclaration().size();
         if (listing.digest != 0 && listing.digest != request.list_digest())
             bytes += listSince(request.list_digest()).ByteSizeLong();
