registry: refuse invalid declarations that other processes forward

Cause: only the process that an operator calls judged a declaration; the leader took what it was sent. Change: the leader judges what is forwarded with the same parser and the same rules, and refuses a number that differs from the declaration's own. Evidence: anInvalidDeclarationThatIsForwardedIsRefused fails without the check.

--- a/include/gentianramp/registry/registry_node.hpp
+++ b/include/gentianramp/registry/registry_node.hpp
@@ -61,7 +61,8 @@
     std::function<std::string(std::uint64_t window, const UsageCounts &)> encodeUsage;
     /// Body of an order of servers; empty: none are ordered.
     std::function<std::string(const ServerOrder &)> encodeOrder;
-    /// Parses a declaration in the form in which it is stored; needed to order servers.
+    /// Parses a declaration in the form in which it is stored; needed to order servers, and to
+    /// refuse invalid ones that other processes forward.
     std::function<Result<Declaration>(const RawDeclaration &)> parseDeclaration;
     /// Minimum time between the last order of a leader and the first order of its successor.
     Duration successorOrderDelay = std::chrono::seconds(3);
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -1166,13 +1166,36 @@
 
     void receiveDeclare(const ReceivedMessage &received, const proto::DeclareRequest &request)
     {
-        declareHere({request.number(), request.content()},
-                    [this, received, call = request.call()](bool accepted) {
-                        proto::RegistryMessage message;
-                        message.mutable_declare_answer()->set_call(call);
-                        message.mutable_declare_answer()->set_accepted(accepted);
-                        answer(received, message);
-                    });
+        const DeclareHook done = [this, received, call = request.call()](bool accepted) {
+            proto::RegistryMessage message;
+            message.mutable_declare_answer()->set_call(call);
+            message.mutable_declare_answer()->set_accepted(accepted);
+            answer(received, message);
+        };
+        RawDeclaration declaration{request.number(), request.content()};
+        if (const std::string fault = faultOf(declaration); !fault.empty()) {
+            logWarning("forwarded_declaration_refused",
+                       {{"sender", received.sender.value()},
+                        {"number", declaration.number},
+                        {"reason", fault}});
+            return done(false);
+        }
+        declareHere(std::move(declaration), done);
+    }
+
+    /// Why @p declaration can't come into force; empty if it can. A process of an earlier build
+    /// forwards what this one refuses.
+    std::string faultOf(const RawDeclaration &declaration) const
+    {
+        if (!options.parseDeclaration)
+            return {};
+        const Result<Declaration> parsed = options.parseDeclaration(declaration);
+        if (!parsed)
+            return parsed.message();
+        if (parsed->number != declaration.number)
+            return "it is forwarded under another number than its own";
+        const std::vector<std::string> faults = declarationFaults(*parsed);
+        return faults.empty() ? std::string() : faults.front();
     }
 
     void declareHere(RawDeclaration declaration, DeclareHook done)
--- a/src/gentianramp/registry/registry_node_test.cpp
+++ b/src/gentianramp/registry/registry_node_test.cpp
@@ -89,6 +89,12 @@
     co_return false;
 }
 
+asio::awaitable<void> declareOnce(RegistryNode &node, bool &declared, asio::io_context &context)
+{
+    declared = co_await declareRepeatedly(node, MaxAttempts);
+    context.stop();
+}
+
 /// Whether a declaration was accepted before and after an obstacle was removed.
 struct Declared
 {
@@ -142,7 +148,9 @@
                 proto::RegistryMessage answer;
                 if (!answer.ParseFromString(message.payload))
                     return;
-                if (answer.has_peer())
+                if (answer.has_declare_answer())
+                    m_accepted = answer.declare_answer().accepted();
+                else if (answer.has_peer())
                     m_peerAnswer.ParseFromString(answer.peer());
                 else
                     m_answers[message.sender] = answer.feed_answer();
@@ -158,6 +166,17 @@
                     std::chrono::seconds(1));
     }
 
+    void forward(const InstanceId &node, const proto::DeclareRequest &request)
+    {
+        proto::RegistryMessage message;
+        *message.mutable_declare() = request;
+        m_mesh.send(node, PayloadKind::Registry, message.SerializeAsString(),
+                    std::chrono::seconds(1));
+    }
+
+    /// The last answer to forward().
+    std::optional<bool> accepted() const { return m_accepted; }
+
     void send(const InstanceId &node, const proto::PeerMessage &peerMessage)
     {
         proto::RegistryMessage message;
@@ -180,9 +199,22 @@
 
     std::map<InstanceId, proto::FeedAnswer> m_answers;
     proto::PeerMessage m_peerAnswer;
+    std::optional<bool> m_accepted;
     Mesh m_mesh;
 };
 
+/// Forwards @p request to @p leader, as a process without its content does, until it is answered.
+asio::awaitable<void> forward(FeedClient &client, InstanceId leader, proto::DeclareRequest request,
+                              std::optional<bool> &accepted, asio::io_context &context)
+{
+    for (int attempt = 0; attempt < MaxAttempts && !accepted; ++attempt) {
+        client.forward(leader, request);
+        co_await sleepFor(AttemptInterval);
+        accepted = client.accepted();
+    }
+    context.stop();
+}
+
 /// Reports a crash to @p reportedTo until @p asked answers with it.
 asio::awaitable<void> reportCrash(FeedClient &client, InstanceId reportedTo, InstanceId asked,
                                   bool &arrived, asio::io_context &context)
@@ -418,3 +450,36 @@
     cr_assert(starts.atOnce, "%d calls", starts.calls);
     cr_assert_not(starts.afterSuspension);
 }
+
+// A process of an earlier build beside this one accepts what this one refuses, and forwards it.
+Test(registry_node, anInvalidDeclarationThatIsForwardedIsRefused)
+{
+    const TemporaryFolder folder;
+    RegistryOptions options = singleVoter(folder.path);
+    options.parseDeclaration = [](const RawDeclaration &stored) -> Result<Declaration> {
+        if (stored.content != "sound")
+            return {Error::Malformed, "Routes: expected a list, found null"};
+        return Declaration{.number = 8};
+    };
+    asio::io_context context;
+    RegistryNode node(context.get_executor(), options);
+    node.start();
+    bool declared = false;
+    asio::co_spawn(context, declareOnce(node, declared, context), asio::detached);
+    context.run();
+    cr_assert(declared);
+    proto::DeclareRequest request;
+    for (const auto &[number, content, expected] :
+         {std::tuple(8, "null in place of the routes", false), std::tuple(9, "sound", false),
+          std::tuple(8, "sound", true)}) {
+        FeedClient client(context);
+        request.set_number(number);
+        request.set_content(content);
+        std::optional<bool> accepted;
+        context.restart();
+        asio::co_spawn(context, forward(client, options.self, request, accepted, context),
+                       asio::detached);
+        context.run();
+        cr_assert(accepted == expected, "%d %s", number, content);
+    }
+}
