ledger: a slot's former folder counts until the new one is admitted

Cause: an entry that retires the former folder had effect from the moment at which the leader wrote it down, before the new folder counted. Change: a folder that has all committed entries becomes the slot's successor by one entry, ENTRY_REPLACE. From then on votes, acknowledgements, reads and confirmations need a majority with the former folder and one with the new one. Once it is committed, a second entry admits the new folder alone, or the former one if the new one is gone. This is joint consensus for one slot. The second process on a slot has a name of its own in the ledger, slot/successor. While a voter of an earlier build was heard, which knows no such entry, folders are retired first as before.

--- a/include/gentianramp/control/ledger_driver.hpp
+++ b/include/gentianramp/control/ledger_driver.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -68,6 +69,9 @@
     /// Starts to transfer the leadership to another voter, if this replica leads.
     void transferLeadership(TimePoint now);
 
+    /// See Replica::setSuccessors().
+    void setSuccessors(std::set<InstanceId> slots);
+
     /// The replica, which is ahead of store() while outputs wait for the disk.
     const Replica &replica() const { return *m_replica; }
     const ConfigurationStore &store() const { return m_store; }
--- a/include/gentianramp/ledger/replica.hpp
+++ b/include/gentianramp/ledger/replica.hpp
@@ -7,11 +7,18 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 namespace gentianramp {
 
+/// Name by which a replica knows the second process on a slot: the one that is to replace the
+/// slot's holder; for both of these, the other one.
+InstanceId successorName(const InstanceId &slot);
+/// The slot of a name, which may be a slot or the second process on it.
+InstanceId slotOf(const InstanceId &name);
+
 /// Role of a replica in its term.
 enum class ReplicaRole {
     Follower,
@@ -32,6 +39,8 @@
     std::size_t maxEntriesPerMessage = 256;
     std::size_t maxBytesPerMessage = 1 << 20; ///< A larger entry is sent in a message of its own.
     std::size_t retainedEntries = 256;        ///< Entries before a snapshot that stay in memory.
+    /// Messages of a folder that is not admitted arrive under the slot's successorName().
+    bool namesSuccessors = false;
 };
 
 /// A message to another voter.
@@ -79,8 +88,9 @@
 struct VoterView
 {
     InstanceId instance;
-    std::uint64_t identity = 0; ///< Of the admitted data folder; 0 when the slot is empty.
-    bool admitted = false;      ///< The data folder in its last message is the admitted one.
+    std::uint64_t identity = 0;  ///< Of the admitted data folder; 0 when the slot is empty.
+    std::uint64_t successor = 0; ///< Of the data folder that is replacing it; 0: there is none.
+    bool admitted = false;       ///< The data folder in its last message is the admitted one.
     /// Its last vote did not count because its folder was found to be rolled back.
     bool rolledBack = false;
     LogIndex match;
@@ -94,8 +104,15 @@
 /// a majority, entries committed only through an entry of the leader's own term. The set of slots
 /// is fixed by the settings; which data folder fills a slot is part of the log. Only votes and
 /// acknowledgements of the admitted folder count. An empty, swapped or rolled back folder is
-/// treated as a new one: a committed entry retires the former folder from the slot, the new folder
-/// receives all committed entries, then another committed entry admits it.
+/// treated as a new one.
+///
+/// A folder replaces another one of the same slot, which may be in use or lost, in two entries.
+/// Once the new folder has all committed entries, the first one makes it the slot's successor: from
+/// then on each majority has to hold both with the former folder and with the new one. When that
+/// entry is committed, the second one admits the new folder alone. At no moment does the loss of
+/// one folder cost more than before. While a voter may run an earlier build, which knows no
+/// successors, a committed entry retires the former folder first, and another one admits the new
+/// folder.
 class Replica
 {
 public:
@@ -117,6 +134,14 @@
     ReplicaOutput compact(LogIndex index, std::string state);
     /// Transfers leadership to the live voter whose log is the most advanced.
     ReplicaOutput transferLeadership(TimePoint now);
+    /// Slots whose folder the leader replaces by that of their second process once that has all
+    /// committed entries. Does not undo a replacement that has begun.
+    void setSuccessors(std::set<InstanceId> slots);
+    /// False when an admitted folder was heard whose build knows no successors.
+    bool knowsSuccessors() const;
+    /// On a leader: true when the last change of a slot's folder is committed, so that folders that
+    /// were replaced are needed no more.
+    bool foldersSettled() const;
     /// Time at which tick() must be called next.
     TimePoint nextTick() const;
 
--- a/src/gentianramp/control/ledger_driver.cpp
+++ b/src/gentianramp/control/ledger_driver.cpp
@@ -86,6 +86,11 @@
         perform(m_replica->transferLeadership(now));
 }
 
+void LedgerDriver::setSuccessors(std::set<InstanceId> slots)
+{
+    m_replica->setSuccessors(std::move(slots));
+}
+
 bool LedgerDriver::overloaded() const
 {
     return m_waiting.size() > MaxWaitingOutputs;
--- a/src/gentianramp/ledger/ledger_simulation.cpp
+++ b/src/gentianramp/ledger/ledger_simulation.cpp
@@ -55,9 +55,12 @@
             m_violations.push_back("invariant " + std::string(name) + " " + std::string(detail));
     });
     for (std::size_t i = 0; i < options.voters; ++i) {
+        m_slots.emplace_back("voter-" + std::to_string(i));
         m_voters.push_back(std::make_unique<TestVoter>());
-        m_voters.back()->instance = InstanceId("voter-" + std::to_string(i));
+        m_voters.back()->instance = m_slots.back();
     }
+    for (std::size_t i = 0; i < options.spares; ++i)
+        m_voters.push_back(std::make_unique<TestVoter>());
     if (m_options.clockDrift > 0)
         startClocks();
 }
@@ -99,7 +102,7 @@
 
 void LedgerSimulation::found()
 {
-    for (std::size_t i = 0; i < m_voters.size(); ++i) {
+    for (std::size_t i = 0; i < m_slots.size(); ++i) {
         LogStore store(m_voters[i]->disk.disk());
         check(!store.initialise(m_random()), "LogStore::initialise() succeeds on an empty folder");
         start(i);
@@ -112,7 +115,7 @@
 void LedgerSimulation::start(std::size_t index)
 {
     TestVoter &voter = *m_voters[index];
-    if (voter.replica)
+    if (voter.replica || voter.instance.value().empty())
         return;
     voter.store = std::make_unique<LogStore>(voter.disk.disk());
     Result<StoredLog> stored = voter.store->open(m_random());
@@ -126,10 +129,10 @@
     voter.applied = stored->snapshot.index();
     ReplicaOptions options;
     options.self = voter.instance;
-    for (const auto &each : m_voters)
-        options.voters.push_back(each->instance);
+    options.voters = m_slots;
     options.seed = m_random();
     options.retainedEntries = 8;
+    options.namesSuccessors = m_options.spares > 0;
     voter.paused = false;
     voter.deferred.clear();
     voter.replica = std::make_unique<Replica>(options, std::move(stored).value(), localTime(index));
@@ -183,15 +186,16 @@
         || m_cutLinks.contains(link) || m_lastingCuts.contains(link))
         return;
     if (voter.paused) {
-        voter.deferred.push_back({m_now, m_voters[inTransit.from]->instance, inTransit.message});
+        voter.deferred.push_back(
+            {m_now, senderName(inTransit.from, inTransit.to, inTransit.message.identity()),
+             inTransit.message});
         return;
     }
     proto::LedgerMessage message = inTransit.message;
     if (m_options.impossibleAgeShare > 0 && withProbability(m_options.impossibleAgeShare))
         makeAgeImpossible(message);
-    perform(
-        inTransit.to,
-        voter.replica->step(m_voters[inTransit.from]->instance, message, callTime(inTransit.to)));
+    const InstanceId sender = senderName(inTransit.from, inTransit.to, message.identity());
+    perform(inTransit.to, voter.replica->step(sender, message, callTime(inTransit.to)));
 }
 
 /// Age of an answer that was received after the message was sent, in the message's unsigned field.
@@ -207,8 +211,150 @@
             wrapped(m_random));
 }
 
+std::optional<VoterView> LedgerSimulation::viewOf(std::size_t index, const InstanceId &slot) const
+{
+    if (!m_voters[index]->replica)
+        return std::nullopt;
+    for (const VoterView &view : m_voters[index]->replica->voters()) {
+        if (view.instance == slot)
+            return view;
+    }
+    return std::nullopt;
+}
+
+InstanceId LedgerSimulation::senderName(std::size_t sender, std::size_t receiver,
+                                        std::uint64_t identity) const
+{
+    const InstanceId &slot = m_voters[sender]->instance;
+    if (m_options.spares == 0)
+        return slot;
+    const std::optional<VoterView> view = viewOf(receiver, slot);
+    const bool isHolder = slot != m_voters[receiver]->instance && view
+        && (view->identity == identity || view->identity == 0);
+    return isHolder ? slot : successorName(slot);
+}
+
+std::optional<std::size_t> LedgerSimulation::receiverOf(std::size_t sender,
+                                                        const InstanceId &name) const
+{
+    const InstanceId slot = slotOf(name);
+    const std::optional<VoterView> view = viewOf(sender, slot);
+    std::optional<std::size_t> found;
+    for (std::size_t i = 0; i < m_voters.size(); ++i) {
+        const TestVoter &voter = *m_voters[i];
+        if (i == sender || voter.instance != slot || !voter.replica)
+            continue;
+        if (m_options.spares == 0)
+            return i;
+        const std::uint64_t identity = voter.replica->identity();
+        const bool isHolder = view && (view->identity == identity || view->identity == 0);
+        const bool isSecond = slot == m_voters[sender]->instance || !isHolder;
+        if (isSecond != (name != slot))
+            continue;
+        // A folder without entries knows no holders; it answers the leader.
+        const bool isPreferred
+            = (view && view->successor == identity) || voter.replica->role() == ReplicaRole::Leader;
+        if (!found || isPreferred)
+            found = i;
+    }
+    return found;
+}
+
+std::uint64_t LedgerSimulation::storedIdentity(std::size_t index) const
+{
+    const TestVoter &voter = *m_voters[index];
+    return voter.replica ? voter.replica->identity()
+                         : loadStoredLog(voter.disk).hardState.identity();
+}
+
+std::optional<std::size_t> LedgerSimulation::idleSpare() const
+{
+    for (std::size_t i = 0; i < m_voters.size(); ++i) {
+        if (m_voters[i]->instance.value().empty())
+            return i;
+    }
+    return std::nullopt;
+}
+
+void LedgerSimulation::moveSlot(std::size_t slot)
+{
+    const std::optional<std::size_t> spare = idleSpare();
+    if (!spare)
+        return;
+    m_voters[*spare]->disk = MemoryDataFolder();
+    m_voters[*spare]->instance = m_slots[slot];
+    m_voters[*spare]->lastRevisionIdentity = 0;
+    m_moving = m_slots[slot];
+    m_movingSince = m_now;
+    start(*spare);
+    m_movingIdentity = m_voters[*spare]->replica ? m_voters[*spare]->replica->identity() : 0;
+}
+
+/// What the leader's process does: tells the replica which slots have a second process that is to
+/// take over, and releases processes that were replaced.
+void LedgerSimulation::updateSuccessors()
+{
+    if (m_options.spares == 0)
+        return;
+    constexpr Duration moveTimeout = 5s;
+    if (m_moving && m_now - m_movingSince > moveTimeout)
+        m_moving.reset();
+    for (std::size_t i = 0; i < m_voters.size(); ++i) {
+        if (!m_voters[i]->replica || m_voters[i]->replica->role() != ReplicaRole::Leader)
+            continue;
+        std::set<InstanceId> slots;
+        for (const VoterView &view : m_voters[i]->replica->voters()) {
+            const bool isHeld
+                = std::any_of(m_voters.begin(), m_voters.end(), [&](const auto &other) {
+                      return other->instance == view.instance && other->replica
+                          && other->replica->identity() == view.identity;
+                  });
+            if (!isHeld || m_moving == view.instance)
+                slots.insert(view.instance);
+        }
+        m_voters[i]->replica->setSuccessors(slots);
+        if (m_voters[i]->replica->foldersSettled() && !m_voters[i]->paused)
+            releaseReplaced(i);
+    }
+}
+
+void LedgerSimulation::releaseReplaced(std::size_t leader)
+{
+    const Replica &replica = *m_voters[leader]->replica;
+    for (std::size_t i = 0; i < m_voters.size(); ++i) {
+        TestVoter &voter = *m_voters[i];
+        const std::optional<VoterView> view = viewOf(leader, voter.instance);
+        if (i == leader || !view || !voter.replica || m_moving == voter.instance
+            || voter.replica->term() > replica.term()
+            || view->identity == voter.replica->identity())
+            continue;
+        const bool isHeldByAnother
+            = std::any_of(m_voters.begin(), m_voters.end(), [&](const auto &other) {
+                  return other.get() != &voter && other->instance == voter.instance
+                      && other->replica && other->replica->identity() == view->identity;
+              });
+        if (!isHeldByAnother || m_isolated[i] != m_isolated[leader])
+            continue;
+        crash(i);
+        voter.disk = MemoryDataFolder();
+        voter.folderCopy.clear();
+        voter.instance = InstanceId();
+        ++m_moves;
+    }
+    if (m_moving) {
+        const std::optional<VoterView> view = viewOf(leader, *m_moving);
+        const auto claimants
+            = std::count_if(m_voters.begin(), m_voters.end(),
+                            [&](const auto &voter) { return voter->instance == *m_moving; });
+        const bool isDone = view && view->identity == m_movingIdentity;
+        if (claimants < 2 || isDone)
+            m_moving.reset();
+    }
+}
+
 void LedgerSimulation::tickAll()
 {
+    updateSuccessors();
     for (std::size_t i = 0; i < m_voters.size(); ++i) {
         TestVoter &voter = *m_voters[i];
         if (!voter.replica || voter.paused)
@@ -241,11 +387,10 @@
     }
     checkLeader(index);
     for (OutgoingMessage &message : output.messages) {
-        const auto to = std::find_if(m_voters.begin(), m_voters.end(), [&](const auto &each) {
-            return each->instance == message.to;
-        });
-        const MessageInTransit inTransit{index, static_cast<std::size_t>(to - m_voters.begin()),
-                                         std::move(message.message)};
+        const std::optional<std::size_t> to = receiverOf(index, message.to);
+        if (!to)
+            continue;
+        const MessageInTransit inTransit{index, *to, std::move(message.message)};
         std::uniform_int_distribution<int> delay(1, 400);
         for (int copies = withProbability(m_options.duplicateShare) ? 2 : 1; copies > 0; --copies) {
             if (!withProbability(m_options.dropShare))
@@ -316,7 +461,7 @@
     const Replica &replica = *m_voters[index]->replica;
     if (replica.role() != ReplicaRole::Leader)
         return;
-    const std::string name = m_voters[index]->instance.value();
+    const std::string name = std::to_string(index);
     const auto [known, isNew] = m_leaders.emplace(replica.term().value(), name);
     check(known->second == name, "a term has one leader");
 }
@@ -361,11 +506,12 @@
         // Its votes count no more, although logs still admit it.
         if (first.rolledBackIdentity == first.replica->identity())
             return false;
-        return connected(voter, other)
-            && first.replica->voters()[other].identity == second.replica->identity();
+        const std::optional<VoterView> view = viewOf(voter, second.instance);
+        return connected(voter, other) && view && view->successor == 0
+            && view->identity == second.replica->identity();
     };
     for (unsigned members = 0; members < 1U << m_voters.size(); ++members) {
-        bool fits = static_cast<std::size_t>(std::popcount(members)) > m_voters.size() / 2;
+        bool fits = static_cast<std::size_t>(std::popcount(members)) > m_slots.size() / 2;
         for (std::size_t i = 0; i < m_voters.size(); ++i) {
             for (std::size_t j = 0; j < m_voters.size(); ++j) {
                 const bool bothMembers = (members >> i & 1U) != 0 && (members >> j & 1U) != 0;
@@ -458,6 +604,8 @@
         cutRandomLink(m_lastingCuts);
     for (int step = 0; step < m_options.steps; ++step) {
         run(TickInterval);
+        if (m_options.spares > 0 && !m_moving && withProbability(0.02))
+            moveSlot(std::uniform_int_distribution<std::size_t>(0, m_slots.size() - 1)(m_random));
         if (withProbability(0.15))
             randomCommand();
         if (withProbability(0.05))
@@ -569,6 +717,8 @@
 /// each admitted in the logs of a majority. Otherwise the ledger stops for good, as designed.
 bool LedgerSimulation::canLoseFolder(std::size_t index) const
 {
+    if (m_options.spares > 0)
+        return canLoseFolderWhileSlotsMove(index);
     std::vector<std::uint64_t> identities;
     std::vector<IdentityMap> admissions;
     for (const auto &voter : m_voters) {
@@ -591,6 +741,37 @@
     return intact > m_voters.size() / 2;
 }
 
+/// True when a majority of the folders remains of all that any log names, with the former and with
+/// the new folder of each slot.
+bool LedgerSimulation::canLoseFolderWhileSlotsMove(std::size_t index) const
+{
+    std::set<std::uint64_t> remaining;
+    for (std::size_t i = 0; i < m_voters.size(); ++i) {
+        if (i != index && !m_voters[i]->instance.value().empty())
+            remaining.insert(loadStoredLog(m_voters[i]->disk).hardState.identity());
+    }
+    const auto hasMajority = [&](const IdentityMap &folders) {
+        const auto count = std::count_if(folders.begin(), folders.end(), [&](const auto &slot) {
+            return remaining.contains(slot.second);
+        });
+        return static_cast<std::size_t>(count) > m_slots.size() / 2;
+    };
+    for (const auto &voter : m_voters) {
+        if (voter->instance.value().empty())
+            continue;
+        const ReplicatedLog log(loadStoredLog(voter->disk));
+        // A folder that was emptied knows no ledger.
+        if (log.identities().empty())
+            continue;
+        IdentityMap next = log.identities();
+        for (const auto &[slot, identity] : log.successors())
+            next[slot] = identity;
+        if (!hasMajority(log.identities()) || !hasMajority(next))
+            return false;
+    }
+    return true;
+}
+
 void LedgerSimulation::restoreCopy(std::size_t index)
 {
     crash(index);
@@ -661,6 +842,8 @@
     run(5s);
     check(accepted(last), "a change is accepted after all faults end");
     for (const auto &voter : m_voters) {
+        if (voter->instance.value().empty())
+            continue;
         check(voter->replica && voter->replica->admitted(),
               "every voter is admitted after all faults end");
         check(voter->configuration.revision().value() == m_highestAccepted,
--- a/src/gentianramp/ledger/ledger_simulation.hpp
+++ b/src/gentianramp/ledger/ledger_simulation.hpp
@@ -37,6 +37,9 @@
     /// Largest deviation of a voter's clock rate; clocks also start at different times. 0: all
     /// voters share one clock.
     double clockDrift = 0;
+    /// Processes without a slot. Random slots move to them; a process that was replaced becomes
+    /// one.
+    std::size_t spares = 0;
     int steps = 4000;
 };
 
@@ -51,7 +54,7 @@
 /// One voter and its data folder; `replica` is empty while the process is down.
 struct TestVoter
 {
-    InstanceId instance;
+    InstanceId instance; ///< Its slot; empty for a spare.
     MemoryDataFolder disk;
     std::unique_ptr<LogStore> store;
     std::unique_ptr<Replica> replica;
@@ -91,6 +94,8 @@
     /// Restarts the voter on the copy of its folder in `folderCopy`.
     void restoreCopy(std::size_t voter);
     void transferLeadership(std::size_t voter);
+    /// Lets a spare replace the holder of the slot @p slot.
+    void moveSlot(std::size_t slot);
     /// Requests a read from the voter and runs the simulation; false when the read is not
     /// confirmed.
     bool confirmsRead(std::size_t voter);
@@ -109,6 +114,8 @@
     TestVoter &voter(std::size_t index) { return *m_voters[index]; }
     const std::vector<std::string> &violations() const { return m_violations; }
     std::size_t acceptedCount() const { return m_accepted; }
+    /// Number of slots that moved to a spare.
+    std::size_t moveCount() const { return m_moves; }
     /// Number of times that a majority was connected and had to elect a leader.
     std::size_t livenessChecks() const { return m_livenessChecks; }
 
@@ -128,6 +135,16 @@
     void perform(std::size_t voter, ReplicaOutput output);
     bool persist(std::size_t voter, const ReplicaOutput &output);
     void applyCommitted(std::size_t voter, const proto::LogEntry &entry);
+    /// The name by which the process @p receiver knows the sender of a message.
+    InstanceId senderName(std::size_t sender, std::size_t receiver, std::uint64_t identity) const;
+    /// The process that @p sender means by @p name.
+    std::optional<std::size_t> receiverOf(std::size_t sender, const InstanceId &name) const;
+    /// What the process @p index knows of the slot of @p other; empty for a spare.
+    std::optional<VoterView> viewOf(std::size_t index, const InstanceId &slot) const;
+    void updateSuccessors();
+    void releaseReplaced(std::size_t leader);
+    std::uint64_t storedIdentity(std::size_t index) const;
+    std::optional<std::size_t> idleSpare() const;
     void checkState(std::size_t voter);
     void checkAnswer(const std::string &command, const CommandAnswer &answer);
     void checkLeader(std::size_t voter);
@@ -154,6 +171,7 @@
     void randomRead();
     void randomFault();
     bool canLoseFolder(std::size_t voter) const;
+    bool canLoseFolderWhileSlotsMove(std::size_t voter) const;
     bool othersDetectRollback(std::size_t voter) const;
     void rollBack(std::size_t voter);
     void send(const ConfigurationProposal &proposal, std::size_t voter);
@@ -167,6 +185,11 @@
     std::mt19937_64 m_random;
     TimePoint m_now{std::chrono::seconds(1)};
     std::vector<std::unique_ptr<TestVoter>> m_voters;
+    std::vector<InstanceId> m_slots;
+    std::optional<InstanceId> m_moving; ///< Slot that a spare is to take over.
+    TimePoint m_movingSince{};
+    std::uint64_t m_movingIdentity = 0; ///< Of the spare's folder.
+    std::size_t m_moves = 0;
     std::multimap<TimePoint, MessageInTransit> m_network;
     std::map<std::size_t, bool> m_isolated;
     std::set<std::pair<std::size_t, std::size_t>> m_cutLinks;    ///< Sender and receiver.
--- a/src/gentianramp/ledger/replica.cpp
+++ b/src/gentianramp/ledger/replica.cpp
@@ -8,6 +8,25 @@
 
 namespace gentianramp {
 
+namespace {
+
+constexpr std::string_view SuccessorSuffix = "/successor";
+
+} // namespace
+
+InstanceId successorName(const InstanceId &slot)
+{
+    return InstanceId(slot.value() + std::string(SuccessorSuffix));
+}
+
+InstanceId slotOf(const InstanceId &name)
+{
+    std::string_view text = name.value();
+    if (text.ends_with(SuccessorSuffix))
+        text.remove_suffix(SuccessorSuffix.size());
+    return InstanceId(std::string(text));
+}
+
 Replica::Replica(ReplicaOptions options, StoredLog stored, TimePoint now)
     : m_state(std::make_unique<State>(std::move(options), std::move(stored), now))
 { }
@@ -90,6 +109,10 @@
     const PeerState *best = nullptr;
     std::string target;
     for (const auto &[instance, peer] : state.peers) {
+        // The former folder of a slot that changes its folder may leave, and the new one may not
+        // stay.
+        if (state.log.successors().contains(slotOf(InstanceId(instance)).value()))
+            continue;
         if (state.isLive(instance) && (best == nullptr || peer.match > best->match)) {
             best = &peer;
             target = instance;
@@ -104,6 +127,25 @@
     return state.takeOutput();
 }
 
+void Replica::setSuccessors(std::set<InstanceId> slots)
+{
+    m_state->expectedSuccessors.clear();
+    for (const InstanceId &slot : slots)
+        m_state->expectedSuccessors.insert(slot.value());
+}
+
+bool Replica::knowsSuccessors() const
+{
+    return m_state->knowSuccessors();
+}
+
+bool Replica::foldersSettled() const
+{
+    // Before an entry of its own term is committed, a leader may not know the newest change.
+    return m_state->committedOwnTerm() && m_state->log.successors().empty()
+        && m_state->log.identitiesIndex() <= m_state->commit;
+}
+
 TimePoint Replica::nextTick() const
 {
     if (m_state->role == ReplicaRole::Leader)
@@ -165,6 +207,8 @@
         const auto slot = m_state->log.identities().find(voter.value());
         VoterView view{.instance = voter};
         view.identity = slot == m_state->log.identities().end() ? 0 : slot->second;
+        const auto successor = m_state->log.successors().find(voter.value());
+        view.successor = successor == m_state->log.successors().end() ? 0 : successor->second;
         if (voter.value() == m_state->self) {
             view.admitted = m_state->selfAdmitted();
             view.match = LogIndex(m_state->log.lastIndex());
@@ -206,6 +250,7 @@
     for (const InstanceId &voter : options.voters) {
         if (voter.value() != self)
             peers[voter.value()] = {};
+        peers[successorName(voter).value()] = {};
     }
     for (const proto::Witness &witness : hard.witnesses())
         witnesses.merge(witness);
@@ -300,6 +345,7 @@
     }
     peer.incarnation = incarnation;
     peer.lastContact = now;
+    peer.knowsReplace = message.knows_replace();
     if (isAdmitted(from, incarnation.identity))
         witnesses.recordIncarnation(from, incarnation);
 }
@@ -346,7 +392,7 @@
     if (!output.record)
         output.record.emplace();
     hard.clear_witnesses();
-    witnesses.retain(log.identities());
+    witnesses.retain(admittedNames());
     for (const proto::Witness &witness : witnesses.all())
         *hard.add_witnesses() = witness;
     *output.record->mutable_hard_state() = hard;
@@ -397,6 +443,7 @@
     message.set_boot(hard.boot());
     message.set_session(session);
     message.set_term(hard.term());
+    message.set_knows_replace(true);
     return message;
 }
 
@@ -411,10 +458,50 @@
     output.messages.push_back({.to = InstanceId(to), .message = std::move(message)});
 }
 
-bool Replica::State::isAdmitted(const std::string &instance, std::uint64_t identity) const
+bool Replica::State::isAdmitted(const std::string &name, std::uint64_t identity) const
+{
+    const auto holds = [&](const IdentityMap &folders, const std::string &slot) {
+        const auto found = folders.find(slot);
+        return found != folders.end() && found->second == identity;
+    };
+    const std::string slot = slotOf(InstanceId(name)).value();
+    if (slot == name)
+        return holds(log.identities(), slot);
+    if (slot != self)
+        return holds(log.successors(), slot);
+    // The other process on the own slot may be the former or the new one.
+    return identity != hard.identity()
+        && (holds(log.identities(), slot) || holds(log.successors(), slot));
+}
+
+IdentityMap Replica::State::admittedNames() const
+{
+    IdentityMap names = log.identities();
+    for (const auto &[slot, identity] : log.successors())
+        names[successorName(InstanceId(slot)).value()] = identity;
+    return names;
+}
+
+bool Replica::State::isReachable(const std::string &name) const
+{
+    const std::string slot = slotOf(InstanceId(name)).value();
+    return slot == name || expectedSuccessors.contains(slot) || log.successors().contains(slot)
+        || (slot == self && !selfAdmitted());
+}
+
+/// True unless an admitted folder was heard whose build knows no successors.
+bool Replica::State::knowSuccessors() const
+{
+    return std::all_of(log.identities().begin(), log.identities().end(), [&](const auto &slot) {
+        const auto peer = peers.find(slot.first);
+        return peer == peers.end() || peer->second.incarnation.identity != slot.second
+            || peer->second.knowsReplace;
+    });
+}
+
+bool Replica::State::inContact(const PeerState &peer) const
 {
-    const auto slot = log.identities().find(instance);
-    return slot != log.identities().end() && slot->second == identity;
+    return peer.lastContact && now - *peer.lastContact < options.electionTimeout;
 }
 
 bool Replica::State::isLive(const std::string &instance) const
--- a/src/gentianramp/ledger/replica_election.cpp
+++ b/src/gentianramp/ledger/replica_election.cpp
@@ -33,6 +33,8 @@
 void Replica::State::askForVotes(bool preVote, bool handedOver)
 {
     for (const auto &[instance, peer] : peers) {
+        if (!isReachable(instance))
+            continue;
         proto::LedgerMessage message = newMessage();
         addWitnesses(message);
         proto::VoteRequest &request = *message.mutable_vote_request();
@@ -118,7 +120,12 @@
 
 void Replica::State::countVotes()
 {
-    if (votes.size() < majority())
+    const bool isElected = isLedgerEmpty()
+        ? votes.size() >= majority()
+        : reachedByMajority(1, [this](const std::string &name, const PeerState &) {
+              return votes.contains(name) ? 1 : 0;
+          }) > 0;
+    if (!isElected)
         return;
     if (role == ReplicaRole::PreCandidate)
         return startElection(false);
--- a/src/gentianramp/ledger/replica_follower.cpp
+++ b/src/gentianramp/ledger/replica_follower.cpp
@@ -95,7 +95,9 @@
     if (message.term() < hard.term())
         return false;
     checkInvariant(role != ReplicaRole::Leader, "ledger.one_leader_a_term", from);
-    checkInvariant(leader.empty() || leader == from, "ledger.one_leader_a_term", from);
+    // The name of a leader whose slot changes its folder may change within a term.
+    checkInvariant(leader.empty() || slotOf(InstanceId(leader)) == slotOf(InstanceId(from)),
+                   "ledger.one_leader_a_term", from);
     if (role != ReplicaRole::Follower)
         becomeFollower(message.term());
     leader = from;
--- a/src/gentianramp/ledger/replica_leader.cpp
+++ b/src/gentianramp/ledger/replica_leader.cpp
@@ -34,7 +34,7 @@
         nextHeartbeatAt = now + options.heartbeatInterval;
     }
     for (auto &[instance, peer] : peers) {
-        if (!onlyLagging || peer.next <= log.lastIndex())
+        if (isReachable(instance) && (!onlyLagging || peer.next <= log.lastIndex()))
             sendAppend(instance, peer);
     }
 }
@@ -115,29 +115,28 @@
 
 void Replica::State::advanceLeaderCommit()
 {
-    std::vector<std::uint64_t> matches;
-    matches.push_back(selfAdmitted() ? log.lastIndex() : 0);
-    for (const auto &[instance, peer] : peers)
-        matches.push_back(isAdmitted(instance, peer.incarnation.identity) ? peer.match : 0);
-    std::sort(matches.begin(), matches.end(), std::greater<>());
-    const std::uint64_t held = matches[majority() - 1];
+    const std::uint64_t held = reachedByMajority(
+        log.lastIndex(), [](const std::string &, const PeerState &peer) { return peer.match; });
     if (held <= commit || log.termAt(held) != hard.term())
         return;
     advanceCommit(held);
     answerReads();
     broadcast(false);
+    if (!log.successors().empty()) {
+        replaceFolders();
+        return broadcast(true);
+    }
+    // A leader whose own folder was replaced stays until that is committed.
+    if (!selfAdmitted() && log.identitiesIndex() <= commit)
+        becomeFollower(hard.term());
 }
 
 void Replica::State::answerReads()
 {
     if (reads.empty() || !committedOwnTerm())
         return;
-    std::vector<std::uint64_t> rounds;
-    rounds.push_back(selfAdmitted() ? round : 0);
-    for (const auto &[instance, peer] : peers)
-        rounds.push_back(isAdmitted(instance, peer.incarnation.identity) ? peer.round : 0);
-    std::sort(rounds.begin(), rounds.end(), std::greater<>());
-    const std::uint64_t confirmed = rounds[majority() - 1];
+    const std::uint64_t confirmed = reachedByMajority(
+        round, [](const std::string &, const PeerState &peer) { return peer.round; });
     std::erase_if(reads, [&](const PendingRead &read) {
         if (read.round > confirmed)
             return false;
@@ -156,10 +155,9 @@
 void Replica::State::stepDownWithoutQuorum()
 {
     nextQuorumCheckAt = now + options.electionTimeout;
-    std::size_t live = selfAdmitted() ? 1 : 0;
-    for (const auto &[instance, peer] : peers)
-        live += isLive(instance) ? 1 : 0;
-    if (live < majority())
+    const int live = reachedByMajority(
+        1, [this](const std::string &name, const PeerState &) { return isLive(name) ? 1 : 0; });
+    if (live == 0)
         return becomeFollower(hard.term());
     if (handOverDeadline && now >= *handOverDeadline)
         handOverDeadline.reset();
@@ -178,17 +176,9 @@
 /// Time of the newest broadcast that a majority, including this voter, answered.
 std::optional<TimePoint> Replica::State::lastConfirmation() const
 {
-    std::vector<TimePoint> answered;
-    if (selfAdmitted())
-        answered.push_back(now);
-    for (const auto &[instance, peer] : peers) {
-        if (isAdmitted(instance, peer.incarnation.identity) && peer.roundSentAt != TimePoint{})
-            answered.push_back(peer.roundSentAt);
-    }
-    if (answered.size() < majority())
-        return std::nullopt;
-    std::sort(answered.begin(), answered.end(), std::greater<>());
-    return answered[majority() - 1];
+    const TimePoint answered = reachedByMajority(
+        now, [](const std::string &, const PeerState &peer) { return peer.roundSentAt; });
+    return answered == TimePoint{} ? std::nullopt : std::optional(answered);
 }
 
 std::optional<TimePoint> Replica::State::currentConfirmation() const
@@ -220,29 +210,94 @@
     return confirmation;
 }
 
-/// Appends the next entry that retires or admits a data folder. Each such entry is appended only
-/// after the one before it is committed, so that any two majorities in force at once share a voter.
+/// Appends the next entry that replaces, retires or admits a data folder. Each such entry is
+/// appended only after the one before it is committed, so that any two majorities in force at once
+/// share a voter.
 void Replica::State::replaceFolders()
 {
     if (!committedOwnTerm() || log.identitiesIndex() > commit)
         return;
+    if (!log.successors().empty())
+        return endReplacement();
+    if (replaceBySuccessor())
+        return;
+    const bool retires = !options.namesSuccessors || !knowSuccessors();
     std::size_t live = 1;
     for (const auto &[instance, peer] : peers)
         live += isLive(instance) ? 1 : 0;
     for (const auto &[instance, peer] : peers) {
-        const bool inContact
-            = peer.lastContact && now - *peer.lastContact < options.electionTimeout;
-        if (!inContact || isAdmitted(instance, peer.incarnation.identity))
+        const bool isSecond = slotOf(InstanceId(instance)).value() != instance;
+        if (isSecond || !inContact(peer) || isAdmitted(instance, peer.incarnation.identity))
             continue;
         if (!log.identities().contains(instance)) {
             if (peer.match >= commit)
                 return admitFolder(instance, peer.incarnation.identity);
-        } else if (live >= majority()) {
+        } else if (retires && live >= majority()) {
             return retireFolder(instance);
         }
     }
 }
 
+/// Admits the new folder of a slot alone, or the former one if only that is in contact. If neither
+/// is, both count until one is back, unless a third folder waits for the slot.
+void Replica::State::endReplacement()
+{
+    const auto [slot, successor] = *log.successors().begin();
+    const auto admitted = log.identities().find(slot);
+    const std::uint64_t former = admitted == log.identities().end() ? 0 : admitted->second;
+    std::set<std::uint64_t> here;
+    if (slot == self)
+        here.insert(hard.identity());
+    for (const auto &[name, peer] : peers) {
+        if (slotOf(InstanceId(name)).value() == slot && inContact(peer))
+            here.insert(peer.incarnation.identity);
+    }
+    if (here.contains(former) && !here.contains(successor))
+        admitFolder(slot, former);
+    else if (!here.empty())
+        admitFolder(slot, successor);
+}
+
+/// Begins to replace the folder of an expected slot; false if none can be replaced now.
+bool Replica::State::replaceBySuccessor()
+{
+    for (const std::string &slot : expectedSuccessors) {
+        const auto found = peers.find(successorName(InstanceId(slot)).value());
+        if (found == peers.end() || slot == self || !inContact(found->second)
+            || found->second.match < commit)
+            continue;
+        const std::uint64_t identity = found->second.incarnation.identity;
+        const auto admitted = log.identities().find(slot);
+        if (admitted == log.identities().end()) {
+            admitFolder(slot, identity);
+            return true;
+        }
+        if (admitted->second == identity)
+            continue;
+        const PeerState &former = peers.at(slot);
+        const bool formerIsHere
+            = former.incarnation.identity == admitted->second && inContact(former);
+        if (knowSuccessors())
+            proposeSuccessor(slot, identity);
+        else if (formerIsHere)
+            continue;
+        else
+            retireFolder(slot);
+        return true;
+    }
+    return false;
+}
+
+void Replica::State::proposeSuccessor(const std::string &instance, std::uint64_t identity)
+{
+    proto::LogEntry entry;
+    entry.set_kind(proto::ENTRY_REPLACE);
+    auto *slot = entry.add_identities();
+    slot->set_instance(instance);
+    slot->set_identity(identity);
+    appendAsLeader(std::move(entry));
+}
+
 void Replica::State::retireFolder(const std::string &instance)
 {
     proto::LogEntry entry;
@@ -255,6 +310,10 @@
 
 void Replica::State::admitFolder(const std::string &instance, std::uint64_t identity)
 {
+    // From now on the folder is known by the name of its slot.
+    const auto second = peers.find(successorName(InstanceId(instance)).value());
+    if (instance != self && second->second.incarnation.identity == identity)
+        peers[instance] = std::exchange(second->second, {});
     proto::LogEntry entry;
     entry.set_kind(proto::ENTRY_ADMIT);
     auto *slot = entry.add_identities();
--- a/src/gentianramp/ledger/replica_state.hpp
+++ b/src/gentianramp/ledger/replica_state.hpp
@@ -3,9 +3,12 @@
 #include "replicated_log.hpp"
 #include "witness_table.hpp"
 
+#include <algorithm>
+#include <functional>
 #include <gentianramp/ledger/replica.hpp>
 #include <random>
 #include <set>
+#include <vector>
 
 namespace gentianramp {
 
@@ -21,6 +24,7 @@
     TimePoint roundAnsweredAt{}; ///< Time at which that answer was received.
     TimePoint snapshotSentAt{};  ///< Repeated only after an election timeout.
     bool rolledBack = false;     ///< Its last granted vote proved its folder to be rolled back.
+    bool knowsReplace = false;   ///< Its build knows ENTRY_REPLACE.
 };
 
 /// A read that waits until a majority has answered its broadcast round or a later one.
@@ -60,8 +64,25 @@
     void addWitnesses(proto::LedgerMessage &message) const;
     void send(const std::string &to, proto::LedgerMessage message);
     std::size_t majority() const { return options.voters.size() / 2 + 1; }
-    bool isAdmitted(const std::string &instance, std::uint64_t identity) const;
+    /// Whether the votes and acknowledgements of this folder count.
+    bool isAdmitted(const std::string &name, std::uint64_t identity) const;
+    /// Admitted identities by the names under which messages of their folders arrive.
+    IdentityMap admittedNames() const;
+    /// True when there may be messages for this name: not for a second process that nobody expects.
+    bool isReachable(const std::string &name) const;
+    bool inContact(const PeerState &peer) const;
+    bool knowSuccessors() const;
+    /// The greatest value that a majority has reached: with the former and with the new folder of
+    /// each slot that changes its folder.
+    template <typename Value, typename PeerValue>
+    Value reachedByMajority(Value own, PeerValue peerValue) const;
     bool selfAdmitted() const { return isAdmitted(self, hard.identity()); }
+    /// True when the own folder is replacing another one.
+    bool selfSucceeds() const
+    {
+        const auto slot = log.successors().find(self);
+        return slot != log.successors().end() && slot->second == hard.identity();
+    }
     /// True when the voter's folder is admitted and it answered a round of this leader that was
     /// broadcast within the election timeout. Other messages do not count: they show that the voter
     /// runs, not that it receives what this leader sends.
@@ -72,7 +93,7 @@
     /// True when the own folder is admitted or is founding an empty ledger.
     bool canStandForElection() const
     {
-        return selfAdmitted() || (isLedgerEmpty() && hard.founding());
+        return selfAdmitted() || selfSucceeds() || (isLedgerEmpty() && hard.founding());
     }
     ReplicaOutput takeOutput();
 
@@ -106,6 +127,9 @@
     /// committed, since earlier leaders may have committed more than this one knows.
     std::optional<proto::Confirmation> confirmationFor(const PeerState &peer) const;
     void replaceFolders();
+    void endReplacement();
+    bool replaceBySuccessor();
+    void proposeSuccessor(const std::string &instance, std::uint64_t identity);
     void retireFolder(const std::string &instance);
     void admitFolder(const std::string &instance, std::uint64_t identity);
     bool committedOwnTerm() const;
@@ -130,7 +154,8 @@
     StartState stateAtStart;
     std::uint64_t session = 0; ///< Random number of this incarnation, sent with every message.
     std::mt19937_64 random;
-    std::map<std::string, PeerState> peers;
+    std::map<std::string, PeerState> peers;   ///< By slot, or successorName() of any slot.
+    std::set<std::string> expectedSuccessors; ///< Slots, see Replica::setSuccessors().
 
     ReplicaRole role = ReplicaRole::Follower;
     std::string leader;
@@ -157,4 +182,36 @@
     ReplicaOutput output;
 };
 
+template <typename Value, typename PeerValue>
+Value Replica::State::reachedByMajority(Value own, PeerValue peerValue) const
+{
+    const auto reached = [&](bool withSuccessors) {
+        std::vector<Value> values;
+        for (const InstanceId &voter : options.voters) {
+            const std::string &slot = voter.value();
+            const auto successor = log.successors().find(slot);
+            const bool replaced = withSuccessors && successor != log.successors().end();
+            const auto admitted = log.identities().find(slot);
+            if (!replaced && admitted == log.identities().end()) {
+                values.push_back(Value{});
+                continue;
+            }
+            const std::uint64_t identity = replaced ? successor->second : admitted->second;
+            if (slot == self && identity == hard.identity()) {
+                values.push_back(own);
+                continue;
+            }
+            const bool isSecond = replaced || slot == self;
+            const std::string name = isSecond ? successorName(voter).value() : slot;
+            const PeerState &peer = peers.at(name);
+            values.push_back(peer.incarnation.identity == identity ? peerValue(name, peer)
+                                                                   : Value{});
+        }
+        std::sort(values.begin(), values.end(), std::greater<>());
+        return values[majority() - 1];
+    };
+    const Value former = reached(false);
+    return log.successors().empty() ? former : std::min(former, reached(true));
+}
+
 } // namespace gentianramp
--- a/src/gentianramp/ledger/replicated_log.cpp
+++ b/src/gentianramp/ledger/replicated_log.cpp
@@ -7,30 +7,36 @@
 
 namespace {
 
-IdentityMap identitiesOf(const proto::LedgerSnapshot &snapshot)
+SlotFolders foldersOf(const proto::LedgerSnapshot &snapshot)
 {
-    IdentityMap identities;
+    SlotFolders folders;
     for (const auto &slot : snapshot.identities())
-        identities[slot.instance()] = slot.identity();
-    return identities;
+        folders.identities[slot.instance()] = slot.identity();
+    for (const auto &slot : snapshot.successors())
+        folders.successors[slot.instance()] = slot.identity();
+    return folders;
 }
 
-IdentityMap applyChange(IdentityMap identities, const proto::LogEntry &entry)
+SlotFolders applyChange(SlotFolders folders, const proto::LogEntry &entry)
 {
-    switch (entry.kind()) {
-    case proto::ENTRY_FOUND:
-    case proto::ENTRY_ADMIT:
-        for (const auto &slot : entry.identities())
-            identities[slot.instance()] = slot.identity();
-        break;
-    case proto::ENTRY_RETIRE:
-        for (const auto &slot : entry.identities())
-            identities.erase(slot.instance());
-        break;
-    default:
-        break;
+    for (const auto &slot : entry.identities()) {
+        switch (entry.kind()) {
+        case proto::ENTRY_FOUND:
+        case proto::ENTRY_ADMIT:
+            folders.identities[slot.instance()] = slot.identity();
+            folders.successors.erase(slot.instance());
+            break;
+        case proto::ENTRY_RETIRE:
+            folders.identities.erase(slot.instance());
+            break;
+        case proto::ENTRY_REPLACE:
+            folders.successors[slot.instance()] = slot.identity();
+            break;
+        default:
+            break;
+        }
     }
-    return identities;
+    return folders;
 }
 
 } // namespace
@@ -105,14 +111,18 @@
     snapshot.set_index(index);
     snapshot.set_term(termAt(index).value_or(m_snapshot.term()));
     snapshot.set_state(std::move(state));
-    IdentityMap identities = identitiesOf(m_snapshot);
+    SlotFolders folders = foldersOf(m_snapshot);
     for (std::uint64_t i = m_snapshot.index() + 1; i <= index; ++i)
-        identities = applyChange(std::move(identities), at(i));
-    for (const auto &[instance, identity] : identities) {
-        auto *slot = snapshot.add_identities();
-        slot->set_instance(instance);
-        slot->set_identity(identity);
-    }
+        folders = applyChange(std::move(folders), at(i));
+    const auto add = [](const IdentityMap &from, auto &to) {
+        for (const auto &[instance, identity] : from) {
+            proto::SlotIdentity &slot = *to.Add();
+            slot.set_instance(instance);
+            slot.set_identity(identity);
+        }
+    };
+    add(folders.identities, *snapshot.mutable_identities());
+    add(folders.successors, *snapshot.mutable_successors());
     m_snapshot = std::move(snapshot);
     while (m_baseIndex + retained < index) {
         m_baseTerm = m_entries.front().term();
@@ -139,7 +149,7 @@
 
 void ReplicatedLog::reloadIdentities()
 {
-    m_identities = identitiesOf(m_snapshot);
+    m_folders = foldersOf(m_snapshot);
     m_identitiesIndex = m_snapshot.index();
     for (std::uint64_t i = m_snapshot.index() + 1; i <= lastIndex(); ++i)
         applyIdentities(at(i));
@@ -149,7 +159,7 @@
 {
     if (entry.identities().empty())
         return;
-    m_identities = applyChange(std::move(m_identities), entry);
+    m_folders = applyChange(std::move(m_folders), entry);
     m_identitiesIndex = entry.index();
 }
 
--- a/src/gentianramp/ledger/replicated_log.hpp
+++ b/src/gentianramp/ledger/replicated_log.hpp
@@ -12,6 +12,16 @@
 /// Identity of the admitted data folder for each voter's name; empty slots are absent.
 using IdentityMap = std::map<std::string, std::uint64_t>;
 
+/// Data folders that fill the slots.
+struct SlotFolders
+{
+    IdentityMap identities;
+    /// Identity of the folder that is to replace the one of a slot. Until that has ended,
+    /// majorities have to hold both with the former folder and with this one.
+    IdentityMap successors;
+    bool operator==(const SlotFolders &) const = default;
+};
+
 /// Snapshot and entries of a replica in memory, with the admitted identities that they define.
 class ReplicatedLog
 {
@@ -39,8 +49,9 @@
     void compact(std::uint64_t index, std::string state, std::size_t retained);
 
     /// Identities with all entries applied, including uncommitted ones.
-    const IdentityMap &identities() const { return m_identities; }
-    /// Index of the last entry that changed identities.
+    const IdentityMap &identities() const { return m_folders.identities; }
+    const IdentityMap &successors() const { return m_folders.successors; }
+    /// Index of the last entry that changed identities or successors.
     std::uint64_t identitiesIndex() const { return m_identitiesIndex; }
     std::vector<proto::LogEntry> entriesAfterSnapshot() const;
 
@@ -52,7 +63,7 @@
     std::uint64_t m_baseIndex = 0;
     std::uint64_t m_baseTerm = 0;
     std::deque<proto::LogEntry> m_entries;
-    IdentityMap m_identities;
+    SlotFolders m_folders;
     std::uint64_t m_identitiesIndex = 0;
 };
 
