--- a/include/gentianramp/control/ledger_driver.hpp
+++ b/include/gentianramp/control/ledger_driver.hpp
@@ -70,7 +70,7 @@
     void transferLeadership(TimePoint now);
 
     /// See Replica::setSuccessors().
-    void setSuccessors(std::set<InstanceId> slots);
+    void setSuccessors(const std::set<InstanceId> &slots);
 
     /// The replica, which is ahead of store() while outputs wait for the disk.
     const Replica &replica() const { return *m_replica; }
--- a/include/gentianramp/ledger/replica.hpp
+++ b/include/gentianramp/ledger/replica.hpp
@@ -136,7 +136,7 @@
     ReplicaOutput transferLeadership(TimePoint now);
     /// Slots whose folder the leader replaces by that of their second process once that has all
     /// committed entries. Does not undo a replacement that has begun.
-    void setSuccessors(std::set<InstanceId> slots);
+    void setSuccessors(const std::set<InstanceId> &slots);
     /// False when an admitted folder was heard whose build knows no successors.
     bool knowsSuccessors() const;
     /// On a leader: true when the last change of a slot's folder is committed, so that folders that
--- a/src/gentianramp/control/ledger_driver.cpp
+++ b/src/gentianramp/control/ledger_driver.cpp
@@ -86,9 +86,9 @@
         perform(m_replica->transferLeadership(now));
 }
 
-void LedgerDriver::setSuccessors(std::set<InstanceId> slots)
+void LedgerDriver::setSuccessors(const std::set<InstanceId> &slots)
 {
-    m_replica->setSuccessors(std::move(slots));
+    m_replica->setSuccessors(slots);
 }
 
 bool LedgerDriver::overloaded() const
--- a/src/gentianramp/ledger/replica.cpp
+++ b/src/gentianramp/ledger/replica.cpp
@@ -127,7 +127,7 @@
     return state.takeOutput();
 }
 
-void Replica::setSuccessors(std::set<InstanceId> slots)
+void Replica::setSuccessors(const std::set<InstanceId> &slots)
 {
     m_state->expectedSuccessors.clear();
     for (const InstanceId &slot : slots)
