ledger: test that a slot's former folder counts while it is replaced

A leader has to be elected and a change accepted once all are back. With ENTRY_REPLACE emptying the slot, as ENTRY_RETIRE does, it fails with all seeds looked at.

--- a/src/gentianramp/ledger/replica_test.cpp
+++ b/src/gentianramp/ledger/replica_test.cpp
@@ -507,3 +507,39 @@
     run.run(1200ms);
     cr_assert(run.leader().has_value() && *run.leader() != leader);
 }
+
+// A seat passed from a killed process to a spare. As the leader wrote down that the former folder
+// counted no more, a third process lost its disk, and no leader was elected any more although two
+// processes had everything (review/3).
+Test(Ledger, FormerFolderCountsWhileAnotherOneReplacesIt)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        LedgerSimulation run({.seed = seed, .dropShare = 0, .duplicateShare = 0, .spares = 1});
+        run.found();
+        run.run(5s);
+        const std::size_t leader = run.leader().value();
+        const std::size_t killed = (leader + 1) % 3;
+        const std::size_t third = (leader + 2) % 3;
+        const std::string kept = run.propose("accepted before");
+        run.run(5s);
+        cr_assert(run.accepted(kept));
+        run.kill(killed);
+        run.moveSlot(killed);
+        const auto isReplacing
+            = [&] { return run.voter(leader).replica->voters()[killed].successor != 0; };
+        for (int step = 0; step < 200 && !isReplacing(); ++step)
+            run.run(50ms);
+        cr_assert(isReplacing(), "seed %lu", static_cast<unsigned long>(seed));
+        run.loseDisk(third);
+        run.run(2s);
+        run.start(killed);
+        run.start(third);
+        run.run(30s);
+        cr_expect(run.leader().has_value(), "seed %lu", static_cast<unsigned long>(seed));
+        const std::string after = run.propose("accepted after");
+        run.run(5s);
+        cr_expect(run.accepted(after), "seed %lu", static_cast<unsigned long>(seed));
+        for (const std::string &what : run.violations())
+            cr_expect(false, "seed %lu: %s", static_cast<unsigned long>(seed), what.c_str());
+    }
+}
