ledger, registry: retire only beside a majority, and drop what a former leader expected

A release is refused now only by a process that follows a leader of a later term. Seats that move are offered until they are taken.

--- a/src/gentianramp/ledger/replica_election.cpp
+++ b/src/gentianramp/ledger/replica_election.cpp
@@ -140,6 +140,7 @@
     round = 0;
     roundTimes.clear();
     handOverDeadline.reset();
+    expectedSuccessors.clear();
     nextQuorumCheckAt = now + options.electionTimeout;
     for (auto &[instance, peer] : peers) {
         peer.next = log.lastIndex() + 1;
--- a/src/gentianramp/ledger/replica_leader.cpp
+++ b/src/gentianramp/ledger/replica_leader.cpp
@@ -219,12 +219,12 @@
         return;
     if (!log.successors().empty())
         return endReplacement();
-    if (replaceBySuccessor())
-        return;
-    const bool retires = !options.namesSuccessors || !knowSuccessors();
     std::size_t live = 1;
     for (const auto &[instance, peer] : peers)
         live += isLive(instance) ? 1 : 0;
+    if (replaceBySuccessor(live))
+        return;
+    const bool retires = !options.namesSuccessors || !knowSuccessors();
     for (const auto &[instance, peer] : peers) {
         const bool isSecond = slotOf(InstanceId(instance)).value() != instance;
         if (isSecond || !inContact(peer) || isAdmitted(instance, peer.incarnation.identity))
@@ -258,8 +258,9 @@
         admitFolder(slot, successor);
 }
 
-/// Begins to replace the folder of an expected slot; false if none can be replaced now.
-bool Replica::State::replaceBySuccessor()
+/// Begins to replace the folder of an expected slot; false if none can be replaced now. @p live is
+/// the number of live voters, this one included.
+bool Replica::State::replaceBySuccessor(std::size_t live)
 {
     for (const std::string &slot : expectedSuccessors) {
         const auto found = peers.find(successorName(InstanceId(slot)).value());
@@ -277,13 +278,14 @@
         const PeerState &former = peers.at(slot);
         const bool formerIsHere
             = former.incarnation.identity == admitted->second && inContact(former);
-        if (knowSuccessors())
+        if (knowSuccessors()) {
             proposeSuccessor(slot, identity);
-        else if (formerIsHere)
-            continue;
-        else
+            return true;
+        }
+        if (!formerIsHere && live >= majority()) {
             retireFolder(slot);
-        return true;
+            return true;
+        }
     }
     return false;
 }
--- a/src/gentianramp/ledger/replica_state.hpp
+++ b/src/gentianramp/ledger/replica_state.hpp
@@ -128,7 +128,7 @@
     std::optional<proto::Confirmation> confirmationFor(const PeerState &peer) const;
     void replaceFolders();
     void endReplacement();
-    bool replaceBySuccessor();
+    bool replaceBySuccessor(std::size_t live);
     void proposeSuccessor(const std::string &instance, std::uint64_t identity);
     void retireFolder(const std::string &instance);
     void admitFolder(const std::string &instance, std::uint64_t identity);
--- a/src/gentianramp/registry/registry_node.cpp
+++ b/src/gentianramp/registry/registry_node.cpp
@@ -1069,7 +1069,10 @@
             replaced.insert(InstanceId(name));
         ledger->setSuccessors(replaced);
         SeatChanges changes = assignSeats(ledgerState, peers, lastHolders, seatOptions, moving);
-        if (move)
+        const auto holdsIt = [&](const PeerStatus &peer) {
+            return peer.instance == move->change.instance && peer.seat == move->change.seat;
+        };
+        if (move && std::none_of(peers.begin(), peers.end(), holdsIt))
             changes.offers.push_back(move->change);
         // A folder that was replaced is needed until that is committed.
         if (!ledger->replica().foldersSettled())
@@ -1232,11 +1235,14 @@
 
     void receiveRelease(const proto::SeatRelease &release)
     {
-        // The leader repeats the message until the disk is idle. One of an earlier term may not
-        // know that the folder was admitted since.
-        if (ledger && !ledger->writing() && release.seat() == seat
-            && release.folder() == ledger->replica().identity()
-            && (release.term() == 0 || release.term() >= ledger->replica().term().value()))
+        if (!ledger || release.seat() != seat || release.folder() != ledger->replica().identity())
+            return;
+        // A former leader may not know that its successor has admitted this folder.
+        const Replica &replica = ledger->replica();
+        const bool isOutdated = release.term() != 0 && release.term() < replica.term().value()
+            && replica.leader().has_value();
+        // The leader repeats the message until the disk is idle.
+        if (!isOutdated && !ledger->writing())
             releaseSeat();
     }
 
