--- /dev/null
+++ b/review/stand-ins-3/small_system.py
@@ -0,0 +1,138 @@
+"""A small deployment for the cases 11 to 15: real processes, the soak's stand-ins, and a record of what was seen."""
+
+import asyncio
+import os
+import pathlib
+import socket
+import sys
+import tempfile
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "platform" / "soak"))
+
+import fake_servers  # noqa: E402
+import wire  # noqa: E402
+from callers import Habits  # noqa: E402
+from http_text import Broken, call  # noqa: E402,F401
+from system import System  # noqa: E402
+
+BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
+PROGRAMS = ROOT / "target" / "bin"
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+LIMIT_S = 115.0
+START_LIMIT_S = 30.0
+
+
+class LeavingWorker(fake_servers.Worker):
+    """A worker that says that it leaves as PROTOCOL.md has it: by its health check and `Connection: close`."""
+
+    def _head(self, message, headers):
+        stated = {"Connection": "close"} if self.leaving else {}
+        return {"Request-Id": message.headers.get("request-id", "")} | headers | stated
+
+    def _send(self, writer, message, status, headers, body=b""):
+        return super()._send(writer, message, status, headers, body) and not self.leaving
+
+    async def _stream(self, run, message, reader, writer):
+        return await super()._stream(run, message, reader, writer) and not self.leaving
+
+
+def free_slot():
+    """A number N so that nobody listens on 127.N.*.* at the ports of the system."""
+    for slot in range(40, 120):
+        try:
+            for part, port in ((5, wire.PORTS["list"]), (2, wire.PORTS["front"]), (1, wire.PORTS["front"])):
+                with socket.socket() as probe:
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    probe.bind((f"127.{slot}.{part}.1", port))
+            return slot
+        except OSError:
+            continue
+    raise OSError("no free loopback addresses")
+
+
+class Record:
+    """What was sent, answered and run."""
+
+    def __init__(self, folder):
+        self._out = open(folder / "record.txt", "w", encoding="utf-8")
+        self._begin = time.monotonic()
+
+    def say(self, text):
+        line = f"{time.monotonic() - self._begin:8.3f} {text}"
+        print(line, file=self._out, flush=True)
+        print(line, flush=True)
+
+    def detail(self, text):
+        print(f"         {text}", file=self._out)
+
+    def exchanges(self, system):
+        """Every request of callers with its answer and its runs."""
+        for one in system.exchanges:
+            runs = ", ".join(f"{run.worker} at {run.started - self._begin:.3f}"
+                             for run in system.records.runs.get(one.request, ()))
+            self.detail(f"{one.sent - self._begin:8.3f} {one.entry} {one.path.prefix} {one.request} "
+                        f"status {one.status} whole {one.whole} {one.error} {one.reason} | {runs or 'no run'}")
+
+    def since(self, moment):
+        return moment - self._begin
+
+    def close(self):
+        self._out.close()
+
+
+def make_system(folder, entries=3, cores=3, callers=16, habits=Habits(), workers=LeavingWorker):
+    """A deployment with the programs of the deploy file."""
+    import system as system_module
+    system_module.Worker = workers
+    return System(1, free_slot(), pathlib.Path(folder), PROGRAMS, (entries, cores), callers=callers,
+                  habits=habits)
+
+
+async def begin(system):
+    """Starts everything and waits until all entry processes answer."""
+    await system.start()
+    if not await system.operators.found():
+        raise RuntimeError("the first configuration was not taken")
+    until = time.monotonic() + START_LIMIT_S
+    while time.monotonic() < until:
+        if all([await ready(machine) for machine in system.entries]):
+            return
+        await asyncio.sleep(0.1)
+    raise RuntimeError("not all entry processes became ready")
+
+
+async def ready(machine):
+    try:
+        return (await call(machine.announced, wire.PORTS["ready"], "GET /v1/readiness HTTP/1.1", {})).status == 200
+    except Broken:
+        return False
+
+
+def play(folder, case, **how):
+    """Runs `case(system, record)` and ends with its verdict; all processes are ended whatever happens."""
+    folder = pathlib.Path(folder)
+    record = Record(folder)
+
+    async def whole():
+        with tempfile.TemporaryDirectory(prefix="case-", ignore_cleanup_errors=True) as scratch:
+            system = make_system(pathlib.Path(scratch) / "run", **how)
+            try:
+                return await asyncio.wait_for(case(system, record), LIMIT_S)
+            finally:
+                if os.environ.get("KEEP_LOGS"):
+                    import shutil
+                    shutil.copytree(pathlib.Path(scratch) / "run", os.environ["KEEP_LOGS"], dirs_exist_ok=True)
+                await system.end_all()
+
+    try:
+        if not (PROGRAMS / "gentianramp-platform-entry").exists():
+            raise RuntimeError("target/bin has no programs: the build of the deploy file comes first")
+        code = asyncio.run(whole())
+    except (RuntimeError, OSError, asyncio.TimeoutError) as error:
+        record.say(f"could not run: {error or type(error).__name__}")
+        code = COULD_NOT_RUN
+    record.say(f"exit {code}")
+    record.close()
+    return code
