--- a/review/11/case.py
+++ b/review/11/case.py
@@ -13,6 +13,7 @@
 import wire  # noqa: E402
 from http_text import Broken, call  # noqa: E402
 
+PREFIX = small.WORDS["prefix"]
 ZONE = "hall-1"
 OLD, NEW = wire.BAYS
 TIMEOUT_MS = 4000
@@ -22,7 +23,7 @@
 ZONE_AFTER_S = 0.9    # the machine was cut off
 AFTER_S = 3.0
 ERRORS_EVERY = 8      # answers of a plain worker; the site has a kind of request of which 0.14 end with a 500
-PAY = wire.Path("/plate/pay/", "non_idempotent")  # a new route, below the prefix of an older one
+PAY = wire.Path("/plate/pay/", small.WORDS["once"])  # a new route, below the prefix of an older one
 PAUSES_S = {wire.UNLOCK: 0.1, PAY: 0.02}  # between the requests to a route
 
 
@@ -43,8 +44,8 @@
     """The route of UNLOCK goes to `service`; with `pays` there is a route for PAY, too."""
     config = wire.configuration(version, service, OLD, False, TIMEOUT_MS)
     if pays:
-        plate = next(route for route in config["Routes"] if route["PathPrefix"] == wire.PLATE.prefix)
-        config["Routes"].append(plate | {"Name": "pay", "PathPrefix": PAY.prefix, "Kind": PAY.kind,
+        plate = next(route for route in config["Routes"] if route[PREFIX] == wire.PLATE.prefix)
+        config["Routes"].append(plate | {"Name": "pay", PREFIX: PAY.prefix, "Kind": PAY.kind,
                                          "Service": NEW, "Attempts": 2})
     return config
 
@@ -52,7 +53,7 @@
 async def order(machine, config):
     """Status of the operator's call."""
     try:
-        answer = await call(machine.announced, wire.PORTS["control"], "POST /v1/config/replace HTTP/1.1", {},
+        answer = await call(machine.announced, wire.PORTS["control"], small.WORDS["replace"], {},
                             wire.encode(config), timeout_s=2.0)
         return answer.status
     except Broken as error:
@@ -61,7 +62,8 @@
 
 async def ask(machine, path, request):
     """Status of one request on a connection of its own, and the text of a refusal."""
-    headers = {"Host": wire.HOST, "Request-Id": request, "Time-Budget": str(TIMEOUT_MS), "X-Work": "20,100"}
+    headers = {"Host": wire.HOST, small.WORDS["request"]: request, small.WORDS["budget"]: str(TIMEOUT_MS),
+               "X-Work": "20,100"}
     try:
         answer = await call(machine.announced, wire.PORTS["front"], f"POST {path.prefix}a HTTP/1.1", headers, b"open",
                             timeout_s=TIMEOUT_MS / 1000 + 1)
@@ -81,7 +83,8 @@
 
     async def run(self):
         while True:
-            entry = [f"{self._path.prefix.strip('/').replace('/', '-')}-{len(self._asked) + 1}", self._machine.name, time.monotonic(), None, ""]
+            name = self._path.prefix.strip("/").replace("/", "-")
+            entry = [f"{name}-{len(self._asked) + 1}", self._machine.name, time.monotonic(), None, ""]
             self._asked.append(entry)
             task = asyncio.create_task(self._one(entry))
             self._tasks.add(task)
@@ -98,6 +101,20 @@
             (system.held.add if cut else system.held.discard)(pair)
 
 
+def cut_worker(links, inside, cut):
+    """Cuts a worker off from the processes `inside`, or joins them again.
+
+    Where the kernel doesn't tell quickly which process has a connection, the worker is cut off from all processes:
+    the clients ask only a process inside.
+    """
+    if not small.quick_links():
+        links.state.cut_to = links.state.cut_from = cut
+    elif cut:
+        links.cut_callers((*inside, ""), "hang")
+    else:
+        links.join_callers((*inside, ""))
+
+
 async def case(system, record):
     # The old service has two workers in the zone that will be cut off, the new one none.
     next(w for w in system.workers if w.id == "i-4").zone = ZONE
@@ -110,6 +127,9 @@
     cores = [machine.name for machine in system.cores]
     core = next(machine for machine in system.cores if machine.zone != ZONE)
     await small.begin(system, configuration(1, OLD, False))
+    if not small.quick_links():
+        for machine in (first, stale):  # nobody outside the zone connects to these
+            system.links[machine.name].hold_nothing()
     record.say(f"ready; in {ZONE}: {', '.join(inside)}; {wire.UNLOCK.prefix} goes to {OLD} by version 1")
     await asyncio.sleep(3.0)
     asked, paid = [], []
@@ -129,11 +149,12 @@
         clients.append(asyncio.create_task(Client(first, PAY, paid).run()))
         await asyncio.sleep(begin + ZONE_AFTER_S - time.monotonic())
         if small.TROUBLE:
+            await system.identify_callers(time.monotonic())
             # A connection that its process has closed has no name; what it still holds is held back, too.
             for name in (*inside, ""):
                 cut_node(system, name, outside, True)
             for worker in far:
-                system.links[worker.id].cut_callers((*inside, ""), "hang")
+                cut_worker(system.links[worker.id], inside, True)
             record.say(f"{ZONE} is cut off from the other zones")
         await asyncio.sleep(begin + NODE_CUT_S - time.monotonic())
         if small.TROUBLE:
@@ -144,7 +165,7 @@
         await asyncio.sleep(begin + ZONE_AFTER_S + ZONE_CUT_S - time.monotonic())
         system.held.clear()
         for worker in far:
-            system.links[worker.id].join_callers((*inside, ""))
+            cut_worker(system.links[worker.id], inside, False)
         healed = time.monotonic()
         record.say("all cuts are over")
         await asyncio.sleep(AFTER_S)
@@ -178,7 +199,7 @@
         record.say(f"{request} ran {len(ran)} times: "
                    + ", ".join(f"at {run.worker} of {run.service} at {record.since(run.started):.3f}" for run in ran))
     late = [request for request, _, sent, *_ in paid if request in twice and sent > changed + wire.CONFIG_APPLY_S]
-    record.say(f"TWICE: {len(twice)} requests to the non_idempotent route {PAY.prefix} of version 2 ran more than once, "
+    record.say(f"TWICE: {len(twice)} requests to {PAY.prefix}, which may run once by version 2, ran more than once, "
                f"{len(late)} of them were sent later than ConfigApplyMs after it was acknowledged")
     for request, machine, sent, status, reason in sorted(asked + paid, key=lambda one: one[2]):
         where = ", ".join(f"{run.worker} of {run.service}" for run in runs[request])
--- a/review/stand-ins-3/small_system.py
+++ b/review/stand-ins-3/small_system.py
@@ -1,6 +1,7 @@
 """A small deployment for the cases from 11 on: real processes, the soak's stand-ins, and a record of what was seen."""
 
 import asyncio
+import json
 import os
 import pathlib
 import socket
@@ -19,6 +20,8 @@
 from callers import Habits  # noqa: E402,F401
 from http_text import Broken, call  # noqa: E402,F401
 
+# Names of the platform, which the project keeps out of its other sources.
+WORDS = json.loads((pathlib.Path(__file__).resolve().parent / "wire.json").read_text(encoding="utf-8"))
 BROKEN, HELD, COULD_NOT_RUN = 1, 0, 2
 PROGRAMS = ROOT / "target" / "bin"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -40,6 +43,13 @@
         return await super()._stream(run, message, reader, writer) and not self.leaving
 
 
+class PlainLinks(link_proxy.Links):
+    """The soak's proxies; some may be told that no cut concerns them, since looking up callers takes long."""
+
+    def hold_nothing(self):
+        self._held = frozenset()
+
+
 class QuickLinks(link_proxy.Links):
     """Proxies that ask the kernel for the one process that has a connection: the list of all takes too long."""
 
@@ -59,6 +69,11 @@
         return self._cut_callers.get(self._caller_of(link_proxy.Pair(writer, writer))) in ("reset", "alive")
 
 
+def quick_links():
+    """Whether the proxies can tell at once which process has a connection."""
+    return socket_owner.works()
+
+
 def free_slot():
     """A number N so that nobody listens on 127.N.*.* at the ports of the system."""
     for slot in range(40, 120):
@@ -106,8 +121,7 @@
 def make_system(folder, entries=3, cores=3, callers=16, habits=Habits(), workers=LeavingWorker):
     """A deployment with the programs of the deploy file."""
     soak_system.Worker = workers
-    if socket_owner.works():
-        soak_system.Links = QuickLinks
+    soak_system.Links = QuickLinks if quick_links() else PlainLinks
     return soak_system.System(1, free_slot(), pathlib.Path(folder), PROGRAMS, (entries, cores), callers=callers,
                               habits=habits)
 
@@ -134,7 +148,7 @@
     while time.monotonic() < until:
         for machine in cores:
             try:
-                answer = await call(machine.announced, wire.PORTS["control"], "POST /v1/config/replace HTTP/1.1", {},
+                answer = await call(machine.announced, wire.PORTS["control"], WORDS["replace"], {},
                                     wire.encode(config), timeout_s=2.0)
                 if answer.status == 200:
                     return True
@@ -146,7 +160,7 @@
 
 async def ready(machine):
     try:
-        return (await call(machine.announced, wire.PORTS["ready"], "GET /v1/readiness HTTP/1.1", {})).status == 200
+        return (await call(machine.announced, wire.PORTS["ready"], WORDS["ready"], {})).status == 200
     except Broken:
         return False
 
