review/11: count runs before the end of the cuts only

Cause: bytes that a cut had held back counted for CONFIG as they arrived at its end. Change: such runs are left out for both rules.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -182,16 +182,16 @@
     if not seen:
         raise RuntimeError("no worker saw the effect of version 2")
     effect = min(seen)
+    # Runs of bytes that a cut held back and that arrive as it ends are left out below.
     record.say(f"{record.since(effect):.3f}: a worker first saw the effect of version 2 on a request to {asked[0][1]}")
     back = [(request, sent, run) for request, _, sent, *_ in asked + paid for run in runs[request][:1]
-            if sent > effect + wire.ROLLBACK_S and run.service == OLD]
+            if sent > effect + wire.ROLLBACK_S and run.service == OLD and run.started < healed]
     late = [one for one in back if one[1] > changed + wire.CONFIG_APPLY_S]
     for request, sent, run in back:
         record.say(f"{request}, sent {sent - effect:.2f} s after that and {sent - changed:.2f} s after version 2 was "
                    f"acknowledged, ran at {run.worker} of {OLD}")
     record.say(f"CONFIG: {len(back)} requests to the same process ran as only version 1 allows, {len(late)} of them "
                "were sent later than ConfigApplyMs")
-    # Bytes that a cut held back and that arrive as it ends are left out.
     twice = {request: [run for run in runs[request] if run.started < healed] for request, _, sent, *_ in paid
              if sent > effect + wire.ROLLBACK_S}
     twice = {request: ran for request, ran in twice.items() if len(ran) > 1}
