relay: decide a request that is handed over by one declaration

Three requests that may run once ran twice, 96 ran at the service that the change had replaced. Cause: resolveRoute() of the instance that takes a request over routes and repeats it by its own declaration, and nothing states by which one the other instance decided. Change: hand-overs and their answers state the number. The older of the two fetches the declaration of the other one, which is judged like one of the registry and confirms nothing; then both decide by it. If they still differ, the request is refused and not run, which counts neither as a failure of the other instance nor as an attempt. A request that no server can have run is routed again by the declaration in force; one that may have run is handed over only if the newer declaration decides it alike. Earlier builds state no number: what they hand over is sent to one server, and a request that runs once is given to them with one attempt. Lines of requests and hand_over_failed have other_declaration, so that both numbers stand in one line. Why it works: no request is run by an instance unless both have the same number, and a declaration does not change under its number.

--- a/include/gentianramp/registry/registry_feed.hpp
+++ b/include/gentianramp/registry/registry_feed.hpp
@@ -116,6 +116,9 @@
         m_limits = std::move(limits);
         m_demand = std::move(demand);
     }
+    /// Another entry process brought the declaration with the number, which is in force here. The
+    /// registry has not confirmed it.
+    void noteDeclaration(std::uint64_t number);
     /// Number of entry processes in the system, including this one.
     std::uint32_t entryProcessCount() const { return m_entryProcessCount; }
     /// Time since a majority last confirmed the current declaration; empty: never.
--- a/include/gentianramp/relay/relay_service.hpp
+++ b/include/gentianramp/relay/relay_service.hpp
@@ -8,6 +8,7 @@
 #include <gentianramp/http/server.hpp>
 #include <gentianramp/registry/backend_listing.hpp>
 #include <gentianramp/registry/crash_evidence.hpp>
+#include <gentianramp/registry/declaration_ledger.hpp>
 #include <gentianramp/registry/engine_speeds.hpp>
 #include <gentianramp/registry/limit_granter.hpp>
 #include <gentianramp/registry/listed_versions.hpp>
@@ -37,6 +38,14 @@
         helpers = [](const std::string &, std::uint64_t) { return std::vector<RelayHelper>(); };
     std::function<void(const InstanceId &, const std::string &service)> noteHelperFailed
         = [](const InstanceId &, const std::string &) {};
+    /// Where the instance takes requests over; empty: it is not known.
+    std::function<std::optional<HttpAddress>(const InstanceId &)> helperAddress
+        = [](const InstanceId &) { return std::optional<HttpAddress>(); };
+    /// The declaration in force as the registry stores it; number 0: there is none.
+    std::function<RawDeclaration()> heldDeclaration = [] { return RawDeclaration(); };
+    /// Another instance has the declaration in force. Puts it in force here if it is valid and
+    /// newer than the one that is; the registry has still to confirm it.
+    std::function<void(const RawDeclaration &)> offerDeclaration = [](const RawDeclaration &) {};
     /// Instances that keep a record with the key, and those to ask for it; see PeerGroup.
     std::function<std::vector<InstanceId>(std::string_view key)> keepers
         = [](std::string_view) { return std::vector<InstanceId>(); };
--- a/src/gentianramp/registry/registry_feed.cpp
+++ b/src/gentianramp/registry/registry_feed.cpp
@@ -215,6 +215,12 @@
     m_speeds.insert(m_speeds.end(), observations.begin(), observations.end());
 }
 
+void RegistryFeed::noteDeclaration(std::uint64_t number)
+{
+    if (isNewerDeclaration(number, m_number))
+        m_number = number;
+}
+
 std::int64_t RegistryFeed::trueMs(TimePoint time) const
 {
     return m_trueTime.at(time).value_or(wallClockMs());
--- a/src/gentianramp/registry/registry_feed_test.cpp
+++ b/src/gentianramp/registry/registry_feed_test.cpp
@@ -233,6 +233,26 @@
     cr_assert(feed.tick(at(3050)).declaration == (RawDeclaration{3, "declaration 3"}));
 }
 
+// A declaration that another entry process brought would have counted as confirmed, or been
+// replaced by the older one of a registry process that is cut off too.
+Test(registry_feed, aDeclarationOfAnotherInstanceIsNeitherConfirmedNorReplacedByAnOlderOne)
+{
+    RegistryFeed feed = makeFeed();
+    int ms = runUntilStable(feed, 3);
+    const std::optional<Duration> age = feed.declarationAge(at(ms));
+    feed.noteDeclaration(5);
+    cr_assert(feed.declarationAge(at(ms)) == age);
+    FeedOutput output = feed.tick(at(ms));
+    const FeedOutput older = deliver(feed, *output.requestTo, answerTo(output, 4), at(ms + 5));
+    cr_assert_not(older.declaration.has_value());
+    cr_assert(feed.declarationAge(at(ms)) == age);
+    for (output = {}; !output.requestTo; ms += 50)
+        output = feed.tick(at(ms));
+    const FeedOutput confirmed = deliver(feed, *output.requestTo, answerTo(output, 5), at(ms));
+    cr_assert_not(confirmed.declaration.has_value());
+    cr_assert_lt(*feed.declarationAge(at(ms)), *age + std::chrono::milliseconds(60));
+}
+
 // The time was counted from the start of the process, so that a process that reached nobody at
 // first took the first declaration that it got.
 Test(registry_feed, firstDeclarationWaitsForAMajorityThoughAnswersBeginLate)
--- a/src/gentianramp/relay/forwarded_headers.cpp
+++ b/src/gentianramp/relay/forwarded_headers.cpp
@@ -1,6 +1,7 @@
 #include "forwarded_headers.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <gentianramp/http/message.hpp>
 
 namespace gentianramp {
@@ -21,9 +22,10 @@
                                               "Proxy-Authorization"};
 
 constexpr std::string_view InstanceNames[]
-    = {instance_headers::Verdict,  instance_headers::Backend,      instance_headers::Service,
-       instance_headers::Version,  instance_headers::LacksServers, instance_headers::WasSent,
-       instance_headers::Attempts, instance_headers::Customer};
+    = {instance_headers::Verdict,  instance_headers::Backend,         instance_headers::Service,
+       instance_headers::Version,  instance_headers::LacksServers,    instance_headers::WasSent,
+       instance_headers::Attempts, instance_headers::Customer,        instance_headers::Declaration,
+       instance_headers::Instance, instance_headers::WantsDeclaration};
 
 } // namespace
 
@@ -56,4 +58,13 @@
                        [&](std::string_view header) { return sameHeaderName(header, name); });
 }
 
+std::optional<std::uint64_t> parseNumber(std::string_view text)
+{
+    std::uint64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || error != std::errc{} || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
 } // namespace gentianramp
--- a/src/gentianramp/relay/forwarded_headers.hpp
+++ b/src/gentianramp/relay/forwarded_headers.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace gentianramp {
@@ -23,8 +25,16 @@
 constexpr const char *Attempts = "Gentianramp-Attempts";
 /// Customer of the caller; empty: on a public route, without a known key.
 constexpr const char *Customer = "Gentianramp-Customer";
+/// Number of the declaration by which the sender decides the request.
+constexpr const char *Declaration = "Gentianramp-Declaration";
+/// The instance that hands the request over.
+constexpr const char *Instance = "Gentianramp-Instance";
+/// Asks for the declaration in force; not a caller's request.
+constexpr const char *WantsDeclaration = "Gentianramp-Wants-Declaration";
 } // namespace instance_headers
 
 bool isInstanceHeader(std::string_view name);
+/// The decimal number that a field consists of; empty if it is none.
+std::optional<std::uint64_t> parseNumber(std::string_view text);
 
 } // namespace gentianramp
--- a/src/gentianramp/relay/hand_over_test.cpp
+++ b/src/gentianramp/relay/hand_over_test.cpp
@@ -1,5 +1,5 @@
 #include "../http/raw_server.hpp"
-#include "relay_test_fixture.hpp"
+#include "hand_over_fixture.hpp"
 
 #include <criterion/criterion.h>
 
@@ -10,112 +10,6 @@
 
 namespace {
 
-Declaration makeDeclaration(Route route)
-{
-    route.name = "r";
-    route.host = "host.example";
-    route.pathPrefix = "/p/";
-    route.timeout = std::chrono::seconds(3);
-    route.shares = {{"s", 1}};
-    Declaration declaration;
-    declaration.number = 1;
-    declaration.routes = {route};
-    declaration.services = {{.name = "s", .healthPath = "/health"}};
-    return declaration;
-}
-
-/// An instance that takes requests over.
-class Helper
-{
-public:
-    /// @p handler replaces the relay's if it is set.
-    Helper(asio::io_context &context, const std::string &name, const HttpHandler &handler = {})
-        : m_name(name)
-        , m_relay(context.get_executor(), options(name))
-        , m_server(context.get_executor(), {}, counted(handler ? handler : m_relay.helperHandler()))
-        , m_port(m_server.start().value())
-    { }
-
-    void publish(const BackendListing &listing, const Route &route,
-                 std::optional<std::vector<Customer>> customers = std::nullopt)
-    {
-        m_relay.publish(listing);
-        Declaration declaration = makeDeclaration(route);
-        declaration.customers = std::move(customers);
-        m_relay.publish(std::move(declaration));
-    }
-
-    RelayHelper address() const { return {InstanceId(m_name), {"127.0.0.1", m_port}}; }
-    int asked() const { return m_asked; }
-    int taken() const { return m_taken; }
-
-private:
-    RelayOptions options(const std::string &name)
-    {
-        RelayOptions options{.dataCentre = DataCentreId("a"),
-                             .protocol = makeProtocol(),
-                             .seed = 2,
-                             .instance = InstanceId(name)};
-        options.peers.helpers = [this](const std::string &, std::uint64_t) {
-            ++m_asked;
-            return std::vector<RelayHelper>();
-        };
-        return options;
-    }
-
-    HttpHandler counted(HttpHandler handler)
-    {
-        return [this, handler = std::move(handler)](HttpRequest request, ResponseWriter &writer) {
-            ++m_taken;
-            return handler(std::move(request), writer);
-        };
-    }
-
-    std::string m_name;
-    int m_taken = 0;
-    int m_asked = 0; ///< How often it looked for a helper itself.
-    RelayService m_relay;
-    HttpServer m_server;
-    std::uint16_t m_port;
-};
-
-/// An instance that reaches no server, and others that may.
-struct CutInstance
-{
-    explicit CutInstance(RetryBounds retries = {})
-        : fixture(retries, {}, hooks())
-    { }
-
-    PeerHooks hooks()
-    {
-        PeerHooks hooks;
-        hooks.helpers = [this](const std::string &, std::uint64_t) { return helpers; };
-        hooks.noteHelperFailed = [this](const InstanceId &, const std::string &) { ++failures; };
-        return hooks;
-    }
-
-    Helper &addHelper(const Route &route, const HttpHandler &handler = {})
-    {
-        auto helper = std::make_unique<Helper>(fixture.context(),
-                                               "helper-" + std::to_string(owned.size()), handler);
-        helper->publish(fixture.listing(), route);
-        helpers.push_back(helper->address());
-        owned.push_back(std::move(helper));
-        return *owned.back();
-    }
-
-    void cutOff(const Route &route)
-    {
-        fixture.declare(route);
-        fixture.cutOff();
-    }
-
-    std::vector<RelayHelper> helpers;
-    int failures = 0;
-    RelayFixture fixture;
-    std::vector<std::unique_ptr<Helper>> owned;
-};
-
 Handler answers(unsigned status)
 {
     return [=](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
--- a/src/gentianramp/relay/relay_node.cpp
+++ b/src/gentianramp/relay/relay_node.cpp
@@ -112,6 +112,11 @@
             = [this](const InstanceId &instance, const std::string &service) {
                   peers.noteFailed(instance, service, RuntimeClock::now());
               };
+        result.peers.helperAddress
+            = [this](const InstanceId &instance) { return helperAddress(instance); };
+        result.peers.heldDeclaration = [this] { return heldDeclaration; };
+        result.peers.offerDeclaration
+            = [this](const RawDeclaration &offered) { takeOffered(offered); };
         result.peers.send = [this](const InstanceId &to, std::string payload) {
             mesh->send(to, PayloadKind::Peer, std::move(payload), MessageTtl);
         };
@@ -148,6 +153,20 @@
         return result;
     }
 
+    /// Empty unless the registry has listed the instance.
+    std::optional<HttpAddress> helperAddress(const InstanceId &instance) const
+    {
+        const std::vector<PeerInstance> known = peers.peers();
+        const bool isKnown = std::any_of(known.begin(), known.end(), [&](const PeerInstance &peer) {
+            return peer.instance == instance;
+        });
+        std::optional<HttpAddress> address = parseHttpAddress(instance.value());
+        if (!isKnown || !address)
+            return std::nullopt;
+        address->port = options.helperListenAddress.port;
+        return address;
+    }
+
     HttpServerOptions serverOptions(std::string name, const HttpAddress &address,
                                     double share) const
     {
@@ -338,6 +357,23 @@
         logInfo("peers", {{"known", known.size()}, {"cut_off", cutOff}});
     }
 
+    /// A process without a declaration waits for the registry: another instance may be as far
+    /// behind as what was in force before a restart.
+    void takeOffered(const RawDeclaration &offered)
+    {
+        if (relay.declarationNumber() == 0
+            || !isNewerDeclaration(offered.number, relay.declarationNumber()))
+            return;
+        const Result<Declaration> declaration = options.parseDeclaration(offered);
+        if (declaration && declaration->number != offered.number) {
+            logError("declaration_misnumbered",
+                     {{"number", offered.number}, {"content", declaration->number}});
+            return;
+        }
+        applyDeclaration(offered);
+        feed.noteDeclaration(relay.declarationNumber());
+    }
+
     void applyDeclaration(const RawDeclaration &stored)
     {
         Result<Declaration> declaration = options.parseDeclaration(stored);
@@ -356,6 +392,8 @@
                  {"routes", declaration->routes.size()},
                  {"confirmed_ms", ageMs(feed.declarationAge(RuntimeClock::now()))}});
         relay.publish(std::move(declaration).value());
+        if (relay.declarationNumber() == stored.number)
+            heldDeclaration = stored;
     }
 
     /// Requests of callers and of other instances that have no answer yet. Those that are being
@@ -415,7 +453,8 @@
     std::unique_ptr<HttpServer> readiness;
     std::unique_ptr<HttpServer> helper; ///< For requests of other instances.
     std::unique_ptr<HttpServer> metrics;
-    bool cutOff = false; ///< No backend server answers.
+    RawDeclaration heldDeclaration; ///< In force; as the registry stores it.
+    bool cutOff = false;            ///< No backend server answers.
     bool leaving = false;
     bool stopping = false;
     std::unique_ptr<Mesh> mesh; ///< Declared last, so that its thread ends first.
--- a/src/gentianramp/relay/relay_service.cpp
+++ b/src/gentianramp/relay/relay_service.cpp
@@ -1,5 +1,6 @@
 #include "relay_state.hpp"
 
+#include "forwarded_headers.hpp"
 #include "relayed_request.hpp"
 
 #include <algorithm>
@@ -86,6 +87,11 @@
                                   "Requests handed over to other instances"))
     , handOversFailed(registry.counter("gentianramp_relay_hand_overs_failed_total",
                                        "Requests that an instance did not take over"))
+    , handOversOtherDeclaration(
+          registry.counter("gentianramp_relay_hand_overs_other_declaration_total",
+                           "Hand-overs to instances with another declaration, not taken"))
+    , declarationsFetched(registry.counter("gentianramp_relay_declarations_fetched_total",
+                                           "Newer declarations fetched from other instances"))
     , takenOver(registry.counter("gentianramp_relay_taken_over_total",
                                  "Requests taken over from other instances"))
     , firstEventTime(registry.latency("gentianramp_relay_first_event_seconds",
@@ -110,6 +116,9 @@
               return table.versions().recent(service, RuntimeClock::now()).size() > 1;
           },
           options.metrics ? *options.metrics : *ownMetrics)
+    , declarations(
+          executor, client, options.peers, [this] { return declarationNumber(); },
+          metrics.declarationsFetched)
     , crashes(options.crashes ? options.crashes : std::make_shared<CrashEvidence>())
     , random(options.seed)
 {
@@ -117,6 +126,11 @@
         options.memory = std::make_shared<MemoryBudget>();
 }
 
+std::uint64_t RelayState::declarationNumber() const
+{
+    return routes ? routes->declaration().number : 0;
+}
+
 bool RelayState::declarationIsConfirmed() const
 {
     const std::optional<Duration> age = options.declarationAge();
@@ -610,7 +624,7 @@
 
 std::uint64_t RelayService::declarationNumber() const
 {
-    return m_state->routes ? m_state->routes->declaration().number : 0;
+    return m_state->declarationNumber();
 }
 
 bool RelayService::hasRoutingData() const
@@ -637,6 +651,10 @@
 HttpHandler RelayService::helperHandler()
 {
     return [state = m_state](HttpRequest request, ResponseWriter &writer) -> asio::awaitable<void> {
+        if (request.headers.contains(instance_headers::WantsDeclaration)) {
+            co_await writer.send(state->declarations.answer());
+            co_return;
+        }
         const auto relayed = std::make_shared<RelayedRequest>(state, std::move(request), writer,
                                                               RequestSource::Instance);
         co_await relayed->serve();
--- a/src/gentianramp/relay/relay_state.hpp
+++ b/src/gentianramp/relay/relay_state.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "declaration_exchange.hpp"
 #include "origin_lookup.hpp"
 #include <boost/asio/any_io_executor.hpp>
 
@@ -38,6 +39,8 @@
     Counter &admissionRefusals;
     Counter &handedOver;
     Counter &handOversFailed;
+    Counter &handOversOtherDeclaration;
+    Counter &declarationsFetched;
     Counter &takenOver;
     Distribution &firstEventTime;
     Distribution &answerTime;
@@ -105,6 +108,8 @@
     /// Repeats the health check until the backend server answers or is no longer listed.
     boost::asio::awaitable<void> checkUntilAnswered(BackendId backend, std::string path);
     boost::asio::awaitable<void> freeHandle(HttpAddress address, std::string handle);
+    /// Number of the declaration in force; 0: none.
+    std::uint64_t declarationNumber() const;
     /// The declaration in force was confirmed so recently that a newer one need not be in force.
     bool declarationIsConfirmed() const;
     RetryAllowance &allowance(const std::string &service);
@@ -130,9 +135,12 @@
     HttpClient client;
     BackendTable table;
     OriginLookup origins;
+    DeclarationExchange declarations;
     std::shared_ptr<const RouteTable> routes;
     bool hasListing = false; ///< A backend listing has been published.
     std::uint32_t instances = 1;
+    /// Instances that state by which declaration they decide; earlier builds do not.
+    std::set<InstanceId> statesDeclaration;
     std::optional<TimePoint> shutdownDeadline;        ///< Set while the process shuts down.
     std::map<std::string, RetryAllowance> allowances; ///< By service.
     std::map<std::string, WorkMeter> arrivals;        ///< Requests by service.
--- a/src/gentianramp/relay/relayed_request.cpp
+++ b/src/gentianramp/relay/relayed_request.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <charconv>
 #include <gentianramp/core/hexadecimal.hpp>
 #include <gentianramp/core/log.hpp>
 #include <gentianramp/http/whole_answer.hpp>
@@ -100,15 +99,6 @@
     return customer.empty() ? attempt : customer + '/' + attempt;
 }
 
-std::optional<std::uint64_t> parseNumber(std::string_view text)
-{
-    std::uint64_t value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (text.empty() || error != std::errc{} || end != text.data() + text.size())
-        return std::nullopt;
-    return value;
-}
-
 } // namespace
 
 class RelayedRequest::AttemptGuard
@@ -211,6 +201,8 @@
         co_await answerLocally(503, "no_declaration", DeclarationRetryAfter);
         co_return false;
     }
+    if (m_source == RequestSource::Instance && !co_await matchDeclaration())
+        co_return false;
     m_route = m_routes->find(m_request->headers.find("Host"), m_request->path());
     if (!m_route && !m_state->declarationIsConfirmed()) {
         co_await answerLocally(503, "declaration_unconfirmed", DeclarationRetryAfter);
@@ -250,10 +242,70 @@
         if (const auto left = parseNumber(m_request->headers.find(instance_headers::Attempts)))
             m_attemptsLeft
                 = static_cast<std::uint32_t>(std::min<std::uint64_t>(*left, m_route->attempts));
+        // By the declaration of an instance of an earlier build, the request may have to run once.
+        if (!m_otherDeclaration)
+            m_attemptsLeft = std::min(m_attemptsLeft.value_or(1), 1U);
     }
     co_return true;
 }
 
+std::uint64_t RelayedRequest::declarationNumber() const
+{
+    return m_routes ? m_routes->declaration().number : 0;
+}
+
+asio::awaitable<bool> RelayedRequest::matchDeclaration()
+{
+    m_otherDeclaration = parseNumber(m_request->headers.find(instance_headers::Declaration));
+    if (!m_otherDeclaration || *m_otherDeclaration == declarationNumber())
+        co_return true;
+    if (isNewerDeclaration(*m_otherDeclaration, declarationNumber())) {
+        const InstanceId sender(std::string(m_request->headers.find(instance_headers::Instance)));
+        co_await m_state->declarations.catchUp(sender, *m_otherDeclaration);
+        m_routes = m_state->routes;
+    }
+    if (*m_otherDeclaration == declarationNumber())
+        co_return true;
+    co_await answerLocally(503, "other_declaration", DeclarationRetryAfter);
+    co_return false;
+}
+
+bool RelayedRequest::adoptDeclarationInForce()
+{
+    const std::shared_ptr<const RouteTable> &inForce = m_state->routes;
+    if (inForce == m_routes)
+        return true;
+    const auto isSame = [](const auto *left, const auto *right) {
+        return left == right || (left && right && *left == *right);
+    };
+    const Route *route = inForce->find(m_request->headers.find("Host"), m_request->path());
+    if (!route || *route != *m_route || inForce->requiresKeys() != m_routes->requiresKeys()
+        || !isSame(inForce->service(m_service), m_routes->service(m_service))
+        || !isSame(inForce->customer(m_customer), m_routes->customer(m_customer)))
+        return false;
+    m_routes = inForce;
+    m_route = route;
+    return true;
+}
+
+bool RelayedRequest::mayDecideAnew() const
+{
+    return m_verdict == Verdict::NotRun && !m_writer->started() && !isOver();
+}
+
+void RelayedRequest::dropDecision()
+{
+    logInfo("request_decided_anew",
+            {{"request", m_id},
+             {"former", declarationNumber()},
+             {"declaration", m_state->declarationNumber()}});
+    leaveQueue();
+    m_routes = m_state->routes;
+    m_tried.clear();
+    m_origin.reset();
+    m_customer.clear();
+}
+
 asio::awaitable<bool> RelayedRequest::identifyCustomer()
 {
     m_priority = m_route->priority;
@@ -389,8 +441,13 @@
             continue;
         }
         m_lacksServers = !placement && m_state->table.anySilent(m_service);
-        if (m_lacksServers && mayHandOver() && co_await handOver())
-            co_return;
+        if (m_lacksServers && mayHandOver()) {
+            const HandOverEnd end = co_await handOver();
+            if (end == HandOverEnd::Answered)
+                co_return;
+            if (end == HandOverEnd::DecidedAnew)
+                continue;
+        }
         if (!placement && m_sendCount == 0)
             co_return co_await refuse(m_origin ? "no_backend_of_version" : "no_backend");
         if (!placement && m_writer->started() && m_route->repeatable()) {
@@ -445,8 +502,13 @@
         m_tried.push_back(prefillFailed ? firstTarget.backend : placement->responder.backend);
         if (result == AttemptResult::Unreached && ++unreachedSends < MaxUnreachedSends)
             continue;
-        if (result == AttemptResult::Unreached && mayHandOver() && co_await handOver())
-            co_return;
+        if (result == AttemptResult::Unreached && mayHandOver()) {
+            const HandOverEnd end = co_await handOver();
+            if (end == HandOverEnd::Answered)
+                co_return;
+            if (end == HandOverEnd::DecidedAnew)
+                continue;
+        }
         const bool mayTryAgain
             = prefillFailed ? m_prefillsForSend < MaxPrefillAttempts : mayRepeat(result);
         // Prefilling the prompt again costs a second repeat in addition to that of the request.
@@ -1286,7 +1348,8 @@
              {"total_ms", toMilliseconds(took)},
              {"waited_ms", toMilliseconds(m_waitedTime)},
              {"left_ms", m_route ? toMilliseconds(timeLeft()) : -1},
-             {"declaration", m_routes ? m_routes->declaration().number : 0},
+             {"declaration", declarationNumber()},
+             {"other_declaration", m_otherDeclaration.value_or(0)},
              {"declaration_age_ms", ageMs(m_state->options.declarationAge())},
              {"expected_ms", toMilliseconds(m_lastExpectedWait)},
              {"list_age_ms", ageMs(m_state->options.listingAge())}});
--- a/src/gentianramp/relay/relayed_request.hpp
+++ b/src/gentianramp/relay/relayed_request.hpp
@@ -67,6 +67,17 @@
 
     // Routing
     boost::asio::awaitable<bool> resolveRoute();
+    /// Makes the declaration in force here that by which another instance decided the request that
+    /// it hands over; false when the request was refused because they differ.
+    boost::asio::awaitable<bool> matchDeclaration();
+    /// Goes on by the declaration in force, if that decides the request alike; otherwise the
+    /// request keeps its own.
+    bool adoptDeclarationInForce();
+    /// No server can have run the request, so that it may be decided once more.
+    bool mayDecideAnew() const;
+    /// Forgets how the request was routed, before it is routed by the declaration in force.
+    void dropDecision();
+    std::uint64_t declarationNumber() const;
     /// Finds the customer by the request's key; false when the request was refused because it needs
     /// a key that a customer holds.
     boost::asio::awaitable<bool> identifyCustomer();
@@ -121,12 +132,21 @@
         AttemptResult attempt = AttemptResult::MayHaveRun;
         bool lacksServers = false; ///< Servers of the service do not answer that instance either.
         bool wasSent = false; ///< The instance sent the request to a server, which rejected it.
+        /// The instance refused because it decides by this declaration; empty: for another reason.
+        std::optional<std::uint64_t> otherDeclaration;
+    };
+    enum class HandOverEnd {
+        Answered,    ///< The caller has its answer, or is gone.
+        NotTaken,    ///< No instance took the request.
+        DecidedAnew, ///< A newer declaration is in force, by which the request was routed again.
     };
 
     /// The request may be sent by way of another instance.
     bool mayHandOver() const;
-    /// /// Hands the request over to other instances, one after the other; false when none took it.
-    boost::asio::awaitable<bool> handOver();
+    /// Hands the request over to other instances, one after the other.
+    boost::asio::awaitable<HandOverEnd> handOver();
+    /// Goes on by the declaration in force; NotTaken unless the request had to be routed again.
+    boost::asio::awaitable<HandOverEnd> followDeclarationInForce();
     boost::asio::awaitable<HandOverResult> handOverTo(const RelayHelper &helper);
     /// Takes the repeats for the sends of another instance, after a server has had the request: one
     /// for the request and one for the prefill of its prompt.
@@ -134,6 +154,9 @@
     HttpCall makeHandOverCall(const RelayHelper &helper) const;
     /// Reads what the other instance says of the answer.
     AttemptResult noteHelperHead(Attempt &attempt);
+    std::optional<std::uint64_t> noteHelperDeclaration(const RelayHelper &helper,
+                                                       const HttpHeaders &headers,
+                                                       AttemptResult result);
     /// Adds what another instance needs to know to the head of an answer.
     void addHandOverHeaders(HttpResponse &head, Verdict verdict) const;
 
@@ -218,6 +241,8 @@
 
     std::shared_ptr<HttpExchange> m_exchange; ///< Exchange of the current attempt.
     InstanceId m_helper; ///< Last instance that the request was handed over to.
+    /// Number that the other instance of the last hand-over stated; empty: none.
+    std::optional<std::uint64_t> m_otherDeclaration;
     std::optional<Duration> m_helperRetryAfter; ///< Of the last instance that refused it.
     Duration m_refusedWait{};      ///< Expected wait because of which the request was refused.
     BackendId m_backend;           ///< Backend server of the last attempt or prefill.
--- a/src/gentianramp/relay/relayed_request_hand_over.cpp
+++ b/src/gentianramp/relay/relayed_request_hand_over.cpp
@@ -14,6 +14,8 @@
 
 /// Instances that reach servers and refuse a request before it is refused to the caller.
 constexpr std::uint32_t MaxRefusals = 2;
+/// Instances that refuse a request because they decide by another declaration.
+constexpr std::uint32_t MaxDeclarationRefusals = 4;
 /// Instances are in the same region.
 constexpr Duration HelperConnectTimeout = std::chrono::milliseconds(250);
 } // namespace
@@ -24,31 +26,67 @@
         && m_state->table.halfSilent() && (m_verdict == Verdict::NotRun || m_route->repeatable());
 }
 
-asio::awaitable<bool> RelayedRequest::handOver()
+asio::awaitable<RelayedRequest::HandOverEnd> RelayedRequest::followDeclarationInForce()
+{
+    if (adoptDeclarationInForce() || !mayDecideAnew())
+        co_return HandOverEnd::NotTaken;
+    dropDecision();
+    bool isRouted = co_await resolveRoute();
+    if (isRouted)
+        startDeadline();
+    if (isRouted && m_lastEventId)
+        isRouted = co_await resolveOrigin();
+    co_return isRouted ? HandOverEnd::DecidedAnew : HandOverEnd::Answered;
+}
+
+asio::awaitable<RelayedRequest::HandOverEnd> RelayedRequest::handOver()
 {
     releasePrefilledPrompt();
+    // The request may have arrived before the declaration in force.
+    HandOverEnd end = co_await followDeclarationInForce();
+    if (end != HandOverEnd::NotTaken)
+        co_return end;
     if ((m_prefillCount > 0 || m_sendCount > 0) && !takeFurtherSends())
-        co_return false;
+        co_return HandOverEnd::NotTaken;
     const std::vector<RelayHelper> helpers
         = m_state->options.peers.helpers(m_service, m_state->random());
     std::uint32_t refusals = 0;
-    for (const RelayHelper &helper : helpers) {
-        if (m_expired || timeLeft() < MinTimeLeftForSend || refusals >= MaxRefusals)
+    std::uint32_t declarationRefusals = 0;
+    for (auto helper = helpers.begin(); helper != helpers.end();) {
+        if (m_expired || timeLeft() < MinTimeLeftForSend || refusals >= MaxRefusals
+            || declarationRefusals >= MaxDeclarationRefusals)
             break;
-        const HandOverResult result = co_await handOverTo(helper);
+        const HandOverResult result = co_await handOverTo(*helper);
         if (result.attempt == AttemptResult::Done || m_callerGone)
-            co_return true;
+            co_return HandOverEnd::Answered;
+        if (result.otherDeclaration) {
+            ++declarationRefusals;
+            m_state->metrics.handOversOtherDeclaration.add();
+            const bool isBehind = isNewerDeclaration(*result.otherDeclaration, declarationNumber());
+            if (isBehind)
+                co_await m_state->declarations.catchUp(helper->instance, *result.otherDeclaration);
+            end = co_await followDeclarationInForce();
+            if (end != HandOverEnd::NotTaken)
+                co_return end;
+            // A request that keeps an older declaration is refused by those that have a newer one.
+            if (m_routes != m_state->routes)
+                break;
+            const bool mayTakeNow = isBehind && *result.otherDeclaration == declarationNumber();
+            helper += mayTakeNow ? 0 : 1;
+            continue;
+        }
+        ++helper;
         m_state->metrics.handOversFailed.add();
         if (result.attempt == AttemptResult::MayHaveRun
             && (!mayRepeat(result.attempt) || !takeRepeat())) {
             co_await fail();
-            co_return true;
+            co_return HandOverEnd::Answered;
         }
         refusals += result.attempt == AttemptResult::NotRun && !result.lacksServers ? 1 : 0;
         if (result.attempt == AttemptResult::NotRun && result.wasSent && !takeFurtherSends())
             break;
     }
-    co_return false;
+    co_return HandOverEnd::NotTaken;
 }
 
 bool RelayedRequest::takeFurtherSends()
@@ -75,8 +113,13 @@
         call.request.headers.set(instance_headers::Customer, m_customer);
     }
     call.request.headers.set(protocol.timeBudget, std::to_string(toMilliseconds(timeLeft())));
+    // An instance of an earlier build may have a declaration by which the request may run again.
+    const bool onlyOnce
+        = !m_route->repeatable() && !m_state->statesDeclaration.contains(helper.instance);
     call.request.headers.set(instance_headers::Attempts,
-                             std::to_string(maxAttempts() - m_sendCount));
+                             std::to_string(onlyOnce ? 1 : maxAttempts() - m_sendCount));
+    call.request.headers.set(instance_headers::Declaration, std::to_string(declarationNumber()));
+    call.request.headers.set(instance_headers::Instance, m_state->options.instance.value());
     if (m_route->kind == RouteKind::Stream && m_lastEventId)
         call.request.headers.set(protocol.lastEventId, std::to_string(*m_lastEventId));
     if (m_writer->started() && m_resumes.empty())
@@ -110,6 +153,23 @@
                                                                : AttemptResult::MayHaveRun;
 }
 
+/// Notes by which declaration the other instance decides; returns its number if the instance
+/// refused because of that.
+std::optional<std::uint64_t> RelayedRequest::noteHelperDeclaration(const RelayHelper &helper,
+                                                                   const HttpHeaders &headers,
+                                                                   AttemptResult result)
+{
+    m_otherDeclaration = parseNumber(headers.find(instance_headers::Declaration));
+    if (!m_otherDeclaration) {
+        m_state->statesDeclaration.erase(helper.instance);
+        return std::nullopt;
+    }
+    m_state->statesDeclaration.insert(helper.instance);
+    const bool refused
+        = result == AttemptResult::NotRun && *m_otherDeclaration != declarationNumber();
+    return refused ? m_otherDeclaration : std::nullopt;
+}
+
 asio::awaitable<RelayedRequest::HandOverResult>
 RelayedRequest::handOverTo(const RelayHelper &helper)
 {
@@ -129,9 +189,12 @@
         result.attempt = noteHelperHead(attempt);
         result.lacksServers = headers.contains(instance_headers::LacksServers);
         result.wasSent = headers.contains(instance_headers::WasSent);
+        result.otherDeclaration = noteHelperDeclaration(helper, headers, result.attempt);
     } else if (!attempt.exchange->anyBytesWritten()) {
         result.attempt = AttemptResult::Unreached;
     }
+    if (error)
+        m_state->statesDeclaration.erase(helper.instance);
     if (result.attempt == AttemptResult::Done)
         result.attempt = co_await relayAnswer(attempt);
     if (result.attempt != AttemptResult::Done)
@@ -153,6 +216,8 @@
                     {"error", error ? error.message() : "answer"},
                     {"status", error ? 0 : attempt.exchange->status()},
                     {"lacks_servers", result.lacksServers ? 1 : 0},
+                    {"declaration", declarationNumber()},
+                    {"other_declaration", m_otherDeclaration.value_or(0)},
                     {"after_ms", toMilliseconds(RuntimeClock::now() - attempt.sentAt)}});
     co_return result;
 }
@@ -162,6 +227,8 @@
     if (m_source != RequestSource::Instance)
         return;
     head.headers.set(instance_headers::Verdict, std::string(gentianramp::toString(verdict)));
+    if (m_routes)
+        head.headers.set(instance_headers::Declaration, std::to_string(declarationNumber()));
     if (m_lacksServers)
         head.headers.set(instance_headers::LacksServers, "1");
     if (m_prefillCount > 0 || !m_tried.empty())
